--- /dev/null
+++ b/src/model/Model.h
@@ -0,0 +1,18 @@
+#ifndef LYCHEETHREAD_MODEL_MODEL_H
+#define LYCHEETHREAD_MODEL_MODEL_H
+
+/// Public header of the model library: ids, units and the plain data that the
+/// modules share, and the parser of service documents.
+
+#include "model/types/Finding.h"
+#include "model/types/Ids.h"
+#include "model/types/Member.h"
+#include "model/types/Record.h"
+#include "model/types/Refusal.h"
+#include "model/types/RefusalReason.h"
+#include "model/types/RequestClass.h"
+#include "model/types/RouteOutcomes.h"
+#include "model/types/ServiceDocument.h"
+#include "model/types/Units.h"
+
+#endif // LYCHEETHREAD_MODEL_MODEL_H
--- /dev/null
+++ b/src/model/types/Member.h
@@ -0,0 +1,56 @@
+#ifndef LYCHEETHREAD_MODEL_TYPES_MEMBER_H
+#define LYCHEETHREAD_MODEL_TYPES_MEMBER_H
+
+#include "model/types/Ids.h"
+#include "model/types/Units.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace lycheethread {
+
+/// An IP number and a port.
+struct Endpoint {
+  std::string Address;
+  std::uint16_t Port = 0;
+
+  friend bool operator==(const Endpoint &L, const Endpoint &R) {
+    return L.Port == R.Port && L.Address == R.Address;
+  }
+  friend bool operator<(const Endpoint &L, const Endpoint &R) {
+    return L.Address != R.Address ? L.Address < R.Address : L.Port < R.Port;
+  }
+};
+
+/// Where an instance stands.
+struct Place {
+  Region In;
+  AvailabilityZone Zone;
+};
+
+enum class MemberState { Starting, Ready, Draining, Suspect, Left, Dead };
+
+/// Lower-case name of the state.
+std::string_view toString(MemberState State);
+
+/// What the other nodes know of one node and the upstream beside it.
+struct Member {
+  NodeId Id;
+  Incarnation Life;
+  MemberState State = MemberState::Starting;
+  /// HTTP port for requests from other nodes.
+  Endpoint Hop;
+  /// Port of the control protocol, UDP and TCP.
+  Endpoint Control;
+  Place At;
+  ServiceName Service;
+  GroupName Group;
+  VersionName Version;
+  /// First offset of the control stream not yet in force there.
+  Offset ConfigPosition;
+};
+
+} // namespace lycheethread
+
+#endif // LYCHEETHREAD_MODEL_TYPES_MEMBER_H
--- /dev/null
+++ b/src/model/types/Refusal.h
@@ -0,0 +1,27 @@
+#ifndef LYCHEETHREAD_MODEL_TYPES_REFUSAL_H
+#define LYCHEETHREAD_MODEL_TYPES_REFUSAL_H
+
+#include "model/types/Ids.h"
+#include "model/types/RefusalReason.h"
+#include "model/types/RequestClass.h"
+#include "model/types/Units.h"
+
+namespace lycheethread {
+
+/// One request that was turned away by a node.
+struct Refusal {
+  RefusalId Id;
+  WallTime At;
+  CallerId Caller;
+  ServiceName Service;
+  RouteName Route;
+  RequestClass Class = RequestClass::Repeatable;
+  RefusalReason Reason = RefusalReason::NoRoute;
+  Executed Ran = Executed::No;
+  /// First offset of the control stream not yet in force at the node.
+  Offset ConfigPosition;
+};
+
+} // namespace lycheethread
+
+#endif // LYCHEETHREAD_MODEL_TYPES_REFUSAL_H
--- /dev/null
+++ b/src/moves/types/BrakeSet.h
@@ -0,0 +1,17 @@
+#ifndef LYCHEETHREAD_MOVES_TYPES_BRAKESET_H
+#define LYCHEETHREAD_MOVES_TYPES_BRAKESET_H
+
+#include "model/Model.h"
+
+#include <set>
+
+namespace lycheethread::moves {
+
+/// Moves whose new version this node sends no requests to, whatever the share.
+struct BrakeSet {
+  std::set<MoveId> Stopped;
+};
+
+} // namespace lycheethread::moves
+
+#endif // LYCHEETHREAD_MOVES_TYPES_BRAKESET_H
--- /dev/null
+++ b/src/peer/Peer.h
@@ -0,0 +1,17 @@
+#ifndef LYCHEETHREAD_PEER_PEER_H
+#define LYCHEETHREAD_PEER_PEER_H
+
+/// Public header of the peer library: the control protocol between nodes.
+
+#include "kernel/Kernel.h"
+#include "peer/types/PeerControl.h"
+
+namespace lycheethread::peer {
+
+/// Gossip, feed and the view builder of a node. Registers Config, Members,
+/// View and Peers of kernel::service_names.
+kernel::Module makePeerModule();
+
+} // namespace lycheethread::peer
+
+#endif // LYCHEETHREAD_PEER_PEER_H
