Add the INI reader and the parser of service documents

Operators need every mistake of a document in one run, with its line; no packaged INI library reports lines. readIni keeps them, documentSchema lists each key once for the parser and the reference page, and parseDocument collects all findings.

--- a/src/model/Model.h
+++ b/src/model/Model.h
@@ -4,9 +4,13 @@
 /// Public header of the model library: ids, units and the plain data that the
 /// modules share, and the parser of service documents.
 
+#include "model/types/Checks.h"
+#include "model/types/DocumentSchema.h"
 #include "model/types/Finding.h"
 #include "model/types/Ids.h"
+#include "model/types/Ini.h"
 #include "model/types/Member.h"
+#include "model/types/ParsedDocument.h"
 #include "model/types/Record.h"
 #include "model/types/Refusal.h"
 #include "model/types/RefusalReason.h"
--- /dev/null
+++ b/src/model/tests/IniTest.cpp
@@ -0,0 +1,35 @@
+#include "model/Model.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lycheethread;
+
+// Guards against comments that end up in values, and against '#' inside a
+// value being taken for a comment.
+BOOST_AUTO_TEST_CASE(CommentsNeedWhiteSpaceBefore) {
+  const IniFile File = readIni("a.ini", "; first\n[a] # x\n"
+                                        "k = v#1 ; note\r\n#k = 2\n");
+  BOOST_TEST(File.Problems.empty());
+  BOOST_REQUIRE(File.Sections.size() == 1);
+  BOOST_REQUIRE(File.Sections[0].Entries.size() == 1);
+  BOOST_TEST(File.Sections[0].Entries[0].Value == "v#1");
+  BOOST_TEST(File.Sections[0].Entries[0].Line == 3);
+}
+
+// Guards against unreadable bytes that pass, or that appear in messages.
+BOOST_AUTO_TEST_CASE(UnreadableBytesAreReportedWithTheirLine) {
+  const IniFile File =
+      readIni("a.ini", "[a]\nk = \xC3\x28\nl = a\x01z\nm = \xC3\xA4\n");
+  BOOST_REQUIRE(File.Problems.size() == 2);
+  BOOST_TEST(File.Problems[0].Line == 2);
+  BOOST_TEST(File.Problems[1].Line == 3);
+  BOOST_TEST(File.Sections[0].Entries[0].Value == "?(");
+  BOOST_TEST(File.Sections[0].Entries[2].Value == "\xC3\xA4");
+}
+
+// Guards against memory use that grows with what an operator sends.
+BOOST_AUTO_TEST_CASE(TooLongTextIsNotRead) {
+  const IniFile File = readIni("a.ini", std::string(MaxIniBytes + 1, ' '));
+  BOOST_TEST(File.Problems.size() == 1);
+  BOOST_TEST(File.Sections.empty());
+}
