Add the moves library: fold, sequential test and decisions

Version moves had declarations only. The fold derives leases, steps and ends from the control stream with log time as its only clock. The judgement runs a sequential probability ratio test per route and stream against the old version in the windows around the tested one, with the false alarm rate spread over routes, streams and test cycles, and leaves out the worst of several nodes so that one broken instance does not reject a version. Once-only and upload routes lag one step behind the repeatable ones.

--- /dev/null
+++ b/src/moves/internal/Judge.cpp
@@ -0,0 +1,288 @@
+#include "moves/Moves.h"
+#include "moves/internal/Likelihood.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace lycheethread::moves {
+
+namespace {
+
+constexpr Milliseconds JudgeWindow{1'000};
+/// Reports arrive every 2 s and not at the same time at all nodes. A window is
+/// tested when this many later ones are complete, so that a fault of both
+/// versions shows in the old version's counts too.
+constexpr std::size_t LaterWindows = 2;
+constexpr std::size_t EarlierWindows = 3;
+constexpr std::size_t JudgeWindows = LaterWindows + EarlierWindows + 2;
+constexpr std::size_t MaxRoutes = 256;
+constexpr std::size_t MaxHops = 64;
+/// The first requests of an upstream fill caches and pools.
+constexpr Milliseconds ColdStart{10'000};
+/// The chance of no request where this many are expected is below 0.1%.
+constexpr double MinExpected = 7;
+
+OutcomeCounts countsOf(const RouteOutcomes &Seen, bool Timed) {
+  OutcomeCounts Result;
+  Result.Requests = std::max<std::int64_t>(Seen.Requests, 0);
+  Result.Failures = std::clamp<std::int64_t>(Seen.Failures, 0, Result.Requests);
+  if (!Timed)
+    return Result;
+  for (std::size_t I = 0; I < LatencyBuckets; ++I)
+    Result.Latency[I] = std::max<std::int64_t>(Seen.Latency[I], 0);
+  return Result;
+}
+
+/// Old version in the windows around the tested one.
+OutcomeCounts recentOld(const RouteJudge &Route) {
+  OutcomeCounts Result;
+  for (std::size_t I = 0; I + 1 < Route.Windows.size(); ++I)
+    addCounts(Result, Route.Windows[I].Old);
+  return Result;
+}
+
+OutcomeCounts recentNew(const RouteJudge &Route) {
+  OutcomeCounts Result;
+  for (std::size_t I = 0; I + 1 < Route.Windows.size(); ++I)
+    for (const auto &[Hop, Counts] : Route.Windows[I].New)
+      addCounts(Result, Counts);
+  return Result;
+}
+
+void restartCycle(StreamTest &Test) {
+  Test.Total = 0;
+  Test.ByHop.clear();
+  ++Test.Cycle;
+}
+
+/// Adds one node's tally of the tested window.
+void addTally(StreamTest &Test, const NodeId &Hop, const Tally &Seen,
+              const RatePair &Rates) {
+  const double Ratio = logLikelihood(Seen, Rates);
+  Test.Total += Ratio;
+  Test.ByHop[Hop] += Ratio;
+  Test.Events += Seen.Events;
+  Test.Samples += Seen.Samples;
+}
+
+void settle(const Judge &State, StreamTest &Test) {
+  const double Against = withoutWorstHop(Test);
+  if (Against >= upperThreshold(State, Test.Cycle)) {
+    Test.Condemned = true;
+    return;
+  }
+  if (Test.Total <= lowerThreshold(State))
+    Test.Accepted = true;
+  // Without a new cycle a long good past would outweigh a later fault.
+  if (Against <= lowerThreshold(State))
+    restartCycle(Test);
+}
+
+void testWindow(const Judge &State, RouteJudge &Route,
+                const RouteWindow &Tested) {
+  const OutcomeCounts Recent = recentOld(Route);
+  const OutcomeCounts RecentNew = recentNew(Route);
+  const std::size_t FirstSlow = slowBucket(Route.Baseline);
+  const Tally BaseFailed = failedTally(Route.Baseline);
+  const Tally BaseSlow = slowTally(Route.Baseline, FirstSlow);
+  const Tally OldFailed = failedTally(Recent);
+  const Tally OldSlow = slowTally(Recent, FirstSlow);
+  const RatePair Failed = failedRates(oldRate(BaseFailed, OldFailed));
+  const RatePair Slow = slowRates(oldRate(BaseSlow, OldSlow));
+  const bool TestsSlow = State.JudgesLatency && FirstSlow < LatencyBuckets;
+  for (const auto &[Hop, Counts] : Tested.New) {
+    addTally(Route.Failed, Hop, failedTally(Counts), Failed);
+    if (TestsSlow)
+      addTally(Route.Slow, Hop, slowTally(Counts, FirstSlow), Slow);
+  }
+  settle(State, Route.Failed);
+  settle(State, Route.Slow);
+  const bool OldFails = isWorse(BaseFailed, OldFailed);
+  const bool OldSlows = TestsSlow && isWorse(BaseSlow, OldSlow);
+  const Tally NewFailed = failedTally(RecentNew);
+  const Tally NewSlow = slowTally(RecentNew, FirstSlow);
+  Route.BothWorse =
+      (OldFails &&
+       (NewFailed.Samples == 0 || isWorse(BaseFailed, NewFailed))) ||
+      (OldSlows && (NewSlow.Samples == 0 || isWorse(BaseSlow, NewSlow)));
+  // A general fault must not become the baseline that hides a worse version.
+  if (!OldFails && !OldSlows)
+    addCounts(Route.Baseline, Tested.Old);
+}
+
+void closeWindow(const Judge &State, RouteJudge &Route) {
+  Route.Windows.emplace_back();
+  while (Route.Windows.size() > JudgeWindows)
+    Route.Windows.pop_front();
+  if (Route.Windows.size() < LaterWindows + 2)
+    return;
+  const RouteWindow Tested =
+      Route.Windows[Route.Windows.size() - LaterWindows - 2];
+  testWindow(State, Route, Tested);
+}
+
+void closeWindows(Judge &State, SteadyTime Now) {
+  std::size_t Closed = 0;
+  while (elapsed(State.WindowStart, Now) >= JudgeWindow) {
+    State.WindowStart = after(State.WindowStart, JudgeWindow);
+    // After a long pause, all windows with counts have passed by.
+    if (++Closed > JudgeWindows) {
+      State.WindowStart = Now;
+      return;
+    }
+    for (auto &[Name, Route] : State.Routes)
+      closeWindow(State, Route);
+  }
+}
+
+void startStep(Judge &State, const Move &Item, const GroupShare &Share) {
+  State.Share = Share.CandidateShare;
+  State.GuardedShare = Share.GuardedShare;
+  if (State.StepsTaken == Item.StepsTaken)
+    return;
+  State.StepsTaken = Item.StepsTaken;
+  for (auto &[Name, Route] : State.Routes) {
+    Route.Failed.Accepted = false;
+    Route.Slow.Accepted = false;
+    Route.OldSinceStep = 0;
+    Route.NewSinceStep = 0;
+  }
+}
+
+bool isDoubtful(const Judge &State, const StreamTest &Test) {
+  return withoutWorstHop(Test) > upperThreshold(State, Test.Cycle) / 2;
+}
+
+bool isUnreached(const Judge &State, const RouteName &Name,
+                 const RouteJudge &Route) {
+  const bool Guarded = State.Guarded.count(Name) != 0;
+  const Permille Share = Guarded ? State.GuardedShare : State.Share;
+  const auto Seen =
+      static_cast<double>(Route.OldSinceStep + Route.NewSinceStep);
+  const double Expected = Seen * static_cast<double>(Share.value()) / 1000;
+  return Route.NewSinceStep == 0 && Expected >= MinExpected;
+}
+
+void describeTest(std::ostream &Out, const Judge &State, const char *Name,
+                  const StreamTest &Test) {
+  Out << " " << Name << " " << Test.Events << "/" << Test.Samples << " llr "
+      << withoutWorstHop(Test) << " of " << upperThreshold(State, Test.Cycle)
+      << (Test.Condemned  ? " bad"
+          : Test.Accepted ? " good"
+                          : " open");
+}
+
+void describeRoute(std::ostream &Out, const Judge &State, const RouteName &Name,
+                   const RouteJudge &Route) {
+  Out << Name << ":";
+  describeTest(Out, State, "failed", Route.Failed);
+  if (State.JudgesLatency)
+    describeTest(Out, State, "slow", Route.Slow);
+  Out << " old failed " << Route.Baseline.Failures << "/"
+      << Route.Baseline.Requests;
+  if (Route.BothWorse)
+    Out << " both versions worse";
+  Out << "; ";
+}
+
+bool isCondemned(const RouteJudge &Route) {
+  return Route.Failed.Condemned || Route.Slow.Condemned;
+}
+
+/// Condemned routes come first, since the text is cut at a fixed length.
+std::string evidenceOf(const Judge &State) {
+  std::ostringstream Out;
+  Out.precision(3);
+  for (const bool Condemned : {true, false})
+    for (const auto &[Name, Route] : State.Routes)
+      if (isCondemned(Route) == Condemned)
+        describeRoute(Out, State, Name, Route);
+  return Out.str().substr(0, MaxMoveText);
+}
+
+} // namespace
+
+Judge makeJudge(const Move &Item, const ServiceDocument &Document) {
+  Judge Result;
+  Result.Id = Item.Id;
+  Result.Group = Item.Plan.Group;
+  Result.From = Item.Plan.From;
+  Result.To = Item.Plan.To;
+  std::int32_t Routes = 0;
+  for (const auto &[Name, Route] : Document.Routes) {
+    if (Route.Group != Item.Plan.Group)
+      continue;
+    ++Routes;
+    if (Route.Class != RequestClass::Repeatable)
+      Result.Guarded.insert(Name);
+  }
+  Result.Tests = 2 * std::max(Routes, 1);
+  Result.StepsTaken = Item.StepsTaken;
+  return Result;
+}
+
+Judge makeEntryJudge(const Move &Item, const ServiceDocument &Document) {
+  Judge Result = makeJudge(Item, Document);
+  // Every entry node runs this test; a false alarm stops its traffic only.
+  constexpr double EntryFalseAlarmRate = 0.001;
+  Result.FalseAlarmRate = EntryFalseAlarmRate;
+  Result.JudgesLatency = false;
+  return Result;
+}
+
+void addOutcomes(Judge &State, const HopReport &Report, SteadyTime Now) {
+  if (State.WindowStart == SteadyTime())
+    State.WindowStart = Now;
+  closeWindows(State, Now);
+  const bool Timed = State.JudgesLatency && Report.TrafficAge >= ColdStart;
+  for (const RouteOutcomes &Seen : Report.Routes) {
+    const bool New = Seen.Version == State.To;
+    if (Seen.Group != State.Group || (!New && Seen.Version != State.From))
+      continue;
+    if (State.Routes.count(Seen.Route) == 0 && State.Routes.size() >= MaxRoutes)
+      continue;
+    RouteJudge &Route = State.Routes[Seen.Route];
+    RouteWindow &Open = Route.Windows.back();
+    const OutcomeCounts Counts = countsOf(Seen, Timed);
+    if (!New) {
+      addCounts(Open.Old, Counts);
+      Route.OldSinceStep += Counts.Requests;
+      continue;
+    }
+    if (Open.New.count(Report.Hop) == 0 && Open.New.size() >= MaxHops)
+      continue;
+    addCounts(Open.New[Report.Hop], Counts);
+    Route.NewSinceStep += Counts.Requests;
+    Route.NewAnswered += Counts.Requests - Counts.Failures;
+  }
+}
+
+Verdict judge(Judge &State, const Move &Item, const GroupShare &Share,
+              SteadyTime Now) {
+  if (State.WindowStart == SteadyTime())
+    State.WindowStart = Now;
+  closeWindows(State, Now);
+  startStep(State, Item, Share);
+  Verdict Result;
+  bool AllPassed = true;
+  bool AnyPassed = false;
+  for (const auto &[Name, Route] : State.Routes) {
+    Result.Condemned |= isCondemned(Route);
+    Result.BothWorse |= Route.BothWorse;
+    Result.Doubtful |=
+        isDoubtful(State, Route.Failed) || isDoubtful(State, Route.Slow);
+    Result.Unreached |= isUnreached(State, Name, Route);
+    Result.Answered |= Route.NewAnswered > 0;
+    if (Route.NewSinceStep == 0)
+      continue;
+    const bool Passed =
+        Route.Failed.Accepted && (Route.Slow.Accepted || !State.JudgesLatency);
+    AnyPassed |= Passed;
+    AllPassed &= Passed;
+  }
+  Result.Sufficient = AnyPassed && AllPassed;
+  Result.Evidence = evidenceOf(State);
+  return Result;
+}
+
+} // namespace lycheethread::moves
--- /dev/null
+++ b/src/moves/internal/LocalStop.cpp
@@ -0,0 +1,34 @@
+#include "moves/Moves.h"
+
+namespace lycheethread::moves {
+
+namespace {
+
+constexpr std::size_t MaxStopRoutes = 256;
+
+/// The order within one report is not known, so that only a report without a
+/// success continues a run of failures.
+bool extendsRun(std::int64_t &Run, const RouteOutcomes &Seen) {
+  if (Seen.Requests == 0)
+    return false;
+  Run = Seen.Failures == Seen.Requests ? Run + Seen.Failures : 0;
+  return Run >= MaxFailuresInARow;
+}
+
+} // namespace
+
+bool addEntryOutcomes(LocalStop &State, const Move &Item,
+                      const std::vector<RouteOutcomes> &Seen) {
+  bool Stop = false;
+  for (const RouteOutcomes &One : Seen) {
+    if (One.Group != Item.Plan.Group || One.Version != Item.Plan.To)
+      continue;
+    if (State.FailuresInARow.count(One.Route) == 0 &&
+        State.FailuresInARow.size() >= MaxStopRoutes)
+      continue;
+    Stop |= extendsRun(State.FailuresInARow[One.Route], One);
+  }
+  return Stop;
+}
+
+} // namespace lycheethread::moves
--- /dev/null
+++ b/src/moves/tests/MoveFoldTest.cpp
@@ -0,0 +1,180 @@
+#define BOOST_TEST_MODULE Moves
+#include "moves/tests/MoveFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lycheethread;
+using namespace lycheethread::moves;
+using namespace lycheethread::moves::test;
+
+BOOST_AUTO_TEST_SUITE(MoveFold)
+
+// Guards against two owners that both claimed the same epoch and both act.
+BOOST_AUTO_TEST_CASE(OfRacingOwnersTheFirstClaimInTheLogWins) {
+  MoveLog Log = runningLog();
+  BOOST_TEST(Log.lease("a", 1, 1));
+  BOOST_TEST(!Log.lease("b", 1, 1));
+  BOOST_TEST(!Log.lease("b", 2, 2));
+  BOOST_TEST(!Log.step("b", 2, 1, 10));
+  BOOST_TEST(Log.step("a", 2, 1, 10));
+  BOOST_TEST(Log.Table.Running.at(FirstMove).Share == Permille(10));
+}
+
+// Guards against a paused owner that resumes and raises the share or ends the
+// move although another one took over.
+BOOST_AUTO_TEST_CASE(RecordsOfAFrozenOwnerWithAnOldEpochAreDropped) {
+  MoveLog Log = runningLog();
+  Log.lease("a", 1, 1);
+  Log.step("a", 2, 1, 10);
+  BOOST_TEST(Log.lease("b", 12, 2));
+  BOOST_TEST(!Log.step("a", 13, 1, 250));
+  BOOST_TEST(!Log.end("a", 13, 1, MoveOutcome::Undone));
+  BOOST_TEST(!Log.lease("a", 13, 2));
+  BOOST_TEST(Log.step("b", 13, 2, 250));
+}
+
+// Guards against a share that rises under a lease that has run out although
+// nobody has claimed it since.
+BOOST_AUTO_TEST_CASE(AnExpiredLeaseRaisesNoShare) {
+  MoveLog Log = runningLog();
+  Log.lease("a", 1, 1);
+  BOOST_TEST(!Log.step("a", 12, 1, 10));
+}
+
+// Guards against an append that was repeated after a lost answer and counts
+// twice.
+BOOST_AUTO_TEST_CASE(ARepeatedRecordHasNoFurtherEffect) {
+  MoveLog Log = runningLog();
+  Log.lease("a", 1, 1);
+  BOOST_TEST(!Log.lease("a", 1, 1));
+  BOOST_TEST(Log.step("a", 2, 1, 10));
+  BOOST_TEST(!Log.step("a", 2, 1, 10));
+  BOOST_TEST(Log.Table.Running.at(FirstMove).StepsTaken == 1);
+  BOOST_TEST(Log.end("a", 3, 1, MoveOutcome::Undone));
+  BOOST_TEST(!Log.end("a", 3, 1, MoveOutcome::Undone));
+  BOOST_TEST(Log.Table.Ended.size() == 1U);
+}
+
+// Guards against skipped steps and against `finished` before the last one.
+BOOST_AUTO_TEST_CASE(StepsFollowThePlan) {
+  MoveLog Log = runningLog();
+  Log.lease("a", 1, 1);
+  BOOST_TEST(!Log.step("a", 2, 1, 250));
+  BOOST_TEST(!Log.end("a", 2, 1, MoveOutcome::Finished));
+  BOOST_TEST(Log.step("a", 2, 1, 10));
+  BOOST_TEST(Log.step("a", 3, 1, 250));
+  BOOST_TEST(Log.step("a", 4, 1, 1000));
+  BOOST_TEST(Log.end("a", 5, 1, MoveOutcome::Finished));
+  const auto Share = shareOf(Log.Table, documentWith(planUntil(100)), Main);
+  BOOST_TEST(Share.Stable == VersionName("v2"));
+}
+
+// Guards against nodes that disagree about a `finished` which was written in
+// time but reached the log after the deadline.
+BOOST_AUTO_TEST_CASE(FinishedAfterTheDeadlineIsDroppedAndTheMoveUndone) {
+  MoveLog Log = runningLog();
+  Log.lease("a", 92, 1);
+  Log.step("a", 93, 1, 10);
+  Log.step("a", 94, 1, 250);
+  Log.step("a", 95, 1, 1000);
+  BOOST_TEST(!Log.lease("c", 101, 9));
+  BOOST_TEST(!Log.end("a", 99, 1, MoveOutcome::Finished));
+  BOOST_TEST(Log.Table.Running.empty());
+  BOOST_TEST((Log.Table.Ended.back().Status == MoveStatus::Undone));
+}
+
+// Guards against a log outage across the deadline that leaves the move without
+// an end because nobody holds the lease.
+BOOST_AUTO_TEST_CASE(UndoAfterTheDeadlineNeedsNoEpoch) {
+  MoveLog Log = runningLog();
+  Log.lease("a", 1, 1);
+  Log.step("a", 2, 1, 10);
+  BOOST_TEST(!Log.end("b", 50, 0, MoveOutcome::Undone));
+  BOOST_TEST(Log.end("b", 101, 0, MoveOutcome::Undone));
+  BOOST_TEST(Log.Table.Ended.back().Reason == "told");
+  BOOST_TEST(Log.Table.Ended.back().Share == Permille(0));
+}
+
+// Guards against a move that survives a changed plan, and against an unrelated
+// edit that restarts a running or an ended move.
+BOOST_AUTO_TEST_CASE(AnEditKeepsTheMoveOnlyWithItsPlan) {
+  MoveLog Log = runningLog();
+  applyDocument(Log.Table, documentWith(planUntil(100)), Revision(2), at(1));
+  BOOST_TEST(Log.Table.Running.count(FirstMove) == 1U);
+  applyDocument(Log.Table, documentWith(planUntil(120)), Revision(3), at(2));
+  BOOST_TEST(Log.Table.Running.count(MoveId("ticket-desk/main/3")) == 1U);
+  BOOST_TEST((Log.Table.Ended.back().Status == MoveStatus::Undone));
+  expireMoves(Log.Table, at(121));
+  applyDocument(Log.Table, documentWith(planUntil(120)), Revision(4), at(3));
+  BOOST_TEST(Log.Table.Running.empty());
+}
+
+// Guards against memory growth, and against a forgotten end that would send a
+// quiet group back to its old version.
+BOOST_AUTO_TEST_CASE(EndedMovesAreBoundedButTheLastOfAGroupStays) {
+  MoveLog Log = runningLog();
+  Log.lease("a", 1, 1);
+  Log.step("a", 2, 1, 10);
+  Log.step("a", 3, 1, 250);
+  Log.step("a", 4, 1, 1000);
+  Log.end("a", 5, 1, MoveOutcome::Finished);
+  for (int I = 1; I <= 400; ++I) {
+    ServiceDocument Other = documentWith(planUntil(100 + I));
+    Other.Service = ServiceName("other");
+    applyDocument(Log.Table, Other, Revision(I), at(6));
+  }
+  BOOST_TEST(Log.Table.Ended.size() <= MaxEndedMoves);
+  const auto Share = shareOf(Log.Table, documentWith(planUntil(100)), Main);
+  BOOST_TEST(Share.Stable == VersionName("v2"));
+}
+
+// Guards against an undone move that hands the group to the rejected version
+// because the document lists it first.
+BOOST_AUTO_TEST_CASE(AnUndoneMoveKeepsTheVersionItStartedFrom) {
+  MoveLog Log = runningLog();
+  expireMoves(Log.Table, at(101));
+  ServiceDocument Document = documentWith(planUntil(100));
+  Document.Groups[Main].Versions = {VersionName("v2"), VersionName("v1")};
+  BOOST_TEST(shareOf(Log.Table, Document, Main).Stable == VersionName("v1"));
+}
+
+// Guards against once-only requests that are the first to meet a bad version.
+BOOST_AUTO_TEST_CASE(OnceOnlyRoutesLagOneStepBehind) {
+  MoveLog Log = runningLog();
+  const ServiceDocument Document = documentWith(planUntil(100));
+  const auto Once = [&] {
+    return candidateShare(RequestClass::OnceOnly,
+                          shareOf(Log.Table, Document, Main));
+  };
+  Log.lease("a", 1, 1);
+  Log.step("a", 2, 1, 10);
+  BOOST_TEST(Once() == Permille(0));
+  Log.step("a", 3, 1, 250);
+  BOOST_TEST(Once() == Permille(10));
+  Log.step("a", 4, 1, 1000);
+  BOOST_TEST(Once() == Permille(1000));
+}
+
+// Guards against an accepted plan whose steps cannot end by its deadline.
+BOOST_AUTO_TEST_CASE(APlanThatCannotFitIsRefused) {
+  BOOST_TEST(checkPlan(planUntil(70), at(0)).empty());
+  const Findings Problems = checkPlan(planUntil(50), at(0));
+  BOOST_REQUIRE(Problems.size() == 1U);
+  BOOST_TEST(Problems.front().Key == "move.main.finish_by");
+  MovePlan Falling = planUntil(70);
+  std::swap(Falling.Steps[0], Falling.Steps[1]);
+  BOOST_TEST(checkPlan(Falling, at(0)).size() == 1U);
+}
+
+// Guards against an edit that is refused because of an old move's plan, and
+// against a plan that starts from a version that does not serve.
+BOOST_AUTO_TEST_CASE(OnlyNewPlansAreChecked) {
+  const MoveLog Log = runningLog();
+  const ServiceDocument Kept = documentWith(planUntil(100));
+  BOOST_TEST(checkMoves(Log.Table, Kept, at(99)).empty());
+  ServiceDocument Wrong = documentWith(planUntil(500));
+  Wrong.Moves[Main].From = VersionName("v3");
+  BOOST_TEST(checkMoves(Log.Table, Wrong, at(1)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/moves/types/Move.h
+++ b/src/moves/types/Move.h
@@ -41,12 +41,17 @@
 /// Moves in progress, the last ended ones, and the leases.
 struct MoveTable {
   std::map<MoveId, Move> Running;
-  /// Newest last, at most MaxEndedMoves.
+  /// Newest last, at most MaxEndedMoves besides the last one of each group,
+  /// which decides where the group's traffic goes.
   std::deque<Move> Ended;
   std::map<LeaseSubject, Lease> Leases;
 };
 
 inline constexpr std::size_t MaxEndedMoves = 256;
+inline constexpr std::size_t MaxLeases = 4096;
+inline constexpr Milliseconds MaxLeaseLength{60'000};
+/// Longest reason or evidence that is kept, in bytes.
+inline constexpr std::size_t MaxMoveText = 1024;
 
 /// How the traffic of one group is divided.
 struct GroupShare {
@@ -55,6 +60,9 @@
   MoveId InProgress;
   VersionName Candidate;
   Permille CandidateShare;
+  /// The same for once-only and upload routes: the share of the step before,
+  /// so that requests that cannot be repeated are not the probe.
+  Permille GuardedShare;
 };
 
 } // namespace lycheethread::moves
