--- a/src/model/internal/DocumentParser.cpp
+++ b/src/model/internal/DocumentParser.cpp
@@ -1,4 +1,5 @@
 #include "model/Model.h"
+#include "model/types/SchemaText.h"
 
 #include <algorithm>
 #include <set>
@@ -12,197 +13,24 @@
 constexpr std::size_t MaxVersions = 2;
 constexpr std::int64_t WholeShare = 1000;
 
-/// A known section of the text; the entries are unique and known.
-struct Section {
-  const SectionRule *Rule = nullptr;
-  /// Label in findings, such as "route.orders".
-  std::string Label;
-  /// The part after the dot; empty for sections without an id.
-  std::string Id;
-  int Line = 0;
-  std::map<std::string, IniEntry> Entries;
+struct Parsing : SchemaText {
+  ServiceDocument Document;
 };
 
-struct Parsing {
-  ParsedDocument Result;
-  std::size_t Dropped = 0;
-};
-
-void report(Parsing &To, int Line, const std::string &Key,
-            const std::string &Problem, const std::string &Allowed) {
-  if (To.Result.Problems.size() >= MaxFindings) {
-    ++To.Dropped;
-    return;
-  }
-  To.Result.Problems.push_back({To.Result.File, Line, Key, Problem, Allowed});
-}
-
-const KeyRule *ruleOf(const SectionRule &Rule, const std::string &Key) {
-  const auto Found =
-      std::find_if(Rule.Keys.begin(), Rule.Keys.end(),
-                   [&](const KeyRule &Item) { return Item.Name == Key; });
-  return Found == Rule.Keys.end() ? nullptr : &*Found;
-}
-
-std::string keyLabel(const Section &From, const std::string &Key) {
-  return From.Label + "." + Key;
-}
-
-std::string joined(const std::vector<std::string> &Names) {
-  std::string Text;
-  for (const std::string &Name : Names)
-    Text += (Text.empty() ? "" : ", ") + Name;
-  return Text;
-}
-
-std::string keysOf(const SectionRule &Rule) {
-  std::vector<std::string> Names;
-  for (const KeyRule &Key : Rule.Keys)
-    Names.push_back(Key.Name);
-  return joined(Names);
-}
-
-std::string sectionsOfSchema() {
-  std::vector<std::string> Names;
-  for (const SectionRule &Rule : documentSchema())
-    Names.push_back("[" + Rule.Name + (Rule.Named ? ".name]" : "]"));
-  return joined(Names);
-}
-
-const SectionRule *sectionRule(const std::string &Name) {
-  const auto Dot = Name.find('.');
-  const std::string Kind = Name.substr(0, Dot);
-  for (const SectionRule &Rule : documentSchema())
-    if (Rule.Name == Kind && Rule.Named == (Dot != std::string::npos))
-      return &Rule;
-  return nullptr;
-}
-
-void reportMissingKeys(Parsing &To, const Section &From) {
-  for (const KeyRule &Rule : From.Rule->Keys)
-    if (Rule.Required && From.Entries.count(Rule.Name) == 0)
-      report(To, From.Line, keyLabel(From, Rule.Name), "the key is missing",
-             Rule.Allowed);
-}
-
-void addEntry(Parsing &To, Section &Into, const IniEntry &Entry) {
-  const std::string Label = keyLabel(Into, shortened(Entry.Key, MaxNameLength));
-  if (ruleOf(*Into.Rule, Entry.Key) == nullptr) {
-    report(To, Entry.Line, Label, "unknown key", keysOf(*Into.Rule));
-    return;
-  }
-  const auto [Place, Added] = Into.Entries.emplace(Entry.Key, Entry);
-  if (!Added) {
-    report(To, Entry.Line, Label,
-           "the key is already set in line " +
-               std::to_string(Place->second.Line),
-           "each key once");
-    return;
-  }
-  To.Result.Index.Lines.emplace(Label, Entry.Line);
-}
-
-std::optional<Section> openSection(Parsing &To, const IniSection &Raw) {
-  // A name may be as long as the text, so messages show its start only.
-  const std::string Label = shortened(Raw.Name, MaxNameLength);
-  const SectionRule *Rule = sectionRule(Raw.Name);
-  if (Rule == nullptr) {
-    report(To, Raw.Line, Label, "unknown section", sectionsOfSchema());
-    return std::nullopt;
-  }
-  Section Opened{Rule, Raw.Name, "", Raw.Line, {}};
-  if (Rule->Named)
-    Opened.Id = Raw.Name.substr(Rule->Name.size() + 1);
-  if (Rule->Named && !isValidName(Opened.Id)) {
-    report(To, Raw.Line, Label, "bad name " + quoted(Opened.Id), AllowedName);
-    Opened.Label = Label;
-    Opened.Id.clear();
-  }
-  return Opened;
-}
-
-std::vector<Section> collectSections(Parsing &To, const IniFile &File) {
-  std::vector<Section> Known;
-  std::map<std::string, int> Seen;
-  for (const IniSection &Raw : File.Sections) {
-    std::optional<Section> Opened = openSection(To, Raw);
-    if (!Opened)
-      continue;
-    const auto [Place, First] = Seen.emplace(Raw.Name, Raw.Line);
-    if (!First) {
-      report(To, Raw.Line, Opened->Label,
-             "the section is already in line " + std::to_string(Place->second),
-             "each section once");
-      continue;
-    }
-    To.Result.Index.Lines.emplace(Opened->Label, Raw.Line);
-    for (const IniEntry &Entry : Raw.Entries)
-      addEntry(To, *Opened, Entry);
-    reportMissingKeys(To, *Opened);
-    Known.push_back(std::move(*Opened));
-  }
-  return Known;
-}
-
-/// The value, or nothing with a finding when it is empty.
-std::optional<std::string> textOf(Parsing &To, const Section &From,
-                                  const std::string &Key) {
-  const auto Found = From.Entries.find(Key);
-  if (Found == From.Entries.end())
-    return std::nullopt;
-  if (!Found->second.Value.empty())
-    return Found->second.Value;
-  report(To, Found->second.Line, keyLabel(From, Key), "the value is empty",
-         ruleOf(*From.Rule, Key)->Allowed);
-  return std::nullopt;
-}
-
-void reportValue(Parsing &To, const Section &From, const std::string &Key,
-                 const std::string &Problem) {
-  const auto Found = From.Entries.find(Key);
-  const int Line = Found == From.Entries.end() ? From.Line : Found->second.Line;
-  report(To, Line, keyLabel(From, Key), Problem,
-         ruleOf(*From.Rule, Key)->Allowed);
-}
-
-std::int64_t numberOf(Parsing &To, const Section &From,
-                      const std::string &Key) {
-  const KeyRule &Rule = *ruleOf(*From.Rule, Key);
-  const auto Text = textOf(To, From, Key);
-  if (!Text)
-    return Rule.Default.empty() ? Rule.Min : *parseWholeNumber(Rule.Default);
-  const auto Value = parseWholeNumber(*Text);
-  if (Value && *Value >= Rule.Min && *Value <= Rule.Max)
-    return *Value;
-  reportValue(To, From, Key, quoted(*Text) + " is not a number in range");
-  return Rule.Min;
-}
-
-std::int32_t countOf(Parsing &To, const Section &From, const std::string &Key) {
+std::int32_t countOf(Parsing &To, const SchemaSection &From,
+                     const std::string &Key) {
   return static_cast<std::int32_t>(numberOf(To, From, Key));
 }
 
-/// A name, or an empty string with a finding.
-std::string nameOf(Parsing &To, const Section &From, const std::string &Key) {
-  const auto Text = textOf(To, From, Key);
-  if (!Text)
-    return {};
-  if (isValidName(*Text))
-    return *Text;
-  report(To, From.Entries.at(Key).Line, keyLabel(From, Key),
-         "bad name " + quoted(*Text), AllowedName);
-  return {};
-}
-
-void readService(Parsing &To, const Section &From) {
-  ServiceDocument &Document = To.Result.Document;
+void readService(Parsing &To, const SchemaSection &From) {
+  ServiceDocument &Document = To.Document;
   Document.Service = ServiceName(nameOf(To, From, "name"));
   Document.Team = TeamName(nameOf(To, From, "team"));
   Document.BuildsOn = Revision(numberOf(To, From, "builds_on"));
 }
 
-void readLimits(Parsing &To, const Section &From) {
-  ServiceLimits &Limits = To.Result.Document.Limits;
+void readLimits(Parsing &To, const SchemaSection &From) {
+  ServiceLimits &Limits = To.Document.Limits;
   Limits.Slots = countOf(To, From, "slots");
   Limits.Connections = countOf(To, From, "connections");
   Limits.Queue = countOf(To, From, "queue");
@@ -210,7 +38,8 @@
   Limits.RetryBudgetPercent = countOf(To, From, "retry_budget_percent");
 }
 
-void readVersions(Parsing &To, const Section &From, UpstreamGroup &Group) {
+void readVersions(Parsing &To, const SchemaSection &From,
+                  UpstreamGroup &Group) {
   const auto Text = textOf(To, From, "versions");
   if (!Text)
     return;
@@ -232,11 +61,11 @@
   }
 }
 
-void readGroup(Parsing &To, const Section &From) {
+void readGroup(Parsing &To, const SchemaSection &From) {
   UpstreamGroup Group;
   Group.Name = GroupName(From.Id);
   readVersions(To, From, Group);
-  To.Result.Document.Groups.emplace(Group.Name, std::move(Group));
+  To.Document.Groups.emplace(Group.Name, std::move(Group));
 }
 
 /// "5" or "0.5" percent in permille.
@@ -267,7 +96,7 @@
   return Steps.size() > MaxSteps ? "too many steps" : "";
 }
 
-std::vector<Permille> readSteps(Parsing &To, const Section &From) {
+std::vector<Permille> readSteps(Parsing &To, const SchemaSection &From) {
   const auto Written = textOf(To, From, "steps_percent");
   const std::string Text =
       Written.value_or(ruleOf(*From.Rule, "steps_percent")->Default);
@@ -287,7 +116,7 @@
   return Steps;
 }
 
-WallTime readFinishBy(Parsing &To, const Section &From) {
+WallTime readFinishBy(Parsing &To, const SchemaSection &From) {
   const auto Text = textOf(To, From, "finish_by");
   if (!Text)
     return WallTime(0);
@@ -297,7 +126,7 @@
   return At.value_or(WallTime(0));
 }
 
-void readMove(Parsing &To, const Section &From) {
+void readMove(Parsing &To, const SchemaSection &From) {
   MovePlan Plan;
   Plan.Group = GroupName(From.Id);
   Plan.From = VersionName(nameOf(To, From, "from"));
@@ -305,22 +134,22 @@
   Plan.FinishBy = readFinishBy(To, From);
   Plan.Steps = readSteps(To, From);
   Plan.StepLength = std::chrono::seconds(numberOf(To, From, "step_seconds"));
-  To.Result.Document.Moves.emplace(Plan.Group, std::move(Plan));
+  To.Document.Moves.emplace(Plan.Group, std::move(Plan));
 }
 
-void readUse(Parsing &To, const Section &From) {
+void readUse(Parsing &To, const SchemaSection &From) {
   ServiceUse Use;
   Use.Name = From.Id;
   Use.Service = ServiceName(nameOf(To, From, "service"));
   Use.Group = GroupName(nameOf(To, From, "upstreams"));
-  To.Result.Document.Uses.emplace(Use.Name, std::move(Use));
+  To.Document.Uses.emplace(Use.Name, std::move(Use));
 }
 
-void readResource(Parsing &To, const Section &From) {
+void readResource(Parsing &To, const SchemaSection &From) {
   Resource Read;
   Read.Name = ResourceName(From.Id);
   Read.MaxBody = ByteCount(numberOf(To, From, "max_body_bytes"));
-  To.Result.Document.Resources.emplace(Read.Name, Read);
+  To.Document.Resources.emplace(Read.Name, Read);
 }
 
 bool isPathCharacter(char C) {
@@ -341,7 +170,7 @@
          Closed.find("/../") == std::string::npos;
 }
 
-void readPath(Parsing &To, const Section &From, Route &Read) {
+void readPath(Parsing &To, const SchemaSection &From, Route &Read) {
   const auto Text = textOf(To, From, "path");
   if (!Text)
     return;
@@ -351,7 +180,7 @@
     reportValue(To, From, "path", quoted(*Text) + " is not a path prefix");
 }
 
-void readClass(Parsing &To, const Section &From, Route &Read) {
+void readClass(Parsing &To, const SchemaSection &From, Route &Read) {
   const auto Text = textOf(To, From, "class");
   if (!Text)
     return;
@@ -361,7 +190,7 @@
   Read.Class = Class.value_or(RequestClass::Repeatable);
 }
 
-void readRoute(Parsing &To, const Section &From) {
+void readRoute(Parsing &To, const SchemaSection &From) {
   Route Read;
   Read.Name = RouteName(From.Id);
   readPath(To, From, Read);
@@ -371,10 +200,10 @@
   const std::string Limit = nameOf(To, From, "resource");
   if (!Limit.empty())
     Read.Limit = ResourceName(Limit);
-  To.Result.Document.Routes.emplace(Read.Name, std::move(Read));
+  To.Document.Routes.emplace(Read.Name, std::move(Read));
 }
 
-void readSection(Parsing &To, const Section &From) {
+void readSection(Parsing &To, const SchemaSection &From) {
   const std::string &Kind = From.Rule->Name;
   if (Kind == "service")
     readService(To, From);
@@ -405,11 +234,23 @@
   return Names.empty() ? "none is defined" : joined(Names);
 }
 
+void placeAll(Findings &Items, const std::string &File,
+              const LineIndex &Index) {
+  for (Finding &Item : Items) {
+    Item.File = File;
+    auto Place = Index.Lines.find(Item.Key);
+    if (Place == Index.Lines.end())
+      Place = Index.Lines.find(Item.Key.substr(0, Item.Key.rfind('.')));
+    if (Place != Index.Lines.end())
+      Item.Line = Place->second;
+  }
+}
+
 /// Reports at the key's line, or its section's when the text lacks the key.
 void reportAt(Parsing &To, const std::string &Section, const std::string &Key,
               const std::string &Problem, const std::string &Allowed) {
   Findings Placed = {{"", 0, Section + "." + Key, Problem, Allowed}};
-  placeFindings(Placed, To.Result);
+  placeAll(Placed, To.File, To.Index);
   report(To, Placed.front().Line, Placed.front().Key, Problem, Allowed);
 }
 
@@ -435,11 +276,11 @@
 }
 
 void checkMove(Parsing &To, const MovePlan &Plan) {
-  const ServiceDocument &Document = To.Result.Document;
+  const ServiceDocument &Document = To.Document;
   const std::string Section = "move." + Plan.Group.str();
   const auto Group = Document.Groups.find(Plan.Group);
   if (Group == Document.Groups.end()) {
-    report(To, To.Result.Index.Lines[Section], Section,
+    report(To, To.Index.Lines[Section], Section,
            "there is no section [upstreams." + Plan.Group.str() + "]",
            namesIn(Document.Groups));
     return;
@@ -452,7 +293,7 @@
 }
 
 void checkGroup(Parsing &To, const UpstreamGroup &Group) {
-  const bool HasMove = To.Result.Document.Moves.count(Group.Name) != 0;
+  const bool HasMove = To.Document.Moves.count(Group.Name) != 0;
   if (Group.Versions.size() == MaxVersions && !HasMove)
     reportAt(To, "upstreams." + Group.Name.str(), "versions",
              "two versions are listed, but no move",
@@ -460,13 +301,13 @@
 }
 
 void checkUse(Parsing &To, const ServiceUse &Use) {
-  if (!Use.Service.empty() && Use.Service == To.Result.Document.Service)
+  if (!Use.Service.empty() && Use.Service == To.Document.Service)
     reportAt(To, "uses." + Use.Name, "service", "the service refers to itself",
              "the name of another service");
 }
 
 void checkRoute(Parsing &To, const Route &Item) {
-  const ServiceDocument &Document = To.Result.Document;
+  const ServiceDocument &Document = To.Document;
   const std::string Section = "route." + Item.Name.str();
   if (!Item.Group.empty() && Document.Groups.count(Item.Group) == 0)
     reportAt(To, Section, "upstreams",
@@ -480,7 +321,7 @@
 
 void checkPaths(Parsing &To) {
   std::map<std::string, RouteName> Owners;
-  for (const auto &[Name, Item] : To.Result.Document.Routes) {
+  for (const auto &[Name, Item] : To.Document.Routes) {
     if (Item.Path.empty())
       continue;
     const auto [Place, First] = Owners.emplace(Item.Path, Name);
@@ -493,7 +334,7 @@
 
 /// Sections with a bad id have been reported and are left out.
 void checkReferences(Parsing &To) {
-  const ServiceDocument &Document = To.Result.Document;
+  const ServiceDocument &Document = To.Document;
   for (const auto &Item : Document.Groups)
     checkGroup(To, Item.second);
   for (const auto &Item : Document.Moves)
@@ -506,50 +347,30 @@
 }
 
 void checkServiceSection(Parsing &To) {
-  if (To.Result.Index.Lines.count("service") == 0)
+  if (To.Index.Lines.count("service") == 0)
     report(To, 0, "service", "the section is missing",
            "[service] with name, team and builds_on");
 }
 
-void finish(Parsing &To) {
-  Findings &Problems = To.Result.Problems;
-  std::stable_sort(
-      Problems.begin(), Problems.end(),
-      [](const Finding &L, const Finding &R) { return L.Line < R.Line; });
-  if (To.Dropped != 0)
-    Problems.push_back({To.Result.File, 0, "",
-                        std::to_string(To.Dropped) + " more mistakes", ""});
-}
-
 } // namespace
 
 ParsedDocument parseDocument(const std::string &FileName,
                              const std::string &Text) {
-  Parsing State;
-  State.Result.File = FileName;
-  IniFile File = readIni(FileName, Text);
-  State.Result.Problems = std::move(File.Problems);
-  if (Text.size() > MaxIniBytes)
-    return std::move(State.Result);
-  for (const Section &Known : collectSections(State, File))
-    if (!Known.Rule->Named || !Known.Id.empty())
-      readSection(State, Known);
-  checkServiceSection(State);
-  checkReferences(State);
-  finish(State);
-  return std::move(State.Result);
+  Parsing State{readSchemaText(FileName, Text, documentSchema()), {}};
+  if (Text.size() <= MaxIniBytes) {
+    for (const SchemaSection &Known : State.Sections)
+      if (!Known.Rule->Named || !Known.Id.empty())
+        readSection(State, Known);
+    checkServiceSection(State);
+    checkReferences(State);
+  }
+  Findings Problems = takeProblems(State);
+  return {std::move(State.Document), std::move(Problems), FileName,
+          std::move(State.Index)};
 }
 
 void placeFindings(Findings &Items, const ParsedDocument &Parsed) {
-  const auto &Lines = Parsed.Index.Lines;
-  for (Finding &Item : Items) {
-    Item.File = Parsed.File;
-    auto Place = Lines.find(Item.Key);
-    if (Place == Lines.end())
-      Place = Lines.find(Item.Key.substr(0, Item.Key.rfind('.')));
-    if (Place != Lines.end())
-      Item.Line = Place->second;
-  }
+  placeAll(Items, Parsed.File, Parsed.Index);
 }
 
 } // namespace lycheethread
--- a/src/model/types/DocumentSchema.h
+++ b/src/model/types/DocumentSchema.h
@@ -1,34 +1,12 @@
 #ifndef LYCHEETHREAD_MODEL_TYPES_DOCUMENTSCHEMA_H
 #define LYCHEETHREAD_MODEL_TYPES_DOCUMENTSCHEMA_H
 
-#include <cstdint>
-#include <string>
+#include "model/types/Schema.h"
+
 #include <vector>
 
 namespace lycheethread {
 
-/// What a key of a service document accepts.
-struct KeyRule {
-  std::string Name;
-  bool Required = false;
-  /// Empty for keys without a unit.
-  std::string Unit;
-  /// Empty when the key is required or has no value by default.
-  std::string Default;
-  /// For people; numbers are checked against Min and Max.
-  std::string Allowed;
-  std::int64_t Min = 0;
-  std::int64_t Max = 0;
-};
-
-/// A section of a service document.
-struct SectionRule {
-  std::string Name;
-  /// Whether the section is written "[Name.id]" and may occur many times.
-  bool Named = false;
-  std::vector<KeyRule> Keys;
-};
-
 /// Every section and key that a service document may have.
 const std::vector<SectionRule> &documentSchema();
 
--- a/src/model/types/ParsedDocument.h
+++ b/src/model/types/ParsedDocument.h
@@ -2,18 +2,13 @@
 #define LYCHEETHREAD_MODEL_TYPES_PARSEDDOCUMENT_H
 
 #include "model/types/Finding.h"
+#include "model/types/SchemaText.h"
 #include "model/types/ServiceDocument.h"
 
-#include <map>
 #include <string>
 
 namespace lycheethread {
 
-/// Line of each section and key, under the names that findings use.
-struct LineIndex {
-  std::map<std::string, int> Lines;
-};
-
 /// A service document as read; valid only when there are no problems.
 struct ParsedDocument {
   ServiceDocument Document;
@@ -22,9 +17,6 @@
   LineIndex Index;
 };
 
-/// More mistakes of one document are only counted.
-inline constexpr std::size_t MaxFindings = 500;
-
 /// Reads and checks a service document; throws nothing for any text.
 ParsedDocument parseDocument(const std::string &FileName,
                              const std::string &Text);
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -5,4 +5,29 @@
 
 #include "settings/types/NodeSettings.h"
 
+#include <optional>
+
+namespace lycheethread::settings {
+
+/// Settings of a node; valid only when there are no problems.
+struct ParsedSettings {
+  NodeSettings Settings;
+  Findings Problems;
+};
+
+/// Every section and key that a settings file may have.
+const std::vector<SectionRule> &settingsSchema();
+
+/// Reads and checks a settings file; throws nothing for any text.
+ParsedSettings parseNodeSettings(const std::string &FileName,
+                                 const std::string &Text);
+
+/// "ip:port"; empty when malformed or not an IP number.
+std::optional<Endpoint> parseEndpoint(const std::string &Text);
+
+/// "ip:port".
+std::string toString(const Endpoint &At);
+
+} // namespace lycheethread::settings
+
 #endif // LYCHEETHREAD_SETTINGS_SETTINGS_H
--- /dev/null
+++ b/src/settings/internal/SettingsParser.cpp
@@ -0,0 +1,174 @@
+#include "settings/Settings.h"
+
+#include <Poco/Net/IPAddress.h>
+#include <Poco/URI.h>
+#include <algorithm>
+#include <array>
+
+namespace lycheethread::settings {
+
+namespace {
+
+constexpr std::int64_t MaxPort = 65'535;
+
+struct Parsing : SchemaText {
+  NodeSettings Settings;
+};
+
+void readEndpoint(Parsing &To, const SchemaSection &From, const char *Key,
+                  Endpoint &Into) {
+  const auto Text = textOf(To, From, Key);
+  if (!Text)
+    return;
+  const auto Read = parseEndpoint(*Text);
+  if (!Read)
+    reportValue(To, From, Key, quoted(*Text) + " is not an IP number and port");
+  Into = Read.value_or(Endpoint());
+}
+
+void readNode(Parsing &To, const SchemaSection &From) {
+  To.Settings.Id = NodeId(nameOf(To, From, "id"));
+  To.Settings.At.In = Region(nameOf(To, From, "region"));
+  To.Settings.At.Zone = AvailabilityZone(nameOf(To, From, "zone"));
+}
+
+void readListen(Parsing &To, const SchemaSection &From) {
+  readEndpoint(To, From, "requests", To.Settings.Listen);
+  readEndpoint(To, From, "hop", To.Settings.Hop);
+  readEndpoint(To, From, "control", To.Settings.Control);
+  readEndpoint(To, From, "admin", To.Settings.Admin);
+}
+
+void readUpstream(Parsing &To, const SchemaSection &From) {
+  readEndpoint(To, From, "address", To.Settings.Upstream);
+  To.Settings.Service = ServiceName(nameOf(To, From, "service"));
+  To.Settings.Group = GroupName(nameOf(To, From, "group"));
+  To.Settings.Version = VersionName(nameOf(To, From, "version"));
+}
+
+bool isHttpUrl(const std::string &Text) {
+  try {
+    const Poco::URI Url(Text);
+    const std::string Rest = Url.getPathEtc();
+    return Url.getScheme() == "http" && (Rest.empty() || Rest == "/") &&
+           parseEndpoint(Url.getAuthority()).has_value();
+  } catch (const Poco::Exception &) {
+    return false;
+  }
+}
+
+void readLog(Parsing &To, const SchemaSection &From) {
+  const auto Text = textOf(To, From, "url");
+  if (!Text)
+    return;
+  if (!isHttpUrl(*Text))
+    reportValue(To, From, "url", quoted(*Text) + " is not an HTTP base URL");
+  To.Settings.LogUrl = *Text;
+}
+
+void readPeers(Parsing &To, const SchemaSection &From) {
+  if (From.Entries.count("seeds") == 0)
+    return;
+  for (const std::string &Part : splitList(From.Entries.at("seeds").Value)) {
+    if (Part.empty())
+      continue;
+    const auto Seed = parseEndpoint(Part);
+    if (Seed)
+      To.Settings.Seeds.push_back(*Seed);
+    else
+      reportValue(To, From, "seeds",
+                  quoted(Part) + " is not an IP number and port");
+  }
+}
+
+void readLimits(Parsing &To, const SchemaSection &From) {
+  To.Settings.MaxConnections =
+      static_cast<std::int32_t>(numberOf(To, From, "max_connections"));
+  To.Settings.DrainTimeout =
+      std::chrono::seconds(numberOf(To, From, "drain_timeout_s"));
+}
+
+void readLogOutput(Parsing &To, const SchemaSection &From) {
+  static constexpr std::array<const char *, 5> Levels = {
+      "trace", "debug", "info", "warning", "error"};
+  const std::string Level = textOf(To, From, "level").value_or("info");
+  if (std::find(Levels.begin(), Levels.end(), Level) == Levels.end())
+    reportValue(To, From, "level", quoted(Level) + " is not a level");
+  To.Settings.LogLevel = Level;
+}
+
+void readSection(Parsing &To, const SchemaSection &From) {
+  const std::string &Name = From.Rule->Name;
+  if (Name == "node")
+    readNode(To, From);
+  else if (Name == "listen")
+    readListen(To, From);
+  else if (Name == "upstream")
+    readUpstream(To, From);
+  else if (Name == "log")
+    readLog(To, From);
+  else if (Name == "peers")
+    readPeers(To, From);
+  else if (Name == "limits")
+    readLimits(To, From);
+  else
+    readLogOutput(To, From);
+}
+
+void checkSections(Parsing &To) {
+  for (const char *Name : {"node", "listen", "log"})
+    if (To.Index.Lines.count(Name) == 0)
+      report(To, 0, Name, "the section is missing",
+             "a section [" + std::string(Name) + "]");
+}
+
+/// Two servers on one port would make the start fail with a less clear error.
+void checkPorts(Parsing &To) {
+  const NodeSettings &Read = To.Settings;
+  const std::array<std::pair<const char *, Endpoint>, 4> Ports = {{
+      {"listen.requests", Read.Listen},
+      {"listen.hop", Read.Hop},
+      {"listen.control", Read.Control},
+      {"listen.admin", Read.Admin},
+  }};
+  for (std::size_t Second = 1; Second < Ports.size(); ++Second)
+    for (std::size_t First = 0; First < Second; ++First)
+      if (Ports[First].second == Ports[Second].second &&
+          Ports[Second].second.Port != 0)
+        report(To, To.Index.Lines[Ports[Second].first], Ports[Second].first,
+               std::string("the endpoint is also ") + Ports[First].first,
+               "four different endpoints");
+}
+
+} // namespace
+
+std::optional<Endpoint> parseEndpoint(const std::string &Text) {
+  const auto Colon = Text.rfind(':');
+  if (Colon == std::string::npos)
+    return std::nullopt;
+  const auto Port = parseWholeNumber(Text.substr(Colon + 1));
+  const std::string Address = Text.substr(0, Colon);
+  Poco::Net::IPAddress Parsed;
+  if (!Port || *Port < 1 || *Port > MaxPort ||
+      !Poco::Net::IPAddress::tryParse(Address, Parsed))
+    return std::nullopt;
+  return Endpoint{Address, static_cast<std::uint16_t>(*Port)};
+}
+
+std::string toString(const Endpoint &At) {
+  return At.Address + ":" + std::to_string(At.Port);
+}
+
+ParsedSettings parseNodeSettings(const std::string &FileName,
+                                 const std::string &Text) {
+  Parsing State{readSchemaText(FileName, Text, settingsSchema()), {}};
+  if (Text.size() <= MaxIniBytes) {
+    for (const SchemaSection &Known : State.Sections)
+      readSection(State, Known);
+    checkSections(State);
+    checkPorts(State);
+  }
+  return {State.Settings, takeProblems(State)};
+}
+
+} // namespace lycheethread::settings
--- /dev/null
+++ b/src/settings/internal/SettingsSchema.cpp
@@ -0,0 +1,65 @@
+#include "settings/Settings.h"
+
+namespace lycheethread::settings {
+
+namespace {
+
+constexpr const char *AllowedEndpoint = "ip:port, such as 10.0.0.7:8080";
+
+KeyRule required(const char *Name, const std::string &Allowed) {
+  return {Name, true, "", "", Allowed};
+}
+
+KeyRule optional(const char *Name, const char *Default,
+                 const std::string &Allowed) {
+  return {Name, false, "", Default, Allowed};
+}
+
+KeyRule number(const char *Name, const char *Unit, const char *Default,
+               std::int64_t Min, std::int64_t Max) {
+  return {Name,
+          false,
+          Unit,
+          Default,
+          std::to_string(Min) + " to " + std::to_string(Max),
+          Min,
+          Max};
+}
+
+std::vector<SectionRule> makeSchema() {
+  return {
+      {"node",
+       false,
+       {required("id", AllowedName), required("region", AllowedName),
+        required("zone", AllowedName)}},
+      {"listen",
+       false,
+       {required("requests", AllowedEndpoint), required("hop", AllowedEndpoint),
+        required("control", AllowedEndpoint),
+        required("admin", AllowedEndpoint)}},
+      {"upstream",
+       false,
+       {required("address", AllowedEndpoint), required("service", AllowedName),
+        required("group", AllowedName), required("version", AllowedName)}},
+      {"log", false, {required("url", "http://ip:port")}},
+      {"peers",
+       false,
+       {optional("seeds", "", "ip:port of control endpoints, with commas")}},
+      {"limits",
+       false,
+       {number("max_connections", "connections", "512", 1, 20'000),
+        number("drain_timeout_s", "s", "600", 1, 86'400)}},
+      {"log_output",
+       false,
+       {optional("level", "info", "trace, debug, info, warning or error")}},
+  };
+}
+
+} // namespace
+
+const std::vector<SectionRule> &settingsSchema() {
+  static const std::vector<SectionRule> Schema = makeSchema();
+  return Schema;
+}
+
+} // namespace lycheethread::settings
