Add the HTTP client of the platform's log

Nodes and the command line read and append through LogClient. makeHttpLog uses POCO sessions from a small keep-alive pool; one deadline bounds a whole call, because POCO's time-outs hold for each operation only. A read is repeated once on a new connection, an append never, since it may have taken effect. Answers are checked for size, order and bounds.

--- /dev/null
+++ b/src/platform/internal/DeadlineSocket.h
@@ -0,0 +1,39 @@
+#ifndef LYCHEETHREAD_PLATFORM_INTERNAL_DEADLINESOCKET_H
+#define LYCHEETHREAD_PLATFORM_INTERNAL_DEADLINESOCKET_H
+
+#include <Poco/Net/StreamSocketImpl.h>
+
+#include <chrono>
+
+namespace lycheethread::platform {
+
+using Deadline = std::chrono::steady_clock::time_point;
+
+/// TCP socket whose operations all end by one deadline. The time-outs of POCO
+/// hold for each operation, so a peer that sends a byte at a time would
+/// otherwise keep a call open without end.
+class DeadlineSocket : public Poco::Net::StreamSocketImpl {
+public:
+  void setDeadline(Deadline Latest);
+
+  using StreamSocketImpl::connect;
+  using StreamSocketImpl::receiveBytes;
+  using StreamSocketImpl::sendBytes;
+  void connect(const Poco::Net::SocketAddress &Address,
+               const Poco::Timespan &Timeout) override;
+  int sendBytes(const void *Buffer, int Length, int Flags) override;
+  int receiveBytes(void *Buffer, int Length, int Flags) override;
+
+protected:
+  ~DeadlineSocket() override;
+
+private:
+  /// Throws Poco::TimeoutException after the deadline.
+  Poco::Timespan remaining() const;
+
+  Deadline Latest_ = Deadline::max();
+};
+
+} // namespace lycheethread::platform
+
+#endif // LYCHEETHREAD_PLATFORM_INTERNAL_DEADLINESOCKET_H
--- /dev/null
+++ b/src/platform/internal/HttpLog.cpp
@@ -0,0 +1,279 @@
+#include "platform/Platform.h"
+#include "platform/internal/SessionPool.h"
+
+#include <Poco/Base64Decoder.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/URI.h>
+
+#include <sstream>
+
+namespace lycheethread::platform {
+
+namespace {
+
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+constexpr std::size_t MaxAnswerBytes = 16 * 1024 * 1024;
+constexpr std::size_t MaxJsonDepth = 8;
+constexpr std::int64_t MaxOffset = 1LL << 62;
+constexpr std::uint16_t HttpPort = 80;
+
+/// One call to the log.
+struct Call {
+  std::string Method;
+  std::string Target;
+  std::string Body;
+  Deadline Latest;
+};
+
+struct Answer {
+  HTTPResponse::HTTPStatus Status = HTTPResponse::HTTP_OK;
+  std::string Body;
+};
+
+struct Connection {
+  Connection(const std::string &BaseUrl, Milliseconds Limit);
+
+  SessionPool Pool;
+  Milliseconds Timeout;
+};
+
+std::string readBody(std::istream &From, const HTTPResponse &Head) {
+  std::string Body;
+  std::string Block(16 * 1024, '\0');
+  while (From.read(Block.data(), static_cast<std::streamsize>(Block.size())),
+         From.gcount() > 0) {
+    Body.append(Block.data(), static_cast<std::size_t>(From.gcount()));
+    if (Body.size() > MaxAnswerBytes)
+      throw LogUnavailable("the answer has more than " +
+                           std::to_string(MaxAnswerBytes) + " bytes");
+  }
+  const bool Short =
+      Head.hasContentLength() &&
+      Head.getContentLength64() != static_cast<std::int64_t>(Body.size());
+  if (From.bad() || Short)
+    throw LogUnavailable("the answer ended early");
+  return Body;
+}
+
+Answer exchange(LogSession &Session, const Call &Made) {
+  HTTPRequest Request(Made.Method, Made.Target, HTTPRequest::HTTP_1_1);
+  Request.setKeepAlive(true);
+  Request.setContentLength64(static_cast<Poco::Int64>(Made.Body.size()));
+  Request.setContentType("application/octet-stream");
+  std::ostream &Out = Session.Http->sendRequest(Request);
+  Out.write(Made.Body.data(), static_cast<std::streamsize>(Made.Body.size()));
+  Out.flush();
+  if (!Out)
+    throw LogUnavailable("the request could not be sent");
+  HTTPResponse Head;
+  std::istream &In = Session.Http->receiveResponse(Head);
+  Answer Result{Head.getStatus(), readBody(In, Head)};
+  const bool Delimited =
+      Head.hasContentLength() || Head.getChunkedTransferEncoding();
+  if (!Head.getKeepAlive() || !Delimited)
+    Session.Http->reset();
+  return Result;
+}
+
+Answer exchangeOnce(Connection &To, LogSession Session, const Call &Made) {
+  Answer Result = exchange(Session, Made);
+  if (Session.Http->connected())
+    To.Pool.giveBack(std::move(Session));
+  return Result;
+}
+
+/// A pooled connection may be closed by the server at any moment, so a read is
+/// repeated once on a new one. An append is not: it may have taken effect.
+Answer exchangeOnPool(Connection &To, const Call &Made) {
+  LogSession Session = To.Pool.take(Made.Latest);
+  const bool Repeatable = Session.Reused && Made.Method == "GET";
+  if (!Repeatable)
+    return exchangeOnce(To, std::move(Session), Made);
+  try {
+    return exchangeOnce(To, std::move(Session), Made);
+  } catch (const Poco::Net::NetException &) {
+    return exchangeOnce(To, To.Pool.open(Made.Latest), Made);
+  }
+}
+
+std::string target(const StreamName &Stream) {
+  std::string Encoded;
+  Poco::URI::encode(Stream.str(), "/?#%&+", Encoded);
+  return "/streams/" + Encoded;
+}
+
+Poco::JSON::Object::Ptr parseObject(const std::string &Text) {
+  Poco::JSON::Parser Parser;
+  Parser.setDepth(MaxJsonDepth);
+  const auto Object = Parser.parse(Text).extract<Poco::JSON::Object::Ptr>();
+  if (Object.isNull())
+    throw LogUnavailable("the answer is no JSON object");
+  return Object;
+}
+
+std::int64_t offsetIn(const Poco::JSON::Object &From, const char *Key) {
+  const Poco::Dynamic::Var Value = From.get(Key);
+  if (!Value.isInteger())
+    throw LogUnavailable(std::string("the answer has no number ") + Key);
+  const auto Number = Value.convert<Poco::Int64>();
+  if (Number < 0 || Number > MaxOffset)
+    throw LogUnavailable(std::string("the answer has a bad number ") + Key);
+  return Number;
+}
+
+StreamBounds boundsIn(const Poco::JSON::Object &From) {
+  const StreamBounds Bounds{Offset(offsetIn(From, "first")),
+                            Offset(offsetIn(From, "next"))};
+  if (Bounds.First > Bounds.Next)
+    throw LogUnavailable("the answer has first above next");
+  return Bounds;
+}
+
+std::string decodeBase64(const std::string &Text) {
+  std::istringstream In(Text);
+  Poco::Base64Decoder Decoder(In);
+  std::string Data(std::istreambuf_iterator<char>(Decoder), {});
+  const auto Padding = Text.size() - (Text.find_last_not_of('=') + 1);
+  const auto Expected = Text.size() / 4 * 3 - Padding;
+  if (Text.size() % 4 != 0 || Padding > 2 || Data.size() != Expected)
+    throw LogUnavailable("the answer has malformed Base64");
+  return Data;
+}
+
+LogRecord recordIn(const Poco::JSON::Array &From, unsigned Index,
+                   Offset Expected) {
+  const Poco::JSON::Object::Ptr Item = From.getObject(Index);
+  if (Item.isNull())
+    throw LogUnavailable("the answer has a record that is no object");
+  const Offset At(offsetIn(*Item, "offset"));
+  if (At != Expected)
+    throw LogUnavailable("the answer has offset " + std::to_string(At.value()) +
+                         " where " + std::to_string(Expected.value()) +
+                         " follows");
+  const auto Data = Item->get("data").extract<std::string>();
+  return {At, decodeBase64(Data)};
+}
+
+LogBatch batchIn(const std::string &Text, Offset From, std::size_t MaxRecords) {
+  const auto Object = parseObject(Text);
+  LogBatch Batch;
+  Batch.Bounds = boundsIn(*Object);
+  const auto Records = Object->getArray("records");
+  if (Records.isNull() || Records->size() > MaxRecords)
+    throw LogUnavailable("the answer has no list of records, or too many");
+  Offset Expected = From;
+  for (unsigned I = 0; I < Records->size(); ++I) {
+    Batch.Records.push_back(recordIn(*Records, I, Expected));
+    Expected = Expected.next();
+  }
+  if (!Batch.Records.empty() &&
+      (From < Batch.Bounds.First || Expected > Batch.Bounds.Next))
+    throw LogUnavailable("the answer has records outside of its bounds");
+  return Batch;
+}
+
+[[noreturn]] void throwTrimmed(const std::string &Text, Offset From) {
+  const StreamBounds Kept = boundsIn(*parseObject(Text));
+  if (Kept.First <= From)
+    throw LogUnavailable("the answer calls a kept offset trimmed");
+  throw LogTrimmed("offset " + std::to_string(From.value()) +
+                       " is trimmed, the oldest is " +
+                       std::to_string(Kept.First.value()),
+                   Kept);
+}
+
+void requireStatus(const Answer &Got, HTTPResponse::HTTPStatus Wanted) {
+  if (Got.Status != Wanted)
+    throw LogUnavailable("the log answered " + std::to_string(Got.Status));
+}
+
+/// Turns what the libraries throw into LogUnavailable.
+template <typename Function>
+auto guarded(const char *What, const Function &Body) {
+  try {
+    return Body();
+  } catch (const LogTrimmed &) {
+    throw;
+  } catch (const Poco::Exception &Error) {
+    throw LogUnavailable(std::string(What) + ": " + Error.displayText());
+  } catch (const std::exception &Error) {
+    throw LogUnavailable(std::string(What) + ": " + Error.what());
+  }
+}
+
+Deadline deadlineOf(Milliseconds Length) {
+  return std::chrono::steady_clock::now() + Length;
+}
+
+Offset append(Connection &To, const StreamName &Stream,
+              const std::string &Data) {
+  const Call Made{"POST", target(Stream), Data, deadlineOf(To.Timeout)};
+  const Answer Got = exchangeOnPool(To, Made);
+  requireStatus(Got, HTTPResponse::HTTP_CREATED);
+  return Offset(offsetIn(*parseObject(Got.Body), "offset"));
+}
+
+LogBatch read(Connection &To, const StreamName &Stream, Offset From,
+              std::size_t MaxRecords, Milliseconds Wait) {
+  const std::string Query = "?from=" + std::to_string(From.value()) +
+                            "&max=" + std::to_string(MaxRecords) +
+                            "&wait_ms=" + std::to_string(Wait.count());
+  const Call Made{"GET", target(Stream) + Query, "",
+                  deadlineOf(To.Timeout + Wait)};
+  const Answer Got = exchangeOnPool(To, Made);
+  if (Got.Status == HTTPResponse::HTTP_GONE)
+    throwTrimmed(Got.Body, From);
+  requireStatus(Got, HTTPResponse::HTTP_OK);
+  return batchIn(Got.Body, From, MaxRecords);
+}
+
+StreamBounds bounds(Connection &To, const StreamName &Stream) {
+  const Call Made{"GET", target(Stream) + "/bounds", "",
+                  deadlineOf(To.Timeout)};
+  const Answer Got = exchangeOnPool(To, Made);
+  requireStatus(Got, HTTPResponse::HTTP_OK);
+  return boundsIn(*parseObject(Got.Body));
+}
+
+Poco::Net::SocketAddress serverOf(const std::string &BaseUrl) {
+  try {
+    const Poco::URI Url(BaseUrl);
+    if (Url.getScheme() == "http" && !Url.getHost().empty()) {
+      const auto Port = Url.getPort() == 0 ? HttpPort : Url.getPort();
+      return {Poco::Net::IPAddress(Url.getHost()), Port};
+    }
+  } catch (const Poco::Exception &) {
+    // Reported below with the text as it was given.
+  }
+  throw std::invalid_argument("log URL \"" + BaseUrl +
+                              "\" is not http://ip:port");
+}
+
+Connection::Connection(const std::string &BaseUrl, Milliseconds Limit)
+    : Pool(serverOf(BaseUrl)), Timeout(Limit) {}
+
+} // namespace
+
+LogClient makeHttpLog(const std::string &BaseUrl, Milliseconds Timeout) {
+  const auto To = std::make_shared<Connection>(BaseUrl, Timeout);
+  LogClient Client;
+  Client.Append = [To](const StreamName &Stream, const std::string &Data) {
+    return guarded("append", [&] { return append(*To, Stream, Data); });
+  };
+  Client.Read = [To](const StreamName &Stream, Offset From,
+                     std::size_t MaxRecords, Milliseconds Wait) {
+    return guarded("read",
+                   [&] { return read(*To, Stream, From, MaxRecords, Wait); });
+  };
+  Client.Bounds = [To](const StreamName &Stream) {
+    return guarded("bounds", [&] { return bounds(*To, Stream); });
+  };
+  return Client;
+}
+
+} // namespace lycheethread::platform
--- /dev/null
+++ b/src/platform/internal/PlatformModule.cpp
@@ -0,0 +1,28 @@
+#include "platform/Platform.h"
+#include "settings/Settings.h"
+
+namespace lycheethread::platform {
+
+namespace {
+
+constexpr Milliseconds LogTimeout{2000};
+
+} // namespace
+
+kernel::Module makePlatformModule() {
+  // The address is known in Init only; until then the functions are unset.
+  const auto Client = std::make_shared<LogClient>();
+  kernel::Module Made;
+  Made.Name = "platform";
+  Made.RegisterServices = [Client](kernel::ServiceRegistry &Registry) {
+    Registry.add<LogClient>(kernel::service_names::Log, Client);
+  };
+  Made.Init = [Client](kernel::ServiceRegistry &Registry) {
+    const auto Settings =
+        Registry.find<settings::NodeSettings>(kernel::service_names::Settings);
+    *Client = makeHttpLog(Settings->LogUrl, LogTimeout);
+  };
+  return Made;
+}
+
+} // namespace lycheethread::platform
