--- a/src/records/internal/Records.cpp
+++ b/src/records/internal/Records.cpp
@@ -1,7 +1,6 @@
 #include "records/Records.h"
 
-#include "records/gen/records_types.h"
-
+#include <records_types.h>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
