--- /dev/null
+++ b/src/requests/internal/Claims.cpp
@@ -0,0 +1,80 @@
+#include "requests/Requests.h"
+
+namespace lycheethread::requests {
+
+namespace {
+
+void forgetOldest(ClaimTable &Table) {
+  while (Table.ByOffset.size() > MaxHeldClaims) {
+    Table.Held.erase(Table.ByOffset.begin()->second);
+    Table.ByOffset.erase(Table.ByOffset.begin());
+  }
+}
+
+void dropOldBodies(ClaimTable &Table) {
+  while (Table.WithBody.size() > MaxKeptBodies) {
+    const auto Key = Table.ByOffset.find(Table.WithBody.front());
+    Table.WithBody.pop_front();
+    if (Key == Table.ByOffset.end())
+      continue;
+    HeldClaim &Claim = Table.Held[Key->second];
+    if (Claim.Answer)
+      Claim.Answer->Body.reset();
+  }
+}
+
+void foldFirstClaim(ClaimTable &Table, Offset At, const ClaimEntry &Entry) {
+  const HeldClaim Claim{Entry.Token, Entry.Print, std::nullopt, At};
+  if (!Table.Held.emplace(Entry.Key, Claim).second)
+    return;
+  Table.ByOffset.emplace(At, Entry.Key);
+  forgetOldest(Table);
+}
+
+void foldOutcome(ClaimTable &Table, HeldClaim &Claim, const ClaimEntry &Entry) {
+  if (Claim.Answer)
+    return;
+  Claim.Answer = Entry.Answer;
+  if (Entry.Answer.Body) {
+    Table.WithBody.push_back(Claim.At);
+    dropOldBodies(Table);
+  }
+}
+
+} // namespace
+
+void foldClaim(ClaimTable &Table, Offset At, const ClaimEntry &Entry) {
+  if (Entry.Kind == ClaimKind::Claim) {
+    foldFirstClaim(Table, At, Entry);
+    return;
+  }
+  const auto It = Table.Held.find(Entry.Key);
+  if (It == Table.Held.end() || It->second.Token != Entry.Token)
+    return;
+  if (Entry.Kind == ClaimKind::Outcome) {
+    foldOutcome(Table, It->second, Entry);
+    return;
+  }
+  // A release after an outcome is a mistake of the writer and must not open
+  // the key again.
+  if (It->second.Answer)
+    return;
+  Table.ByOffset.erase(It->second.At);
+  Table.Held.erase(It);
+}
+
+ClaimVerdict settleClaim(const ClaimTable &Table, const ClaimEntry &Claim) {
+  const auto It = Table.Held.find(Claim.Key);
+  if (It == Table.Held.end())
+    return {};
+  const HeldClaim &Holder = It->second;
+  if (Holder.Token == Claim.Token)
+    return {ClaimAction::Execute, {}};
+  if (Holder.Print != Claim.Print)
+    return {ClaimAction::KeyReused, {}};
+  if (!Holder.Answer || !Holder.Answer->Body)
+    return {};
+  return {ClaimAction::Replay, *Holder.Answer};
+}
+
+} // namespace lycheethread::requests
--- /dev/null
+++ b/src/requests/internal/Retry.cpp
@@ -0,0 +1,56 @@
+#include "requests/Requests.h"
+
+#include <algorithm>
+
+namespace lycheethread::requests {
+
+namespace {
+
+constexpr std::int64_t CostOfARetry = 100;
+/// Also the start value: a service with little traffic may retry ten times.
+constexpr std::int64_t MaxBudget = 1000;
+
+/// Whether another upstream could do better.
+bool dependsOnUpstream(RefusalReason Reason) {
+  switch (Reason) {
+  case RefusalReason::Draining:
+  case RefusalReason::SlotsFull:
+  case RefusalReason::ConnectionsFull:
+  case RefusalReason::QueueFull:
+  case RefusalReason::Shed:
+  case RefusalReason::UpstreamFailed:
+  case RefusalReason::UpstreamTimeout:
+  case RefusalReason::NotReady:
+    return true;
+  default:
+    return false;
+  }
+}
+
+} // namespace
+
+Executed executedOf(const AttemptProgress &Progress) {
+  if (Progress.Shed || !Progress.Sent)
+    return Executed::No;
+  return Progress.Complete ? Executed::Yes : Executed::Unknown;
+}
+
+void noteOriginal(RetryBudget &Budget, const ServiceLimits &Limits) {
+  Budget.Hundredths =
+      std::min(MaxBudget, Budget.Hundredths + Limits.RetryBudgetPercent);
+}
+
+bool decideRetry(RetryBudget &Budget, const FailedAttempt &Failed) {
+  if (Failed.FromDeeper || Failed.Attempt > 1 || !Failed.BodyKept)
+    return false;
+  if (Failed.TimeLeft <= Milliseconds(0) || !dependsOnUpstream(Failed.Reason))
+    return false;
+  if (Failed.Ran != Executed::No && Failed.Class != RequestClass::Repeatable)
+    return false;
+  if (Budget.Hundredths < CostOfARetry)
+    return false;
+  Budget.Hundredths -= CostOfARetry;
+  return true;
+}
+
+} // namespace lycheethread::requests
--- /dev/null
+++ b/src/requests/internal/SelectUpstream.cpp
@@ -0,0 +1,143 @@
+#include "requests/Requests.h"
+#include "requests/internal/Hash.h"
+
+#include <algorithm>
+
+namespace lycheethread::requests {
+
+namespace {
+
+constexpr std::int32_t FailuresForEjection = 3;
+constexpr Milliseconds FirstEjection{1000};
+constexpr Milliseconds LongestEjection{30000};
+/// Doublings after which the length has reached LongestEjection.
+constexpr std::int32_t MaxDoublings = 5;
+
+using Candidates = std::vector<const Candidate *>;
+
+bool isEjected(const SelectionInput &Input, const NodeId &Id) {
+  const auto It = Input.Ejections.Members.find(Id);
+  return It != Input.Ejections.Members.end() && Input.Now < It->second.Until;
+}
+
+bool ejectionsHold(const GroupView &Group, const SelectionInput &Input) {
+  if (Input.Ejections.Members.empty())
+    return false;
+  std::size_t Total = 0;
+  std::size_t Ejected = 0;
+  for (const auto &[Version, List] : Group.ByVersion)
+    for (const Candidate &Item : List) {
+      ++Total;
+      Ejected += isEjected(Input, Item.Target.Id) ? 1 : 0;
+    }
+  return Ejected * 2 <= Total;
+}
+
+Candidates usable(const GroupView &Group, const VersionName &Version,
+                  const SelectionInput &Input, bool WithEjected) {
+  Candidates Found;
+  const auto It = Group.ByVersion.find(Version);
+  if (It == Group.ByVersion.end())
+    return Found;
+  for (const Candidate &Item : It->second)
+    if (Input.Excluded.count(Item.Target.Id) == 0 &&
+        (WithEjected || !isEjected(Input, Item.Target.Id)))
+      Found.push_back(&Item);
+  return Found;
+}
+
+void keepNearest(Candidates &List) {
+  Distance Nearest = Distance::OtherRegion;
+  for (const Candidate *Item : List)
+    Nearest = std::min(Nearest, Item->Away);
+  List.erase(std::remove_if(List.begin(), List.end(),
+                            [Nearest](const Candidate *Item) {
+                              return Item->Away != Nearest;
+                            }),
+             List.end());
+}
+
+std::int32_t loadOf(const SelectionInput &Input, const Candidate &Item) {
+  const auto It = Input.Load.InProgress.find(Item.Target.Id);
+  return It == Input.Load.InProgress.end() ? 0 : It->second;
+}
+
+const Candidate *lessLoadedOfTwo(const Candidates &List,
+                                 const SelectionInput &Input) {
+  if (List.size() == 1)
+    return List.front();
+  const std::uint64_t Random = stableHash(Input.Id.str(), Input.Seed);
+  const std::size_t First = Random % List.size();
+  const std::size_t Step = 1 + (Random >> 32U) % (List.size() - 1);
+  const Candidate *A = List[First];
+  const Candidate *B = List[(First + Step) % List.size()];
+  return loadOf(Input, *B) < loadOf(Input, *A) ? B : A;
+}
+
+bool takesCandidateVersion(const moves::GroupShare &Share,
+                           const SelectionInput &Input) {
+  if (Share.InProgress.empty() ||
+      Input.Brakes.Stopped.count(Share.InProgress) != 0)
+    return false;
+  // The move id is the seed, so that moves do not always hit the same ids.
+  const std::uint64_t Hash =
+      stableHash(Input.Id.str(), stableHash(Share.InProgress.str()));
+  return static_cast<std::int64_t>(Hash % 1000) < Share.CandidateShare.value();
+}
+
+std::optional<Selection> pick(Candidates List, const VersionName &Version,
+                              const SelectionInput &Input) {
+  if (List.empty())
+    return std::nullopt;
+  keepNearest(List);
+  return Selection{lessLoadedOfTwo(List, Input)->Target, Version};
+}
+
+void eject(Ejection &Item, SteadyTime Now) {
+  const std::int32_t Doublings = std::min(Item.Times, MaxDoublings);
+  const Milliseconds Length =
+      std::min(FirstEjection * (1 << Doublings), LongestEjection);
+  ++Item.Times;
+  Item.FailuresInARow = 0;
+  Item.Until = after(Now, Length);
+}
+
+} // namespace
+
+std::optional<Selection> selectUpstream(const GroupView &Group,
+                                        const SelectionInput &Input) {
+  const bool WithEjected = !ejectionsHold(Group, Input);
+  const moves::GroupShare &Share = Group.Share;
+  if (takesCandidateVersion(Share, Input)) {
+    Candidates List = usable(Group, Share.Candidate, Input, WithEjected);
+    if (auto Found = pick(std::move(List), Share.Candidate, Input))
+      return Found;
+  }
+  // Without a usable member of its version a request goes to the stable one,
+  // never the other way round: the share is an upper limit.
+  Candidates List = usable(Group, Share.Stable, Input, WithEjected);
+  if (List.empty())
+    List = usable(Group, Share.Stable, Input, true);
+  return pick(std::move(List), Share.Stable, Input);
+}
+
+void noteConnectFailure(EjectionTable &Table, const NodeId &Target,
+                        SteadyTime Now) {
+  Ejection &Item = Table.Members[Target];
+  if (++Item.FailuresInARow >= FailuresForEjection)
+    eject(Item, Now);
+}
+
+void noteUpstreamCrash(EjectionTable &Table, const NodeId &Target,
+                       SteadyTime Now) {
+  Ejection &Item = Table.Members[Target];
+  // Requests that broke in the same crash must not double the length.
+  if (Item.Until <= Now)
+    eject(Item, Now);
+}
+
+void noteAnswer(EjectionTable &Table, const NodeId &Target) {
+  Table.Members.erase(Target);
+}
+
+} // namespace lycheethread::requests
--- /dev/null
+++ b/src/requests/tests/AdmissionTest.cpp
@@ -0,0 +1,91 @@
+#include "requests/Requests.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lycheethread;
+using namespace lycheethread::requests;
+
+namespace {
+
+struct Hop {
+  AdmissionState State;
+  ServiceLimits Limits;
+  std::int64_t Next = 0;
+
+  AdmissionRequest make(const std::string &Caller,
+                        RequestClass Class = RequestClass::Repeatable) {
+    return {++Next, CallerId(Caller), Class, SteadyTime(1000)};
+  }
+  AdmitVerdict ask(const AdmissionRequest &Item, std::int64_t Now = 0) {
+    return admit(State, Limits, Item, SteadyTime(Now));
+  }
+};
+
+} // namespace
+
+// Guards against one caller that takes all slots, and against a queue that
+// serves it before others.
+BOOST_AUTO_TEST_CASE(OneCallerKeepsToItsShareAndOthersGoFirst) {
+  Hop H;
+  H.Limits.Slots = 4;
+  H.Limits.Queue = 4;
+  const AdmissionRequest First = H.make("greedy");
+  BOOST_TEST((H.ask(First).Action == AdmitAction::Run));
+  BOOST_TEST((H.ask(H.make("greedy")).Action == AdmitAction::Run));
+  BOOST_TEST((H.ask(H.make("greedy")).Action == AdmitAction::Wait));
+  BOOST_TEST((H.ask(H.make("greedy")).Action == AdmitAction::Wait));
+  BOOST_TEST((H.ask(H.make("greedy")).Reason == RefusalReason::CallerLimit));
+  BOOST_TEST((H.ask(H.make("a")).Action == AdmitAction::Run));
+  BOOST_TEST((H.ask(H.make("b")).Action == AdmitAction::Run));
+  const AdmissionRequest Waiting = H.make("c");
+  BOOST_TEST((H.ask(Waiting).Action == AdmitAction::Wait));
+  const ReleaseActions Next = release(
+      H.State, H.Limits, First, std::chrono::milliseconds(1), SteadyTime(1));
+  BOOST_REQUIRE(Next.Run.size() == 1U);
+  BOOST_TEST(Next.Run.front() == Waiting.Ticket);
+}
+
+// Guards against uploads that starve lookups.
+BOOST_AUTO_TEST_CASE(UploadsHoldAtMostHalfOfTheSlots) {
+  Hop H;
+  H.Limits.Slots = 4;
+  H.Limits.CallerSharePercent = 100;
+  const auto Upload = RequestClass::Upload;
+  BOOST_TEST((H.ask(H.make("a", Upload)).Action == AdmitAction::Run));
+  BOOST_TEST((H.ask(H.make("b", Upload)).Action == AdmitAction::Run));
+  BOOST_TEST((H.ask(H.make("c", Upload)).Action == AdmitAction::Wait));
+  BOOST_TEST((H.ask(H.make("d")).Action == AdmitAction::Run));
+}
+
+// Guards against slots spent on answers that come too late.
+BOOST_AUTO_TEST_CASE(QueueDropsWhatCannotMeetItsDeadline) {
+  Hop H;
+  H.Limits.Slots = 1;
+  H.State.ServiceTime = std::chrono::milliseconds(300);
+  const AdmissionRequest First = H.make("a");
+  BOOST_TEST((H.ask(First).Action == AdmitAction::Run));
+  const AdmissionRequest Waiting = H.make("b");
+  BOOST_TEST((H.ask(Waiting).Action == AdmitAction::Wait));
+  BOOST_TEST((H.ask(H.make("c"), 500).Reason == RefusalReason::Deadline));
+  const ReleaseActions Next =
+      release(H.State, H.Limits, First, std::chrono::milliseconds(300),
+              SteadyTime(900));
+  BOOST_TEST(Next.Run.empty());
+  BOOST_REQUIRE(Next.Drop.size() == 1U);
+  BOOST_TEST(Next.Drop.front() == Waiting.Ticket);
+}
+
+// Guards against new work during a drain and against unbounded waiting.
+BOOST_AUTO_TEST_CASE(DrainingAndFullConnectionsRefuse) {
+  Hop H;
+  H.Limits.Slots = 1;
+  H.Limits.Connections = 2;
+  BOOST_TEST((H.ask(H.make("a")).Action == AdmitAction::Run));
+  const AdmissionRequest Waiting = H.make("b");
+  BOOST_TEST((H.ask(Waiting).Action == AdmitAction::Wait));
+  BOOST_TEST((H.ask(H.make("c")).Reason == RefusalReason::ConnectionsFull));
+  BOOST_TEST(withdraw(H.State, Waiting.Ticket));
+  BOOST_TEST(!withdraw(H.State, Waiting.Ticket));
+  H.State.Draining = true;
+  BOOST_TEST((H.ask(H.make("c")).Reason == RefusalReason::Draining));
+}
--- /dev/null
+++ b/src/requests/types/Selection.h
@@ -0,0 +1,55 @@
+#ifndef LYCHEETHREAD_REQUESTS_TYPES_SELECTION_H
+#define LYCHEETHREAD_REQUESTS_TYPES_SELECTION_H
+
+#include "requests/types/RoutingView.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+
+namespace lycheethread::requests {
+
+/// Result of a lookup; null where nothing matches.
+struct RouteMatch {
+  const ServiceName *Name = nullptr;
+  const ServiceView *Service = nullptr;
+  const Route *Found = nullptr;
+};
+
+/// Connection failures of one member as this node saw them.
+struct Ejection {
+  std::int32_t FailuresInARow = 0;
+  /// Ejections since the last answer; each doubles the next length.
+  std::int32_t Times = 0;
+  SteadyTime Until;
+};
+
+struct EjectionTable {
+  std::map<NodeId, Ejection> Members;
+};
+
+/// Requests in progress from this node to each member.
+struct LoadTable {
+  std::map<NodeId, std::int32_t> InProgress;
+};
+
+/// What a pick depends on besides the group.
+struct SelectionInput {
+  const RequestId &Id;
+  const moves::BrakeSet &Brakes;
+  const EjectionTable &Ejections;
+  const LoadTable &Load;
+  /// Members that this request has already been sent to.
+  const std::set<NodeId> &Excluded;
+  SteadyTime Now;
+  std::uint64_t Seed = 0;
+};
+
+struct Selection {
+  Member Target;
+  VersionName Version;
+};
+
+} // namespace lycheethread::requests
+
+#endif // LYCHEETHREAD_REQUESTS_TYPES_SELECTION_H
