--- a/src/metrics/Metrics.h
+++ b/src/metrics/Metrics.h
@@ -5,14 +5,19 @@
 /// counters and their text exposition.
 
 #include "kernel/Kernel.h"
+#include "metrics/types/MetricsRegistry.h"
 #include "metrics/types/RequestSample.h"
 #include "metrics/types/TrafficSample.h"
 
 namespace lycheethread::metrics {
 
-/// Registers RequestMetrics and TrafficMetrics of kernel::service_names.
+/// Registers RequestMetrics and TrafficMetrics of kernel::service_names, and
+/// MetricsRegistry under RegistryName.
 kernel::Module makeMetricsModule();
 
+/// \p Value as the text exposition writes it between quotes.
+std::string escapedLabel(const std::string &Value);
+
 } // namespace lycheethread::metrics
 
 #endif // LYCHEETHREAD_METRICS_METRICS_H
--- /dev/null
+++ b/src/metrics/internal/RequestMetrics.h
@@ -0,0 +1,44 @@
+#ifndef LYCHEETHREAD_METRICS_INTERNAL_REQUESTMETRICS_H
+#define LYCHEETHREAD_METRICS_INTERNAL_REQUESTMETRICS_H
+
+#include "metrics/internal/Histogram.h"
+
+#include <functional>
+#include <memory>
+
+namespace lycheethread::metrics {
+
+/// Identifies one series.
+struct SeriesKey {
+  CallerId Caller;
+  RequestClass Class = RequestClass::Repeatable;
+  Hop At = Hop::Entry;
+};
+
+/// Histograms of one caller and class at one hop.
+struct Series {
+  Histogram Latency;
+  Histogram QueueTime;
+  Histogram RequestSize;
+  Histogram ResponseSize;
+};
+
+/// All series of a node, in shards with a lock each. Thread-safe.
+class RequestMetrics {
+public:
+  RequestMetrics();
+  ~RequestMetrics();
+
+  void record(const RequestSample &Sample);
+  /// Calls \p Visit for each series, ordered by caller, class and hop.
+  void forEach(const std::function<void(const SeriesKey &Key,
+                                        const Series &Values)> &Visit) const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace lycheethread::metrics
+
+#endif // LYCHEETHREAD_METRICS_INTERNAL_REQUESTMETRICS_H
