--- /dev/null
+++ b/src/refusallog/internal/StoredBatches.cpp
@@ -0,0 +1,42 @@
+#include "refusallog/RefusalLog.h"
+
+namespace lycheethread::refusallog {
+
+namespace {
+
+constexpr std::size_t RecordsInRead = 64;
+
+void decodeInto(StoredBatches &Result, const std::string &Data) {
+  try {
+    ZoneRecord Record = decodeZoneRecord(Data);
+    for (refusals::RefusalBatch &Batch : Record.Batches)
+      Result.Batches.push_back(std::move(Batch));
+  } catch (const CodecError &) {
+    ++Result.BadRecords;
+  }
+}
+
+} // namespace
+
+StoredBatches readStoredBatches(const platform::LogClient &Log) {
+  const StreamName Stream(RefusalStream);
+  StoredBatches Result;
+  Offset From = Log.Bounds(Stream).First;
+  while (true) {
+    try {
+      const platform::LogBatch Read =
+          Log.Read(Stream, From, RecordsInRead, Milliseconds(0));
+      for (const platform::LogRecord &Record : Read.Records) {
+        decodeInto(Result, Record.Data);
+        From = Record.At.next();
+      }
+      if (Read.Records.empty() || Read.Bounds.Next <= From)
+        return Result;
+    } catch (const platform::LogTrimmed &Error) {
+      // The trimmed batches appear in the report as a gap.
+      From = Error.kept().First;
+    }
+  }
+}
+
+} // namespace lycheethread::refusallog
