--- /dev/null
+++ b/src/admin/internal/AdminModule.cpp
@@ -0,0 +1,46 @@
+#include "admin/Admin.h"
+#include "admin/internal/AdminServer.h"
+#include "admin/internal/StatusSource.h"
+
+#include <boost/log/trivial.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <unistd.h>
+
+namespace lycheethread::admin {
+
+namespace {
+
+WallTime wallNow() {
+  using namespace std::chrono;
+  return WallTime(
+      duration_cast<milliseconds>(system_clock::now().time_since_epoch())
+          .count());
+}
+
+void requestDrain() {
+  BOOST_LOG_TRIVIAL(info) << "admin: drain requested";
+  ::kill(::getpid(), SIGTERM);
+}
+
+} // namespace
+
+kernel::Module makeAdminModule() {
+  const auto Server = std::make_shared<std::unique_ptr<AdminServer>>();
+  const auto Init = [Server](kernel::ServiceRegistry &Registry) {
+    const auto Source =
+        std::make_shared<const StatusSource>(findSources(Registry));
+    AdminHandlers Handlers;
+    Handlers.Metrics = [Source] { return writeMetrics(*Source); };
+    Handlers.Status = [Source] { return writeStatus(*Source, wallNow()); };
+    Handlers.Drain = requestDrain;
+    const Endpoint &At = Source->Settings->Admin;
+    *Server = std::make_unique<AdminServer>(At, std::move(Handlers));
+    BOOST_LOG_TRIVIAL(info)
+        << "admin: listens on " << At.Address << ":" << (*Server)->port();
+  };
+  return {"admin", {}, Init, [Server] { Server->reset(); }};
+}
+
+} // namespace lycheethread::admin
--- /dev/null
+++ b/src/admin/internal/StatusSource.h
@@ -0,0 +1,42 @@
+#ifndef LYCHEETHREAD_ADMIN_INTERNAL_STATUSSOURCE_H
+#define LYCHEETHREAD_ADMIN_INTERNAL_STATUSSOURCE_H
+
+#include "config/Config.h"
+#include "kernel/Kernel.h"
+#include "metrics/Metrics.h"
+#include "moves/Moves.h"
+#include "peer/types/PeerControl.h"
+#include "proxy/types/DrainControl.h"
+#include "refusallog/types/RefusalStatus.h"
+#include "settings/Settings.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lycheethread::admin {
+
+/// The services that the endpoint reads; missing ones are null.
+struct StatusSource {
+  std::shared_ptr<settings::NodeSettings> Settings;
+  std::shared_ptr<kernel::SnapshotStore<config::ConfigState>> Config;
+  std::shared_ptr<kernel::SnapshotStore<std::vector<Member>>> Members;
+  std::shared_ptr<kernel::SnapshotStore<moves::BrakeSet>> Brakes;
+  std::shared_ptr<peer::PeerControl> Peers;
+  std::shared_ptr<proxy::DrainControl> Drain;
+  std::shared_ptr<metrics::MetricsRegistry> Metrics;
+  std::shared_ptr<refusallog::RefusalStatus> Refusals;
+};
+
+/// Throws kernel::RegistryError when the settings are missing.
+StatusSource findSources(const kernel::ServiceRegistry &Registry);
+
+/// JSON object, see docs/admin.md.
+std::string writeStatus(const StatusSource &From, WallTime Now);
+
+/// Prometheus text: what the metrics registry has, and the node's own state.
+std::string writeMetrics(const StatusSource &From);
+
+} // namespace lycheethread::admin
+
+#endif // LYCHEETHREAD_ADMIN_INTERNAL_STATUSSOURCE_H
