--- /dev/null
+++ b/src/config/tests/FoldFixture.h
@@ -0,0 +1,65 @@
+#ifndef LYCHEETHREAD_CONFIG_TESTS_FOLDFIXTURE_H
+#define LYCHEETHREAD_CONFIG_TESTS_FOLDFIXTURE_H
+
+#include "config/Config.h"
+
+#include <string>
+
+namespace lycheethread::config {
+
+/// 2026-12-05T12:00:00Z.
+inline constexpr WallTime Noon{1'796'472'000'000};
+
+/// A document of one service; extra sections are added as given.
+inline std::string documentText(const std::string &Service, int BuildsOn,
+                                const std::string &Groups,
+                                const std::string &Extra = "") {
+  std::string Text =
+      "[service]\nname = " + Service +
+      "\nteam = office\nbuilds_on = " + std::to_string(BuildsOn) + "\n";
+  for (const std::string &Group : splitList(Groups))
+    Text += "[upstreams." + Group + "]\nversions = v1\n";
+  return Text + Extra;
+}
+
+inline std::string usesText(const std::string &Service,
+                            const std::string &Group) {
+  return "[uses.other]\nservice = " + Service + "\nupstreams = " + Group + "\n";
+}
+
+/// A control stream that is folded as it is written.
+struct FoldFixture {
+  ConfigState State;
+  int Writers = 0;
+
+  Record publish(const std::string &Service, int BuildsOn,
+                 const std::string &Text) {
+    const NodeId Writer("publish-" + std::to_string(++Writers));
+    return {{Writer, Incarnation(1), Sequence(1),
+             after(Noon, Milliseconds(Writers))},
+            PublishRecord{ServiceName(Service), Revision(BuildsOn), Text}};
+  }
+
+  PublishVerdict fold(const Record &Item) {
+    foldRecord(State, State.Position, Item);
+    const PublishVerdict *Verdict = findVerdict(State, Item.Header);
+    return Verdict == nullptr ? PublishVerdict{} : *Verdict;
+  }
+
+  PublishVerdict foldPublish(const std::string &Service, int BuildsOn,
+                             const std::string &Groups,
+                             const std::string &Extra = "") {
+    return fold(publish(Service, BuildsOn,
+                        documentText(Service, BuildsOn, Groups, Extra)));
+  }
+
+  Revision inForce(const std::string &Service) const {
+    const auto Found = State.Documents.find(ServiceName(Service));
+    return Found == State.Documents.end() ? Revision(0)
+                                          : Found->second.Accepted;
+  }
+};
+
+} // namespace lycheethread::config
+
+#endif // LYCHEETHREAD_CONFIG_TESTS_FOLDFIXTURE_H
--- /dev/null
+++ b/src/config/tests/FoldTest.cpp
@@ -0,0 +1,217 @@
+#define BOOST_TEST_MODULE Config
+#include "FoldFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+using namespace lycheethread;
+using namespace lycheethread::config;
+
+namespace {
+
+const std::string Move = "[move.main]\nfrom = v1\nto = v2\n"
+                         "finish_by = 2026-12-05T18:00:00Z\n";
+
+std::string moveText(int BuildsOn, const std::string &Versions) {
+  return "[service]\nname = a\nteam = t\nbuilds_on = " +
+         std::to_string(BuildsOn) +
+         "\n[upstreams.main]\nversions = " + Versions + "\n";
+}
+
+bool hasProblem(const PublishVerdict &Verdict, const std::string &Key,
+                bool HasLine = true) {
+  for (const Finding &Item : Verdict.Problems)
+    if (Item.Key == Key && (Item.Line > 0) == HasLine && !Item.Allowed.empty())
+      return true;
+  return false;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Fold, FoldFixture)
+
+// Guards against concurrent edits that silently overwrite each other.
+BOOST_AUTO_TEST_CASE(OneOfTwoConcurrentEditsWins) {
+  BOOST_TEST(foldPublish("a", 0, "main").Accepted);
+  BOOST_TEST(foldPublish("a", 1, "main, side").Accepted);
+  const PublishVerdict Late = foldPublish("a", 1, "main");
+  BOOST_TEST(!Late.Accepted);
+  BOOST_TEST(Late.InForce == Revision(2));
+  BOOST_TEST(hasProblem(Late, "service.builds_on"));
+  BOOST_TEST(State.Documents.at(ServiceName("a")).Document.Groups.size() == 2);
+}
+
+// Guards against a record and a document that state different things.
+BOOST_AUTO_TEST_CASE(RecordAndDocumentMustAgree) {
+  const std::string Text = documentText("a", 0, "main");
+  BOOST_TEST(hasProblem(fold(publish("b", 0, Text)), "service.name"));
+  BOOST_TEST(hasProblem(fold(publish("a", 1, Text)), "service.builds_on"));
+  BOOST_TEST(State.Documents.empty());
+}
+
+// Guards against a document that is applied in part.
+BOOST_AUTO_TEST_CASE(DocumentWithAMistakeChangesNothing) {
+  foldPublish("a", 0, "main");
+  const PublishVerdict Verdict =
+      foldPublish("a", 1, "main, side", "[limits]\nslots = 0\n");
+  BOOST_TEST(!Verdict.Accepted);
+  BOOST_TEST(inForce("a") == Revision(1));
+  BOOST_TEST(State.Documents.at(ServiceName("a")).Document.Groups.size() == 1);
+}
+
+// Guards against references to services and groups that do not exist.
+BOOST_AUTO_TEST_CASE(UsesMustNameAnAcceptedGroup) {
+  BOOST_TEST(hasProblem(foldPublish("a", 0, "main", usesText("b", "store")),
+                        "uses.other.service"));
+  foldPublish("b", 0, "store");
+  BOOST_TEST(hasProblem(foldPublish("a", 0, "main", usesText("b", "desk")),
+                        "uses.other.upstreams"));
+  BOOST_TEST(foldPublish("a", 0, "main", usesText("b", "store")).Accepted);
+}
+
+// Guards against a dangling reference when A starts to use a group while B
+// removes it: whichever comes first is accepted, the other refused.
+BOOST_AUTO_TEST_CASE(CrossingUseAndRemovalInEitherOrder) {
+  for (const bool UseFirst : {true, false}) {
+    FoldFixture Own;
+    Own.foldPublish("b", 0, "store, spare");
+    Own.foldPublish("a", 0, "main");
+    const Record Use = Own.publish(
+        "a", 1, documentText("a", 1, "main", usesText("b", "spare")));
+    const Record Removal = Own.publish("b", 1, documentText("b", 1, "store"));
+    const PublishVerdict First = Own.fold(UseFirst ? Use : Removal);
+    const PublishVerdict Second = Own.fold(UseFirst ? Removal : Use);
+    BOOST_TEST(First.Accepted);
+    BOOST_TEST(!Second.Accepted);
+    // The removed section has no line in the refused text.
+    BOOST_TEST(hasProblem(Second,
+                          UseFirst ? "upstreams.spare" : "uses.other.upstreams",
+                          !UseFirst));
+    for (const auto &Item : Own.State.Documents)
+      BOOST_TEST(checkAgainst(Own.State, Item.second.Document).empty());
+  }
+}
+
+// Guards against a repeated append that counts as a second edit.
+BOOST_AUTO_TEST_CASE(RepeatedRecordIsFoldedOnce) {
+  const Record First = publish("a", 0, documentText("a", 0, "main"));
+  BOOST_TEST(fold(First).Accepted);
+  const PublishVerdict Again = fold(First);
+  BOOST_TEST(Again.Accepted);
+  BOOST_TEST(Again.At == Offset(0));
+  BOOST_TEST(State.Verdicts.size() == 1);
+  BOOST_TEST(State.Position == Offset(2));
+}
+
+// Guards against records that are folded at another offset than their own.
+BOOST_AUTO_TEST_CASE(OtherOffsetsHaveNoEffect) {
+  const Record Item = publish("a", 0, documentText("a", 0, "main"));
+  foldRecord(State, Offset(1), Item);
+  skipRecord(State, Offset(1));
+  BOOST_TEST(State.Position == Offset(0));
+  BOOST_TEST(State.Documents.empty());
+  skipRecord(State, Offset(0));
+  BOOST_TEST(State.Position == Offset(1));
+}
+
+// Guards against all traffic switching to an untested version at once.
+BOOST_AUTO_TEST_CASE(OnlyAMoveChangesTheServingVersion) {
+  BOOST_TEST(fold(publish("a", 0, moveText(0, "v1"))).Accepted);
+  BOOST_TEST(hasProblem(fold(publish("a", 1, moveText(1, "v2"))),
+                        "upstreams.main.versions"));
+  const std::string Swapped = moveText(1, "v2, v1") +
+                              "[move.main]\nfrom = v2\nto = v1\n"
+                              "finish_by = 2026-12-05T18:00:00Z\n";
+  BOOST_TEST(!fold(publish("a", 1, Swapped)).Accepted);
+  BOOST_TEST(fold(publish("a", 1, moveText(1, "v1, v2") + Move)).Accepted);
+  BOOST_TEST(State.Moves.Running.size() == 1);
+}
+
+// Guards against edits of other keys that are refused because a plan that
+// already runs would no longer fit, and against ending its move.
+BOOST_AUTO_TEST_CASE(AnUnchangedPlanMayStayAfterItsDeadline) {
+  fold(publish("a", 0, moveText(0, "v1")));
+  fold(publish("a", 1, moveText(1, "v1, v2") + Move));
+  Record Late = publish("a", 2, moveText(2, "v1, v2") + Move);
+  Late.Header.WrittenAt = after(Noon, std::chrono::hours(7));
+  BOOST_TEST(fold(Late).Accepted);
+  BOOST_TEST(State.Moves.Running.empty());
+  BOOST_TEST(State.Moves.Ended.size() == 1);
+}
+
+// Guards against plans that cannot finish in time.
+BOOST_AUTO_TEST_CASE(PlanThatDoesNotFitIsRefused) {
+  fold(publish("a", 0, moveText(0, "v1")));
+  Record Late = publish("a", 1, moveText(1, "v1, v2") + Move);
+  Late.Header.WrittenAt = after(Noon, Milliseconds(6 * 3600 * 1000 - 60'000));
+  BOOST_TEST(hasProblem(fold(Late), "move.main.finish_by"));
+}
+
+// Guards against state that grows with the number of publications.
+BOOST_AUTO_TEST_CASE(VerdictsAndWritersAreBounded) {
+  std::string Bad;
+  for (int I = 0; I < 100; ++I)
+    Bad += "[" + std::string(300, 'x') + std::to_string(I) + "]\n";
+  for (std::size_t I = 0; I < MaxWriters + 10; ++I)
+    fold(publish("a", 0, I < 3 ? Bad : ""));
+  BOOST_TEST(State.Verdicts.size() == MaxVerdicts);
+  BOOST_TEST(State.Writers.size() <= MaxWriters);
+  BOOST_TEST(State.Writers.size() >= MaxWriters / 2);
+  FoldFixture Own;
+  const PublishVerdict Verdict = Own.fold(Own.publish("a", 0, Bad));
+  BOOST_TEST(Verdict.Problems.size() == MaxVerdictFindings);
+  for (const Finding &Item : Verdict.Problems)
+    BOOST_TEST(Item.Problem.size() <= MaxVerdictText);
+}
+
+// Guards against a record that throws out of the fold or leaves a dangling
+// reference: 5,000 records with random bodies, texts and extreme numbers.
+BOOST_AUTO_TEST_CASE(FoldIsTotal) {
+  constexpr unsigned Seed = 20261204;
+  std::mt19937_64 Random(Seed);
+  const auto Number = [&] {
+    const std::int64_t Extremes[] = {INT64_MIN, -1, 0, 1, 2, 1000, INT64_MAX};
+    return Extremes[Random() % 7];
+  };
+  const auto Text = [&] {
+    std::string Made = documentText("a", int(Random() % 3), "main");
+    for (auto Flips = Random() % 4; Flips > 0; --Flips)
+      Made[Random() % Made.size()] = static_cast<char>(Random());
+    return Made;
+  };
+  const auto Body = [&]() -> RecordBody {
+    switch (Random() % 5) {
+    case 0:
+      return PublishRecord{ServiceName(Random() % 2 ? "a" : "\xFF"),
+                           Revision(Number()), Text()};
+    case 1:
+      return LeaseRecord{LeaseSubject("moves/a"), NodeId("n"), Epoch(Number()),
+                         Milliseconds(Number())};
+    case 2:
+      return MoveStepRecord{MoveId("a/main/2"), Epoch(Number()),
+                            Permille(Number()), Text()};
+    case 3:
+      return MoveEndRecord{MoveId("a/main/2"), Epoch(Number()),
+                           MoveOutcome::Finished, Text(), Text()};
+    default:
+      return CheckpointNotice{Offset(Number()), Offset(Number()), 1, "x"};
+    }
+  };
+  for (int I = 0; I < 5000; ++I) {
+    const bool Regular = Random() % 2 == 0;
+    const RecordHeader Header =
+        Regular ? RecordHeader{NodeId("n"), Incarnation(1), Sequence(I + 1),
+                               after(Noon, Milliseconds(I))}
+                : RecordHeader{NodeId(std::string(Random() % 300, 'w')),
+                               Incarnation(Number()), Sequence(Number()),
+                               WallTime(Number())};
+    const Record Item{Header, Body()};
+    BOOST_REQUIRE_NO_THROW(foldRecord(State, State.Position, Item));
+  }
+  BOOST_TEST(State.Position == Offset(5000));
+  BOOST_TEST(State.LogTime <= LatestWrittenAt);
+  BOOST_TEST(inForce("a") > Revision(0));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/config/types/ConfigState.h
+++ b/src/config/types/ConfigState.h
@@ -26,6 +26,7 @@
   bool Accepted = false;
   /// Revision in force after the record: the own one or the winner's.
   Revision InForce;
+  /// At most MaxVerdictFindings with texts of at most MaxVerdictText bytes.
   Findings Problems;
 };
 
@@ -33,6 +34,8 @@
 struct WriterMark {
   Incarnation Life;
   Sequence Last;
+  /// Offset of the newest record folded.
+  Offset LastAt;
 };
 
 /// The fold of the control stream.
@@ -43,12 +46,19 @@
   WallTime LogTime;
   std::map<ServiceName, AcceptedDocument> Documents;
   moves::MoveTable Moves;
+  /// At most MaxWriters; the longest silent ones are dropped first.
   std::map<NodeId, WriterMark> Writers;
   /// Newest last, at most MaxVerdicts.
   std::deque<PublishVerdict> Verdicts;
 };
 
 inline constexpr std::size_t MaxVerdicts = 256;
+inline constexpr std::size_t MaxVerdictFindings = 16;
+inline constexpr std::size_t MaxVerdictText = 256;
+inline constexpr std::size_t MaxWriters = 4096;
+/// 9999-12-31T23:59:59.999Z. Records written later or before 1970 count as
+/// malformed, so that arithmetic on log time cannot overflow.
+inline constexpr WallTime LatestWrittenAt{253'402'300'799'999};
 
 } // namespace lycheethread::config
 
