Add membership, distribution and the peer module

Nodes need to find each other, to agree on who reads the log and to pass records on. The decisions are pure functions over MemberTable and DistributionState; the peer module runs them over UDP and framed Thrift.

--- /dev/null
+++ b/src/distribution/internal/Pull.cpp
@@ -0,0 +1,180 @@
+#include "distribution/Distribution.h"
+
+#include <algorithm>
+
+namespace lycheethread::distribution {
+
+namespace {
+
+bool isLive(const Member &Item) {
+  return Item.State == MemberState::Starting ||
+         Item.State == MemberState::Ready ||
+         Item.State == MemberState::Draining;
+}
+
+int tierOf(const Place &Self, const Place &Other) {
+  if (Self.In != Other.In)
+    return 2;
+  return Self.Zone == Other.Zone ? 0 : 1;
+}
+
+constexpr int MaxBackoffDoublings = 7;
+
+} // namespace
+
+Milliseconds backoffDelay(int Attempt, std::uint64_t &Seed) {
+  const int Doublings = std::clamp(Attempt, 0, MaxBackoffDoublings);
+  const Milliseconds Ceiling =
+      std::min(LongestBackoff, FirstBackoff * (std::int64_t{1} << Doublings));
+  const auto Width =
+      static_cast<std::size_t>((Ceiling - FirstBackoff).count() + 1);
+  return FirstBackoff +
+         Milliseconds(static_cast<std::int64_t>(randomBelow(Seed, Width)));
+}
+
+void namePositionInForce(DistributionState &State, Offset Position,
+                         const NodeId &Source, SteadyTime Now) {
+  namePosition(State, Position, Source);
+  if (Position <= State.InForceElsewhere)
+    return;
+  State.InForceElsewhere = Position;
+  State.PullHint = Source;
+  // New word that records exist makes an earlier back-off pointless.
+  State.PullFailures = 0;
+  State.NextPullAt = Now;
+}
+
+void namePosition(DistributionState &State, Offset Position,
+                  const NodeId &Source) {
+  if (Position <= State.Named)
+    return;
+  State.Named = Position;
+  State.PullHint = Source;
+}
+
+std::optional<Member> choosePullSource(DistributionState &State,
+                                       const std::vector<Member> &Members,
+                                       SteadyTime Now) {
+  // Records that are held need no pull, only word that they are in force.
+  const Offset Have = std::max(State.Position, State.Held);
+  if (State.Named <= Have || Now < State.NextPullAt)
+    return std::nullopt;
+  if (State.PullFailures == 0)
+    for (const Member &Item : Members)
+      if (Item.Id == State.PullHint && Item.Id != State.Self && isLive(Item))
+        return Item;
+  // Each failure widens the search by one tier: zone, region, anywhere. A
+  // member with a known position above the own one goes before the others.
+  const int Widest = std::max(0, State.PullFailures - 1);
+  std::vector<const Member *> Ahead;
+  std::vector<const Member *> Others;
+  int Best = 3;
+  for (const Member &Item : Members)
+    if (Item.Id != State.Self && isLive(Item))
+      Best = std::min(Best, tierOf(State.At, Item.At));
+  for (const Member &Item : Members) {
+    if (Item.Id == State.Self || !isLive(Item) ||
+        tierOf(State.At, Item.At) > std::max(Best, Widest))
+      continue;
+    if (Item.ConfigPosition > State.Position)
+      Ahead.push_back(&Item);
+    else
+      Others.push_back(&Item);
+  }
+  const auto &Pool = Ahead.empty() ? Others : Ahead;
+  if (Pool.empty())
+    return std::nullopt;
+  return *Pool[randomBelow(State.Seed, Pool.size())];
+}
+
+void onPullResult(DistributionState &State, bool Succeeded, SteadyTime Now) {
+  if (Succeeded) {
+    State.PullFailures = 0;
+    State.NextPullAt = Now;
+    return;
+  }
+  State.NextPullAt = after(Now, backoffDelay(State.PullFailures, State.Seed));
+  ++State.PullFailures;
+}
+
+std::vector<Member> chooseHolders(DistributionState &State,
+                                  const std::vector<Member> &Members,
+                                  const std::set<NodeId> &Holders,
+                                  const std::set<NodeId> &Failed) {
+  if (Holders.size() >= RequiredHolders)
+    return {};
+  std::set<AvailabilityZone> Zones;
+  for (const Member &Item : Members)
+    if (Holders.count(Item.Id) != 0)
+      Zones.insert(Item.At.Zone);
+  std::vector<const Member *> Candidates;
+  for (const Member &Item : Members)
+    if (Item.Id != State.Self && isLive(Item) && Holders.count(Item.Id) == 0 &&
+        Failed.count(Item.Id) == 0)
+      Candidates.push_back(&Item);
+  std::vector<Member> Chosen;
+  while (Holders.size() + Chosen.size() < RequiredHolders &&
+         !Candidates.empty()) {
+    // Lower is better: own region first, then an availability zone that has no
+    // holder yet, then one that is not the own.
+    const std::size_t Start = randomBelow(State.Seed, Candidates.size());
+    const auto Cost = [&](const Member &Item) {
+      return (Item.At.In != State.At.In ? 4 : 0) +
+             (Zones.count(Item.At.Zone) != 0 ? 2 : 0) +
+             (Item.At.Zone == State.At.Zone ? 1 : 0);
+    };
+    std::size_t Best = Start;
+    for (std::size_t Step = 1; Step < Candidates.size(); ++Step) {
+      const std::size_t At = (Start + Step) % Candidates.size();
+      if (Cost(*Candidates[At]) < Cost(*Candidates[Best]))
+        Best = At;
+    }
+    Zones.insert(Candidates[Best]->At.Zone);
+    Chosen.push_back(*Candidates[Best]);
+    Candidates[Best] = Candidates.back();
+    Candidates.pop_back();
+  }
+  return Chosen;
+}
+
+bool mayPutInForce(const DistributionState &State,
+                   const std::vector<Member> &Members,
+                   const std::set<NodeId> &Holders) {
+  if (Holders.size() >= RequiredHolders || State.InForceElsewhere >= State.Held)
+    return true;
+  std::size_t Known = 0;
+  std::size_t Acknowledged = 0;
+  for (const Member &Item : Members) {
+    if (Item.Id == State.Self || !isLive(Item))
+      continue;
+    ++Known;
+    Acknowledged += Holders.count(Item.Id);
+  }
+  return Acknowledged >= std::min(Known, RequiredHolders);
+}
+
+bool shouldCommit(const DistributionState &State, bool Reading,
+                  SteadyTime Now) {
+  if (State.Held <= State.Position)
+    return false;
+  return Reading || State.InForceElsewhere > State.Position ||
+         elapsed(State.HeldSince, Now) >= OrphanDelay;
+}
+
+void holdUpTo(DistributionState &State, Offset Position, SteadyTime Now) {
+  if (Position <= State.Held)
+    return;
+  State.Held = Position;
+  State.HeldSince = Now;
+}
+
+bool advancePosition(DistributionState &State, Offset Position) {
+  if (Position < State.Position)
+    return false;
+  State.Position = Position;
+  State.Held = std::max(State.Held, Position);
+  State.Named = std::max(State.Named, Position);
+  return true;
+}
+
+} // namespace lycheethread::distribution
--- /dev/null
+++ b/src/membership/Membership.h
@@ -0,0 +1,40 @@
+#ifndef LYCHEETHREAD_MEMBERSHIP_MEMBERSHIP_H
+#define LYCHEETHREAD_MEMBERSHIP_MEMBERSHIP_H
+
+/// Public header of the membership library: SWIM with confirmation through
+/// other availability zones, as pure functions.
+
+#include "membership/types/MemberTable.h"
+
+namespace lycheethread::membership {
+
+MemberTable makeMemberTable(const Member &Self, SteadyTime Now,
+                            std::uint64_t Seed);
+
+/// Probes, suspicions and pushes that are due. To be called about every 50 ms.
+Actions tick(MemberTable &Table, SteadyTime Now);
+
+/// \p Source is the endpoint that the datagram came from; answers go there.
+Actions handleMessage(MemberTable &Table, const Message &Received,
+                      const Endpoint &Source, SteadyTime Now);
+
+/// Merges another node's view.
+Actions mergeMembers(MemberTable &Table, const std::vector<Update> &Updates,
+                     SteadyTime Now);
+
+/// Announces another state of this node; raises its incarnation, so that the
+/// news overrides every suspicion.
+Actions announce(MemberTable &Table, MemberState State, SteadyTime Now);
+
+/// The own view in the form that mergeMembers takes, with this node.
+std::vector<Update> allUpdates(const MemberTable &Table);
+
+/// Members with this node; suspects, and members of a region that cannot be
+/// reached, have the state Suspect. Left and dead ones are not listed.
+std::vector<Member> visibleMembers(const MemberTable &Table, SteadyTime Now);
+
+bool isUnreachable(const MemberTable &Table, const Region &In, SteadyTime Now);
+
+} // namespace lycheethread::membership
+
+#endif // LYCHEETHREAD_MEMBERSHIP_MEMBERSHIP_H
--- /dev/null
+++ b/src/membership/internal/MemberTable.cpp
@@ -0,0 +1,243 @@
+#include "distribution/Distribution.h"
+#include "membership/internal/Internal.h"
+
+#include <algorithm>
+#include <string>
+
+namespace lycheethread::membership {
+
+namespace {
+
+int endRank(const Update &Item) {
+  if (Item.Who.State == MemberState::Left)
+    return 2;
+  return Item.Who.State == MemberState::Dead ? 1 : 0;
+}
+
+bool overrides(const Update &New, const Update &Old) {
+  if (New.Who.Life != Old.Who.Life)
+    return New.Who.Life > Old.Who.Life;
+  if (endRank(New) != endRank(Old))
+    return endRank(New) > endRank(Old);
+  return endRank(New) == 0 && New.Suspected && !Old.Suspected;
+}
+
+bool isValid(const Update &Item) {
+  const Member &Who = Item.Who;
+  return !Who.Id.empty() && Who.Life.value() >= 0 &&
+         Who.Life.value() < MaxLife && Who.State != MemberState::Suspect &&
+         !Who.At.In.empty() && Who.Control.Port != 0;
+}
+
+// News of this node from others. Whatever it says, the own word must end up
+// with the highest incarnation.
+void mergeSelf(MemberTable &Table, const Update &New) {
+  Member &Self = Table.Self;
+  const bool Wrong =
+      New.Suspected || (hasEnded(New) && New.Who.State != Self.State);
+  if (New.Who.Life < Self.Life) {
+    // Others hold an older life: tell them again.
+    if (Wrong)
+      Table.SelfSendsLeft = sendsFor(Table);
+    return;
+  }
+  if (New.Who.Life == Self.Life && !Wrong)
+    return;
+  Table.Regions[Self.At.In].Digest ^= digestOf({Self, false});
+  Self.Life = New.Who.Life.next();
+  Table.Regions[Self.At.In].Digest ^= digestOf({Self, false});
+  Table.SelfSendsLeft = sendsFor(Table);
+  Table.SelfCrossSendsLeft = CrossRegionSends;
+  Table.ToPush.push_back(Self.Id);
+  ++Table.Version;
+}
+
+EventKind eventOf(const Update &New, const Update &Old) {
+  if (New.Who.State == MemberState::Left)
+    return EventKind::Left;
+  if (New.Who.State == MemberState::Dead)
+    return EventKind::Died;
+  if (New.Suspected)
+    return EventKind::Suspected;
+  if (hasEnded(Old))
+    return EventKind::Joined;
+  return Old.Suspected ? EventKind::Refuted : EventKind::Changed;
+}
+
+void addMember(MemberTable &Table, const Update &New, SteadyTime Now,
+               Actions &Out) {
+  const NodeId &Id = New.Who.Id;
+  const auto Ended = Table.Ended.find(Id);
+  if (Ended != Table.Ended.end() && New.Who.Life <= Ended->second.Life)
+    return;
+  if (hasEnded(New)) {
+    if (Table.Ended.size() < MaxForgotten)
+      Table.Ended[Id] = {New.Who.Life, Now};
+    return;
+  }
+  if (Table.Others.size() >= MaxMembers)
+    return;
+  if (Ended != Table.Ended.end())
+    Table.Ended.erase(Ended);
+  Entry Fresh;
+  Fresh.Last = New;
+  Fresh.ChangedAt = Now;
+  Fresh.SendsLeft = sendsFor(Table);
+  Fresh.CrossSendsLeft =
+      New.Who.At.In == Table.Self.At.In ? CrossRegionSends : 0;
+  Table.Others.emplace(Id, std::move(Fresh));
+  RegionView &View = Table.Regions[New.Who.At.In];
+  if (View.LastContact == SteadyTime())
+    View.LastContact = Now;
+  View.Digest ^= digestOf(New);
+  Table.ToPush.push_back(Id);
+  ++Table.Version;
+  Out.Events.push_back({EventKind::Joined, Id});
+}
+
+} // namespace
+
+int sendsFor(const MemberTable &Table) {
+  int Log2 = 1;
+  for (std::size_t Size = Table.Others.size() + 1; Size > 2; Size = Size / 2)
+    ++Log2;
+  return 3 * Log2;
+}
+
+std::uint64_t digestOf(const Update &Item) {
+  // Suspicions are left out: they differ between healthy views all the time.
+  if (hasEnded(Item))
+    return 0;
+  return distribution::stableHash(Item.Who.Id.str() + '/' +
+                                  std::to_string(Item.Who.Life.value()));
+}
+
+void replaceEntry(MemberTable &Table, Entry &Known, const Update &New,
+                  SteadyTime Now) {
+  Table.Regions[Known.Last.Who.At.In].Digest ^= digestOf(Known.Last);
+  Table.Regions[New.Who.At.In].Digest ^= digestOf(New);
+  const Offset Position = Known.Last.Who.ConfigPosition;
+  Known.Last = New;
+  Known.Last.Who.ConfigPosition = std::max(Position, New.Who.ConfigPosition);
+  Known.ChangedAt = Now;
+  Known.SendsLeft = sendsFor(Table);
+  Known.CrossSendsLeft =
+      New.Who.At.In == Table.Self.At.In ? CrossRegionSends : 0;
+  ++Table.Version;
+}
+
+void mergeUpdate(MemberTable &Table, const Update &New, SteadyTime Now,
+                 Actions &Out) {
+  if (New.Who.Id == Table.Self.Id) {
+    if (New.Who.Life.value() >= 0 && New.Who.Life.value() < MaxLife)
+      mergeSelf(Table, New);
+    return;
+  }
+  if (!isValid(New))
+    return;
+  const auto It = Table.Others.find(New.Who.Id);
+  if (It == Table.Others.end()) {
+    addMember(Table, New, Now, Out);
+    return;
+  }
+  Entry &Known = It->second;
+  if (!overrides(New, Known.Last))
+    return;
+  Out.Events.push_back({eventOf(New, Known.Last), New.Who.Id});
+  // A higher incarnation is the member's own word and is passed on at once.
+  if (New.Who.Life > Known.Last.Who.Life || New.Who.State == MemberState::Left)
+    Table.ToPush.push_back(New.Who.Id);
+  replaceEntry(Table, Known, New, Now);
+}
+
+MemberTable makeMemberTable(const Member &Self, SteadyTime Now,
+                            std::uint64_t Seed) {
+  MemberTable Table;
+  Table.Self = Self;
+  Table.Seed = Seed;
+  Table.SelfSendsLeft = sendsFor(Table);
+  Table.SelfCrossSendsLeft = CrossRegionSends;
+  Table.ToPush.push_back(Self.Id);
+  Table.Regions[Self.At.In].Digest = digestOf({Self, false});
+  // Spreads the first probes of nodes that start together.
+  const auto Jitter = static_cast<std::int64_t>(distribution::randomBelow(
+      Table.Seed, static_cast<std::size_t>(ProbeInterval.count())));
+  Table.NextProbeAt = after(Now, Milliseconds(Jitter));
+  Table.NextReconnectAt = after(Now, ReconnectInterval);
+  Table.NextSyncAt = after(Now, SyncInterval);
+  Table.BudgetAt = Now;
+  return Table;
+}
+
+Actions mergeMembers(MemberTable &Table, const std::vector<Update> &Updates,
+                     SteadyTime Now) {
+  Actions Out;
+  // A whole view is not news to others: it is neither pushed nor sent again.
+  const std::deque<NodeId> Before = Table.ToPush;
+  for (const Update &Item : Updates) {
+    const std::uint64_t Version = Table.Version;
+    mergeUpdate(Table, Item, Now, Out);
+    const auto It = Table.Others.find(Item.Who.Id);
+    if (Version != Table.Version && It != Table.Others.end())
+      It->second.SendsLeft = std::min(It->second.SendsLeft, 1);
+  }
+  const bool PushSelf = std::find(Table.ToPush.begin(), Table.ToPush.end(),
+                                  Table.Self.Id) != Table.ToPush.end();
+  Table.ToPush = Before;
+  if (PushSelf)
+    Table.ToPush.push_back(Table.Self.Id);
+  return Out;
+}
+
+Actions announce(MemberTable &Table, MemberState State, SteadyTime Now) {
+  if (State != Table.Self.State) {
+    RegionView &View = Table.Regions[Table.Self.At.In];
+    View.Digest ^= digestOf({Table.Self, false});
+    Table.Self.State = State;
+    Table.Self.Life = Table.Self.Life.next();
+    View.Digest ^= digestOf({Table.Self, false});
+    Table.SelfSendsLeft = sendsFor(Table);
+    Table.SelfCrossSendsLeft = CrossRegionSends;
+    Table.ToPush.push_front(Table.Self.Id);
+    ++Table.Version;
+  }
+  return tick(Table, Now);
+}
+
+std::vector<Update> allUpdates(const MemberTable &Table) {
+  std::vector<Update> Updates;
+  Updates.reserve(Table.Others.size() + 1);
+  Updates.push_back({Table.Self, false});
+  for (const auto &Item : Table.Others)
+    Updates.push_back(Item.second.Last);
+  return Updates;
+}
+
+bool isUnreachable(const MemberTable &Table, const Region &In, SteadyTime Now) {
+  if (In == Table.Self.At.In)
+    return false;
+  const auto It = Table.Regions.find(In);
+  return It != Table.Regions.end() &&
+         elapsed(It->second.LastContact, Now) >= RegionSilence;
+}
+
+std::vector<Member> visibleMembers(const MemberTable &Table, SteadyTime Now) {
+  std::vector<Member> Members;
+  Members.reserve(Table.Others.size() + 1);
+  if (Table.Self.State != MemberState::Left)
+    Members.push_back(Table.Self);
+  for (const auto &Item : Table.Others) {
+    const Update &Last = Item.second.Last;
+    if (hasEnded(Last))
+      continue;
+    Members.push_back(Last.Who);
+    // A draining member stays draining: a suspect may be used again when most
+    // of its group is suspect, a draining one never.
+    if (Last.Who.State != MemberState::Draining &&
+        (Last.Suspected || isUnreachable(Table, Last.Who.At.In, Now)))
+      Members.back().State = MemberState::Suspect;
+  }
+  return Members;
+}
+
+} // namespace lycheethread::membership
--- /dev/null
+++ b/src/membership/internal/Messages.cpp
@@ -0,0 +1,225 @@
+#include "membership/internal/Internal.h"
+
+#include <algorithm>
+
+namespace lycheethread::membership {
+
+namespace {
+
+std::size_t sizeOf(const Update &Item) {
+  // Field headers and numbers of the compact encoding, rounded up.
+  constexpr std::size_t Overhead = 64;
+  const Member &Who = Item.Who;
+  return Overhead + Who.Id.str().size() + Who.Hop.Address.size() +
+         Who.Control.Address.size() + Who.At.In.str().size() +
+         Who.At.Zone.str().size() + Who.Service.str().size() +
+         Who.Group.str().size() + Who.Version.str().size();
+}
+
+/// Updates of one datagram, bounded in count and bytes.
+struct UpdateSpace {
+  std::vector<Update> Taken;
+  std::size_t Bytes = 0;
+
+  bool add(const Update &Item) {
+    for (const Update &Other : Taken)
+      if (Other.Who.Id == Item.Who.Id)
+        return true;
+    const std::size_t Size = sizeOf(Item);
+    if (Taken.size() >= MaxUpdates || Bytes + Size > UpdateBytes)
+      return false;
+    Taken.push_back(Item);
+    Bytes += Size;
+    return true;
+  }
+};
+
+// Least sent news first, so that fresh news is not held up by old news.
+void addPiggyback(MemberTable &Table, bool CrossRegion, UpdateSpace &Space) {
+  int &SelfLeft = CrossRegion ? Table.SelfCrossSendsLeft : Table.SelfSendsLeft;
+  if (SelfLeft > 0 && Space.add({Table.Self, false}))
+    --SelfLeft;
+  std::vector<std::pair<int, Entry *>> Due;
+  for (auto &Item : Table.Others) {
+    Entry &Each = Item.second;
+    const int Left = CrossRegion ? Each.CrossSendsLeft : Each.SendsLeft;
+    if (Left > 0)
+      Due.emplace_back(-Left, &Each);
+  }
+  const std::size_t Wanted = std::min(MaxUpdates, Due.size());
+  std::partial_sort(
+      Due.begin(), Due.begin() + static_cast<std::ptrdiff_t>(Wanted), Due.end(),
+      [](const auto &L, const auto &R) { return L.first < R.first; });
+  for (std::size_t At = 0; At < Wanted; ++At) {
+    Entry &Each = *Due[At].second;
+    if (!Space.add(Each.Last))
+      return;
+    --(CrossRegion ? Each.CrossSendsLeft : Each.SendsLeft);
+  }
+}
+
+bool crossesRegion(const MemberTable &Table, const Message &Received) {
+  return Received.In != Table.Self.At.In;
+}
+
+// Tells the sender what is held against it, so that it can object.
+void addOpinionOfSender(const MemberTable &Table, const Message &Received,
+                        Message &Answer) {
+  const auto It = Table.Others.find(Received.From);
+  if (It != Table.Others.end()) {
+    const Update &Last = It->second.Last;
+    if (Last.Suspected || hasEnded(Last) || Last.Who.Life > Received.Life)
+      Answer.Updates.insert(Answer.Updates.begin(), Last);
+    else if (Last.Who.Life == Received.Life)
+      return;
+  }
+  Update Missing;
+  Missing.Who.Id = Received.From;
+  Missing.Who.At.In = Received.In;
+  Missing.Who.State = MemberState::Dead;
+  const auto Ended = Table.Ended.find(Received.From);
+  if (Ended != Table.Ended.end())
+    Missing.Who.Life = Ended->second.Life;
+  if (It == Table.Others.end() || It->second.Last.Who.Life < Received.Life)
+    Answer.Updates.insert(Answer.Updates.begin(), Missing);
+}
+
+void answerPing(MemberTable &Table, const Message &Received,
+                const Endpoint &Source, SteadyTime Now, Actions &Out) {
+  Message Answer = composeMessage(Table, MessageKind::Ack, Received.Number,
+                                  nullptr, crossesRegion(Table, Received), Now);
+  addOpinionOfSender(Table, Received, Answer);
+  Out.Sends.push_back({Source, Received.In, std::move(Answer)});
+}
+
+void relayPing(MemberTable &Table, const Message &Received,
+               const Endpoint &Source, SteadyTime Now, Actions &Out) {
+  constexpr std::size_t MaxRelays = 256;
+  if (Table.Relays.size() >= MaxRelays || Received.Target.Port == 0)
+    return;
+  for (const auto &Item : Table.Others) {
+    const Member &Who = Item.second.Last.Who;
+    // Only members are pinged, so that nobody can aim this node at others.
+    if (!(Who.Control == Received.Target))
+      continue;
+    Table.LastNumber = Table.LastNumber.next();
+    Table.Relays[Table.LastNumber] = {Source, Received.Number, Now};
+    send(Out, Who,
+         composeMessage(Table, MessageKind::Ping, Table.LastNumber,
+                        &Item.second, Who.At.In != Table.Self.At.In, Now));
+    return;
+  }
+}
+
+void handleAck(MemberTable &Table, const Message &Received, SteadyTime Now,
+               Actions &Out) {
+  const auto Relayed = Table.Relays.find(Received.Number);
+  if (Relayed != Table.Relays.end()) {
+    Message Answer = composeMessage(
+        Table, MessageKind::Ack, Relayed->second.Number, nullptr, false, Now);
+    Out.Sends.push_back(
+        {Relayed->second.Origin, Table.Self.At.In, std::move(Answer)});
+    Table.Relays.erase(Relayed);
+    return;
+  }
+  const auto It = Table.Probes.find(Received.Number);
+  if (It == Table.Probes.end())
+    return;
+  if (It->second.CrossRegion)
+    Table.Regions[Received.In].LastContact = Now;
+  Table.Probes.erase(It);
+}
+
+void compareDigest(MemberTable &Table, const Message &Received,
+                   const Endpoint &Source, SteadyTime Now, Actions &Out) {
+  const auto It = Table.Regions.find(Received.In);
+  if (It == Table.Regions.end())
+    return;
+  RegionView &View = It->second;
+  if (View.Digest == Received.Digest || View.LastMatch == SteadyTime()) {
+    View.LastMatch = Now;
+    return;
+  }
+  if (elapsed(View.LastMatch, Now) < DigestPatience || Now < Table.NextSyncAt)
+    return;
+  const auto Known = Table.Others.find(Received.From);
+  Out.SyncWith =
+      Known == Table.Others.end() ? Source : Known->second.Last.Who.Control;
+  Table.NextSyncAt = after(Now, SyncInterval);
+}
+
+} // namespace
+
+Message composeMessage(MemberTable &Table, MessageKind Kind, Sequence Number,
+                       const Entry *To, bool CrossRegion, SteadyTime Now) {
+  Message Content;
+  Content.Kind = Kind;
+  Content.From = Table.Self.Id;
+  Content.Life = Table.Self.Life;
+  Content.In = Table.Self.At.In;
+  Content.Number = Number;
+  Content.Position = Table.Self.ConfigPosition;
+  Content.Digest = Table.Regions[Table.Self.At.In].Digest;
+  for (const auto &Item : Table.Regions)
+    if (Item.first != Table.Self.At.In)
+      Content.Regions.push_back(
+          {Item.first, elapsed(Item.second.LastContact, Now)});
+  UpdateSpace Space;
+  if (To != nullptr && (To->Last.Suspected || hasEnded(To->Last)))
+    Space.add(To->Last);
+  addPiggyback(Table, CrossRegion, Space);
+  Content.Updates = std::move(Space.Taken);
+  return Content;
+}
+
+void send(Actions &Out, const Member &To, Message Content) {
+  Out.Sends.push_back({To.Control, To.At.In, std::move(Content)});
+}
+
+void noteRegions(MemberTable &Table, const std::vector<RegionAge> &Ages,
+                 SteadyTime Now) {
+  for (const RegionAge &Item : Ages) {
+    const auto It = Table.Regions.find(Item.In);
+    if (It == Table.Regions.end() || Item.Age.count() < 0 ||
+        Item.Age > RegionSilence)
+      continue;
+    const SteadyTime Contact = after(Now, -Item.Age);
+    It->second.LastContact = std::max(It->second.LastContact, Contact);
+  }
+}
+
+Actions handleMessage(MemberTable &Table, const Message &Received,
+                      const Endpoint &Source, SteadyTime Now) {
+  Actions Out;
+  if (Received.From == Table.Self.Id ||
+      Received.Updates.size() > 2 * MaxUpdates)
+    return Out;
+  for (const Update &Item : Received.Updates)
+    mergeUpdate(Table, Item, Now, Out);
+  const auto Sender = Table.Others.find(Received.From);
+  if (Sender != Table.Others.end()) {
+    Member &Who = Sender->second.Last.Who;
+    if (Who.Life <= Received.Life && Received.Position > Who.ConfigPosition)
+      Who.ConfigPosition = Received.Position;
+  }
+  if (!crossesRegion(Table, Received))
+    noteRegions(Table, Received.Regions, Now);
+  switch (Received.Kind) {
+  case MessageKind::Ping:
+    answerPing(Table, Received, Source, Now, Out);
+    break;
+  case MessageKind::Ack:
+    handleAck(Table, Received, Now, Out);
+    break;
+  case MessageKind::IndirectPing:
+    relayPing(Table, Received, Source, Now, Out);
+    break;
+  case MessageKind::Push:
+    break;
+  }
+  if (Received.Kind != MessageKind::Push)
+    compareDigest(Table, Received, Source, Now, Out);
+  return Out;
+}
+
+} // namespace lycheethread::membership
--- /dev/null
+++ b/src/peer/internal/FeedLoop.h
@@ -0,0 +1,28 @@
+#ifndef LYCHEETHREAD_PEER_INTERNAL_FEEDLOOP_H
+#define LYCHEETHREAD_PEER_INTERNAL_FEEDLOOP_H
+
+#include "peer/internal/GossipLoop.h"
+#include "peer/internal/PeerContext.h"
+
+#include <memory>
+
+namespace lycheethread::peer {
+
+/// Brings records into force: asks peers at the start, pulls, finds holders,
+/// folds and builds the routing view.
+class FeedLoop {
+public:
+  FeedLoop(PeerContext &Context, GossipLoop &Gossip);
+  ~FeedLoop();
+
+  void start();
+  void stop();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace lycheethread::peer
+
+#endif // LYCHEETHREAD_PEER_INTERNAL_FEEDLOOP_H
--- /dev/null
+++ b/src/peer/internal/LogReader.cpp
@@ -0,0 +1,241 @@
+#include "peer/internal/LogReader.h"
+
+#include "peer/internal/Checkpoints.h"
+#include "peer/internal/Clock.h"
+#include "peer/internal/Wire.h"
+
+#include <boost/log/trivial.hpp>
+
+#include <string>
+#include <thread>
+
+namespace lycheethread::peer {
+
+namespace {
+
+constexpr Milliseconds PollWait{3000};
+constexpr Milliseconds RoleStep{100};
+constexpr Milliseconds CommitStep{5};
+/// Bounds the memory of records that are held and not in force.
+constexpr std::size_t ReadRecords = 64;
+constexpr std::int64_t JoinJitterMs = 3000;
+constexpr Milliseconds CheckpointRetry{30000};
+
+const StreamName &controlStream() {
+  static const StreamName Name("control");
+  return Name;
+}
+
+} // namespace
+
+struct LogReader::Impl {
+  explicit Impl(PeerContext &C) : Context(C) {}
+
+  PeerContext &Context;
+  std::thread Worker;
+  int Failures = 0;
+  bool Joined = false;
+  SteadyTime JoinAt;
+  SteadyTime NextCheckpointAt;
+  MemberList RankedMembers;
+  std::size_t Rank = 0;
+
+  void fail(const std::string &Text) {
+    Milliseconds Delay{0};
+    {
+      const std::lock_guard<std::mutex> Guard(Context.Lock);
+      distribution::onLogFailure(Context.Feed);
+      Delay = distribution::backoffDelay(Failures, Context.Feed.Seed);
+    }
+    if (Failures++ == 0)
+      BOOST_LOG_TRIVIAL(warning) << "peer: the log cannot be read: " << Text;
+    Context.pause(Delay);
+  }
+
+  void succeed(Offset Head) {
+    if (Failures > 0)
+      BOOST_LOG_TRIVIAL(info) << "peer: the log can be read again";
+    Failures = 0;
+    const std::lock_guard<std::mutex> Guard(Context.Lock);
+    distribution::onLogContact(Context.Feed, Head);
+    distribution::namePosition(Context.Feed, Head, NodeId());
+  }
+
+  bool isReader() {
+    const MemberList Members = Context.members();
+    if (Members != RankedMembers) {
+      RankedMembers = Members;
+      Rank = distribution::readerRank(Context.Settings.Id, Context.place().In,
+                                      *Members);
+    }
+    const std::lock_guard<std::mutex> Guard(Context.Lock);
+    return Context.PeersAsked &&
+           distribution::shouldReadLog(Context.Feed, Rank, steadyNow());
+  }
+
+  bool needsHead() {
+    const std::lock_guard<std::mutex> Guard(Context.Lock);
+    return !Context.Feed.Serving && !Context.Feed.Start.LogHead;
+  }
+
+  bool awaitsCommit() {
+    const std::lock_guard<std::mutex> Guard(Context.Lock);
+    return Context.Feed.Held > Context.Feed.Position || Context.Restored;
+  }
+
+  void read() {
+    const Offset From = Context.Records.next();
+    try {
+      const platform::LogBatch Batch =
+          Context.Log->Read(controlStream(), From, ReadRecords, PollWait);
+      if (Batch.Bounds.Next < From) {
+        fail("its head " + std::to_string(Batch.Bounds.Next.value()) +
+             " is below position " + std::to_string(From.value()) +
+             ", which is held here");
+        return;
+      }
+      const Offset Next = Context.Records.append(Batch.Records);
+      succeed(Batch.Bounds.Next);
+      {
+        const std::lock_guard<std::mutex> Guard(Context.Lock);
+        distribution::holdUpTo(Context.Feed, Next, steadyNow());
+        Context.Feed.Start.Refusal.clear();
+      }
+      if (Next > From)
+        Context.wake();
+    } catch (const platform::LogTrimmed &Trimmed) {
+      restore(Trimmed.kept(), From);
+    } catch (const platform::LogUnavailable &Problem) {
+      fail(Problem.what());
+    }
+  }
+
+  void restore(platform::StreamBounds Kept, Offset From) {
+    std::optional<config::ConfigState> Found;
+    try {
+      Found = restoreFromLog(*Context.Log, Context.Options.Fold, Kept.First);
+    } catch (const platform::LogUnavailable &Problem) {
+      fail(Problem.what());
+      return;
+    }
+    const bool Usable = Found && Found->Position > From;
+    {
+      const std::lock_guard<std::mutex> Guard(Context.Lock);
+      if (Usable)
+        Context.Restored = std::move(Found);
+      else
+        Context.Feed.Start.Refusal =
+            "a complete checkpoint: the control stream begins at " +
+            std::to_string(Kept.First.value()) + ", position " +
+            std::to_string(From.value()) +
+            " is needed, and no complete checkpoint reaches it";
+    }
+    if (Usable)
+      Context.wake();
+    else
+      fail("records from position " + std::to_string(From.value()) +
+           " on are trimmed and there is no complete checkpoint");
+  }
+
+  void readHead() {
+    try {
+      succeed(Context.Log->Bounds(controlStream()).Next);
+      Context.wake();
+    } catch (const platform::LogUnavailable &Problem) {
+      fail(Problem.what());
+    }
+  }
+
+  void join() {
+    if (Joined || steadyNow() < JoinAt)
+      return;
+    Member Self;
+    {
+      const std::lock_guard<std::mutex> Guard(Context.Lock);
+      Self = Context.Table.Self;
+    }
+    try {
+      Context.Log->Append(StreamName("members"), encodeJoin(Self, wallNow()));
+      Joined = true;
+    } catch (const platform::LogUnavailable &) {
+      const std::lock_guard<std::mutex> Guard(Context.Lock);
+      JoinAt =
+          after(steadyNow(),
+                distribution::backoffDelay(Failures + 6, Context.Feed.Seed));
+    }
+  }
+
+  void writeCheckpoint() {
+    const SteadyTime Now = steadyNow();
+    const MemberList Members = Context.members();
+    Incarnation Life;
+    {
+      const std::lock_guard<std::mutex> Guard(Context.Lock);
+      if (Now < NextCheckpointAt || Context.Checkpoint.Records == 0 ||
+          !distribution::shouldWriteCheckpoint(Context.Feed, *Members,
+                                               Context.Checkpoint, Now))
+        return;
+      Life = Context.Feed.Life;
+    }
+    // The notice comes back through the stream and resets the mark.
+    NextCheckpointAt = after(Now, CheckpointRetry);
+    try {
+      writeCheckpointToLog(*Context.Log, Context.Options.Fold,
+                           *Context.Config->load(),
+                           {Context.Settings.Id, Life, Sequence(), wallNow()});
+    } catch (const std::exception &Problem) {
+      BOOST_LOG_TRIVIAL(warning)
+          << "peer: no checkpoint was written: " << Problem.what();
+    }
+  }
+
+  void step() {
+    if (needsHead())
+      readHead();
+    join();
+    writeCheckpoint();
+    const bool Reads = isReader();
+    if (Reads != Context.Reading.exchange(Reads))
+      BOOST_LOG_TRIVIAL(info) << "peer: " << (Reads ? "reads" : "leaves")
+                              << " the log for region " << Context.place().In;
+    if (!Reads)
+      Context.pause(RoleStep);
+    else if (awaitsCommit())
+      Context.pause(CommitStep);
+    else
+      read();
+  }
+
+  void run() {
+    {
+      const std::lock_guard<std::mutex> Guard(Context.Lock);
+      JoinAt = after(
+          steadyNow(),
+          Milliseconds(static_cast<std::int64_t>(
+              distribution::randomBelow(Context.Feed.Seed, JoinJitterMs))));
+    }
+    while (!Context.Stopping) {
+      try {
+        step();
+      } catch (const std::exception &Problem) {
+        fail(Problem.what());
+      }
+    }
+  }
+};
+
+LogReader::LogReader(PeerContext &Context)
+    : Impl_(std::make_unique<Impl>(Context)) {}
+
+LogReader::~LogReader() { stop(); }
+
+void LogReader::start() {
+  Impl_->Worker = std::thread([this] { Impl_->run(); });
+}
+
+void LogReader::stop() {
+  if (Impl_->Worker.joinable())
+    Impl_->Worker.join();
+}
+
+} // namespace lycheethread::peer
--- /dev/null
+++ b/src/peer/internal/LogReader.h
@@ -0,0 +1,27 @@
+#ifndef LYCHEETHREAD_PEER_INTERNAL_LOGREADER_H
+#define LYCHEETHREAD_PEER_INTERNAL_LOGREADER_H
+
+#include "peer/internal/PeerContext.h"
+
+#include <memory>
+
+namespace lycheethread::peer {
+
+/// Everything that waits for the platform's log: reads the control stream when
+/// this node is its reader, writes checkpoints and the join record.
+class LogReader {
+public:
+  explicit LogReader(PeerContext &Context);
+  ~LogReader();
+
+  void start();
+  void stop();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace lycheethread::peer
+
+#endif // LYCHEETHREAD_PEER_INTERNAL_LOGREADER_H
--- /dev/null
+++ b/src/peer/internal/PeerAnswers.h
@@ -0,0 +1,20 @@
+#ifndef LYCHEETHREAD_PEER_INTERNAL_PEERANSWERS_H
+#define LYCHEETHREAD_PEER_INTERNAL_PEERANSWERS_H
+
+#include "peer/internal/PeerContext.h"
+#include "peer/internal/PeerServer.h"
+
+namespace lycheethread::peer {
+
+/// Answers to the calls of other nodes, but for Call, which is left unset.
+ServerFunctions makeAnswers(PeerContext &Context);
+
+std::vector<wire::RawRecord>
+toWire(const std::vector<platform::LogRecord> &Records);
+/// Throws BadMessage for records with gaps.
+std::vector<platform::LogRecord>
+fromWire(const std::vector<wire::RawRecord> &Records);
+
+} // namespace lycheethread::peer
+
+#endif // LYCHEETHREAD_PEER_INTERNAL_PEERANSWERS_H
--- /dev/null
+++ b/src/peer/internal/RumourBox.cpp
@@ -0,0 +1,101 @@
+#include "peer/internal/RumourBox.h"
+
+#include <boost/log/trivial.hpp>
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <set>
+#include <thread>
+#include <utility>
+
+namespace lycheethread::peer {
+
+namespace {
+
+constexpr std::size_t MaxSeen = 8192;
+constexpr std::size_t MaxWaiting = 1024;
+
+struct Waiting {
+  std::string Topic;
+  std::string Payload;
+};
+
+} // namespace
+
+struct RumourBox::Impl {
+  std::mutex Lock;
+  std::condition_variable Arrived;
+  std::map<std::string, RumourHandler> Handlers;
+  std::set<std::int64_t> Seen;
+  std::deque<std::int64_t> SeenOrder;
+  std::deque<Waiting> Queue;
+  bool Stopping = false;
+  std::thread Worker;
+
+  void run() {
+    std::unique_lock<std::mutex> Guard(Lock);
+    while (true) {
+      Arrived.wait(Guard, [this] { return Stopping || !Queue.empty(); });
+      if (Stopping)
+        return;
+      const Waiting Next = std::move(Queue.front());
+      Queue.pop_front();
+      const auto It = Handlers.find(Next.Topic);
+      if (It == Handlers.end())
+        continue;
+      const RumourHandler Handler = It->second;
+      Guard.unlock();
+      try {
+        Handler(Next.Payload);
+      } catch (const std::exception &Problem) {
+        BOOST_LOG_TRIVIAL(warning) << "peer: rumour of topic " << Next.Topic
+                                   << " was not taken: " << Problem.what();
+      }
+      Guard.lock();
+    }
+  }
+};
+
+RumourBox::RumourBox() : Impl_(std::make_unique<Impl>()) {}
+
+RumourBox::~RumourBox() { stop(); }
+
+void RumourBox::onRumour(const std::string &Topic, RumourHandler Handler) {
+  const std::lock_guard<std::mutex> Guard(Impl_->Lock);
+  Impl_->Handlers[Topic] = std::move(Handler);
+}
+
+bool RumourBox::take(std::int64_t Id, const std::string &Topic,
+                     const std::string &Payload) {
+  const std::lock_guard<std::mutex> Guard(Impl_->Lock);
+  if (!Impl_->Seen.insert(Id).second)
+    return false;
+  Impl_->SeenOrder.push_back(Id);
+  if (Impl_->SeenOrder.size() > MaxSeen) {
+    Impl_->Seen.erase(Impl_->SeenOrder.front());
+    Impl_->SeenOrder.pop_front();
+  }
+  if (Impl_->Queue.size() < MaxWaiting) {
+    Impl_->Queue.push_back({Topic, Payload});
+    Impl_->Arrived.notify_one();
+  }
+  return true;
+}
+
+void RumourBox::start() {
+  Impl_->Worker = std::thread([this] { Impl_->run(); });
+}
+
+void RumourBox::stop() {
+  {
+    const std::lock_guard<std::mutex> Guard(Impl_->Lock);
+    Impl_->Stopping = true;
+  }
+  Impl_->Arrived.notify_all();
+  if (Impl_->Worker.joinable())
+    Impl_->Worker.join();
+}
+
+} // namespace lycheethread::peer
--- /dev/null
+++ b/src/peer/internal/Wire.cpp
@@ -0,0 +1,236 @@
+#include "peer/internal/Wire.h"
+
+#include <Poco/Net/IPAddress.h>
+#include <thrift/TConfiguration.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <algorithm>
+#include <limits>
+#include <memory>
+
+namespace lycheethread::peer {
+
+namespace {
+
+using apache::thrift::TConfiguration;
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+
+// The lists of a datagram; Thrift allocates a list before it reads the items.
+constexpr int MaxListItems = 64;
+constexpr std::size_t MaxPartBytes = 512 * 1024;
+
+template <typename T> std::string encode(const T &Item) {
+  const auto Buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocol Protocol(Buffer);
+  Item.write(&Protocol);
+  return Buffer->getBufferAsString();
+}
+
+template <typename T> T decode(const char *Data, std::size_t Size) {
+  // The limit bounds what Thrift allocates for a claimed length.
+  const auto Limits =
+      std::make_shared<TConfiguration>(static_cast<int>(Size) + 1);
+  std::string Copy(Data, Size);
+  const auto Buffer = std::make_shared<TMemoryBuffer>(
+      reinterpret_cast<std::uint8_t *>(Copy.data()),
+      static_cast<std::uint32_t>(Size), TMemoryBuffer::OBSERVE, Limits);
+  TCompactProtocol Protocol(Buffer, static_cast<int>(Size), MaxListItems);
+  T Item;
+  try {
+    Item.read(&Protocol);
+  } catch (const std::exception &Problem) {
+    throw BadMessage(std::string("not a valid message: ") + Problem.what());
+  }
+  return Item;
+}
+
+std::string checkedText(const std::string &Text, const char *Name) {
+  if (Text.size() > MaxFieldBytes)
+    throw BadMessage(std::string(Name) + " is longer than " +
+                     std::to_string(MaxFieldBytes) + " bytes");
+  return Text;
+}
+
+Endpoint checkedEndpoint(const std::string &Address, std::int32_t Port) {
+  if (Port < 0 || Port > std::numeric_limits<std::uint16_t>::max())
+    throw BadMessage("port " + std::to_string(Port) + " is out of range");
+  Poco::Net::IPAddress Parsed;
+  if (!Address.empty() && !Poco::Net::IPAddress::tryParse(Address, Parsed))
+    throw BadMessage("an address is not an IP number");
+  return {Address, static_cast<std::uint16_t>(Port)};
+}
+
+std::int64_t checkedNumber(std::int64_t Value, const char *Name) {
+  if (Value < 0 || Value >= membership::MaxLife)
+    throw BadMessage(std::string(Name) + " is out of range");
+  return Value;
+}
+
+} // namespace
+
+wire::WireMember toWire(const membership::Update &Item) {
+  const Member &Who = Item.Who;
+  wire::WireMember Out;
+  Out.id = Who.Id.str();
+  Out.life = Who.Life.value();
+  Out.state = static_cast<std::int8_t>(Who.State);
+  Out.suspected = Item.Suspected;
+  Out.hopAddress = Who.Hop.Address;
+  Out.hopPort = Who.Hop.Port;
+  Out.controlAddress = Who.Control.Address;
+  Out.controlPort = Who.Control.Port;
+  Out.region = Who.At.In.str();
+  Out.zone = Who.At.Zone.str();
+  Out.serviceName = Who.Service.str();
+  Out.group = Who.Group.str();
+  Out.version = Who.Version.str();
+  Out.position = Who.ConfigPosition.value();
+  return Out;
+}
+
+membership::Update fromWire(const wire::WireMember &Item) {
+  if (Item.state < 0 ||
+      Item.state > static_cast<std::int8_t>(MemberState::Dead))
+    throw BadMessage("state " + std::to_string(Item.state) + " is unknown");
+  membership::Update Out;
+  Out.Suspected = Item.suspected;
+  Member &Who = Out.Who;
+  Who.Id = NodeId(checkedText(Item.id, "id"));
+  Who.Life = Incarnation(checkedNumber(Item.life, "incarnation"));
+  Who.State = static_cast<MemberState>(Item.state);
+  Who.Hop = checkedEndpoint(Item.hopAddress, Item.hopPort);
+  Who.Control = checkedEndpoint(Item.controlAddress, Item.controlPort);
+  Who.At.In = Region(checkedText(Item.region, "region"));
+  Who.At.Zone = AvailabilityZone(checkedText(Item.zone, "zone"));
+  Who.Service = ServiceName(checkedText(Item.serviceName, "service"));
+  Who.Group = GroupName(checkedText(Item.group, "group"));
+  Who.Version = VersionName(checkedText(Item.version, "version"));
+  Who.ConfigPosition = Offset(checkedNumber(Item.position, "position"));
+  return Out;
+}
+
+wire::WireMessage toWire(const membership::Message &Item) {
+  wire::WireMessage Out;
+  Out.kind = static_cast<std::int8_t>(Item.Kind);
+  Out.sender = Item.From.str();
+  Out.life = Item.Life.value();
+  Out.region = Item.In.str();
+  Out.number = Item.Number.value();
+  Out.position = Item.Position.value();
+  Out.digest = static_cast<std::int64_t>(Item.Digest);
+  if (Item.Target.Port != 0) {
+    Out.__set_targetAddress(Item.Target.Address);
+    Out.__set_targetPort(Item.Target.Port);
+  }
+  if (!Item.Regions.empty()) {
+    Out.__isset.regions = true;
+    for (const membership::RegionAge &Each : Item.Regions) {
+      wire::WireRegionAge Age;
+      Age.region = Each.In.str();
+      Age.ageMs = Each.Age.count();
+      Out.regions.push_back(std::move(Age));
+    }
+  }
+  Out.__isset.updates = !Item.Updates.empty();
+  for (const membership::Update &Each : Item.Updates)
+    Out.updates.push_back(toWire(Each));
+  return Out;
+}
+
+membership::Message fromWire(const wire::WireMessage &Item) {
+  if (Item.kind < 0 ||
+      Item.kind > static_cast<std::int8_t>(membership::MessageKind::Push))
+    throw BadMessage("message kind " + std::to_string(Item.kind) +
+                     " is unknown");
+  membership::Message Out;
+  Out.Kind = static_cast<membership::MessageKind>(Item.kind);
+  Out.From = NodeId(checkedText(Item.sender, "sender"));
+  Out.Life = Incarnation(checkedNumber(Item.life, "incarnation"));
+  Out.In = Region(checkedText(Item.region, "region"));
+  Out.Number = Sequence(checkedNumber(Item.number, "number"));
+  Out.Position = Offset(checkedNumber(Item.position, "position"));
+  Out.Digest = static_cast<std::uint64_t>(Item.digest);
+  if (Out.From.empty() || Out.In.empty())
+    throw BadMessage("sender or region is missing");
+  if (Item.__isset.targetPort)
+    Out.Target = checkedEndpoint(Item.targetAddress, Item.targetPort);
+  for (const wire::WireRegionAge &Each : Item.regions)
+    Out.Regions.push_back(
+        {Region(checkedText(Each.region, "region")),
+         Milliseconds(checkedNumber(Each.ageMs, "region age"))});
+  for (const wire::WireMember &Each : Item.updates)
+    Out.Updates.push_back(fromWire(Each));
+  return Out;
+}
+
+wire::FeedHeartbeat toWire(const distribution::FeedHeartbeat &Beat,
+                           const NodeId &Sender) {
+  wire::FeedHeartbeat Out;
+  Out.region = Beat.In.str();
+  Out.reader = Beat.Reader.str();
+  Out.life = Beat.Life.value();
+  Out.number = Beat.Number.value();
+  Out.head = Beat.Head.value();
+  Out.logFresh = Beat.LogFresh;
+  Out.sender = Sender.str();
+  return Out;
+}
+
+distribution::FeedHeartbeat fromWire(const wire::FeedHeartbeat &Beat) {
+  checkedText(Beat.sender, "sender");
+  distribution::FeedHeartbeat Out;
+  Out.In = Region(checkedText(Beat.region, "region"));
+  Out.Reader = NodeId(checkedText(Beat.reader, "reader"));
+  Out.Life = Incarnation(checkedNumber(Beat.life, "incarnation"));
+  Out.Number = Sequence(checkedNumber(Beat.number, "number"));
+  Out.Head = Offset(checkedNumber(Beat.head, "head"));
+  Out.LogFresh = Beat.logFresh;
+  return Out;
+}
+
+std::string encodeDatagram(wire::Datagram Item) {
+  std::string Data = encode(Item);
+  while (Data.size() > MaxDatagramBytes && !Item.message.updates.empty()) {
+    Item.message.updates.pop_back();
+    Data = encode(Item);
+  }
+  if (Data.size() > MaxDatagramBytes)
+    throw BadMessage("a datagram of " + std::to_string(Data.size()) +
+                     " bytes is too long");
+  return Data;
+}
+
+wire::Datagram decodeDatagram(const char *Data, std::size_t Size) {
+  if (Size > MaxDatagramBytes)
+    throw BadMessage("a datagram is longer than " +
+                     std::to_string(MaxDatagramBytes) + " bytes");
+  return decode<wire::Datagram>(Data, Size);
+}
+
+std::string encodeJoin(const Member &Item, WallTime Now) {
+  wire::JoinRecord Join;
+  Join.member = toWire(membership::Update{Item, false});
+  Join.writtenAtMs = Now.value();
+  return encode(Join);
+}
+
+Member decodeJoin(const std::string &Data) {
+  if (Data.size() > MaxDatagramBytes)
+    throw BadMessage("a join record is too long");
+  return fromWire(decode<wire::JoinRecord>(Data.data(), Data.size()).member)
+      .Who;
+}
+
+std::string encodePart(const wire::CheckpointPart &Part) {
+  return encode(Part);
+}
+
+wire::CheckpointPart decodePart(const std::string &Data) {
+  if (Data.size() > MaxPartBytes)
+    throw BadMessage("a checkpoint part is too long");
+  return decode<wire::CheckpointPart>(Data.data(), Data.size());
+}
+
+} // namespace lycheethread::peer
