Test membership, distribution and the peer module

Bridges are chosen at each change of the members; before, a rumour within the first second of a node did not cross regions. MembershipTests (8 cases) and DistributionTests (9 cases) pass.

--- /dev/null
+++ b/src/distribution/tests/DistributionTest.cpp
@@ -0,0 +1,167 @@
+#define BOOST_TEST_MODULE Distribution
+#include "distribution/Distribution.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <string>
+
+using namespace lycheethread;
+using namespace lycheethread::distribution;
+
+namespace {
+
+constexpr SteadyTime Start(1000000);
+
+Member makeMember(int Number, const std::string &Zone,
+                  const std::string &In = "west") {
+  Member Made;
+  Made.Id = NodeId("node-" + std::to_string(Number));
+  Made.State = MemberState::Ready;
+  Made.At = {Region(In), AvailabilityZone(Zone)};
+  return Made;
+}
+
+DistributionState makeState() {
+  DistributionState State;
+  State.Self = NodeId("node-0");
+  State.At = {Region("west"), AvailabilityZone("zone-a")};
+  State.LastHeartbeat = Start;
+  State.LastFreshHeartbeat = Start;
+  State.Seed = 3;
+  return State;
+}
+
+const NodeId Peer("node-1");
+
+} // namespace
+
+// Guards against a region without a reader, and against one whose nodes all
+// turn to the log at once.
+BOOST_AUTO_TEST_CASE(NextRankReadsAfterSilenceOnly) {
+  DistributionState State = makeState();
+  BOOST_TEST(shouldReadLog(State, 0, Start));
+  BOOST_TEST(!shouldReadLog(State, 1, after(Start, Milliseconds(2999))));
+  BOOST_TEST(shouldReadLog(State, 1, after(Start, Milliseconds(3000))));
+  BOOST_TEST(!shouldReadLog(State, 4, after(Start, Milliseconds(4000))));
+  BOOST_TEST(shouldReadLog(State, 4, after(Start, Milliseconds(4500))));
+}
+
+// Guards against a log outage that makes the whole region poll the log.
+BOOST_AUTO_TEST_CASE(FewNodesTryTheLogDuringAnOutage) {
+  DistributionState State = makeState();
+  const SteadyTime Later = after(Start, Milliseconds(60000));
+  State.LastHeartbeat = Later;
+  BOOST_TEST(shouldReadLog(State, 2, Later));
+  BOOST_TEST(!shouldReadLog(State, 3, Later));
+}
+
+// Guards against heartbeats that circulate for ever.
+BOOST_AUTO_TEST_CASE(EachHeartbeatIsTakenOnce) {
+  DistributionState State = makeState();
+  const FeedHeartbeat Beat{Region("west"), Peer,      Incarnation(1),
+                           Sequence(5),    Offset(9), true};
+  const HeartbeatVerdict First = onFeedHeartbeat(State, Beat, Peer, Start);
+  BOOST_TEST(First.First);
+  BOOST_TEST(First.PullFirst);
+  BOOST_TEST(!onFeedHeartbeat(State, Beat, Peer, Start).First);
+}
+
+// Guards against a return to an older configuration.
+BOOST_AUTO_TEST_CASE(PositionNeverGoesBack) {
+  DistributionState State = makeState();
+  BOOST_TEST(advancePosition(State, Offset(10)));
+  BOOST_TEST(!advancePosition(State, Offset(9)));
+  BOOST_TEST(State.Position == Offset(10));
+}
+
+// Guards against a node that serves less than any source has named.
+BOOST_AUTO_TEST_CASE(StartingNodeWaitsForTheHighestNamedPosition) {
+  DistributionState State = makeState();
+  BOOST_TEST(!readiness(State, Start).MayServe);
+  BOOST_TEST(readiness(State, Start).WaitingFor.find("log") !=
+             std::string::npos);
+  onStartupAnswer(State, Peer, false, Offset(0), Start);
+  BOOST_TEST(!readiness(State, Start).MayServe);
+  onStartupAnswer(State, NodeId("node-2"), true, Offset(4), Start);
+  onStartupAnswer(State, NodeId("node-3"), true, Offset(7), Start);
+  advancePosition(State, Offset(4));
+  const SteadyTime Later = after(Start, ListenTime);
+  BOOST_TEST(!readiness(State, Later).MayServe);
+  advancePosition(State, Offset(7));
+  BOOST_TEST(!readiness(State, Start).MayServe);
+  BOOST_TEST(readiness(State, Later).MayServe);
+  State.Start.Refusal = "a checkpoint";
+  BOOST_TEST(!readiness(State, Later).MayServe);
+}
+
+// Guards against records in force that no other node could pass on.
+BOOST_AUTO_TEST_CASE(RecordsNeedHoldersInOtherZones) {
+  DistributionState State = makeState();
+  holdUpTo(State, Offset(3), Start);
+  const std::vector<Member> Members{
+      makeMember(0, "zone-a"), makeMember(1, "zone-a"),
+      makeMember(2, "zone-b"), makeMember(3, "zone-b"),
+      makeMember(4, "zone-c"), makeMember(5, "zone-d", "east")};
+  const auto Chosen = chooseHolders(State, Members, {}, {});
+  BOOST_TEST_REQUIRE(Chosen.size() == 2U);
+  BOOST_TEST((Chosen[0].At.Zone != Chosen[1].At.Zone));
+  for (const Member &Each : Chosen) {
+    BOOST_TEST((Each.At.Zone != State.At.Zone));
+    BOOST_TEST((Each.At.In == State.At.In));
+  }
+  BOOST_TEST(!mayPutInForce(State, Members, {Chosen[0].Id}));
+  BOOST_TEST(mayPutInForce(State, Members, {Chosen[0].Id, Chosen[1].Id}));
+  BOOST_TEST(mayPutInForce(State, {Members[0], Members[1]}, {Peer}));
+  BOOST_TEST(mayPutInForce(State, {Members[0]}, {}));
+}
+
+// Guards against pulls that cross regions while the own zone has the records.
+BOOST_AUTO_TEST_CASE(PullsWidenFromTheNamerToOtherRegions) {
+  DistributionState State = makeState();
+  std::vector<Member> Members{makeMember(0, "zone-a"), makeMember(1, "zone-a"),
+                              makeMember(2, "zone-b"),
+                              makeMember(3, "zone-d", "east")};
+  BOOST_TEST(!choosePullSource(State, Members, Start).has_value());
+  namePositionInForce(State, Offset(2), NodeId("node-2"), Start);
+  BOOST_TEST(choosePullSource(State, Members, Start)->Id == NodeId("node-2"));
+  onPullResult(State, false, Start);
+  BOOST_TEST(!choosePullSource(State, Members, Start).has_value());
+  const SteadyTime Later = after(Start, LongestBackoff);
+  BOOST_TEST(choosePullSource(State, Members, Later)->Id == NodeId("node-1"));
+  State.PullFailures = 3;
+  Members[3].ConfigPosition = Offset(2);
+  BOOST_TEST(choosePullSource(State, Members, Later)->Id == NodeId("node-3"));
+}
+
+// Guards against reconnection in step and against unbounded snapshots.
+BOOST_AUTO_TEST_CASE(BackoffAndSnapshotsAreBounded) {
+  std::uint64_t Seed = 1;
+  for (int Attempt = 0; Attempt < 100; ++Attempt) {
+    const Milliseconds Delay = backoffDelay(Attempt, Seed);
+    BOOST_TEST((Delay >= FirstBackoff && Delay <= LongestBackoff));
+  }
+  SnapshotSlots Slots;
+  for (int Count = 0; Count < MaxConcurrentSnapshots; ++Count)
+    BOOST_TEST(admitSnapshot(Slots, Seed).Admitted);
+  const SnapshotAdmission Busy = admitSnapshot(Slots, Seed);
+  BOOST_TEST(!Busy.Admitted);
+  BOOST_TEST(Busy.RetryAfter.count() > 0);
+}
+
+// Guards against a fleet that writes no checkpoint when its first writer fails,
+// and against all nodes writing one.
+BOOST_AUTO_TEST_CASE(CheckpointWritersTakeTurns) {
+  DistributionState State = makeState();
+  State.Serving = true;
+  const std::vector<Member> Members{makeMember(0, "zone-a"),
+                                    makeMember(1, "zone-b")};
+  const auto Order = rendezvousOrder("checkpoint", {Members[0].Id, Peer});
+  const CheckpointMark Full{Offset(0), CheckpointRecords, Start};
+  State.Self = Order[0];
+  BOOST_TEST(shouldWriteCheckpoint(State, Members, Full, Start));
+  State.Self = Order[1];
+  BOOST_TEST(!shouldWriteCheckpoint(State, Members, Full, Start));
+  const CheckpointMark Overdue{Offset(0), CheckpointRecords * 2, Start};
+  BOOST_TEST(shouldWriteCheckpoint(State, Members, Overdue, Start));
+}
--- a/src/membership/internal/Tick.cpp
+++ b/src/membership/internal/Tick.cpp
@@ -139,7 +139,6 @@
     Table.NextProbeAt = after(Now, ProbeInterval);
   if (const Entry *Target = nextTarget(Table))
     probe(Table, *Target, Now, Out);
-  updateBridge(Table);
   if (Table.IsBridge)
     probeOtherRegions(Table, Now, Out);
   reconnect(Table, Now, Out);
@@ -323,6 +322,7 @@
 
 Actions tick(MemberTable &Table, SteadyTime Now) {
   Actions Out;
+  updateBridge(Table);
   checkProbes(Table, Now, Out);
   startProbes(Table, Now, Out);
   checkSuspicions(Table, Now, Out);
--- /dev/null
+++ b/src/membership/tests/MembershipTest.cpp
@@ -0,0 +1,180 @@
+#define BOOST_TEST_MODULE Membership
+#include "membership/Membership.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <string>
+
+using namespace lycheethread;
+using namespace lycheethread::membership;
+
+namespace {
+
+Member makeMember(int Number, const std::string &Zone,
+                  const std::string &In = "west") {
+  Member Made;
+  Made.Id = NodeId("node-" + std::to_string(Number));
+  Made.Life = Incarnation(100);
+  Made.State = MemberState::Ready;
+  Made.Control = {"127.0.0.1", static_cast<std::uint16_t>(1000 + Number)};
+  Made.At = {Region(In), AvailabilityZone(Zone)};
+  Made.Service = ServiceName("service-" + std::to_string(Number));
+  return Made;
+}
+
+constexpr SteadyTime Start(1000000);
+
+MemberTable makeTable() {
+  return makeMemberTable(makeMember(0, "zone-a"), Start, 7);
+}
+
+void add(MemberTable &Table, const Member &Item) {
+  mergeMembers(Table, {{Item, false}}, Start);
+}
+
+MemberState stateOf(const MemberTable &Table, int Number, SteadyTime Now) {
+  const NodeId Id("node-" + std::to_string(Number));
+  for (const Member &Each : visibleMembers(Table, Now))
+    if (Each.Id == Id)
+      return Each.State;
+  return MemberState::Dead;
+}
+
+/// Runs the table without an answer from anybody.
+SteadyTime runSilent(MemberTable &Table, SteadyTime From, Milliseconds Length) {
+  SteadyTime Now = From;
+  for (; elapsed(From, Now) < Length; Now = after(Now, Milliseconds(50)))
+    tick(Table, Now);
+  return Now;
+}
+
+Message pingFrom(const Member &Sender, std::vector<Update> Updates) {
+  Message Ping;
+  Ping.From = Sender.Id;
+  Ping.Life = Sender.Life;
+  Ping.In = Sender.At.In;
+  Ping.Number = Sequence(1);
+  Ping.Updates = std::move(Updates);
+  return Ping;
+}
+
+} // namespace
+
+// Guards against a live node that is dropped because one link was slow.
+BOOST_AUTO_TEST_CASE(SuspicionOfThisNodeIsRefuted) {
+  MemberTable Table = makeTable();
+  const Member Other = makeMember(1, "zone-b");
+  add(Table, Other);
+  const Actions Asked = handleMessage(
+      Table, pingFrom(Other, {{Table.Self, true}}), Other.Control, Start);
+  BOOST_TEST(Table.Self.Life == Incarnation(101));
+  BOOST_TEST_REQUIRE(Asked.Sends.size() == 1U);
+  const auto &Updates = Asked.Sends[0].Content.Updates;
+  BOOST_TEST(std::any_of(Updates.begin(), Updates.end(), [](const Update &U) {
+    return U.Who.Life == Incarnation(101) && !U.Suspected;
+  }));
+}
+
+// Guards against a restarted node whose clock went back: its news would be
+// taken for old for as long as the others remember its former life.
+BOOST_AUTO_TEST_CASE(RestartWithALowerIncarnationEndsUpHigher) {
+  MemberTable Table = makeTable();
+  Update Former{Table.Self, false};
+  Former.Who.Life = Incarnation(500);
+  Former.Who.State = MemberState::Left;
+  mergeMembers(Table, {Former}, Start);
+  BOOST_TEST(Table.Self.Life == Incarnation(501));
+  BOOST_TEST((Table.Self.State == MemberState::Ready));
+}
+
+// Guards against a failed node that stays in use, and against one that comes
+// back by old news after it was forgotten.
+BOOST_AUTO_TEST_CASE(SilentMemberDiesAndOldNewsDoesNotReviveIt) {
+  MemberTable Table = makeTable();
+  for (int Number = 1; Number <= 5; ++Number)
+    add(Table, makeMember(Number, "zone-" + std::to_string(Number)));
+  SteadyTime Now = runSilent(Table, Start, Milliseconds(12000));
+  BOOST_TEST((stateOf(Table, 1, Now) == MemberState::Dead));
+  Now = runSilent(Table, after(Now, KeepEnded), Milliseconds(2000));
+  BOOST_TEST(Table.Others.empty());
+  mergeMembers(Table, {{makeMember(1, "zone-1"), false}}, Now);
+  BOOST_TEST(Table.Others.empty());
+  Member Restarted = makeMember(1, "zone-1");
+  Restarted.Life = Incarnation(101);
+  mergeMembers(Table, {{Restarted, false}}, Now);
+  BOOST_TEST((stateOf(Table, 1, Now) == MemberState::Ready));
+}
+
+// Guards against a cut availability zone that is taken for the death of all its
+// members; they must be back with the first sign of life.
+BOOST_AUTO_TEST_CASE(CutZoneStaysSuspect) {
+  MemberTable Table = makeTable();
+  for (int Number = 1; Number <= 4; ++Number)
+    add(Table, makeMember(Number, "zone-b"));
+  const SteadyTime Now = runSilent(Table, Start, Milliseconds(30000));
+  for (int Number = 1; Number <= 4; ++Number)
+    BOOST_TEST((stateOf(Table, Number, Now) == MemberState::Suspect));
+  Member Back = makeMember(2, "zone-b");
+  Back.Life = Incarnation(101);
+  handleMessage(Table, pingFrom(Back, {{Back, false}}), Back.Control, Now);
+  BOOST_TEST((stateOf(Table, 2, Now) == MemberState::Ready));
+}
+
+// Guards against most members of one service being lost with one zone.
+BOOST_AUTO_TEST_CASE(HalfOfAServiceAtMostDiesWithOneZone) {
+  MemberTable Table = makeTable();
+  for (int Number = 1; Number <= 9; ++Number) {
+    Member Made = makeMember(Number, "zone-b");
+    if (Number <= 3)
+      Made.Service = ServiceName("small");
+    add(Table, Made);
+  }
+  std::vector<Update> Suspicions;
+  for (int Number = 1; Number <= 3; ++Number) {
+    Suspicions.push_back({makeMember(Number, "zone-b"), true});
+    Suspicions.back().Who.Service = ServiceName("small");
+  }
+  Table.NextProbeAt = after(Start, Milliseconds(100000));
+  mergeMembers(Table, Suspicions, Start);
+  const SteadyTime Now = runSilent(Table, Start, Milliseconds(5000));
+  for (int Number = 1; Number <= 3; ++Number)
+    BOOST_TEST((stateOf(Table, Number, Now) == MemberState::Suspect));
+}
+
+// Guards against a partition between the regions that empties the view.
+BOOST_AUTO_TEST_CASE(UnreachableRegionIsSuspectAsAWhole) {
+  MemberTable Table = makeTable();
+  for (int Number = 1; Number <= 4; ++Number)
+    add(Table, makeMember(Number, "zone-e", "east"));
+  const SteadyTime Now = runSilent(Table, Start, Milliseconds(20000));
+  BOOST_TEST(isUnreachable(Table, Region("east"), Now));
+  for (int Number = 1; Number <= 4; ++Number)
+    BOOST_TEST((stateOf(Table, Number, Now) == MemberState::Suspect));
+}
+
+// Guards against a draining member that is used again as a mere suspect.
+BOOST_AUTO_TEST_CASE(SuspectThatDrainsStaysDraining) {
+  MemberTable Table = makeTable();
+  Member Leaving = makeMember(1, "zone-b");
+  Leaving.State = MemberState::Draining;
+  mergeMembers(Table, {{Leaving, true}}, Start);
+  BOOST_TEST((stateOf(Table, 1, Start) == MemberState::Draining));
+}
+
+// Guards against datagrams above the limit when many members have news.
+BOOST_AUTO_TEST_CASE(PiggybackIsBounded) {
+  MemberTable Table = makeTable();
+  for (int Number = 1; Number <= 100; ++Number) {
+    Member Made = makeMember(Number, "zone-b");
+    Made.Group = GroupName(std::string(100, 'g'));
+    add(Table, Made);
+  }
+  const Member Sender = makeMember(1, "zone-b");
+  const Actions Asked =
+      handleMessage(Table, pingFrom(Sender, {}), Sender.Control, Start);
+  BOOST_TEST_REQUIRE(Asked.Sends.size() == 1U);
+  const std::size_t Count = Asked.Sends[0].Content.Updates.size();
+  BOOST_TEST(Count > 0U);
+  BOOST_TEST(Count * 164U <= UpdateBytes);
+}
--- a/src/peer/internal/FeedLoop.cpp
+++ b/src/peer/internal/FeedLoop.cpp
@@ -20,6 +20,8 @@
 
 constexpr Milliseconds IdleStep{100};
 constexpr Milliseconds WaitingLogInterval{10000};
+/// Most starts are over before there is anything to report.
+constexpr Milliseconds QuietStart{500};
 constexpr std::size_t PullRecords = 500;
 
 } // namespace
@@ -40,6 +42,7 @@
   int CommitAttempts = 0;
   std::string LoggedWait;
   SteadyTime LoggedWaitAt;
+  SteadyTime StartedAt = steadyNow();
 
   std::uint64_t &seed() { return Context.Feed.Seed; }
 
@@ -192,6 +195,8 @@
 
   void logWaiting(const std::string &Text) {
     const SteadyTime Now = steadyNow();
+    if (elapsed(StartedAt, Now) < QuietStart)
+      return;
     if (Text == LoggedWait && elapsed(LoggedWaitAt, Now) < WaitingLogInterval)
       return;
     LoggedWait = Text;
--- a/src/peer/internal/PeerNode.cpp
+++ b/src/peer/internal/PeerNode.cpp
@@ -51,6 +51,12 @@
   }
 }
 
+wire::CallFailed refusal(const std::string &Reason) {
+  wire::CallFailed Failed;
+  Failed.reason = Reason;
+  return Failed;
+}
+
 } // namespace
 
 struct PeerNode::Impl {
@@ -71,20 +77,14 @@
       if (It != Handlers.end())
         Handler = It->second;
     }
-    wire::CallFailed Failed;
-    if (!Handler) {
-      Failed.reason = "topic is unknown";
-      throw Failed;
-    }
-    if (Payload.size() > MaxCallBytes) {
-      Failed.reason = "the payload is too long";
-      throw Failed;
-    }
+    if (!Handler)
+      throw refusal("topic is unknown");
+    if (Payload.size() > MaxCallBytes)
+      throw refusal("the payload is too long");
     try {
       return Handler(Payload);
     } catch (const std::exception &Problem) {
-      Failed.reason = Problem.what();
-      throw Failed;
+      throw refusal(Problem.what());
     }
   }
 
--- /dev/null
+++ b/src/peer/tests/MemoryLog.cpp
@@ -0,0 +1,75 @@
+#include "peer/tests/MemoryLog.h"
+
+#include <algorithm>
+
+namespace lycheethread::peer {
+
+void MemoryLog::checkUp() const {
+  if (Down)
+    throw platform::LogUnavailable("the log is down");
+}
+
+Offset MemoryLog::append(const std::string &Stream, const std::string &Data) {
+  const std::lock_guard<std::mutex> Guard(Lock_);
+  Kept &Target = Streams_[Stream];
+  const Offset At = Target.bounds().Next;
+  Target.Records.push_back(Data);
+  Appended_.notify_all();
+  return At;
+}
+
+void MemoryLog::trim(const std::string &Stream, Offset First) {
+  const std::lock_guard<std::mutex> Guard(Lock_);
+  Kept &Target = Streams_[Stream];
+  while (Target.First < First.value() && !Target.Records.empty()) {
+    Target.Records.pop_front();
+    ++Target.First;
+  }
+}
+
+std::size_t MemoryLog::size(const std::string &Stream) {
+  const std::lock_guard<std::mutex> Guard(Lock_);
+  return Streams_[Stream].Records.size();
+}
+
+platform::LogBatch MemoryLog::read(const StreamName &Stream, Offset From,
+                                   std::size_t MaxRecords, Milliseconds Wait) {
+  ++Reads;
+  checkUp();
+  std::unique_lock<std::mutex> Guard(Lock_);
+  Kept &Source = Streams_[Stream.str()];
+  Appended_.wait_for(Guard, Wait,
+                     [&] { return Down || Source.bounds().Next > From; });
+  checkUp();
+  if (From < Source.bounds().First)
+    throw platform::LogTrimmed("trimmed", Source.bounds());
+  platform::LogBatch Batch;
+  Batch.Bounds = Source.bounds();
+  for (Offset At = From;
+       At < Batch.Bounds.Next && Batch.Records.size() < MaxRecords;
+       At = At.next())
+    Batch.Records.push_back(
+        {At,
+         Source.Records[static_cast<std::size_t>(At.value() - Source.First)]});
+  return Batch;
+}
+
+platform::LogClient MemoryLog::client() {
+  platform::LogClient Client;
+  Client.Append = [this](const StreamName &Stream, const std::string &Data) {
+    checkUp();
+    return append(Stream.str(), Data);
+  };
+  Client.Read = [this](const StreamName &Stream, Offset From,
+                       std::size_t MaxRecords, Milliseconds Wait) {
+    return read(Stream, From, MaxRecords, Wait);
+  };
+  Client.Bounds = [this](const StreamName &Stream) {
+    checkUp();
+    const std::lock_guard<std::mutex> Guard(Lock_);
+    return Streams_[Stream.str()].bounds();
+  };
+  return Client;
+}
+
+} // namespace lycheethread::peer
--- /dev/null
+++ b/src/peer/tests/MemoryLog.h
@@ -0,0 +1,50 @@
+#ifndef LYCHEETHREAD_PEER_TESTS_MEMORYLOG_H
+#define LYCHEETHREAD_PEER_TESTS_MEMORYLOG_H
+
+#include "platform/types/LogClient.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace lycheethread::peer {
+
+/// Append-only log in memory.
+class MemoryLog {
+public:
+  platform::LogClient client();
+
+  Offset append(const std::string &Stream, const std::string &Data);
+  void trim(const std::string &Stream, Offset First);
+  std::size_t size(const std::string &Stream);
+
+  std::atomic<bool> Down{false};
+  std::atomic<std::int64_t> Reads{0};
+
+private:
+  struct Kept {
+    std::int64_t First = 0;
+    std::deque<std::string> Records;
+
+    platform::StreamBounds bounds() const {
+      return {Offset(First),
+              Offset(First + static_cast<std::int64_t>(Records.size()))};
+    }
+  };
+
+  void checkUp() const;
+  platform::LogBatch read(const StreamName &Stream, Offset From,
+                          std::size_t MaxRecords, Milliseconds Wait);
+
+  std::mutex Lock_;
+  std::condition_variable Appended_;
+  std::map<std::string, Kept> Streams_;
+};
+
+} // namespace lycheethread::peer
+
+#endif // LYCHEETHREAD_PEER_TESTS_MEMORYLOG_H
