Add the HTTP data path of a node

Entry, last hop, admission gate, claims, crash suspects and readiness on POCO Net sockets and parsers. POCO 1.11's body streams report a body that was cut off as complete, so the framing is read by the proxy. Compiles; not yet run.

--- /dev/null
+++ b/src/proxy/internal/Attempt.cpp
@@ -0,0 +1,68 @@
+#include "proxy/internal/Attempt.h"
+
+#include <Poco/Net/HTTPResponse.h>
+
+namespace lycheethread::proxy {
+
+namespace {
+
+constexpr int SoonSeconds = 1;
+constexpr int QuarantineSeconds = 600;
+constexpr int StatusLoopDetected = 508;
+
+} // namespace
+
+AttemptResult refused(RefusalReason Reason, Executed Ran, std::string Detail) {
+  AttemptResult Result;
+  Result.End = AttemptEnd::Refused;
+  Result.Reason = Reason;
+  Result.Ran = Ran;
+  Result.Detail = std::move(Detail);
+  return Result;
+}
+
+int statusOf(RefusalReason Reason) {
+  using Poco::Net::HTTPResponse;
+  switch (Reason) {
+  case RefusalReason::NoRoute:
+    return HTTPResponse::HTTP_NOT_FOUND;
+  case RefusalReason::CallerLimit:
+    return HTTPResponse::HTTP_TOO_MANY_REQUESTS;
+  case RefusalReason::Deadline:
+  case RefusalReason::UpstreamTimeout:
+    return HTTPResponse::HTTP_GATEWAY_TIMEOUT;
+  case RefusalReason::TooDeep:
+    return StatusLoopDetected;
+  case RefusalReason::BodyTooLarge:
+    return HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE;
+  case RefusalReason::BadRequest:
+    return HTTPResponse::HTTP_BAD_REQUEST;
+  case RefusalReason::UpstreamFailed:
+    return HTTPResponse::HTTP_BAD_GATEWAY;
+  case RefusalReason::AlreadyAccepted:
+    return HTTPResponse::HTTP_CONFLICT;
+  default:
+    return HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
+  }
+}
+
+int retryAfterSeconds(RefusalReason Reason) {
+  switch (Reason) {
+  case RefusalReason::NoUpstream:
+  case RefusalReason::Draining:
+  case RefusalReason::SlotsFull:
+  case RefusalReason::ConnectionsFull:
+  case RefusalReason::CallerLimit:
+  case RefusalReason::QueueFull:
+  case RefusalReason::Shed:
+  case RefusalReason::LogUnavailable:
+  case RefusalReason::NotReady:
+    return SoonSeconds;
+  case RefusalReason::CrashSuspect:
+    return QuarantineSeconds;
+  default:
+    return 0;
+  }
+}
+
+} // namespace lycheethread::proxy
--- /dev/null
+++ b/src/proxy/internal/AttemptGuard.h
@@ -0,0 +1,53 @@
+#ifndef LYCHEETHREAD_PROXY_INTERNAL_ATTEMPTGUARD_H
+#define LYCHEETHREAD_PROXY_INTERNAL_ATTEMPTGUARD_H
+
+#include "proxy/internal/Attempt.h"
+#include "proxy/internal/Clock.h"
+#include "proxy/internal/Exchange.h"
+
+#include <optional>
+
+namespace lycheethread::proxy {
+
+/// Status of an attempt that ended before an answer: \p Out is empty as long
+/// as there was no connection.
+inline Executed executedSoFar(const std::optional<Exchange> &Out) {
+  requests::AttemptProgress Progress;
+  Progress.Sent = Out && Out->hasSent();
+  return requests::executedOf(Progress);
+}
+
+/// Runs \p Work and turns its exceptions into results.
+template <typename Function>
+AttemptResult guardAttempt(std::optional<Exchange> &Out, SteadyTime Deadline,
+                           Function Work) {
+  try {
+    return Work();
+  } catch (const CallerGone &Error) {
+    AttemptResult Result;
+    Result.End = AttemptEnd::CallerLost;
+    Result.Detail = Error.what();
+    return Result;
+  } catch (const CallerFault &Error) {
+    return refused(Error.reason(), executedSoFar(Out), Error.what());
+  } catch (const ConnectionTimeout &Error) {
+    if (Out)
+      return refused(RefusalReason::UpstreamTimeout, executedSoFar(Out),
+                     Error.what());
+    if (timeLeft(Deadline) <= Milliseconds(0))
+      return refused(RefusalReason::Deadline, Executed::No, Error.what());
+    AttemptResult Result =
+        refused(RefusalReason::UpstreamFailed, Executed::No, Error.what());
+    Result.Fault = UpstreamFault::NoConnection;
+    return Result;
+  } catch (const std::exception &Error) {
+    AttemptResult Result = refused(RefusalReason::UpstreamFailed,
+                                   executedSoFar(Out), Error.what());
+    Result.Fault = UpstreamFault::NoConnection;
+    return Result;
+  }
+}
+
+} // namespace lycheethread::proxy
+
+#endif // LYCHEETHREAD_PROXY_INTERNAL_ATTEMPTGUARD_H
--- /dev/null
+++ b/src/proxy/internal/Balancer.cpp
@@ -0,0 +1,68 @@
+#include "proxy/internal/Balancer.h"
+#include "proxy/internal/Clock.h"
+
+#include <map>
+#include <mutex>
+#include <random>
+
+namespace lycheethread::proxy {
+
+struct Balancer::Impl {
+  std::shared_ptr<kernel::SnapshotStore<moves::BrakeSet>> Brakes;
+  std::mutex Lock;
+  requests::EjectionTable Ejections;
+  requests::LoadTable Load;
+  std::map<ServiceName, requests::RetryBudget> Budgets;
+  std::uint64_t Seed = std::random_device()();
+};
+
+Balancer::Balancer(
+    std::shared_ptr<kernel::SnapshotStore<moves::BrakeSet>> Brakes)
+    : Impl_(std::make_unique<Impl>()) {
+  Impl_->Brakes = std::move(Brakes);
+}
+
+Balancer::~Balancer() = default;
+
+std::optional<requests::Selection>
+Balancer::select(const CallContext &Call, const std::set<NodeId> &Excluded) {
+  const auto Group = Call.Match.Service->Groups.find(Call.Match.Found->Group);
+  if (Group == Call.Match.Service->Groups.end())
+    return std::nullopt;
+  static const moves::BrakeSet NoBrakes;
+  const auto Brakes = Impl_->Brakes->load();
+  const std::lock_guard<std::mutex> Guard(Impl_->Lock);
+  auto Found = requests::selectUpstream(
+      Group->second, {Call.Id, Brakes ? *Brakes : NoBrakes, Impl_->Ejections,
+                      Impl_->Load, Excluded, steadyNow(), Impl_->Seed});
+  if (Found)
+    ++Impl_->Load.InProgress[Found->Target.Id];
+  return Found;
+}
+
+void Balancer::done(const NodeId &Target, const AttemptResult &Result) {
+  const std::lock_guard<std::mutex> Guard(Impl_->Lock);
+  const auto It = Impl_->Load.InProgress.find(Target);
+  if (It != Impl_->Load.InProgress.end() && --It->second <= 0)
+    Impl_->Load.InProgress.erase(It);
+  if (Result.Fault == UpstreamFault::Crashed)
+    requests::noteUpstreamCrash(Impl_->Ejections, Target, steadyNow());
+  else if (Result.Fault == UpstreamFault::NoConnection)
+    requests::noteConnectFailure(Impl_->Ejections, Target, steadyNow());
+  else if (Result.End == AttemptEnd::Delivered)
+    requests::noteAnswer(Impl_->Ejections, Target);
+}
+
+void Balancer::noteOriginal(const CallContext &Call) {
+  const std::lock_guard<std::mutex> Guard(Impl_->Lock);
+  requests::noteOriginal(Impl_->Budgets[*Call.Match.Name],
+                         Call.Match.Service->Limits);
+}
+
+bool Balancer::mayRetry(const CallContext &Call,
+                        const requests::FailedAttempt &Failed) {
+  const std::lock_guard<std::mutex> Guard(Impl_->Lock);
+  return requests::decideRetry(Impl_->Budgets[*Call.Match.Name], Failed);
+}
+
+} // namespace lycheethread::proxy
--- /dev/null
+++ b/src/proxy/internal/CallContext.cpp
@@ -0,0 +1,118 @@
+#include "proxy/internal/CallContext.h"
+#include "proxy/internal/Clock.h"
+#include "proxy/internal/HttpConnection.h"
+
+#include <Poco/NumberParser.h>
+#include <Poco/String.h>
+
+#include <algorithm>
+
+namespace lycheethread::proxy {
+
+namespace {
+
+using Poco::Net::HTTPRequest;
+
+constexpr std::size_t MaxIdBytes = 128;
+/// For routes that name no resource.
+constexpr ByteCount DefaultMaxBody{256LL * 1024 * 1024};
+constexpr std::size_t PrefixSize = 3;
+
+bool isIdByte(char Byte) { return Byte > ' ' && Byte < 0x7f; }
+
+std::string readId(const HTTPRequest &Request, const std::string &Name) {
+  const std::string &Text = Request.get(Name, Poco::Net::HTTPMessage::EMPTY);
+  if (Text.size() > MaxIdBytes ||
+      !std::all_of(Text.begin(), Text.end(), isIdByte))
+    throw BadMessage(Name + " is not valid");
+  return Text;
+}
+
+std::int64_t readNumber(const HTTPRequest &Request, const std::string &Name,
+                        std::int64_t Default) {
+  if (!Request.has(Name))
+    return Default;
+  Poco::Int64 Value = 0;
+  if (!Poco::NumberParser::tryParse64(Request.get(Name), Value) || Value < 0)
+    throw BadMessage(Name + " is not a number");
+  return Value;
+}
+
+bool isOwnHeader(const std::string &Name) {
+  return Name.size() > PrefixSize && (Name[0] == 'l' || Name[0] == 'L') &&
+         (Name[1] == 't' || Name[1] == 'T') && Name[2] == '-';
+}
+
+} // namespace
+
+ServiceName CallContext::service() const {
+  return Match.Name == nullptr ? ServiceName() : *Match.Name;
+}
+
+RouteName CallContext::route() const {
+  return Match.Found == nullptr ? RouteName() : Match.Found->Name;
+}
+
+CallContext readContext(const HTTPRequest &Request, SteadyTime ReceivedAt,
+                        Milliseconds Longest) {
+  CallContext Call;
+  Call.ReceivedAt = ReceivedAt;
+  Call.Deadline = after(ReceivedAt, Longest);
+  Call.Id = RequestId(readId(Request, headers::RequestIdName));
+  Call.Caller = CallerId(readId(Request, headers::CallerName));
+  Call.Key = IdempotencyKey(readId(Request, headers::KeyName));
+  const std::int64_t Depth = readNumber(Request, headers::DepthName, 0);
+  Call.Depth = static_cast<std::int32_t>(std::min<std::int64_t>(Depth, 1000));
+  const std::int64_t Left =
+      readNumber(Request, headers::DeadlineName, Longest.count());
+  Call.Deadline = after(ReceivedAt, std::min(Longest, Milliseconds(Left)));
+  return Call;
+}
+
+void applyRoute(CallContext &Call, const HTTPRequest &Request,
+                std::shared_ptr<const requests::RoutingView> View) {
+  Call.View = std::move(View);
+  Call.Match = requests::findRoute(
+      *Call.View, Request.get(HTTPRequest::HOST, ""), Request.getURI());
+  const Route *Found = Call.Match.Found;
+  if (Found == nullptr)
+    return;
+  Call.Class = Found->Class;
+  if (Found->Timeout > Milliseconds(0))
+    Call.Deadline =
+        std::min(Call.Deadline, after(Call.ReceivedAt, Found->Timeout));
+}
+
+HTTPRequest makeOnward(const HTTPRequest &Request, const CallContext &Call) {
+  HTTPRequest Onward(Request.getMethod(), Request.getURI(),
+                     Poco::Net::HTTPMessage::HTTP_1_1);
+  copyEndToEnd(Request, Onward);
+  for (auto It = Onward.begin(); It != Onward.end();)
+    if (isOwnHeader(It->first)) {
+      const std::string Name = It->first;
+      Onward.erase(Name);
+      It = Onward.begin();
+    } else {
+      ++It;
+    }
+  Onward.add(headers::RequestIdName, Call.Id.str());
+  const std::int64_t Left =
+      std::max<std::int64_t>(1, timeLeft(Call.Deadline).count());
+  Onward.add(headers::DeadlineName, std::to_string(Left));
+  Onward.add(headers::DepthName, std::to_string(Call.Depth));
+  Onward.add(headers::CallerName, Call.Caller.str());
+  Onward.add(headers::ClassName, std::string(toString(Call.Class)));
+  Onward.add(headers::AttemptName, std::to_string(Call.Attempt));
+  return Onward;
+}
+
+ByteCount bodyLimit(const CallContext &Call) {
+  const Route *Found = Call.Match.Found;
+  if (Found == nullptr || !Found->Limit)
+    return DefaultMaxBody;
+  const auto It = Call.Match.Service->Resources.find(*Found->Limit);
+  return It == Call.Match.Service->Resources.end() ? DefaultMaxBody
+                                                   : It->second.MaxBody;
+}
+
+} // namespace lycheethread::proxy
--- /dev/null
+++ b/src/proxy/internal/CallContext.h
@@ -0,0 +1,72 @@
+#ifndef LYCHEETHREAD_PROXY_INTERNAL_CALLCONTEXT_H
+#define LYCHEETHREAD_PROXY_INTERNAL_CALLCONTEXT_H
+
+#include "proxy/internal/HttpHead.h"
+#include "requests/Requests.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace lycheethread::proxy {
+
+namespace headers {
+
+inline const std::string RequestIdName = "lt-request-id";
+inline const std::string DeadlineName = "lt-deadline-ms";
+inline const std::string DepthName = "lt-depth";
+inline const std::string CallerName = "lt-caller";
+inline const std::string ClassName = "lt-class";
+inline const std::string AttemptName = "lt-attempt";
+inline const std::string KeyName = "idempotency-key";
+inline const std::string PathName = "lt-path";
+inline const std::string RefusalIdName = "lt-refusal-id";
+inline const std::string ReasonName = "lt-reason";
+inline const std::string ExecutedName = "lt-executed";
+inline const std::string RetryAfterName = "retry-after";
+inline const std::string ShedName = "lt-shed";
+/// Only between nodes: what the last hop knows of its upstream.
+inline const std::string UpstreamName = "lt-upstream";
+
+} // namespace headers
+
+/// Depth of the first call of a chain is 1.
+inline constexpr std::int32_t MaxDepth = 16;
+
+/// What a request carries from hop to hop, and its route.
+struct CallContext {
+  RequestId Id;
+  CallerId Caller;
+  IdempotencyKey Key;
+  RequestClass Class = RequestClass::Repeatable;
+  std::int32_t Depth = 0;
+  std::int32_t Attempt = 1;
+  SteadyTime ReceivedAt;
+  SteadyTime Deadline;
+  /// The request keeps the view under which it was admitted.
+  std::shared_ptr<const requests::RoutingView> View;
+  requests::RouteMatch Match;
+
+  ServiceName service() const;
+  RouteName route() const;
+};
+
+/// Reads the headers; the deadline is \p Longest without a header. Throws
+/// BadMessage for values that are not valid.
+CallContext readContext(const Poco::Net::HTTPRequest &Request,
+                        SteadyTime ReceivedAt, Milliseconds Longest);
+
+/// Finds the route and shortens the deadline to its timeout.
+void applyRoute(CallContext &Call, const Poco::Net::HTTPRequest &Request,
+                std::shared_ptr<const requests::RoutingView> View);
+
+/// The request for the next hop, with \p Call in its headers.
+Poco::Net::HTTPRequest makeOnward(const Poco::Net::HTTPRequest &Request,
+                                  const CallContext &Call);
+
+/// Largest body of the route.
+ByteCount bodyLimit(const CallContext &Call);
+
+} // namespace lycheethread::proxy
+
+#endif // LYCHEETHREAD_PROXY_INTERNAL_CALLCONTEXT_H
--- /dev/null
+++ b/src/proxy/internal/ClaimKeeper.cpp
@@ -0,0 +1,176 @@
+#include "proxy/internal/ClaimKeeper.h"
+#include "proxy/internal/Clock.h"
+#include "proxy/internal/WireFormat.h"
+
+#include <boost/log/trivial.hpp>
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace lycheethread::proxy {
+
+namespace {
+
+constexpr std::size_t ReadBatch = 500;
+constexpr std::size_t MaxWaiting = 1000;
+constexpr std::size_t MaxAbandoned = 1000;
+constexpr Milliseconds RetryPause{200};
+constexpr Milliseconds LastWrites{2000};
+
+} // namespace
+
+struct ClaimKeeper::Impl {
+  std::shared_ptr<platform::LogClient> Log;
+  StreamName Stream;
+  std::string TokenPrefix;
+  std::atomic<std::int64_t> LastToken{0};
+
+  /// Held while reading, so that waiting claims profit from one read.
+  std::mutex FoldLock;
+  requests::ClaimTable Table;
+  Offset Position;
+  /// Tokens of claims that were refused because the log gave no answer; their
+  /// records may still appear.
+  std::set<std::string> Abandoned;
+
+  std::mutex QueueLock;
+  std::condition_variable QueueChanged;
+  std::deque<requests::ClaimEntry> Queue;
+  std::atomic<std::int64_t> Unwritten{0};
+  bool Stopping = false;
+  SteadyTime StopAt;
+  std::thread Writer;
+
+  void enqueue(requests::ClaimEntry Entry) {
+    const std::lock_guard<std::mutex> Guard(QueueLock);
+    if (Queue.size() >= MaxWaiting) {
+      BOOST_LOG_TRIVIAL(warning)
+          << "proxy: outcome of key " << Entry.Key << " is not recorded";
+      return;
+    }
+    Queue.push_back(std::move(Entry));
+    ++Unwritten;
+    QueueChanged.notify_one();
+  }
+
+  void releaseIfAbandoned(const requests::ClaimEntry &Entry) {
+    if (Entry.Kind != requests::ClaimKind::Claim ||
+        Abandoned.erase(Entry.Token) == 0)
+      return;
+    requests::ClaimEntry Release = Entry;
+    Release.Kind = requests::ClaimKind::Release;
+    enqueue(std::move(Release));
+  }
+
+  void fold(const platform::LogBatch &Batch) {
+    for (const platform::LogRecord &Item : Batch.Records) {
+      if (Item.At < Position)
+        continue;
+      Position = Item.At.next();
+      const auto Entry = decodeClaim(Item.Data);
+      if (!Entry) {
+        BOOST_LOG_TRIVIAL(warning) << "proxy: record " << Item.At << " of "
+                                   << Stream << " is not valid";
+        continue;
+      }
+      requests::foldClaim(Table, Item.At, *Entry);
+      releaseIfAbandoned(*Entry);
+    }
+  }
+
+  /// Folds until \p Target is folded.
+  void readPast(Offset Target) {
+    while (Position <= Target) {
+      try {
+        const platform::LogBatch Batch =
+            Log->Read(Stream, Position, ReadBatch, Milliseconds(0));
+        if (Batch.Records.empty())
+          throw platform::LogUnavailable("the claim cannot be read back");
+        fold(Batch);
+      } catch (const platform::LogTrimmed &Error) {
+        Position = std::max(Position, Error.kept().First);
+      }
+    }
+  }
+
+  void abandon(const std::string &Token) {
+    if (Abandoned.size() < MaxAbandoned)
+      Abandoned.insert(Token);
+  }
+
+  bool writeNext(std::unique_lock<std::mutex> &Guard) {
+    const requests::ClaimEntry Entry = Queue.front();
+    Guard.unlock();
+    bool Written = true;
+    try {
+      Log->Append(Stream, encodeClaim(Entry));
+    } catch (const std::exception &Error) {
+      BOOST_LOG_TRIVIAL(info)
+          << "proxy: outcome not yet written: " << Error.what();
+      Written = false;
+    }
+    Guard.lock();
+    if (Written) {
+      Queue.pop_front();
+      --Unwritten;
+    }
+    return Written;
+  }
+
+  void write() {
+    std::unique_lock<std::mutex> Guard(QueueLock);
+    for (;;) {
+      QueueChanged.wait(Guard, [this] { return Stopping || !Queue.empty(); });
+      if (Queue.empty() || (Stopping && timeLeft(StopAt) <= Milliseconds(0)))
+        return;
+      if (!writeNext(Guard))
+        QueueChanged.wait_for(Guard, RetryPause);
+    }
+  }
+};
+
+ClaimKeeper::ClaimKeeper(std::shared_ptr<platform::LogClient> Log,
+                         const ServiceName &Service, std::string TokenPrefix)
+    : Impl_(std::make_unique<Impl>()) {
+  Impl_->Log = std::move(Log);
+  Impl_->Stream = StreamName("claims." + Service.str());
+  Impl_->TokenPrefix = std::move(TokenPrefix);
+  Impl_->Writer = std::thread([this] { Impl_->write(); });
+}
+
+ClaimKeeper::~ClaimKeeper() {
+  {
+    const std::lock_guard<std::mutex> Guard(Impl_->QueueLock);
+    Impl_->Stopping = true;
+    Impl_->StopAt = after(steadyNow(), LastWrites);
+    Impl_->QueueChanged.notify_one();
+  }
+  Impl_->Writer.join();
+}
+
+requests::ClaimVerdict ClaimKeeper::claim(requests::ClaimEntry &Claim) {
+  Claim.Kind = requests::ClaimKind::Claim;
+  Claim.Token = Impl_->TokenPrefix + "/" + std::to_string(++Impl_->LastToken);
+  try {
+    const Offset At = Impl_->Log->Append(Impl_->Stream, encodeClaim(Claim));
+    const std::lock_guard<std::mutex> Guard(Impl_->FoldLock);
+    Impl_->readPast(At);
+    return requests::settleClaim(Impl_->Table, Claim);
+  } catch (const std::exception &Error) {
+    const std::lock_guard<std::mutex> Guard(Impl_->FoldLock);
+    Impl_->abandon(Claim.Token);
+    throw platform::LogUnavailable(Error.what());
+  }
+}
+
+void ClaimKeeper::append(requests::ClaimEntry Entry) {
+  Impl_->enqueue(std::move(Entry));
+}
+
+std::int64_t ClaimKeeper::waiting() const { return Impl_->Unwritten.load(); }
+
+} // namespace lycheethread::proxy
--- /dev/null
+++ b/src/proxy/internal/ClaimKeeper.h
@@ -0,0 +1,39 @@
+#ifndef LYCHEETHREAD_PROXY_INTERNAL_CLAIMKEEPER_H
+#define LYCHEETHREAD_PROXY_INTERNAL_CLAIMKEEPER_H
+
+#include "platform/Platform.h"
+#include "requests/Requests.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace lycheethread::proxy {
+
+/// Claims of once-only keys in the stream of one service. Thread-safe.
+class ClaimKeeper {
+public:
+  ClaimKeeper(std::shared_ptr<platform::LogClient> Log,
+              const ServiceName &Service, std::string TokenPrefix);
+  /// Writes the outcomes that are still waiting, bounded in time.
+  ~ClaimKeeper();
+
+  /// Appends a claim, reads the stream back and settles. Fills in the token of
+  /// \p Claim. Throws platform::LogUnavailable; the request must not be
+  /// executed then.
+  requests::ClaimVerdict claim(requests::ClaimEntry &Claim);
+
+  /// Queues an outcome or a release.
+  void append(requests::ClaimEntry Entry);
+
+  /// Entries that are queued and not yet written.
+  std::int64_t waiting() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace lycheethread::proxy
+
+#endif // LYCHEETHREAD_PROXY_INTERNAL_CLAIMKEEPER_H
--- /dev/null
+++ b/src/proxy/internal/CrashWatch.cpp
@@ -0,0 +1,127 @@
+#include "proxy/internal/CrashWatch.h"
+#include "proxy/internal/Clock.h"
+#include "proxy/internal/HttpConnection.h"
+#include "proxy/internal/WireFormat.h"
+
+#include <boost/log/trivial.hpp>
+
+#include <map>
+#include <mutex>
+#include <set>
+#include <vector>
+
+namespace lycheethread::proxy {
+
+namespace {
+
+const std::string CrashTopic = "crash";
+constexpr Milliseconds CheckTime{200};
+
+struct InProgress {
+  requests::Fingerprint Print;
+  bool Reported = false;
+};
+
+} // namespace
+
+struct CrashWatch::Impl {
+  std::shared_ptr<peer::PeerControl> Peers;
+  Endpoint Upstream;
+  mutable std::mutex Lock;
+  requests::SuspectTable Table;
+  std::map<std::int64_t, InProgress> Running;
+  std::int64_t LastTicket = 0;
+  std::int64_t Crashes = 0;
+
+  bool isDown() const {
+    try {
+      HttpConnection::connect(Upstream, after(steadyNow(), CheckTime));
+      return false;
+    } catch (const std::exception &) {
+      return true;
+    }
+  }
+
+  std::set<requests::Fingerprint> collect() {
+    std::set<requests::Fingerprint> Prints;
+    for (auto &[Ticket, Item] : Running) {
+      if (!Item.Reported)
+        Prints.insert(Item.Print);
+      Item.Reported = true;
+    }
+    return Prints;
+  }
+
+  std::vector<CrashReport> report() {
+    const Member Self = Peers->Self();
+    const std::lock_guard<std::mutex> Guard(Lock);
+    std::vector<CrashReport> Reports;
+    const auto Prints = collect();
+    if (Prints.empty())
+      return Reports;
+    const requests::CrashId Crash(Self.Id.str() + "/" +
+                                  std::to_string(Self.Life.value()) + "/" +
+                                  std::to_string(++Crashes));
+    for (const requests::Fingerprint &Print : Prints) {
+      requests::noteSuspect(Table, Print, Crash, steadyNow());
+      Reports.push_back({Print, Crash});
+    }
+    return Reports;
+  }
+};
+
+CrashWatch::CrashWatch(std::shared_ptr<peer::PeerControl> Peers,
+                       Endpoint Upstream)
+    : Impl_(std::make_shared<Impl>()) {
+  Impl_->Peers = std::move(Peers);
+  Impl_->Upstream = std::move(Upstream);
+  const std::weak_ptr<Impl> Weak = Impl_;
+  Impl_->Peers->OnRumour(CrashTopic, [Weak](const std::string &Payload) {
+    const auto Shared = Weak.lock();
+    const auto Report = decodeCrash(Payload);
+    if (!Shared || !Report)
+      return;
+    const std::lock_guard<std::mutex> Guard(Shared->Lock);
+    requests::noteSuspect(Shared->Table, Report->Print, Report->Crash,
+                          steadyNow());
+  });
+}
+
+CrashWatch::~CrashWatch() = default;
+
+bool CrashWatch::isQuarantined(const requests::Fingerprint &Print) const {
+  const std::lock_guard<std::mutex> Guard(Impl_->Lock);
+  return requests::isQuarantined(Impl_->Table, Print, steadyNow());
+}
+
+std::int64_t CrashWatch::started(const requests::Fingerprint &Print) {
+  const std::lock_guard<std::mutex> Guard(Impl_->Lock);
+  Impl_->Running.emplace(++Impl_->LastTicket, InProgress{Print, false});
+  return Impl_->LastTicket;
+}
+
+void CrashWatch::ended(std::int64_t Ticket) {
+  const std::lock_guard<std::mutex> Guard(Impl_->Lock);
+  Impl_->Running.erase(Ticket);
+}
+
+bool CrashWatch::onBroken(std::int64_t Ticket) {
+  {
+    const std::lock_guard<std::mutex> Guard(Impl_->Lock);
+    const auto It = Impl_->Running.find(Ticket);
+    if (It != Impl_->Running.end() && It->second.Reported)
+      return true;
+  }
+  if (!Impl_->isDown())
+    return false;
+  const std::vector<CrashReport> Reports = Impl_->report();
+  for (const CrashReport &Report : Reports)
+    Impl_->Peers->Spread(CrashTopic, encodeCrash(Report));
+  if (!Reports.empty())
+    BOOST_LOG_TRIVIAL(warning)
+        << "proxy: the upstream crashed with " << Reports.size()
+        << " different requests in progress";
+  return true;
+}
+
+} // namespace lycheethread::proxy
--- /dev/null
+++ b/src/proxy/internal/HttpHead.cpp
@@ -0,0 +1,193 @@
+#include "proxy/internal/HttpHead.h"
+#include "proxy/internal/HttpConnection.h"
+
+#include <Poco/Exception.h>
+#include <Poco/MemoryStream.h>
+#include <Poco/String.h>
+
+#include <algorithm>
+#include <array>
+#include <sstream>
+
+namespace lycheethread::proxy {
+
+namespace {
+
+using Poco::Net::HTTPMessage;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+constexpr std::size_t MaxLengthDigits = 15;
+
+constexpr std::array<const char *, 10> HopByHop{"Connection",
+                                                "Keep-Alive",
+                                                "Proxy-Authenticate",
+                                                "Proxy-Connection",
+                                                "TE",
+                                                "Trailer",
+                                                "Transfer-Encoding",
+                                                "Upgrade",
+                                                "Content-Length",
+                                                "Expect"};
+
+bool isTokenByte(char Byte) {
+  static constexpr std::string_view Others = "!#$%&'*+-.^_`|~";
+  return (Byte >= '0' && Byte <= '9') || (Byte >= 'a' && Byte <= 'z') ||
+         (Byte >= 'A' && Byte <= 'Z') ||
+         Others.find(Byte) != std::string_view::npos;
+}
+
+bool isValueByte(char Byte) {
+  const auto Code = static_cast<unsigned char>(Byte);
+  return Code == '\t' || (Code >= 0x20 && Code != 0x7f);
+}
+
+void checkField(std::string_view Line) {
+  const std::size_t Colon = Line.find(':');
+  if (Colon == std::string_view::npos || Colon == 0)
+    throw BadMessage("a header line has no name");
+  const std::string_view Name = Line.substr(0, Colon);
+  if (!std::all_of(Name.begin(), Name.end(), isTokenByte))
+    throw BadMessage("a header name has a byte that is not allowed");
+}
+
+/// Stricter than POCO's parser: what two parsers could read in two ways must
+/// not pass through a proxy.
+void checkHead(std::string_view Head) {
+  bool First = true;
+  while (Head.size() > 2) {
+    const std::size_t End = Head.find("\r\n");
+    const std::string_view Line = Head.substr(0, End);
+    if (!std::all_of(Line.begin(), Line.end(), isValueByte))
+      throw BadMessage("the head has a control byte");
+    if (!First)
+      checkField(Line);
+    First = false;
+    Head.remove_prefix(End + 2);
+  }
+}
+
+template <typename Message> void parse(std::string_view Head, Message &To) {
+  checkHead(Head);
+  Poco::MemoryInputStream In(Head.data(),
+                             static_cast<std::streamsize>(Head.size()));
+  try {
+    To.read(In);
+  } catch (const Poco::Exception &Error) {
+    throw BadMessage(Error.displayText());
+  }
+}
+
+std::size_t countOf(const HTTPMessage &Message, const std::string &Name) {
+  std::size_t Count = 0;
+  for (auto It = Message.find(Name);
+       It != Message.end() && Poco::icompare(It->first, Name) == 0; ++It)
+    ++Count;
+  return Count;
+}
+
+std::int64_t parseLength(const std::string &Text) {
+  const auto IsDigit = [](char Byte) { return Byte >= '0' && Byte <= '9'; };
+  if (Text.empty() || Text.size() > MaxLengthDigits ||
+      !std::all_of(Text.begin(), Text.end(), IsDigit))
+    throw BadMessage("Content-Length is not a number");
+  return std::stoll(Text);
+}
+
+Framing explicitFraming(const HTTPMessage &Message, Framing Default) {
+  const std::size_t Lengths = countOf(Message, HTTPMessage::CONTENT_LENGTH);
+  const std::size_t Codings = countOf(Message, HTTPMessage::TRANSFER_ENCODING);
+  if (Lengths + Codings > 1)
+    throw BadMessage("the message gives its length more than once");
+  if (Codings == 1) {
+    if (Poco::icompare(Message.get(HTTPMessage::TRANSFER_ENCODING),
+                       "chunked") != 0)
+      throw BadMessage("the transfer coding is not supported");
+    return {FramingKind::Chunked, 0};
+  }
+  if (Lengths == 1)
+    return {FramingKind::Fixed,
+            parseLength(Message.get(HTTPMessage::CONTENT_LENGTH))};
+  return Default;
+}
+
+bool isListed(const std::string &List, const std::string &Name) {
+  std::size_t Begin = 0;
+  while (Begin < List.size()) {
+    const std::size_t End = std::min(List.find(',', Begin), List.size());
+    if (Poco::icompare(Poco::trim(List.substr(Begin, End - Begin)), Name) == 0)
+      return true;
+    Begin = End + 1;
+  }
+  return false;
+}
+
+template <typename Message> std::string serializeMessage(const Message &From) {
+  std::ostringstream Out;
+  From.write(Out);
+  return Out.str();
+}
+
+} // namespace
+
+void parseRequest(std::string_view Head, HTTPRequest &Request) {
+  parse(Head, Request);
+  const std::string &Version = Request.getVersion();
+  if (Version != HTTPMessage::HTTP_1_1 && Version != HTTPMessage::HTTP_1_0)
+    throw BadMessage("the HTTP version is not supported");
+  const std::string &Method = Request.getMethod();
+  if (!std::all_of(Method.begin(), Method.end(), isTokenByte))
+    throw BadMessage("the method has a byte that is not allowed");
+  if (Request.getURI().empty() || Request.getURI().front() != '/')
+    throw BadMessage("the target is not a path");
+  if (countOf(Request, HTTPRequest::HOST) > 1)
+    throw BadMessage("more than one Host header");
+}
+
+void parseResponse(std::string_view Head, HTTPResponse &Response) {
+  parse(Head, Response);
+}
+
+Framing framingOf(const HTTPRequest &Request) {
+  return explicitFraming(Request, {FramingKind::None, 0});
+}
+
+Framing framingOf(const HTTPResponse &Response,
+                  const std::string &RequestMethod) {
+  const int Status = Response.getStatus();
+  if (RequestMethod == HTTPRequest::HTTP_HEAD || Status < 200 ||
+      Status == HTTPResponse::HTTP_NO_CONTENT ||
+      Status == HTTPResponse::HTTP_NOT_MODIFIED)
+    return {FramingKind::None, 0};
+  return explicitFraming(Response, {FramingKind::UntilClose, 0});
+}
+
+void copyEndToEnd(const HTTPMessage &From, HTTPMessage &To) {
+  const std::string Listed = From.get(HTTPMessage::CONNECTION, "");
+  for (const auto &[Name, Value] : From) {
+    const auto IsName = [&Name = Name](const char *Other) {
+      return Poco::icompare(Name, Other) == 0;
+    };
+    if (std::any_of(HopByHop.begin(), HopByHop.end(), IsName) ||
+        isListed(Listed, Name))
+      continue;
+    To.add(Name, Value);
+  }
+}
+
+void setFraming(HTTPMessage &Message, const Framing &Body) {
+  if (Body.Kind == FramingKind::Fixed)
+    Message.setContentLength64(Body.Length);
+  else if (Body.Kind == FramingKind::Chunked)
+    Message.setChunkedTransferEncoding(true);
+}
+
+std::string serialize(const HTTPRequest &Request) {
+  return serializeMessage(Request);
+}
+
+std::string serialize(const HTTPResponse &Response) {
+  return serializeMessage(Response);
+}
+
+} // namespace lycheethread::proxy
--- /dev/null
+++ b/src/proxy/internal/NodeServices.h
@@ -0,0 +1,32 @@
+#ifndef LYCHEETHREAD_PROXY_INTERNAL_NODESERVICES_H
+#define LYCHEETHREAD_PROXY_INTERNAL_NODESERVICES_H
+
+#include "kernel/Kernel.h"
+#include "metrics/types/RequestSample.h"
+#include "peer/types/PeerControl.h"
+#include "platform/Platform.h"
+#include "proxy/types/OutcomeLog.h"
+#include "refusals/types/RefusalSink.h"
+#include "requests/Requests.h"
+#include "settings/Settings.h"
+
+#include <memory>
+
+namespace lycheethread::proxy {
+
+/// What the data path uses of the rest of the node.
+struct NodeServices {
+  std::shared_ptr<settings::NodeSettings> Settings;
+  std::shared_ptr<kernel::SnapshotStore<requests::RoutingView>> View;
+  std::shared_ptr<kernel::SnapshotStore<moves::BrakeSet>> Brakes;
+  std::shared_ptr<refusals::RefusalSink> Refusals;
+  std::shared_ptr<metrics::RequestRecorder> Metrics;
+  std::shared_ptr<peer::PeerControl> Peers;
+  std::shared_ptr<platform::LogClient> Log;
+  std::shared_ptr<OutcomeLog> LastHopOutcomes;
+  std::shared_ptr<OutcomeLog> EntryOutcomes;
+};
+
+} // namespace lycheethread::proxy
+
+#endif // LYCHEETHREAD_PROXY_INTERNAL_NODESERVICES_H
--- /dev/null
+++ b/src/proxy/internal/ProxyModule.cpp
@@ -0,0 +1,140 @@
+#include "proxy/Proxy.h"
+#include "proxy/internal/Entry.h"
+#include "proxy/internal/HttpServer.h"
+#include "proxy/internal/LastHop.h"
+#include "proxy/internal/NodeServices.h"
+#include "proxy/internal/OutcomeSums.h"
+
+#include <boost/log/trivial.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <mutex>
+
+namespace lycheethread::proxy {
+
+namespace {
+
+namespace names = kernel::service_names;
+
+class ProxyModule {
+public:
+  void registerServices(kernel::ServiceRegistry &Registry) {
+    LastHopOutcomes_ = makeOutcomeLog();
+    EntryOutcomes_ = makeOutcomeLog();
+    Registry.add(names::LastHopOutcomes, LastHopOutcomes_);
+    Registry.add(names::EntryOutcomes, EntryOutcomes_);
+    auto Drain = std::make_shared<DrainControl>();
+    Drain->Begin = [this] { beginDrain(); };
+    Drain->InProgress = [this] { return inProgress(); };
+    Registry.add(names::Drain, Drain);
+  }
+
+  void init(kernel::ServiceRegistry &Registry) {
+    const NodeServices Services = findServices(Registry);
+    const settings::NodeSettings &Settings = *Services.Settings;
+    const std::lock_guard<std::mutex> Guard(Lock_);
+    if (!Settings.Service.empty())
+      Own_ = std::make_unique<LastHop>(Services);
+    Entry_ = std::make_unique<Entry>(Services, Own_.get());
+    const std::int32_t Each = std::max(1, Settings.MaxConnections / 2);
+    if (Own_)
+      HopServer_ =
+          std::make_unique<HttpServer>(Settings.Hop, Each, nodeCallbacks());
+    ListenServer_ =
+        std::make_unique<HttpServer>(Settings.Listen, Each, callerCallbacks());
+    BOOST_LOG_TRIVIAL(info) << "proxy: listens on " << Settings.Listen.Address
+                            << ":" << Settings.Listen.Port;
+  }
+
+  void deinit() {
+    const std::lock_guard<std::mutex> Guard(Lock_);
+    ListenServer_.reset();
+    HopServer_.reset();
+    Entry_.reset();
+    Own_.reset();
+  }
+
+private:
+  NodeServices findServices(kernel::ServiceRegistry &Registry) const {
+    NodeServices Found;
+    Found.Settings = Registry.find<settings::NodeSettings>(names::Settings);
+    Found.View = Registry.find<kernel::SnapshotStore<requests::RoutingView>>(
+        names::View);
+    Found.Brakes =
+        Registry.find<kernel::SnapshotStore<moves::BrakeSet>>(names::Brakes);
+    Found.Refusals = Registry.find<refusals::RefusalSink>(names::Refusals);
+    Found.Metrics =
+        Registry.find<metrics::RequestRecorder>(names::RequestMetrics);
+    Found.Peers = Registry.find<peer::PeerControl>(names::Peers);
+    Found.Log = Registry.find<platform::LogClient>(names::Log);
+    Found.LastHopOutcomes = LastHopOutcomes_;
+    Found.EntryOutcomes = EntryOutcomes_;
+    return Found;
+  }
+
+  ServerCallbacks callerCallbacks() {
+    Entry *Serving = Entry_.get();
+    return {[Serving](HttpConnection &From,
+                      const Poco::Net::HTTPRequest &Request,
+                      const Framing &Body) {
+              return Serving->serveCaller(From, Request, Body);
+            },
+            [Serving](HttpConnection &From, RefusalReason Reason) {
+              Serving->refuseBroken(From, Reason, true);
+            }};
+  }
+
+  ServerCallbacks nodeCallbacks() {
+    Entry *Serving = Entry_.get();
+    return {[Serving](HttpConnection &From,
+                      const Poco::Net::HTTPRequest &Request,
+                      const Framing &Body) {
+              return Serving->serveNode(From, Request, Body);
+            },
+            [Serving](HttpConnection &From, RefusalReason Reason) {
+              Serving->refuseBroken(From, Reason, false);
+            }};
+  }
+
+  void beginDrain() {
+    const std::lock_guard<std::mutex> Guard(Lock_);
+    if (Own_)
+      Own_->beginDrain();
+  }
+
+  std::int64_t inProgress() {
+    const std::lock_guard<std::mutex> Guard(Lock_);
+    std::int64_t Sum = 0;
+    if (ListenServer_)
+      Sum += ListenServer_->inProgress();
+    if (HopServer_)
+      Sum += HopServer_->inProgress();
+    if (Own_)
+      Sum += Own_->unwritten();
+    return Sum;
+  }
+
+  std::shared_ptr<OutcomeLog> LastHopOutcomes_;
+  std::shared_ptr<OutcomeLog> EntryOutcomes_;
+  std::mutex Lock_;
+  std::unique_ptr<LastHop> Own_;
+  std::unique_ptr<Entry> Entry_;
+  std::unique_ptr<HttpServer> HopServer_;
+  std::unique_ptr<HttpServer> ListenServer_;
+};
+
+} // namespace
+
+kernel::Module makeProxyModule() {
+  auto Module = std::make_shared<ProxyModule>();
+  return {
+      "proxy",
+      [Module](kernel::ServiceRegistry &Registry) {
+        Module->registerServices(Registry);
+      },
+      [Module](kernel::ServiceRegistry &Registry) { Module->init(Registry); },
+      [Module] { Module->deinit(); }};
+}
+
+} // namespace lycheethread::proxy
--- /dev/null
+++ b/src/proxy/internal/Readiness.cpp
@@ -0,0 +1,97 @@
+#include "proxy/internal/Readiness.h"
+#include "proxy/internal/Clock.h"
+#include "proxy/internal/HttpConnection.h"
+
+#include <boost/log/trivial.hpp>
+
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+namespace lycheethread::proxy {
+
+namespace {
+
+constexpr Milliseconds PauseWhenReady{1000};
+constexpr Milliseconds PauseWhenStarting{200};
+constexpr Milliseconds CheckTime{500};
+
+} // namespace
+
+struct Readiness::Impl {
+  std::shared_ptr<peer::PeerControl> Peers;
+  Endpoint Upstream;
+  std::mutex Lock;
+  std::condition_variable Changed;
+  bool Stopping = false;
+  bool Draining = false;
+  bool Recheck = false;
+  std::optional<MemberState> Announced;
+  std::thread Checker;
+
+  MemberState check() const {
+    try {
+      HttpConnection::connect(Upstream, after(steadyNow(), CheckTime));
+      return MemberState::Ready;
+    } catch (const std::exception &) {
+      return MemberState::Starting;
+    }
+  }
+
+  /// Called with the lock held, so that no state follows draining.
+  void announce(MemberState State) {
+    if (Draining || Announced == State)
+      return;
+    Announced = State;
+    BOOST_LOG_TRIVIAL(info) << "proxy: the upstream is " << toString(State);
+    Peers->Announce(State);
+  }
+
+  void run() {
+    std::unique_lock<std::mutex> Guard(Lock);
+    while (!Stopping && !Draining) {
+      Recheck = false;
+      Guard.unlock();
+      const MemberState State = check();
+      Guard.lock();
+      announce(State);
+      Changed.wait_for(Guard,
+                       State == MemberState::Ready ? PauseWhenReady
+                                                   : PauseWhenStarting,
+                       [this] { return Stopping || Draining || Recheck; });
+    }
+  }
+};
+
+Readiness::Readiness(std::shared_ptr<peer::PeerControl> Peers,
+                     Endpoint Upstream)
+    : Impl_(std::make_unique<Impl>()) {
+  Impl_->Peers = std::move(Peers);
+  Impl_->Upstream = std::move(Upstream);
+  Impl_->Checker = std::thread([this] { Impl_->run(); });
+}
+
+Readiness::~Readiness() {
+  {
+    const std::lock_guard<std::mutex> Guard(Impl_->Lock);
+    Impl_->Stopping = true;
+    Impl_->Changed.notify_one();
+  }
+  Impl_->Checker.join();
+}
+
+void Readiness::recheck() {
+  const std::lock_guard<std::mutex> Guard(Impl_->Lock);
+  Impl_->Recheck = true;
+  Impl_->Changed.notify_one();
+}
+
+void Readiness::beginDrain() {
+  const std::lock_guard<std::mutex> Guard(Impl_->Lock);
+  Impl_->Draining = true;
+  Impl_->Peers->Announce(MemberState::Draining);
+  Impl_->Changed.notify_one();
+}
+
+} // namespace lycheethread::proxy
--- /dev/null
+++ b/src/proxy/internal/RequestBody.cpp
@@ -0,0 +1,68 @@
+#include "proxy/internal/RequestBody.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace lycheethread::proxy {
+
+namespace {
+
+constexpr std::size_t GrowStep = 8 * 1024;
+
+} // namespace
+
+RequestBody::RequestBody(HttpConnection &From, Framing Body)
+    : From_(From), Reader_(From, Body),
+      Max_(std::numeric_limits<std::int64_t>::max()) {}
+
+void RequestBody::limit(ByteCount Max) {
+  Max_ = Max.value();
+  const Framing &Body = Reader_.framing();
+  if (Body.Kind == FramingKind::Fixed && Body.Length > Max_)
+    throw CallerFault(RefusalReason::BodyTooLarge, "the body is too large");
+}
+
+std::size_t RequestBody::read(char *To, std::size_t Size, SteadyTime Deadline) {
+  std::size_t Count = 0;
+  try {
+    Count = Reader_.read(To, Size, Deadline);
+  } catch (const ConnectionBroken &Error) {
+    throw CallerGone(Error.what());
+  } catch (const ConnectionTimeout &Error) {
+    throw CallerFault(RefusalReason::Deadline, Error.what());
+  } catch (const BadMessage &Error) {
+    throw CallerFault(RefusalReason::BadRequest, Error.what());
+  }
+  Received_ += static_cast<std::int64_t>(Count);
+  if (Received_ > Max_)
+    throw CallerFault(RefusalReason::BodyTooLarge, "the body is too large");
+  return Count;
+}
+
+void RequestBody::keepFirstPart(SteadyTime Deadline) {
+  while (!Reader_.isComplete() && Kept_.size() < KeptBodyBytes && !Streamed_) {
+    const std::size_t Old = Kept_.size();
+    Kept_.resize(std::min(KeptBodyBytes, Old + GrowStep));
+    const std::size_t Count =
+        read(Kept_.data() + Old, Kept_.size() - Old, Deadline);
+    Kept_.resize(Old + Count);
+  }
+}
+
+std::size_t RequestBody::readRest(char *To, std::size_t Size,
+                                  SteadyTime Deadline) {
+  if (Reader_.isComplete())
+    return 0;
+  Streamed_ = true;
+  return read(To, Size, Deadline);
+}
+
+Framing RequestBody::framing() const {
+  const Framing &Original = Reader_.framing();
+  if (Original.Kind == FramingKind::Chunked && Reader_.isComplete() &&
+      canRepeat())
+    return {FramingKind::Fixed, static_cast<std::int64_t>(Kept_.size())};
+  return Original;
+}
+
+} // namespace lycheethread::proxy
--- /dev/null
+++ b/src/proxy/internal/WireFormat.h
@@ -0,0 +1,26 @@
+#ifndef LYCHEETHREAD_PROXY_INTERNAL_WIREFORMAT_H
+#define LYCHEETHREAD_PROXY_INTERNAL_WIREFORMAT_H
+
+#include "requests/Requests.h"
+
+#include <optional>
+#include <string>
+
+namespace lycheethread::proxy {
+
+/// A fingerprint that was in progress at a crash.
+struct CrashReport {
+  requests::Fingerprint Print;
+  requests::CrashId Crash;
+};
+
+/// Thrift compact encoding, see proxy.thrift. Decoders return nothing for
+/// invalid input.
+std::string encodeClaim(const requests::ClaimEntry &Entry);
+std::optional<requests::ClaimEntry> decodeClaim(const std::string &Data);
+std::string encodeCrash(const CrashReport &Report);
+std::optional<CrashReport> decodeCrash(const std::string &Data);
+
+} // namespace lycheethread::proxy
+
+#endif // LYCHEETHREAD_PROXY_INTERNAL_WIREFORMAT_H
--- /dev/null
+++ b/src/proxy/proxy.thrift
@@ -0,0 +1,19 @@
+// Messages that only the proxies of nodes exchange.
+namespace cpp lycheethread.proxy.wire
+
+// One record of the stream claims.<service>.
+struct ClaimMessage {
+  1: i32 kind            // 0 claim, 1 outcome, 2 release
+  2: string key
+  3: string token
+  4: string digest
+  5: i32 status
+  6: string contentType
+  7: optional binary body
+}
+
+// Payload of the rumour "crash".
+struct CrashMessage {
+  1: string digest
+  2: string crash
+}
--- a/src/requests/internal/Claims.cpp
+++ b/src/requests/internal/Claims.cpp
@@ -69,12 +69,14 @@
     return {};
   const HeldClaim &Holder = It->second;
   if (Holder.Token == Claim.Token)
-    return {ClaimAction::Execute, {}};
+    return {ClaimAction::Execute, Executed::No, {}};
   if (Holder.Print != Claim.Print)
-    return {ClaimAction::KeyReused, {}};
-  if (!Holder.Answer || !Holder.Answer->Body)
+    return {ClaimAction::KeyReused, Executed::No, {}};
+  if (!Holder.Answer)
     return {};
-  return {ClaimAction::Replay, *Holder.Answer};
+  if (!Holder.Answer->Body)
+    return {ClaimAction::Unknown, Executed::Yes, {}};
+  return {ClaimAction::Replay, Executed::Yes, *Holder.Answer};
 }
 
 } // namespace lycheethread::requests
--- a/src/requests/types/Claims.h
+++ b/src/requests/types/Claims.h
@@ -68,6 +68,8 @@
 
 struct ClaimVerdict {
   ClaimAction Action = ClaimAction::Unknown;
+  /// Whether the claim that holds the key is known to have run.
+  Executed Ran = Executed::Unknown;
   /// Set for Replay.
   RecordedAnswer Answer;
 };
