Add the test upstream, the load generator and a bench node

Two nodes with a fixed view serve lookups and echo bodies; the load generator alternates between the nodes and the upstream itself and prints what was added.

--- /dev/null
+++ b/tests/load/BenchNode.cpp
@@ -0,0 +1,146 @@
+// One node's data path with a fixed view, for measurements without the rest of
+// the system: no membership, no log.
+
+#include "proxy/Proxy.h"
+#include "proxy/internal/NodeServices.h"
+
+#include <Poco/Net/SocketAddress.h>
+
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/trivial.hpp>
+
+#include <cxxopts.hpp>
+
+#include <csignal>
+#include <iostream>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace lycheethread;
+namespace names = kernel::service_names;
+
+const ServiceName Service("bench");
+const GroupName Group("all");
+const VersionName Version("v1");
+
+struct Options {
+  std::string Id = "n1";
+  std::string Listen;
+  std::string Hop;
+  std::string Upstream;
+  /// "id=ip:port" of each node's hop, the own one included.
+  std::vector<std::string> Nodes;
+  ServiceLimits Limits;
+};
+
+Endpoint parseEndpoint(const std::string &Text) {
+  const Poco::Net::SocketAddress Address(Text);
+  return {Address.host().toString(), Address.port()};
+}
+
+Options parseOptions(int Argc, char **Argv) {
+  Options Result;
+  cxxopts::Options Parser("lychee-bench-node", "Data path with a fixed view");
+  Parser.add_options()("id", "node id", cxxopts::value(Result.Id))(
+      "listen", "ip:port", cxxopts::value(Result.Listen))(
+      "hop", "ip:port", cxxopts::value(Result.Hop))(
+      "upstream", "ip:port", cxxopts::value(Result.Upstream))(
+      "node", "id=ip:port", cxxopts::value(Result.Nodes))(
+      "slots", "slots", cxxopts::value(Result.Limits.Slots))(
+      "connections", "connections", cxxopts::value(Result.Limits.Connections))(
+      "queue", "queue", cxxopts::value(Result.Limits.Queue))(
+      "caller-share", "percent",
+      cxxopts::value(Result.Limits.CallerSharePercent));
+  Parser.parse(Argc, Argv);
+  return Result;
+}
+
+requests::RoutingView makeView(const Options &Used) {
+  requests::RoutingView View;
+  requests::ServiceView &Own = View.Services[Service];
+  Own.Limits = Used.Limits;
+  Route All;
+  All.Name = RouteName("all");
+  All.Path = "/";
+  All.Group = Group;
+  All.Timeout = Milliseconds(2000);
+  Own.Routes.push_back(All);
+  Own.Groups[Group].Share.Stable = Version;
+  for (const std::string &Text : Used.Nodes) {
+    requests::Candidate Item;
+    const std::size_t Split = Text.find('=');
+    Item.Target.Id = NodeId(Text.substr(0, Split));
+    Item.Target.Hop = parseEndpoint(Text.substr(Split + 1));
+    Own.Groups[Group].ByVersion[Version].push_back(Item);
+  }
+  return View;
+}
+
+std::shared_ptr<settings::NodeSettings> makeSettings(const Options &Used) {
+  auto Settings = std::make_shared<settings::NodeSettings>();
+  Settings->Id = NodeId(Used.Id);
+  Settings->Listen = parseEndpoint(Used.Listen);
+  if (!Used.Upstream.empty()) {
+    Settings->Hop = parseEndpoint(Used.Hop);
+    Settings->Upstream = parseEndpoint(Used.Upstream);
+    Settings->Service = Service;
+    Settings->Group = Group;
+    Settings->Version = Version;
+  }
+  Settings->MaxConnections = 1024;
+  return Settings;
+}
+
+void addServices(kernel::ServiceRegistry &Registry, const Options &Used) {
+  Registry.add(names::Settings, makeSettings(Used));
+  Registry.add(names::View,
+               std::make_shared<kernel::SnapshotStore<requests::RoutingView>>(
+                   std::make_shared<requests::RoutingView>(makeView(Used))));
+  Registry.add(names::Brakes,
+               std::make_shared<kernel::SnapshotStore<moves::BrakeSet>>());
+  auto Sink = std::make_shared<refusals::RefusalSink>();
+  Sink->Add = [](const Refusal &) {};
+  Registry.add(names::Refusals, Sink);
+  auto Recorder = std::make_shared<metrics::RequestRecorder>();
+  Recorder->Record = [](const metrics::RequestSample &) {};
+  Registry.add(names::RequestMetrics, Recorder);
+  auto Peers = std::make_shared<peer::PeerControl>();
+  Peers->Self = [] { return Member(); };
+  Peers->Spread = [](const std::string &, const std::string &) {};
+  Peers->OnRumour = [](const std::string &, peer::RumourHandler) {};
+  Peers->Announce = [](MemberState) {};
+  Registry.add(names::Peers, Peers);
+  auto Log = std::make_shared<platform::LogClient>();
+  Log->Append = [](const StreamName &, const std::string &) -> Offset {
+    throw platform::LogUnavailable("no log");
+  };
+  Registry.add(names::Log, Log);
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  try {
+    sigset_t Signals;
+    sigemptyset(&Signals);
+    sigaddset(&Signals, SIGTERM);
+    sigaddset(&Signals, SIGINT);
+    sigprocmask(SIG_BLOCK, &Signals, nullptr);
+    boost::log::core::get()->set_filter(boost::log::trivial::severity >=
+                                        boost::log::trivial::warning);
+    kernel::Kernel Node;
+    addServices(Node.registry(), parseOptions(Argc, Argv));
+    Node.add(proxy::makeProxyModule());
+    Node.start();
+    int Signal = 0;
+    sigwait(&Signals, &Signal);
+    Node.stop();
+    return 0;
+  } catch (const std::exception &Error) {
+    std::cerr << "bench-node: " << Error.what() << "\n";
+    return 1;
+  }
+}
--- /dev/null
+++ b/tests/load/LoadRun.cpp
@@ -0,0 +1,159 @@
+#include "LoadRun.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/NullStream.h>
+#include <Poco/StreamCopier.h>
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <random>
+#include <thread>
+
+namespace lycheethread::load {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+constexpr int FirstError = 400;
+
+/// One keep-alive connection to one target.
+class Caller {
+public:
+  Caller(const LoadPlan &Plan, const std::string &Target)
+      : Plan_(Plan), Address_(Target) {}
+
+  /// Empty for a good answer, else the reason.
+  std::string call() {
+    try {
+      return exchange();
+    } catch (const Poco::Exception &Error) {
+      Session_.reset();
+      return Error.name();
+    }
+  }
+
+private:
+  void connect() {
+    Session_ = std::make_unique<Poco::Net::HTTPClientSession>(
+        Address_.host().toString(), Address_.port());
+    Session_->setKeepAlive(true);
+    Session_->setTimeout(
+        Poco::Timespan(static_cast<Poco::Timespan::TimeDiff>(Plan_.TimeoutMs) *
+                       Poco::Timespan::MILLISECONDS));
+  }
+
+  std::string exchange() {
+    const bool Fresh = !Session_;
+    if (Fresh)
+      connect();
+    HTTPRequest Request(HTTPRequest::HTTP_GET, Plan_.Path,
+                        HTTPRequest::HTTP_1_1);
+    Request.setHost(Plan_.Host);
+    Request.set("lt-caller", Plan_.Caller);
+    Session_->sendRequest(Request);
+    if (Fresh)
+      Session_->socket().setNoDelay(true);
+    HTTPResponse Response;
+    Poco::NullOutputStream Null;
+    Poco::StreamCopier::copyStream(Session_->receiveResponse(Response), Null);
+    if (!Response.getKeepAlive())
+      Session_.reset();
+    if (Response.getStatus() < FirstError)
+      return "";
+    return Response.get("lt-reason", std::to_string(Response.getStatus()));
+  }
+
+  const LoadPlan &Plan_;
+  Poco::Net::SocketAddress Address_;
+  std::unique_ptr<Poco::Net::HTTPClientSession> Session_;
+};
+
+void count(LoadResult &Result, Caller &From, Clock::time_point Due) {
+  const std::string Error = From.call();
+  const std::chrono::duration<double, std::milli> Took = Clock::now() - Due;
+  ++Result.Sent;
+  if (!Error.empty()) {
+    ++Result.Errors[Error];
+    return;
+  }
+  ++Result.Good;
+  Result.LatencyMs.push_back(Took.count());
+}
+
+LoadResults runConnection(const LoadPlan &Plan, int Index) {
+  LoadResults Results;
+  Caller To(Plan, Plan.Target);
+  std::unique_ptr<Caller> Other;
+  if (!Plan.Compare.empty())
+    Other = std::make_unique<Caller>(Plan, Plan.Compare);
+  for (int I = 0; I < Plan.Warmup; ++I) {
+    To.call();
+    if (Other)
+      Other->call();
+  }
+  std::mt19937_64 Random(Plan.Seed + static_cast<std::uint64_t>(Index));
+  std::exponential_distribution<double> Gap(
+      Plan.Rate > 0 ? Plan.Rate / Plan.Connections : 1);
+  const auto End = Clock::now() + std::chrono::seconds(Plan.Seconds);
+  auto Due = Clock::now();
+  while (Due < End) {
+    if (Plan.Rate > 0) {
+      Due += std::chrono::duration_cast<Clock::duration>(
+          std::chrono::duration<double>(Gap(Random)));
+      std::this_thread::sleep_until(Due);
+    } else {
+      Due = Clock::now();
+    }
+    count(Results.Target, To, Due);
+    if (Other)
+      count(Results.Compare, *Other, Clock::now());
+  }
+  return Results;
+}
+
+void merge(LoadResult &Into, const LoadResult &From) {
+  Into.Sent += From.Sent;
+  Into.Good += From.Good;
+  for (const auto &[Reason, Count] : From.Errors)
+    Into.Errors[Reason] += Count;
+  Into.LatencyMs.insert(Into.LatencyMs.end(), From.LatencyMs.begin(),
+                        From.LatencyMs.end());
+}
+
+} // namespace
+
+LoadResults runLoad(const LoadPlan &Plan) {
+  std::vector<LoadResults> Parts(static_cast<std::size_t>(Plan.Connections));
+  std::vector<std::thread> Threads;
+  Threads.reserve(Parts.size());
+  for (int I = 0; I < Plan.Connections; ++I)
+    Threads.emplace_back([&Plan, &Parts, I] {
+      Parts[static_cast<std::size_t>(I)] = runConnection(Plan, I);
+    });
+  for (std::thread &Each : Threads)
+    Each.join();
+  LoadResults Sum;
+  for (const LoadResults &Part : Parts) {
+    merge(Sum.Target, Part.Target);
+    merge(Sum.Compare, Part.Compare);
+  }
+  std::sort(Sum.Target.LatencyMs.begin(), Sum.Target.LatencyMs.end());
+  std::sort(Sum.Compare.LatencyMs.begin(), Sum.Compare.LatencyMs.end());
+  return Sum;
+}
+
+double quantile(const LoadResult &Result, double Fraction) {
+  if (Result.LatencyMs.empty())
+    return 0;
+  const auto Last = static_cast<double>(Result.LatencyMs.size() - 1);
+  return Result.LatencyMs[static_cast<std::size_t>(Last * Fraction)];
+}
+
+} // namespace lycheethread::load
--- /dev/null
+++ b/tests/standins/upstream/Faults.cpp
@@ -0,0 +1,88 @@
+#include "Faults.h"
+
+namespace lycheethread::upstream {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+/// A cold upstream takes this many times its service time.
+constexpr int ColdFactor = 5;
+constexpr std::size_t MaxKeys = 100000;
+/// Coprime to 100, so that failures spread evenly and without chance.
+constexpr std::uint64_t Stride = 37;
+
+} // namespace
+
+Faults::Faults(const Options &Used)
+    : Options_(Used), Started_(Clock::now()), ActiveFrom_(Started_) {}
+
+void Faults::control(const Poco::URI &Uri) {
+  const std::lock_guard<std::mutex> Guard(Lock_);
+  for (const auto &[Name, Value] : Uri.getQueryParameters()) {
+    if (Name == "fail_percent")
+      FailPercent_ = std::stoi(Value);
+    else if (Name == "slow_ms")
+      SlowMs_ = std::stoi(Value);
+    else if (Name == "route")
+      Route_ = Value;
+    else if (Name == "after_s")
+      ActiveFrom_ = Clock::now() + std::chrono::seconds(std::stoi(Value));
+    else if (Name == "health")
+      ReportsHealth_ = Value != "bad";
+    else if (Name == "drain")
+      Draining_ = Value == "1";
+  }
+}
+
+bool Faults::isActive(const std::string &Path) const {
+  return Clock::now() >= ActiveFrom_ && Path.rfind(Route_, 0) == 0;
+}
+
+Treatment Faults::treat(const std::string &Path) {
+  const std::lock_guard<std::mutex> Guard(Lock_);
+  Treatment Result;
+  Result.DelayMs = Options_.ServiceTimeMs;
+  const auto Age = Clock::now() - Started_;
+  if (Age < std::chrono::milliseconds(Options_.ColdStartMs))
+    Result.DelayMs *= ColdFactor;
+  if (!isActive(Path))
+    return Result;
+  Result.DelayMs += SlowMs_;
+  Result.Fail = static_cast<int>(++Seen_ * Stride % 100) < FailPercent_;
+  return Result;
+}
+
+bool Faults::enter() {
+  const std::lock_guard<std::mutex> Guard(Lock_);
+  if (Draining_ || Running_ >= Options_.Slots)
+    return false;
+  ++Running_;
+  return true;
+}
+
+void Faults::leave() {
+  const std::lock_guard<std::mutex> Guard(Lock_);
+  --Running_;
+}
+
+void Faults::countExecution(const std::string &Key) {
+  const std::lock_guard<std::mutex> Guard(Lock_);
+  if (Executions_.size() < MaxKeys || Executions_.count(Key) != 0)
+    ++Executions_[Key];
+}
+
+std::string Faults::executions() {
+  const std::lock_guard<std::mutex> Guard(Lock_);
+  std::string Text;
+  for (const auto &[Key, Count] : Executions_)
+    Text += Key + " " + std::to_string(Count) + "\n";
+  return Text;
+}
+
+bool Faults::isHealthy() {
+  const std::lock_guard<std::mutex> Guard(Lock_);
+  return ReportsHealth_;
+}
+
+} // namespace lycheethread::upstream
--- /dev/null
+++ b/tests/standins/upstream/Faults.h
@@ -0,0 +1,68 @@
+#ifndef LYCHEETHREAD_TESTS_UPSTREAM_FAULTS_H
+#define LYCHEETHREAD_TESTS_UPSTREAM_FAULTS_H
+
+#include <Poco/URI.h>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace lycheethread::upstream {
+
+/// Command line of the stand-in.
+struct Options {
+  std::string Listen = "127.0.0.1:8080";
+  std::string Version = "v1";
+  /// Endpoint of the node beside it, for onward calls; may be empty.
+  std::string Node;
+  int Slots = 20;
+  int ServiceTimeMs = 0;
+  int ColdStartMs = 0;
+};
+
+/// What the stand-in does to one request.
+struct Treatment {
+  bool Fail = false;
+  int DelayMs = 0;
+};
+
+/// Faults that were switched on, slots and counts. Thread-safe.
+class Faults {
+public:
+  explicit Faults(const Options &Used);
+
+  /// Applies the parameters of /control.
+  void control(const Poco::URI &Uri);
+  Treatment treat(const std::string &Path);
+
+  /// Takes a slot; false sheds the request.
+  bool enter();
+  void leave();
+
+  void countExecution(const std::string &Key);
+  /// "key count" lines.
+  std::string executions();
+  bool isHealthy();
+
+private:
+  bool isActive(const std::string &Path) const;
+
+  Options Options_;
+  std::chrono::steady_clock::time_point Started_;
+  std::mutex Lock_;
+  int Running_ = 0;
+  int FailPercent_ = 0;
+  int SlowMs_ = 0;
+  std::string Route_;
+  std::chrono::steady_clock::time_point ActiveFrom_;
+  bool ReportsHealth_ = true;
+  bool Draining_ = false;
+  std::uint64_t Seen_ = 0;
+  std::map<std::string, int> Executions_;
+};
+
+} // namespace lycheethread::upstream
+
+#endif // LYCHEETHREAD_TESTS_UPSTREAM_FAULTS_H
