--- /dev/null
+++ b/src/app/internal/RefusalsCommand.cpp
@@ -0,0 +1,99 @@
+#include "app/internal/Commands.h"
+#include "app/internal/RefusalsText.h"
+#include "platform/Platform.h"
+#include "refusallog/RefusalLog.h"
+
+#include <cxxopts.hpp>
+
+#include <chrono>
+#include <iostream>
+
+namespace lycheethread::app {
+
+namespace {
+
+constexpr Milliseconds LogTimeout{10000};
+
+WallTime wallNow() {
+  using namespace std::chrono;
+  return WallTime(
+      duration_cast<milliseconds>(system_clock::now().time_since_epoch())
+          .count());
+}
+
+/// A value on the command line that cannot be used.
+class UsageError : public std::runtime_error {
+public:
+  using std::runtime_error::runtime_error;
+};
+
+std::optional<WallTime> timeOption(const cxxopts::ParseResult &Parsed,
+                                   const std::string &Name) {
+  if (Parsed.count(Name) == 0)
+    return std::nullopt;
+  const std::string Text = Parsed[Name].as<std::string>();
+  const std::optional<WallTime> Time = parseTime(Text);
+  if (!Time)
+    throw UsageError("--" + Name + ": \"" + Text +
+                     "\" is no time such as 2026-12-05T18:00:00Z");
+  return Time;
+}
+
+refusals::ReportFilter filterFrom(const cxxopts::ParseResult &Parsed) {
+  refusals::ReportFilter Filter;
+  if (Parsed.count("service") != 0)
+    Filter.Service = ServiceName(Parsed["service"].as<std::string>());
+  Filter.From = timeOption(Parsed, "from");
+  Filter.To = timeOption(Parsed, "to");
+  return Filter;
+}
+
+int showReport(const std::string &LogUrl, const refusals::ReportFilter &Filter,
+               bool Json) {
+  try {
+    refusallog::StoredBatches Stored = refusallog::readStoredBatches(
+        platform::makeHttpLog(LogUrl, LogTimeout));
+    const refusals::RefusalReport Report =
+        refusals::buildReport(std::move(Stored.Batches), Filter, wallNow());
+    std::cout << (Json ? refusalsJson(Report, Stored.BadRecords)
+                       : refusalsTable(Report));
+    if (Stored.BadRecords > 0)
+      std::cerr << "refusals: " << Stored.BadRecords
+                << " records of the stream could not be decoded\n";
+    return ExitOk;
+  } catch (const platform::LogUnavailable &Error) {
+    std::cerr << "refusals: the log does not answer: " << Error.what() << "\n";
+    return ExitUnavailable;
+  }
+}
+
+} // namespace
+
+int runRefusals(int Argc, char **Argv) {
+  cxxopts::Options Options("lycheethread refusals",
+                           "Lists who was refused, when and why");
+  Options.add_options()("log", "base URL of the log",
+                        cxxopts::value<std::string>())(
+      "service", "only this service", cxxopts::value<std::string>())(
+      "from", "only from this time on", cxxopts::value<std::string>())(
+      "to", "only up to this time", cxxopts::value<std::string>())(
+      "json", "print JSON instead of a table")("h,help", "print this help");
+  try {
+    const cxxopts::ParseResult Parsed = Options.parse(Argc, Argv);
+    if (Parsed.count("help") != 0) {
+      std::cout << Options.help();
+      return ExitOk;
+    }
+    if (Parsed.count("log") == 0)
+      throw UsageError("--log URL is required");
+    return showReport(Parsed["log"].as<std::string>(), filterFrom(Parsed),
+                      Parsed.count("json") != 0);
+  } catch (const cxxopts::exceptions::exception &Error) {
+    std::cerr << "refusals: " << Error.what() << "\n";
+  } catch (const UsageError &Error) {
+    std::cerr << "refusals: " << Error.what() << "\n";
+  }
+  return ExitUsage;
+}
+
+} // namespace lycheethread::app
--- /dev/null
+++ b/src/app/internal/RefusalsText.h
@@ -0,0 +1,24 @@
+#ifndef LYCHEETHREAD_APP_INTERNAL_REFUSALSTEXT_H
+#define LYCHEETHREAD_APP_INTERNAL_REFUSALSTEXT_H
+
+#include "refusals/Refusals.h"
+
+#include <optional>
+#include <string>
+
+namespace lycheethread::app {
+
+/// A point in time as "2026-12-05T18:00:00Z" or as milliseconds since the Unix
+/// epoch; empty when \p Text is neither.
+std::optional<WallTime> parseTime(const std::string &Text);
+
+/// The report for people: one line for each key, then totals and gaps.
+std::string refusalsTable(const refusals::RefusalReport &Report);
+
+/// The report as a JSON object with the arrays "refusals" and "gaps".
+std::string refusalsJson(const refusals::RefusalReport &Report,
+                         std::int64_t BadRecords);
+
+} // namespace lycheethread::app
+
+#endif // LYCHEETHREAD_APP_INTERNAL_REFUSALSTEXT_H
