Add the fault proxy for integration tests

Tests with real processes need network faults. lychee-test-fault forwards TCP and UDP and applies delay, jitter, bandwidth limits, resets, half-open connections and truncation by rules over HTTP, separately for each direction.

--- /dev/null
+++ b/tests/standins/faultproxy/UdpForward.h
@@ -0,0 +1,41 @@
+#ifndef LYCHEETHREAD_TESTS_STANDINS_FAULTPROXY_UDPFORWARD_H
+#define LYCHEETHREAD_TESTS_STANDINS_FAULTPROXY_UDPFORWARD_H
+
+#include "TcpForward.h"
+
+#include <Poco/Net/DatagramSocket.h>
+
+#include <map>
+
+namespace lycheethread::testfault {
+
+/// One UDP socket and a flow for each client. Used by one thread.
+class UdpForward {
+public:
+  explicit UdpForward(const ForwardSpec &Spec);
+
+  void prepare(std::vector<pollfd> &Polled, std::int64_t &WakeAt) const;
+  void work(ForwardState &State, std::mt19937 &Random);
+
+private:
+  struct Datagram {
+    Poco::Net::DatagramSocket Through;
+    Poco::Net::SocketAddress To;
+    std::string Data;
+  };
+
+  Poco::Net::DatagramSocket &flowOf(const Poco::Net::SocketAddress &Client);
+  void receiveAll(ForwardState &State, std::mt19937 &Random);
+  void queue(const FaultRule &Rule, Datagram Item, std::mt19937 &Random);
+  void sendDue();
+
+  Poco::Net::DatagramSocket Listener_;
+  Poco::Net::SocketAddress Target_;
+  std::map<Poco::Net::SocketAddress, Poco::Net::DatagramSocket> Flows_;
+  /// By due time; jitter may change the order, as on a network.
+  std::multimap<std::int64_t, Datagram> Waiting_;
+};
+
+} // namespace lycheethread::testfault
+
+#endif // LYCHEETHREAD_TESTS_STANDINS_FAULTPROXY_UDPFORWARD_H
