Add the check and publish commands

Operators need all mistakes before they publish and the true result after it. check prints all findings. publish appends one record and takes its result only from the folded control stream; after a lost answer it reads to the head and repeats the same record if it is missing, which is folded once. It tells apart that nothing was sent and that the result is not known.

--- /dev/null
+++ b/src/app/internal/FindingsOutput.h
@@ -0,0 +1,24 @@
+#ifndef LYCHEETHREAD_APP_INTERNAL_FINDINGSOUTPUT_H
+#define LYCHEETHREAD_APP_INTERNAL_FINDINGSOUTPUT_H
+
+#include "model/Model.h"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+
+#include <ostream>
+
+namespace lycheethread::app {
+
+/// Objects with file, line, key, problem and allowed.
+Poco::JSON::Array findingsJson(const Findings &Items);
+
+/// One line for each finding.
+void printFindings(std::ostream &Out, const Findings &Items);
+
+/// The object and a line end.
+void printJson(std::ostream &Out, const Poco::JSON::Object &Body);
+
+} // namespace lycheethread::app
+
+#endif // LYCHEETHREAD_APP_INTERNAL_FINDINGSOUTPUT_H
--- /dev/null
+++ b/src/app/tests/DocumentCommandTest.cpp
@@ -0,0 +1,198 @@
+#define BOOST_TEST_MODULE DocumentCommands
+#include "LogServer.h"
+#include "app/internal/Commands.h"
+#include "app/internal/Publication.h"
+#include "bootstrap/Bootstrap.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+#include <unistd.h>
+
+using namespace lycheethread;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+const std::string Good = "[service]\nname = desk\nteam = t\nbuilds_on = 0\n"
+                         "[upstreams.main]\nversions = v1\n";
+
+/// What a command printed and returned.
+struct Outcome {
+  int Code = 0;
+  std::string Out;
+  std::string Err;
+};
+
+/// Collects what is written to a stream.
+class Capture {
+public:
+  explicit Capture(std::ostream &Stream)
+      : Stream_(Stream), Before_(Stream.rdbuf(Text_.rdbuf())) {}
+  ~Capture() { Stream_.rdbuf(Before_); }
+  std::string text() const { return Text_.str(); }
+
+private:
+  std::ostream &Stream_;
+  std::ostringstream Text_;
+  std::streambuf *Before_;
+};
+
+Outcome run(int (*Command)(int, char **), std::vector<std::string> Arguments) {
+  std::vector<char *> Argv;
+  for (std::string &Argument : Arguments)
+    Argv.push_back(Argument.data());
+  Argv.push_back(nullptr);
+  const Capture Out(std::cout);
+  const Capture Err(std::cerr);
+  const int Code = Command(static_cast<int>(Arguments.size()), Argv.data());
+  return {Code, Out.text(), Err.text()};
+}
+
+struct Fixture {
+  testlog::LogServer Server{"127.0.0.1:0", 1000};
+  std::string Url = "http://127.0.0.1:" + std::to_string(Server.port());
+  std::string File = "document-" + std::to_string(::getpid()) + ".ini";
+
+  ~Fixture() { std::remove(File.c_str()); }
+
+  void write(const std::string &Text) const { std::ofstream(File) << Text; }
+
+  Outcome publish(const std::string &Text) const {
+    write(Text);
+    return run(app::runPublish, {"publish", File, "--log", Url, "--timeout",
+                                 "3", "--operator", "op"});
+  }
+
+  std::int64_t appends() { return Server.store().counts()["control"].Appends; }
+};
+
+bool contains(const std::string &Text, const std::string &Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(DocumentCommands, Fixture)
+
+// Guards against a check that stops at the first mistake or the first file.
+BOOST_AUTO_TEST_CASE(CheckReportsEverythingAndTheExitCode) {
+  write(Good);
+  BOOST_TEST(run(app::runCheck, {"check", File}).Code == app::ExitOk);
+  write("[service]\nname = X\n[new]\n");
+  const Outcome Bad = run(app::runCheck, {"check", File, "missing.ini"});
+  BOOST_TEST(Bad.Code == app::ExitRefused);
+  BOOST_TEST(contains(Bad.Out, File + ":2: service.name: "));
+  BOOST_TEST(contains(Bad.Out, File + ":3: new: unknown section"));
+  BOOST_TEST(contains(Bad.Out, "missing.ini:0: "));
+  const Outcome Json = run(app::runCheck, {"check", "--json", File});
+  BOOST_TEST(contains(Json.Out, "\"line\":2"));
+  BOOST_TEST(run(app::runCheck, {"check"}).Code == app::ExitUsage);
+  BOOST_TEST(run(app::runCheck, {"check", "--no"}).Code == app::ExitUsage);
+}
+
+// Guards against an operator who is not told that another edit won.
+BOOST_AUTO_TEST_CASE(SecondPublicationOfOneRevisionIsRefused) {
+  const Outcome First = publish(Good);
+  BOOST_TEST(First.Code == app::ExitOk);
+  BOOST_TEST(First.Out == "accepted: desk revision 1\n");
+  const Outcome Second = publish(Good);
+  BOOST_TEST(Second.Code == app::ExitRefused);
+  BOOST_TEST(contains(Second.Out, File + ":4: service.builds_on: "));
+  BOOST_TEST(contains(Second.Out, "refused: desk stays at revision 1\n"));
+}
+
+// Guards against mistakes that reach the log.
+BOOST_AUTO_TEST_CASE(MistakesAreNotPublished) {
+  BOOST_TEST(publish(Good + "[limits]\nslots = 0\n").Code == app::ExitRefused);
+  BOOST_TEST(appends() == 0);
+}
+
+// Guards against a lost answer that is reported as failure, or that leads to
+// a second publication.
+BOOST_AUTO_TEST_CASE(LostAnswerStillYieldsTheVerdict) {
+  Server.store().loseAnswers(1);
+  const Outcome Result = publish(Good);
+  BOOST_TEST(Result.Code == app::ExitOk);
+  BOOST_TEST(Result.Out == "accepted: desk revision 1\n");
+  BOOST_TEST(appends() == 1);
+}
+
+// Guards against an append that did not take effect and is given up, and
+// against a repeat under a new identity: the record stands there twice and is
+// accepted once.
+BOOST_AUTO_TEST_CASE(RepeatsOfOneRecordAreFoldedOnce) {
+  platform::LogClient Log = platform::makeHttpLog(Url, Milliseconds(1000));
+  const auto Real = Log.Append;
+  int Calls = 0;
+  Log.Append = [&](const StreamName &Name, const std::string &Data) {
+    if (++Calls == 1)
+      throw platform::LogUnavailable("not sent");
+    Real(Name, Data);
+    return Real(Name, Data);
+  };
+  const Record Item{{NodeId("w"), Incarnation(1), Sequence(1), WallTime(1000)},
+                    PublishRecord{ServiceName("desk"), Revision(0), Good}};
+  const auto Result = app::publishRecord(
+      Log, Item, Clock::now() + std::chrono::seconds(3), [](const auto &) {});
+  BOOST_REQUIRE(Result.Verdict);
+  BOOST_TEST(Result.Verdict->Accepted);
+  BOOST_TEST(Calls == 2);
+  const auto State = bootstrap::loadFromLog(Log, [](const auto &) {});
+  BOOST_TEST(State.Position == Offset(2));
+  BOOST_TEST(State.Documents.at(ServiceName("desk")).Accepted == Revision(1));
+}
+
+// Guards against an outage that is reported as a refusal, and against calling
+// a result unknown when nothing was sent.
+BOOST_AUTO_TEST_CASE(OutagesAreNotVerdicts) {
+  Server.store().setOutage(true);
+  const Outcome Down = publish(Good);
+  BOOST_TEST(Down.Code == app::ExitUnavailable);
+  BOOST_TEST(contains(Down.Err, "nothing was published"));
+  Server.store().setOutage(false);
+  BOOST_TEST(appends() == 0);
+}
+
+// Guards against a verdict that is lost when the stream is trimmed and must be
+// read from a checkpoint.
+BOOST_AUTO_TEST_CASE(PublishesOnATrimmedStream) {
+  BOOST_TEST(publish(Good).Code == app::ExitOk);
+  const auto Log = platform::makeHttpLog(Url, Milliseconds(1000));
+  const auto Quiet = [](const std::string &) {};
+  bootstrap::storeCheckpoint(Log, bootstrap::loadFromLog(Log, Quiet));
+  Server.store().trim("control", 1);
+  std::string Next = Good;
+  Next.replace(Next.find("builds_on = 0"), 13, "builds_on = 1");
+  BOOST_TEST(publish(Next).Out == "accepted: desk revision 2\n");
+}
+
+// Guards against concurrent operators who both see success, or none.
+BOOST_AUTO_TEST_CASE(ExactlyOneOfManyConcurrentPublicationsIsAccepted) {
+  std::atomic<int> Accepted{0};
+  std::atomic<int> Refused{0};
+  std::vector<std::thread> Operators;
+  for (int I = 0; I < 8; ++I)
+    Operators.emplace_back([&, I] {
+      const auto Log = platform::makeHttpLog(Url, Milliseconds(2000));
+      const Record Item{{NodeId("w" + std::to_string(I)), Incarnation(1),
+                         Sequence(1), WallTime(1000 + I)},
+                        PublishRecord{ServiceName("desk"), Revision(0), Good}};
+      const auto Result =
+          app::publishRecord(Log, Item, Clock::now() + std::chrono::seconds(10),
+                             [](const auto &) {});
+      if (Result.Verdict)
+        ++(Result.Verdict->Accepted ? Accepted : Refused);
+    });
+  for (std::thread &Operator : Operators)
+    Operator.join();
+  BOOST_TEST(Accepted == 1);
+  BOOST_TEST(Refused == 7);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
