Run the whole node: settings, peers, moves, proxy, refusals, admin

Cause: the modules existed apart; nothing ran from end to end. Change: the node command starts the modules in order and drains on SIGTERM; the peer module folds real records; Main lists the subcommands.

--- a/src/app/Main.cpp
+++ b/src/app/Main.cpp
@@ -1,17 +1,66 @@
-#include <cxxopts.hpp>
+#include "app/internal/Commands.h"
 
+#include <cstring>
+#include <exception>
 #include <iostream>
+#include <string>
+
+using namespace lycheethread::app;
+
+namespace {
+
+struct Command {
+  const char *Name;
+  int (*Run)(int Argc, char **Argv);
+  const char *Help;
+};
+
+constexpr Command Commands[] = {
+    {"node", runNode, "run the node beside an upstream"},
+    {"check", runCheck, "check service documents and print all findings"},
+    {"publish", runPublish, "publish a service document"},
+    {"status", runStatus, "show what a node knows and does"},
+    {"refusals", runRefusals, "list which callers were refused, when and why"},
+};
+
+void printHelp(std::ostream &Out) {
+  Out << "Usage: lycheethread COMMAND [OPTION...]\n\nCommands:\n";
+  for (const Command &Each : Commands) {
+    Out << "  " << Each.Name << std::string(12 - std::strlen(Each.Name), ' ')
+        << Each.Help << "\n";
+  }
+  Out << "\nlycheethread COMMAND --help describes one command.\n"
+         "lycheethread --version prints the version.\n\n"
+         "Exit codes: 0 done, 1 refused or findings, 2 wrong usage, "
+         "3 result not known.\n";
+}
+
+int run(const Command &Chosen, int Argc, char **Argv) {
+  try {
+    return Chosen.Run(Argc, Argv);
+  } catch (const std::exception &Error) {
+    std::cerr << "lycheethread " << Chosen.Name << ": " << Error.what() << "\n";
+    return ExitUsage;
+  }
+}
+
+} // namespace
 
 int main(int Argc, char **Argv) {
-  cxxopts::Options Options("lycheethread",
-                           "Configuration distribution for a service mesh");
-  Options.add_options()("h,help", "print this help")("version",
-                                                     "print the version");
-  const auto Parsed = Options.parse(Argc, Argv);
-  if (Parsed.count("version") != 0) {
+  const std::string Name = Argc > 1 ? Argv[1] : "";
+  if (Name == "--help" || Name == "-h") {
+    printHelp(std::cout);
+    return ExitOk;
+  }
+  if (Name == "--version") {
     std::cout << "lycheethread " LYCHEETHREAD_VERSION "\n";
-    return 0;
+    return ExitOk;
   }
-  std::cout << Options.help();
-  return 0;
+  for (const Command &Each : Commands)
+    if (Name == Each.Name)
+      return run(Each, Argc - 1, Argv + 1);
+  if (!Name.empty())
+    std::cerr << "lycheethread: unknown command \"" << Name << "\"\n";
+  printHelp(std::cerr);
+  return ExitUsage;
 }
--- a/src/peer/internal/PeerNode.cpp
+++ b/src/peer/internal/PeerNode.cpp
@@ -1,4 +1,6 @@
 #include "peer/internal/PeerNode.h"
+#include "peer/Peer.h"
+#include "peer/internal/RealFold.h"
 
 #include "peer/internal/Clock.h"
 #include "peer/internal/FeedLoop.h"
@@ -247,4 +249,6 @@
           [Node] { Node->deinit(); }};
 }
 
+kernel::Module makePeerModule() { return makePeerModule({realFold(), {}, 0}); }
+
 } // namespace lycheethread::peer
