--- a/tests/load/LoadRun.cpp
+++ b/tests/load/LoadRun.cpp
@@ -30,9 +30,9 @@
       : Plan_(Plan), Address_(Target) {}
 
   /// Empty for a good answer, else the reason.
-  std::string call() {
+  std::string call(Clock::time_point Due) {
     try {
-      return exchange();
+      return exchange(Due);
     } catch (const Poco::Exception &Error) {
       Session_.reset();
       return Error.name();
@@ -53,7 +53,17 @@
                        Poco::Timespan::MILLISECONDS));
   }
 
-  std::string exchange() {
+  /// The deadline counts from the time when the call was due, also when the
+  /// connection was still busy then.
+  bool setDeadline(HTTPRequest &Request, Clock::time_point Due) const {
+    const auto Waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+        Clock::now() - Due);
+    const auto Left = Plan_.DeadlineMs - Waited.count();
+    Request.set("lt-deadline-ms", std::to_string(Left));
+    return Left > 0;
+  }
+
+  std::string exchange(Clock::time_point Due) {
     const bool Fresh = !Session_;
     if (Fresh)
       connect();
@@ -61,8 +71,8 @@
                         HTTPRequest::HTTP_1_1);
     Request.setHost(Plan_.Host);
     Request.set("lt-caller", Plan_.Caller);
-    if (Plan_.DeadlineMs > 0)
-      Request.set("lt-deadline-ms", std::to_string(Plan_.DeadlineMs));
+    if (Plan_.DeadlineMs > 0 && !setDeadline(Request, Due))
+      return "late before sending";
     Session_->sendRequest(Request);
     if (Fresh)
       Session_->socket().setNoDelay(true);
@@ -82,7 +92,7 @@
 };
 
 void count(LoadResult &Result, Caller &From, Clock::time_point Due) {
-  std::string Error = From.call();
+  std::string Error = From.call(Due);
   const std::chrono::duration<double, std::milli> Took = Clock::now() - Due;
   if (Error.empty() && From.isLate(Took.count()))
     Error = "late";
@@ -113,9 +123,9 @@
   if (!Plan.Compare.empty())
     Other = std::make_unique<Caller>(Plan, Plan.Compare);
   for (int I = 0; I < Plan.Warmup; ++I) {
-    To.call();
+    To.call(Clock::now());
     if (Other)
-      Other->call();
+      Other->call(Clock::now());
   }
   std::mt19937_64 Random(Plan.Seed + static_cast<std::uint64_t>(Index));
   std::exponential_distribution<double> Gap(
