Wire the config, records and requests libraries into the peer module

The fold, checkpoints and the routing view come from config, records, requests and bootstrap behind ControlFold; checkpoint notices have a writer id of their own, because the fold takes a lower sequence of one writer for a repeat.

--- a/src/peer/gen/PeerService.cpp
+++ b/src/peer/gen/PeerService.cpp
@@ -468,14 +468,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->records.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->records.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
             {
-              xfer += this->records[_i60].read(iprot);
+              xfer += this->records[_i58].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -508,10 +508,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<RawRecord> ::const_iterator _iter61;
-    for (_iter61 = this->records.begin(); _iter61 != this->records.end(); ++_iter61)
+    std::vector<RawRecord> ::const_iterator _iter59;
+    for (_iter59 = this->records.begin(); _iter59 != this->records.end(); ++_iter59)
     {
-      xfer += (*_iter61).write(oprot);
+      xfer += (*_iter59).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -539,10 +539,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*(this->records)).size()));
-    std::vector<RawRecord> ::const_iterator _iter62;
-    for (_iter62 = (*(this->records)).begin(); _iter62 != (*(this->records)).end(); ++_iter62)
+    std::vector<RawRecord> ::const_iterator _iter60;
+    for (_iter60 = (*(this->records)).begin(); _iter60 != (*(this->records)).end(); ++_iter60)
     {
-      xfer += (*_iter62).write(oprot);
+      xfer += (*_iter60).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -2051,178 +2051,6 @@
 }
 
 
-CheckpointPart::~CheckpointPart() noexcept {
-}
-
-
-void CheckpointPart::__set_id(const std::string& val) {
-  this->id = val;
-}
-
-void CheckpointPart::__set_number(const int32_t val) {
-  this->number = val;
-}
-
-void CheckpointPart::__set_count(const int32_t val) {
-  this->count = val;
-}
-
-void CheckpointPart::__set_position(const int64_t val) {
-  this->position = val;
-}
-
-void CheckpointPart::__set_data(const std::string& val) {
-  this->data = val;
-}
-std::ostream& operator<<(std::ostream& out, const CheckpointPart& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t CheckpointPart::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->id);
-          this->__isset.id = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->number);
-          this->__isset.number = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->count);
-          this->__isset.count = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->position);
-          this->__isset.position = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->data);
-          this->__isset.data = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t CheckpointPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("CheckpointPart");
-
-  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->id);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->number);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("count", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->count);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("position", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->position);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("data", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeBinary(this->data);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(CheckpointPart &a, CheckpointPart &b) {
-  using ::std::swap;
-  swap(a.id, b.id);
-  swap(a.number, b.number);
-  swap(a.count, b.count);
-  swap(a.position, b.position);
-  swap(a.data, b.data);
-  swap(a.__isset, b.__isset);
-}
-
-CheckpointPart::CheckpointPart(const CheckpointPart& other52) {
-  id = other52.id;
-  number = other52.number;
-  count = other52.count;
-  position = other52.position;
-  data = other52.data;
-  __isset = other52.__isset;
-}
-CheckpointPart& CheckpointPart::operator=(const CheckpointPart& other53) {
-  id = other53.id;
-  number = other53.number;
-  count = other53.count;
-  position = other53.position;
-  data = other53.data;
-  __isset = other53.__isset;
-  return *this;
-}
-void CheckpointPart::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "CheckpointPart(";
-  out << "id=" << to_string(id);
-  out << ", " << "number=" << to_string(number);
-  out << ", " << "count=" << to_string(count);
-  out << ", " << "position=" << to_string(position);
-  out << ", " << "data=" << to_string(data);
-  out << ")";
-}
-
-
 JoinRecord::~JoinRecord() noexcept {
 }
 
@@ -2315,15 +2143,15 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinRecord::JoinRecord(const JoinRecord& other54) {
-  member = other54.member;
-  writtenAtMs = other54.writtenAtMs;
-  __isset = other54.__isset;
+JoinRecord::JoinRecord(const JoinRecord& other52) {
+  member = other52.member;
+  writtenAtMs = other52.writtenAtMs;
+  __isset = other52.__isset;
 }
-JoinRecord& JoinRecord::operator=(const JoinRecord& other55) {
-  member = other55.member;
-  writtenAtMs = other55.writtenAtMs;
-  __isset = other55.__isset;
+JoinRecord& JoinRecord::operator=(const JoinRecord& other53) {
+  member = other53.member;
+  writtenAtMs = other53.writtenAtMs;
+  __isset = other53.__isset;
   return *this;
 }
 void JoinRecord::printTo(std::ostream& out) const {
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -43,8 +43,6 @@
 
 class CallFailed;
 
-class CheckpointPart;
-
 class JoinRecord;
 
 typedef struct _WireMember__isset {
@@ -843,77 +841,6 @@
 
 std::ostream& operator<<(std::ostream& out, const CallFailed& obj);
 
-typedef struct _CheckpointPart__isset {
-  _CheckpointPart__isset() : id(false), number(false), count(false), position(false), data(false) {}
-  bool id :1;
-  bool number :1;
-  bool count :1;
-  bool position :1;
-  bool data :1;
-} _CheckpointPart__isset;
-
-class CheckpointPart : public virtual ::apache::thrift::TBase {
- public:
-
-  CheckpointPart(const CheckpointPart&);
-  CheckpointPart& operator=(const CheckpointPart&);
-  CheckpointPart() noexcept
-                 : id(),
-                   number(0),
-                   count(0),
-                   position(0),
-                   data() {
-  }
-
-  virtual ~CheckpointPart() noexcept;
-  std::string id;
-  int32_t number;
-  int32_t count;
-  int64_t position;
-  std::string data;
-
-  _CheckpointPart__isset __isset;
-
-  void __set_id(const std::string& val);
-
-  void __set_number(const int32_t val);
-
-  void __set_count(const int32_t val);
-
-  void __set_position(const int64_t val);
-
-  void __set_data(const std::string& val);
-
-  bool operator == (const CheckpointPart & rhs) const
-  {
-    if (!(id == rhs.id))
-      return false;
-    if (!(number == rhs.number))
-      return false;
-    if (!(count == rhs.count))
-      return false;
-    if (!(position == rhs.position))
-      return false;
-    if (!(data == rhs.data))
-      return false;
-    return true;
-  }
-  bool operator != (const CheckpointPart &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const CheckpointPart & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(CheckpointPart &a, CheckpointPart &b);
-
-std::ostream& operator<<(std::ostream& out, const CheckpointPart& obj);
-
 typedef struct _JoinRecord__isset {
   _JoinRecord__isset() : member(false), writtenAtMs(false) {}
   bool member :1;
--- /dev/null
+++ b/src/peer/internal/ControlFold.cpp
@@ -0,0 +1,57 @@
+#include "peer/internal/ControlFold.h"
+
+#include "bootstrap/Bootstrap.h"
+#include "records/Records.h"
+
+#include <boost/log/trivial.hpp>
+
+#include <variant>
+
+namespace lycheethread::peer {
+
+namespace {
+
+std::optional<CheckpointNotice> foldRaw(config::ConfigState &State, Offset At,
+                                        const std::string &Raw) {
+  try {
+    const Record Item = records::decodeRecord(Raw);
+    config::foldRecord(State, At, Item);
+    if (const auto *Notice = std::get_if<CheckpointNotice>(&Item.Body))
+      return *Notice;
+  } catch (const records::BadRecord &Problem) {
+    config::skipRecord(State, At);
+    BOOST_LOG_TRIVIAL(warning)
+        << "peer: record " << At << " has no effect: " << Problem.what();
+  }
+  return std::nullopt;
+}
+
+void report(const std::string &Text) {
+  BOOST_LOG_TRIVIAL(warning) << "peer: " << Text;
+}
+
+void storeCheckpoint(const platform::LogClient &Log,
+                     const config::ConfigState &State,
+                     const RecordHeader &Header) {
+  const CheckpointNotice Notice = bootstrap::storeCheckpoint(Log, State);
+  Log.Append(bootstrap::controlStream(),
+             records::encodeRecord(Record{Header, Notice}));
+}
+
+} // namespace
+
+ControlFold makeControlFold() {
+  ControlFold Fold;
+  Fold.Fold = foldRaw;
+  Fold.MakeCheckpoint = config::makeCheckpoint;
+  Fold.RestoreCheckpoint = config::restoreCheckpoint;
+  Fold.FindCheckpoint = [](const platform::LogClient &Log, Offset AtLeast,
+                           Offset AtMost) {
+    return bootstrap::findCheckpoint(Log, AtLeast, AtMost, report);
+  };
+  Fold.StoreCheckpoint = storeCheckpoint;
+  Fold.BuildView = requests::buildRoutingView;
+  return Fold;
+}
+
+} // namespace lycheethread::peer
--- a/src/peer/internal/ControlFold.h
+++ b/src/peer/internal/ControlFold.h
@@ -3,6 +3,7 @@
 
 #include "config/Config.h"
 #include "model/Model.h"
+#include "platform/types/LogClient.h"
 #include "requests/Requests.h"
 
 #include <functional>
@@ -24,14 +25,24 @@
   /// Throws when the parts are damaged or incomplete.
   std::function<config::ConfigState(const std::vector<std::string> &)>
       RestoreCheckpoint;
-  /// Raw record of the control stream that announces a checkpoint.
-  std::function<std::string(const RecordHeader &, const CheckpointNotice &)>
-      EncodeNotice;
+  /// Newest complete checkpoint in the log with a position in
+  /// [AtLeast, AtMost]. Throws LogUnavailable.
+  std::function<std::optional<config::ConfigState>(
+      const platform::LogClient &Log, Offset AtLeast, Offset AtMost)>
+      FindCheckpoint;
+  /// Appends a checkpoint and its notice. Throws LogUnavailable.
+  std::function<void(const platform::LogClient &Log,
+                     const config::ConfigState &State,
+                     const RecordHeader &Header)>
+      StoreCheckpoint;
   std::function<requests::RoutingView(
       const config::ConfigState &, const std::vector<Member> &, const Place &)>
       BuildView;
 };
 
+/// The fold of the config library.
+ControlFold makeControlFold();
+
 } // namespace lycheethread::peer
 
 #endif // LYCHEETHREAD_PEER_INTERNAL_CONTROLFOLD_H
--- a/src/peer/internal/LogReader.cpp
+++ b/src/peer/internal/LogReader.cpp
@@ -1,6 +1,5 @@
 #include "peer/internal/LogReader.h"
 
-#include "peer/internal/Checkpoints.h"
 #include "peer/internal/Clock.h"
 #include "peer/internal/Wire.h"
 
@@ -113,7 +112,8 @@
   void restore(platform::StreamBounds Kept, Offset From) {
     std::optional<config::ConfigState> Found;
     try {
-      Found = restoreFromLog(*Context.Log, Context.Options.Fold, Kept.First);
+      Found = Context.Options.Fold.FindCheckpoint(*Context.Log, Kept.First,
+                                                  Kept.Next);
     } catch (const platform::LogUnavailable &Problem) {
       fail(Problem.what());
       return;
@@ -180,9 +180,15 @@
     // The notice comes back through the stream and resets the mark.
     NextCheckpointAt = after(Now, CheckpointRetry);
     try {
-      writeCheckpointToLog(*Context.Log, Context.Options.Fold,
-                           *Context.Config->load(),
-                           {Context.Settings.Id, Life, Sequence(), wallNow()});
+      const auto State = Context.Config->load();
+      // A writer of its own: the sequences of the node's other records would
+      // be taken for repeats after a position.
+      const RecordHeader Header{
+          NodeId(Context.Settings.Id.str() + "/checkpoint"), Life,
+          Sequence(State->Position.value()), wallNow()};
+      Context.Options.Fold.StoreCheckpoint(*Context.Log, *State, Header);
+      BOOST_LOG_TRIVIAL(info)
+          << "peer: wrote a checkpoint of position " << State->Position;
     } catch (const std::exception &Problem) {
       BOOST_LOG_TRIVIAL(warning)
           << "peer: no checkpoint was written: " << Problem.what();
--- a/src/peer/internal/PeerNode.cpp
+++ b/src/peer/internal/PeerNode.cpp
@@ -1,5 +1,7 @@
 #include "peer/internal/PeerNode.h"
 
+#include "peer/Peer.h"
+
 #include "peer/internal/Clock.h"
 #include "peer/internal/FeedLoop.h"
 #include "peer/internal/LogReader.h"
@@ -237,6 +239,12 @@
 
 void PeerNode::deinit() { Impl_->deinit(); }
 
+kernel::Module makePeerModule() {
+  PeerOptions Options;
+  Options.Fold = makeControlFold();
+  return makePeerModule(std::move(Options));
+}
+
 kernel::Module makePeerModule(PeerOptions Options) {
   const auto Node = std::make_shared<PeerNode>(std::move(Options));
   return {"peer",
--- a/src/peer/internal/Wire.cpp
+++ b/src/peer/internal/Wire.cpp
@@ -19,7 +19,6 @@
 
 // The lists of a datagram; Thrift allocates a list before it reads the items.
 constexpr int MaxListItems = 64;
-constexpr std::size_t MaxPartBytes = 512 * 1024;
 
 template <typename T> std::string encode(const T &Item) {
   const auto Buffer = std::make_shared<TMemoryBuffer>();
@@ -223,14 +222,4 @@
       .Who;
 }
 
-std::string encodePart(const wire::CheckpointPart &Part) {
-  return encode(Part);
-}
-
-wire::CheckpointPart decodePart(const std::string &Data) {
-  if (Data.size() > MaxPartBytes)
-    throw BadMessage("a checkpoint part is too long");
-  return decode<wire::CheckpointPart>(Data.data(), Data.size());
-}
-
 } // namespace lycheethread::peer
--- a/src/peer/internal/Wire.h
+++ b/src/peer/internal/Wire.h
@@ -41,10 +41,6 @@
 /// Throws BadMessage.
 Member decodeJoin(const std::string &Data);
 
-std::string encodePart(const wire::CheckpointPart &Part);
-/// Throws BadMessage.
-wire::CheckpointPart decodePart(const std::string &Data);
-
 } // namespace lycheethread::peer
 
 #endif // LYCHEETHREAD_PEER_INTERNAL_WIRE_H
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -108,15 +108,6 @@
     throws (1: CallFailed failed)
 }
 
-// One part of a checkpoint in the checkpoints stream.
-struct CheckpointPart {
-  1: string id
-  2: i32 number
-  3: i32 count
-  4: i64 position
-  5: binary data
-}
-
 // One join record in the members stream.
 struct JoinRecord {
   1: WireMember member
--- a/src/peer/tests/PeerCluster.cpp
+++ b/src/peer/tests/PeerCluster.cpp
@@ -36,6 +36,29 @@
   return State;
 }
 
+std::optional<config::ConfigState> findFake(const platform::LogClient &Log,
+                                            Offset AtLeast, Offset) {
+  const StreamName Stream("checkpoints");
+  std::optional<config::ConfigState> Newest;
+  const auto Batch = Log.Read(Stream, Offset(0), 1000, Milliseconds(0));
+  for (const platform::LogRecord &Item : Batch.Records) {
+    const std::size_t Split = Item.Data.find('\n');
+    auto State =
+        restoreFake({Item.Data.substr(0, Split), Item.Data.substr(Split + 1)});
+    if (State.Position >= AtLeast)
+      Newest = std::move(State);
+  }
+  return Newest;
+}
+
+void storeFake(const platform::LogClient &Log, const config::ConfigState &State,
+               const RecordHeader &) {
+  const std::string Position = std::to_string(State.Position.value());
+  Log.Append(StreamName("checkpoints"),
+             Position + '\n' + State.Documents.at(lastService()).Text);
+  Log.Append(StreamName("control"), "notice:" + Position);
+}
+
 } // namespace
 
 ControlFold makeFakeFold() {
@@ -48,9 +71,8 @@
         It == State.Documents.end() ? std::string() : It->second.Text};
   };
   Fold.RestoreCheckpoint = restoreFake;
-  Fold.EncodeNotice = [](const RecordHeader &, const CheckpointNotice &Notice) {
-    return "notice:" + std::to_string(Notice.Position.value());
-  };
+  Fold.FindCheckpoint = findFake;
+  Fold.StoreCheckpoint = storeFake;
   Fold.BuildView = [](const config::ConfigState &State,
                       const std::vector<Member> &, const Place &Self) {
     requests::RoutingView View;
