--- a/src/peer/internal/PeerNode.cpp
+++ b/src/peer/internal/PeerNode.cpp
@@ -1,6 +1,7 @@
 #include "peer/internal/PeerNode.h"
 #include "peer/Peer.h"
-#include "peer/internal/RealFold.h"
+
+#include "peer/Peer.h"
 
 #include "peer/internal/Clock.h"
 #include "peer/internal/FeedLoop.h"
@@ -239,6 +240,12 @@
 
 void PeerNode::deinit() { Impl_->deinit(); }
 
+kernel::Module makePeerModule() {
+  PeerOptions Options;
+  Options.Fold = makeControlFold();
+  return makePeerModule(std::move(Options));
+}
+
 kernel::Module makePeerModule(PeerOptions Options) {
   const auto Node = std::make_shared<PeerNode>(std::move(Options));
   return {"peer",
@@ -249,6 +256,4 @@
           [Node] { Node->deinit(); }};
 }
 
-kernel::Module makePeerModule() { return makePeerModule({realFold(), {}, 0}); }
-
 } // namespace lycheethread::peer
