--- a/tests/standins/upstream/Handler.cpp
+++ b/tests/standins/upstream/Handler.cpp
@@ -159,7 +159,7 @@
     Response.setKeepAlive(false);
     return answer(Response, "shed\n");
   }
-  if (Path == "/chain")
+  if (Path == "/chain" || !parameter(Uri, "service", "").empty())
     return chain(Uri, Request, Response);
   work(Uri, Request, Response);
 }
