Keep unknown enum values out of generated code

Thrift's C++ code loads any number into an enum, which is undefined behaviour for values outside of its range; UndefinedBehaviorSanitizer stopped at a mutated move_end record. Outcome and status are plain numbers on the wire now, with the same bytes, and are checked by the conversions.

--- a/src/config/checkpoint.thrift
+++ b/src/config/checkpoint.thrift
@@ -47,17 +47,13 @@
   6: required i64 stepLengthMs
 }
 
-enum MoveStatus {
-  RUNNING = 1
-  FINISHED = 2
-  UNDONE = 3
-}
-
 struct Move {
   1: required string id
   2: required string serviceName
   3: required Plan plan
-  4: required MoveStatus status
+  // 1 running, 2 finished, 3 undone. Not an enum: Thrift's C++ code loads
+  // unknown values into one, which is undefined behaviour.
+  4: required i32 status
   5: required i64 sharePermille
   6: required i32 stepsTaken
   7: required i64 startedAtMs
--- a/src/config/gen/checkpoint_types.cpp
+++ b/src/config/gen/checkpoint_types.cpp
@@ -13,37 +13,6 @@
 
 namespace lycheethread { namespace config { namespace gen {
 
-int _kMoveStatusValues[] = {
-  MoveStatus::RUNNING,
-  MoveStatus::FINISHED,
-  MoveStatus::UNDONE
-};
-const char* _kMoveStatusNames[] = {
-  "RUNNING",
-  "FINISHED",
-  "UNDONE"
-};
-const std::map<int, const char*> _MoveStatus_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(3, _kMoveStatusValues, _kMoveStatusNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
-
-std::ostream& operator<<(std::ostream& out, const MoveStatus::type& val) {
-  std::map<int, const char*>::const_iterator it = _MoveStatus_VALUES_TO_NAMES.find(val);
-  if (it != _MoveStatus_VALUES_TO_NAMES.end()) {
-    out << it->second;
-  } else {
-    out << static_cast<int>(val);
-  }
-  return out;
-}
-
-std::string to_string(const MoveStatus::type& val) {
-  std::map<int, const char*>::const_iterator it = _MoveStatus_VALUES_TO_NAMES.find(val);
-  if (it != _MoveStatus_VALUES_TO_NAMES.end()) {
-    return std::string(it->second);
-  } else {
-    return std::to_string(static_cast<int>(val));
-  }
-}
-
 
 Writer::~Writer() noexcept {
 }
@@ -1090,7 +1059,7 @@
   this->plan = val;
 }
 
-void Move::__set_status(const MoveStatus::type val) {
+void Move::__set_status(const int32_t val) {
   this->status = val;
 }
 
@@ -1186,9 +1155,7 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast22;
-          xfer += iprot->readI32(ecast22);
-          this->status = static_cast<MoveStatus::type>(ecast22);
+          xfer += iprot->readI32(this->status);
           isset_status = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1302,7 +1269,7 @@
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 4);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->status));
+  xfer += oprot->writeI32(this->status);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("sharePermille", ::apache::thrift::protocol::T_I64, 5);
@@ -1353,7 +1320,20 @@
   swap(a.evidence, b.evidence);
 }
 
-Move::Move(const Move& other23) {
+Move::Move(const Move& other22) {
+  id = other22.id;
+  serviceName = other22.serviceName;
+  plan = other22.plan;
+  status = other22.status;
+  sharePermille = other22.sharePermille;
+  stepsTaken = other22.stepsTaken;
+  startedAtMs = other22.startedAtMs;
+  steppedAtMs = other22.steppedAtMs;
+  endedAtMs = other22.endedAtMs;
+  reason = other22.reason;
+  evidence = other22.evidence;
+}
+Move& Move::operator=(const Move& other23) {
   id = other23.id;
   serviceName = other23.serviceName;
   plan = other23.plan;
@@ -1365,19 +1345,6 @@
   endedAtMs = other23.endedAtMs;
   reason = other23.reason;
   evidence = other23.evidence;
-}
-Move& Move::operator=(const Move& other24) {
-  id = other24.id;
-  serviceName = other24.serviceName;
-  plan = other24.plan;
-  status = other24.status;
-  sharePermille = other24.sharePermille;
-  stepsTaken = other24.stepsTaken;
-  startedAtMs = other24.startedAtMs;
-  steppedAtMs = other24.steppedAtMs;
-  endedAtMs = other24.endedAtMs;
-  reason = other24.reason;
-  evidence = other24.evidence;
   return *this;
 }
 void Move::printTo(std::ostream& out) const {
@@ -1535,17 +1502,17 @@
   swap(a.expiresAtMs, b.expiresAtMs);
 }
 
-Lease::Lease(const Lease& other25) {
+Lease::Lease(const Lease& other24) {
+  subject = other24.subject;
+  holder = other24.holder;
+  epoch = other24.epoch;
+  expiresAtMs = other24.expiresAtMs;
+}
+Lease& Lease::operator=(const Lease& other25) {
   subject = other25.subject;
   holder = other25.holder;
   epoch = other25.epoch;
   expiresAtMs = other25.expiresAtMs;
-}
-Lease& Lease::operator=(const Lease& other26) {
-  subject = other26.subject;
-  holder = other26.holder;
-  epoch = other26.epoch;
-  expiresAtMs = other26.expiresAtMs;
   return *this;
 }
 void Lease::printTo(std::ostream& out) const {
@@ -1650,14 +1617,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->documents.clear();
-            uint32_t _size27;
-            ::apache::thrift::protocol::TType _etype30;
-            xfer += iprot->readListBegin(_etype30, _size27);
-            this->documents.resize(_size27);
-            uint32_t _i31;
-            for (_i31 = 0; _i31 < _size27; ++_i31)
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->documents.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
             {
-              xfer += this->documents[_i31].read(iprot);
+              xfer += this->documents[_i30].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1670,14 +1637,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->running.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size31;
+            ::apache::thrift::protocol::TType _etype34;
+            xfer += iprot->readListBegin(_etype34, _size31);
+            this->running.resize(_size31);
+            uint32_t _i35;
+            for (_i35 = 0; _i35 < _size31; ++_i35)
             {
-              xfer += this->running[_i36].read(iprot);
+              xfer += this->running[_i35].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1690,14 +1657,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ended.clear();
-            uint32_t _size37;
-            ::apache::thrift::protocol::TType _etype40;
-            xfer += iprot->readListBegin(_etype40, _size37);
-            this->ended.resize(_size37);
-            uint32_t _i41;
-            for (_i41 = 0; _i41 < _size37; ++_i41)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->ended.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->ended[_i41].read(iprot);
+              xfer += this->ended[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1710,14 +1677,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leases.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _etype45;
-            xfer += iprot->readListBegin(_etype45, _size42);
-            this->leases.resize(_size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->leases.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
             {
-              xfer += this->leases[_i46].read(iprot);
+              xfer += this->leases[_i45].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1730,14 +1697,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->writers.clear();
-            uint32_t _size47;
-            ::apache::thrift::protocol::TType _etype50;
-            xfer += iprot->readListBegin(_etype50, _size47);
-            this->writers.resize(_size47);
-            uint32_t _i51;
-            for (_i51 = 0; _i51 < _size47; ++_i51)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->writers.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->writers[_i51].read(iprot);
+              xfer += this->writers[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1750,14 +1717,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->verdicts.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->verdicts.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->verdicts.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += this->verdicts[_i56].read(iprot);
+              xfer += this->verdicts[_i55].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1810,10 +1777,10 @@
   xfer += oprot->writeFieldBegin("documents", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->documents.size()));
-    std::vector<Document> ::const_iterator _iter57;
-    for (_iter57 = this->documents.begin(); _iter57 != this->documents.end(); ++_iter57)
+    std::vector<Document> ::const_iterator _iter56;
+    for (_iter56 = this->documents.begin(); _iter56 != this->documents.end(); ++_iter56)
     {
-      xfer += (*_iter57).write(oprot);
+      xfer += (*_iter56).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1822,10 +1789,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
-    std::vector<Move> ::const_iterator _iter58;
-    for (_iter58 = this->running.begin(); _iter58 != this->running.end(); ++_iter58)
+    std::vector<Move> ::const_iterator _iter57;
+    for (_iter57 = this->running.begin(); _iter57 != this->running.end(); ++_iter57)
     {
-      xfer += (*_iter58).write(oprot);
+      xfer += (*_iter57).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1834,10 +1801,10 @@
   xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ended.size()));
-    std::vector<Move> ::const_iterator _iter59;
-    for (_iter59 = this->ended.begin(); _iter59 != this->ended.end(); ++_iter59)
+    std::vector<Move> ::const_iterator _iter58;
+    for (_iter58 = this->ended.begin(); _iter58 != this->ended.end(); ++_iter58)
     {
-      xfer += (*_iter59).write(oprot);
+      xfer += (*_iter58).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1846,10 +1813,10 @@
   xfer += oprot->writeFieldBegin("leases", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leases.size()));
-    std::vector<Lease> ::const_iterator _iter60;
-    for (_iter60 = this->leases.begin(); _iter60 != this->leases.end(); ++_iter60)
+    std::vector<Lease> ::const_iterator _iter59;
+    for (_iter59 = this->leases.begin(); _iter59 != this->leases.end(); ++_iter59)
     {
-      xfer += (*_iter60).write(oprot);
+      xfer += (*_iter59).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1858,10 +1825,10 @@
   xfer += oprot->writeFieldBegin("writers", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->writers.size()));
-    std::vector<Writer> ::const_iterator _iter61;
-    for (_iter61 = this->writers.begin(); _iter61 != this->writers.end(); ++_iter61)
+    std::vector<Writer> ::const_iterator _iter60;
+    for (_iter60 = this->writers.begin(); _iter60 != this->writers.end(); ++_iter60)
     {
-      xfer += (*_iter61).write(oprot);
+      xfer += (*_iter60).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1870,10 +1837,10 @@
   xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
-    std::vector<Verdict> ::const_iterator _iter62;
-    for (_iter62 = this->verdicts.begin(); _iter62 != this->verdicts.end(); ++_iter62)
+    std::vector<Verdict> ::const_iterator _iter61;
+    for (_iter61 = this->verdicts.begin(); _iter61 != this->verdicts.end(); ++_iter61)
     {
-      xfer += (*_iter62).write(oprot);
+      xfer += (*_iter61).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1896,7 +1863,17 @@
   swap(a.verdicts, b.verdicts);
 }
 
-State::State(const State& other63) {
+State::State(const State& other62) {
+  position = other62.position;
+  logTimeMs = other62.logTimeMs;
+  documents = other62.documents;
+  running = other62.running;
+  ended = other62.ended;
+  leases = other62.leases;
+  writers = other62.writers;
+  verdicts = other62.verdicts;
+}
+State& State::operator=(const State& other63) {
   position = other63.position;
   logTimeMs = other63.logTimeMs;
   documents = other63.documents;
@@ -1905,16 +1882,6 @@
   leases = other63.leases;
   writers = other63.writers;
   verdicts = other63.verdicts;
-}
-State& State::operator=(const State& other64) {
-  position = other64.position;
-  logTimeMs = other64.logTimeMs;
-  documents = other64.documents;
-  running = other64.running;
-  ended = other64.ended;
-  leases = other64.leases;
-  writers = other64.writers;
-  verdicts = other64.verdicts;
   return *this;
 }
 void State::printTo(std::ostream& out) const {
@@ -2089,19 +2056,19 @@
   swap(a.data, b.data);
 }
 
-Part::Part(const Part& other65) {
+Part::Part(const Part& other64) {
+  index = other64.index;
+  parts = other64.parts;
+  position = other64.position;
+  digest = other64.digest;
+  data = other64.data;
+}
+Part& Part::operator=(const Part& other65) {
   index = other65.index;
   parts = other65.parts;
   position = other65.position;
   digest = other65.digest;
   data = other65.data;
-}
-Part& Part::operator=(const Part& other66) {
-  index = other66.index;
-  parts = other66.parts;
-  position = other66.position;
-  digest = other66.digest;
-  data = other66.data;
   return *this;
 }
 void Part::printTo(std::ostream& out) const {
--- a/src/config/gen/checkpoint_types.h
+++ b/src/config/gen/checkpoint_types.h
@@ -21,20 +21,6 @@
 
 namespace lycheethread { namespace config { namespace gen {
 
-struct MoveStatus {
-  enum type {
-    RUNNING = 1,
-    FINISHED = 2,
-    UNDONE = 3
-  };
-};
-
-extern const std::map<int, const char*> _MoveStatus_VALUES_TO_NAMES;
-
-std::ostream& operator<<(std::ostream& out, const MoveStatus::type& val);
-
-std::string to_string(const MoveStatus::type& val);
-
 class Writer;
 
 class Document;
@@ -383,7 +369,7 @@
   Move() noexcept
        : id(),
          serviceName(),
-         status(static_cast<MoveStatus::type>(0)),
+         status(0),
          sharePermille(0),
          stepsTaken(0),
          startedAtMs(0),
@@ -397,11 +383,7 @@
   std::string id;
   std::string serviceName;
   Plan plan;
-  /**
-   * 
-   * @see MoveStatus
-   */
-  MoveStatus::type status;
+  int32_t status;
   int64_t sharePermille;
   int32_t stepsTaken;
   int64_t startedAtMs;
@@ -416,7 +398,7 @@
 
   void __set_plan(const Plan& val);
 
-  void __set_status(const MoveStatus::type val);
+  void __set_status(const int32_t val);
 
   void __set_sharePermille(const int64_t val);
 
--- a/src/config/internal/CheckpointCodec.cpp
+++ b/src/config/internal/CheckpointCodec.cpp
@@ -4,6 +4,11 @@
 
 namespace {
 
+/// Values of Move.status in checkpoint.thrift.
+constexpr std::int32_t StatusRunning = 1;
+constexpr std::int32_t StatusFinished = 2;
+constexpr std::int32_t StatusUndone = 3;
+
 gen::Document toGen(const AcceptedDocument &From) {
   gen::Document To;
   To.serviceName = From.Document.Service.str();
@@ -59,16 +64,16 @@
   return To;
 }
 
-gen::MoveStatus::type toGen(moves::MoveStatus From) {
+std::int32_t statusNumber(moves::MoveStatus From) {
   switch (From) {
   case moves::MoveStatus::Running:
-    return gen::MoveStatus::RUNNING;
+    return StatusRunning;
   case moves::MoveStatus::Finished:
-    return gen::MoveStatus::FINISHED;
+    return StatusFinished;
   case moves::MoveStatus::Undone:
     break;
   }
-  return gen::MoveStatus::UNDONE;
+  return StatusUndone;
 }
 
 gen::Move toGen(const moves::Move &From) {
@@ -76,7 +81,7 @@
   To.id = From.Id.str();
   To.serviceName = From.Service.str();
   To.plan = toGen(From.Plan);
-  To.status = toGen(From.Status);
+  To.status = statusNumber(From.Status);
   To.sharePermille = From.Share.value();
   To.stepsTaken = From.StepsTaken;
   To.startedAtMs = From.StartedAt.value();
@@ -150,13 +155,13 @@
   return To;
 }
 
-moves::MoveStatus fromGen(gen::MoveStatus::type From) {
+moves::MoveStatus statusFrom(std::int32_t From) {
   switch (From) {
-  case gen::MoveStatus::RUNNING:
+  case StatusRunning:
     return moves::MoveStatus::Running;
-  case gen::MoveStatus::FINISHED:
+  case StatusFinished:
     return moves::MoveStatus::Finished;
-  case gen::MoveStatus::UNDONE:
+  case StatusUndone:
     return moves::MoveStatus::Undone;
   }
   throw BadCheckpoint("the checkpoint has an unknown move status");
@@ -167,7 +172,7 @@
   To.Id = MoveId(From.id);
   To.Service = ServiceName(From.serviceName);
   To.Plan = fromGen(From.plan);
-  To.Status = fromGen(From.status);
+  To.Status = statusFrom(From.status);
   To.Share = countFrom<Permille>(From.sharePermille);
   const auto Steps = static_cast<std::int32_t>(To.Plan.Steps.size());
   require(From.stepsTaken >= 0 && From.stepsTaken <= Steps, "step");
--- a/src/records/gen/records_types.cpp
+++ b/src/records/gen/records_types.cpp
@@ -13,35 +13,6 @@
 
 namespace lycheethread { namespace records { namespace gen {
 
-int _kMoveOutcomeValues[] = {
-  MoveOutcome::FINISHED,
-  MoveOutcome::UNDONE
-};
-const char* _kMoveOutcomeNames[] = {
-  "FINISHED",
-  "UNDONE"
-};
-const std::map<int, const char*> _MoveOutcome_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(2, _kMoveOutcomeValues, _kMoveOutcomeNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
-
-std::ostream& operator<<(std::ostream& out, const MoveOutcome::type& val) {
-  std::map<int, const char*>::const_iterator it = _MoveOutcome_VALUES_TO_NAMES.find(val);
-  if (it != _MoveOutcome_VALUES_TO_NAMES.end()) {
-    out << it->second;
-  } else {
-    out << static_cast<int>(val);
-  }
-  return out;
-}
-
-std::string to_string(const MoveOutcome::type& val) {
-  std::map<int, const char*>::const_iterator it = _MoveOutcome_VALUES_TO_NAMES.find(val);
-  if (it != _MoveOutcome_VALUES_TO_NAMES.end()) {
-    return std::string(it->second);
-  } else {
-    return std::to_string(static_cast<int>(val));
-  }
-}
-
 
 Header::~Header() noexcept {
 }
@@ -676,7 +647,7 @@
   this->epoch = val;
 }
 
-void MoveEnd::__set_outcome(const MoveOutcome::type val) {
+void MoveEnd::__set_outcome(const int32_t val) {
   this->outcome = val;
 }
 
@@ -738,9 +709,7 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast8;
-          xfer += iprot->readI32(ecast8);
-          this->outcome = static_cast<MoveOutcome::type>(ecast8);
+          xfer += iprot->readI32(this->outcome);
           isset_outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -798,7 +767,7 @@
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->outcome));
+  xfer += oprot->writeI32(this->outcome);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 4);
@@ -823,19 +792,19 @@
   swap(a.evidence, b.evidence);
 }
 
-MoveEnd::MoveEnd(const MoveEnd& other9) {
+MoveEnd::MoveEnd(const MoveEnd& other8) {
+  move = other8.move;
+  epoch = other8.epoch;
+  outcome = other8.outcome;
+  reason = other8.reason;
+  evidence = other8.evidence;
+}
+MoveEnd& MoveEnd::operator=(const MoveEnd& other9) {
   move = other9.move;
   epoch = other9.epoch;
   outcome = other9.outcome;
   reason = other9.reason;
   evidence = other9.evidence;
-}
-MoveEnd& MoveEnd::operator=(const MoveEnd& other10) {
-  move = other10.move;
-  epoch = other10.epoch;
-  outcome = other10.outcome;
-  reason = other10.reason;
-  evidence = other10.evidence;
   return *this;
 }
 void MoveEnd::printTo(std::ostream& out) const {
@@ -987,17 +956,17 @@
   swap(a.digest, b.digest);
 }
 
-CheckpointNotice::CheckpointNotice(const CheckpointNotice& other11) {
+CheckpointNotice::CheckpointNotice(const CheckpointNotice& other10) {
+  position = other10.position;
+  firstPart = other10.firstPart;
+  parts = other10.parts;
+  digest = other10.digest;
+}
+CheckpointNotice& CheckpointNotice::operator=(const CheckpointNotice& other11) {
   position = other11.position;
   firstPart = other11.firstPart;
   parts = other11.parts;
   digest = other11.digest;
-}
-CheckpointNotice& CheckpointNotice::operator=(const CheckpointNotice& other12) {
-  position = other12.position;
-  firstPart = other12.firstPart;
-  parts = other12.parts;
-  digest = other12.digest;
   return *this;
 }
 void CheckpointNotice::printTo(std::ostream& out) const {
@@ -1184,7 +1153,16 @@
   swap(a.__isset, b.__isset);
 }
 
-Record::Record(const Record& other13) {
+Record::Record(const Record& other12) {
+  header = other12.header;
+  publish = other12.publish;
+  lease = other12.lease;
+  moveStep = other12.moveStep;
+  moveEnd = other12.moveEnd;
+  checkpointNotice = other12.checkpointNotice;
+  __isset = other12.__isset;
+}
+Record& Record::operator=(const Record& other13) {
   header = other13.header;
   publish = other13.publish;
   lease = other13.lease;
@@ -1192,15 +1170,6 @@
   moveEnd = other13.moveEnd;
   checkpointNotice = other13.checkpointNotice;
   __isset = other13.__isset;
-}
-Record& Record::operator=(const Record& other14) {
-  header = other14.header;
-  publish = other14.publish;
-  lease = other14.lease;
-  moveStep = other14.moveStep;
-  moveEnd = other14.moveEnd;
-  checkpointNotice = other14.checkpointNotice;
-  __isset = other14.__isset;
   return *this;
 }
 void Record::printTo(std::ostream& out) const {
--- a/src/records/gen/records_types.h
+++ b/src/records/gen/records_types.h
@@ -21,19 +21,6 @@
 
 namespace lycheethread { namespace records { namespace gen {
 
-struct MoveOutcome {
-  enum type {
-    FINISHED = 1,
-    UNDONE = 2
-  };
-};
-
-extern const std::map<int, const char*> _MoveOutcome_VALUES_TO_NAMES;
-
-std::ostream& operator<<(std::ostream& out, const MoveOutcome::type& val);
-
-std::string to_string(const MoveOutcome::type& val);
-
 class Header;
 
 class Publish;
@@ -271,7 +258,7 @@
   MoveEnd() noexcept
           : move(),
             epoch(0),
-            outcome(static_cast<MoveOutcome::type>(0)),
+            outcome(0),
             reason(),
             evidence() {
   }
@@ -279,11 +266,7 @@
   virtual ~MoveEnd() noexcept;
   std::string move;
   int64_t epoch;
-  /**
-   * 
-   * @see MoveOutcome
-   */
-  MoveOutcome::type outcome;
+  int32_t outcome;
   std::string reason;
   std::string evidence;
 
@@ -291,7 +274,7 @@
 
   void __set_epoch(const int64_t val);
 
-  void __set_outcome(const MoveOutcome::type val);
+  void __set_outcome(const int32_t val);
 
   void __set_reason(const std::string& val);
 
--- a/src/records/internal/Records.cpp
+++ b/src/records/internal/Records.cpp
@@ -18,6 +18,10 @@
 /// of later versions.
 constexpr std::int32_t MaxElements = 1024;
 
+/// Values of MoveEnd.outcome in records.thrift.
+constexpr std::int32_t OutcomeFinished = 1;
+constexpr std::int32_t OutcomeUndone = 2;
+
 void checkBound(const std::string &Text, std::size_t Bound, const char *What) {
   if (Text.size() > Bound)
     throw BadRecord(std::string(What) + " has " + std::to_string(Text.size()) +
@@ -104,9 +108,8 @@
   gen::MoveEnd Body;
   Body.move = From.Move.str();
   Body.epoch = From.Generation.value();
-  Body.outcome = From.Outcome == MoveOutcome::Finished
-                     ? gen::MoveOutcome::FINISHED
-                     : gen::MoveOutcome::UNDONE;
+  Body.outcome =
+      From.Outcome == MoveOutcome::Finished ? OutcomeFinished : OutcomeUndone;
   Body.reason = From.Reason;
   Body.evidence = From.Evidence;
   To.__set_moveEnd(Body);
@@ -140,18 +143,16 @@
           From.evidence};
 }
 
-MoveOutcome fromGen(gen::MoveOutcome::type From) {
-  switch (From) {
-  case gen::MoveOutcome::FINISHED:
+MoveOutcome outcomeFrom(std::int32_t Value) {
+  if (Value == OutcomeFinished)
     return MoveOutcome::Finished;
-  case gen::MoveOutcome::UNDONE:
+  if (Value == OutcomeUndone)
     return MoveOutcome::Undone;
-  }
-  throw BadRecord("unknown outcome " + std::to_string(From));
+  throw BadRecord("unknown outcome " + std::to_string(Value));
 }
 
 MoveEndRecord fromGen(const gen::MoveEnd &From) {
-  return {MoveId(From.move), Epoch(From.epoch), fromGen(From.outcome),
+  return {MoveId(From.move), Epoch(From.epoch), outcomeFrom(From.outcome),
           From.reason, From.evidence};
 }
 
--- a/src/records/records.thrift
+++ b/src/records/records.thrift
@@ -30,15 +30,12 @@
   4: required string evidence
 }
 
-enum MoveOutcome {
-  FINISHED = 1
-  UNDONE = 2
-}
-
 struct MoveEnd {
   1: required string move
   2: required i64 epoch
-  3: required MoveOutcome outcome
+  // 1 finished, 2 undone. Not an enum: Thrift's C++ code loads unknown values
+  // into one, which is undefined behaviour.
+  3: required i32 outcome
   4: required string reason
   5: required string evidence
 }
--- a/tests/robustness/BadAnswersTest.cpp
+++ b/tests/robustness/BadAnswersTest.cpp
@@ -6,7 +6,6 @@
 
 using namespace lycheethread;
 using platform::LogClient;
-using robustness::BadAnswer;
 using robustness::BadServer;
 using robustness::Mutator;
 using Clock = std::chrono::steady_clock;
