--- a/src/distribution/internal/Pull.cpp
+++ b/src/distribution/internal/Pull.cpp
@@ -97,6 +97,24 @@
   ++State.PullFailures;
 }
 
+namespace {
+
+// Holders stand in the own region: an acknowledgement from the other one would
+// cost bytes on the link, and a cut would hold up changes until it is noticed.
+// A node alone in its region takes what there is.
+std::vector<const Member *>
+possibleHolders(const DistributionState &State,
+                const std::vector<Member> &Members) {
+  std::vector<const Member *> Near;
+  std::vector<const Member *> Far;
+  for (const Member &Item : Members)
+    if (Item.Id != State.Self && isLive(Item))
+      (Item.At.In == State.At.In ? Near : Far).push_back(&Item);
+  return Near.empty() ? Far : Near;
+}
+
+} // namespace
+
 std::vector<Member> chooseHolders(DistributionState &State,
                                   const std::vector<Member> &Members,
                                   const std::set<NodeId> &Holders,
@@ -108,19 +126,17 @@
     if (Holders.count(Item.Id) != 0)
       Zones.insert(Item.At.Zone);
   std::vector<const Member *> Candidates;
-  for (const Member &Item : Members)
-    if (Item.Id != State.Self && isLive(Item) && Holders.count(Item.Id) == 0 &&
-        Failed.count(Item.Id) == 0)
-      Candidates.push_back(&Item);
+  for (const Member *Item : possibleHolders(State, Members))
+    if (Holders.count(Item->Id) == 0 && Failed.count(Item->Id) == 0)
+      Candidates.push_back(Item);
   std::vector<Member> Chosen;
   while (Holders.size() + Chosen.size() < RequiredHolders &&
          !Candidates.empty()) {
-    // Lower is better: own region first, then an availability zone that has no
-    // holder yet, then one that is not the own.
+    // Lower is better: an availability zone that has no holder yet, then one
+    // that is not the own.
     const std::size_t Start = randomBelow(State.Seed, Candidates.size());
     const auto Cost = [&](const Member &Item) {
-      return (Item.At.In != State.At.In ? 4 : 0) +
-             (Zones.count(Item.At.Zone) != 0 ? 2 : 0) +
+      return (Zones.count(Item.At.Zone) != 0 ? 2 : 0) +
              (Item.At.Zone == State.At.Zone ? 1 : 0);
     };
     std::size_t Best = Start;
@@ -142,15 +158,11 @@
                    const std::set<NodeId> &Holders) {
   if (Holders.size() >= RequiredHolders || State.InForceElsewhere >= State.Held)
     return true;
-  std::size_t Known = 0;
+  const auto Known = possibleHolders(State, Members);
   std::size_t Acknowledged = 0;
-  for (const Member &Item : Members) {
-    if (Item.Id == State.Self || !isLive(Item))
-      continue;
-    ++Known;
-    Acknowledged += Holders.count(Item.Id);
-  }
-  return Acknowledged >= std::min(Known, RequiredHolders);
+  for (const Member *Item : Known)
+    Acknowledged += Holders.count(Item->Id);
+  return Acknowledged >= std::min(Known.size(), RequiredHolders);
 }
 
 bool shouldCommit(const DistributionState &State, bool Reading,
--- a/src/distribution/tests/DistributionTest.cpp
+++ b/src/distribution/tests/DistributionTest.cpp
@@ -114,6 +114,10 @@
   BOOST_TEST(mayPutInForce(State, Members, {Chosen[0].Id, Chosen[1].Id}));
   BOOST_TEST(mayPutInForce(State, {Members[0], Members[1]}, {Peer}));
   BOOST_TEST(mayPutInForce(State, {Members[0]}, {}));
+  // A cut to the other region must not hold up the own one.
+  BOOST_TEST(
+      mayPutInForce(State, {Members[0], Members[1], Members[5]}, {Peer}));
+  BOOST_TEST(!mayPutInForce(State, {Members[0], Members[5]}, {}));
 }
 
 // Guards against pulls that cross regions while the own zone has the records.
--- a/src/peer/internal/Wire.cpp
+++ b/src/peer/internal/Wire.cpp
@@ -49,6 +49,10 @@
   if (Text.size() > MaxFieldBytes)
     throw BadMessage(std::string(Name) + " is longer than " +
                      std::to_string(MaxFieldBytes) + " bytes");
+  // Names go into log lines and reports.
+  for (const char Byte : Text)
+    if (static_cast<unsigned char>(Byte) < 0x20 || Byte == 0x7f)
+      throw BadMessage(std::string(Name) + " has a control character");
   return Text;
 }
 
