--- a/src/moveowner/internal/MoveOwnerModule.cpp
+++ b/src/moveowner/internal/MoveOwnerModule.cpp
@@ -1,8 +1,8 @@
 #include "moveowner/MoveOwner.h"
 #include "moveowner/internal/MoveOwner.h"
 #include "moveowner/internal/OutcomeCodec.h"
-#include "moveowner/internal/RecordEncoding.h"
 #include "moveowner/internal/SerialWorker.h"
+#include "records/Records.h"
 
 #include <boost/log/trivial.hpp>
 
@@ -85,7 +85,7 @@
   Ports.Log = Registry.find<platform::LogClient>(names::Log);
   Ports.LastHop = Registry.find<proxy::OutcomeLog>(names::LastHopOutcomes);
   Ports.Entry = Registry.find<proxy::OutcomeLog>(names::EntryOutcomes);
-  Ports.Encode = recordEncoder();
+  Ports.Encode = records::encodeRecord;
   Ports.WallNow = wallNow;
   Ports.SteadyNow = steadyNow;
   Ports.ToLog = [&Worker = *State.LogWorker](std::function<void()> Job) {
--- a/src/moveowner/internal/OutcomeCodec.cpp
+++ b/src/moveowner/internal/OutcomeCodec.cpp
@@ -1,7 +1,6 @@
 #include "moveowner/internal/OutcomeCodec.h"
 
-#include "moveowner/gen/outcomes_types.h"
-
+#include <outcomes_types.h>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
@@ -56,12 +55,15 @@
   Result.failures = Seen.Failures;
   const auto IsUsed = [](std::int64_t Count) { return Count != 0; };
   const auto First =
-      std::find_if(Seen.Latency.begin(), Seen.Latency.end(), IsUsed);
-  const auto Last =
-      std::find_if(Seen.Latency.rbegin(), Seen.Latency.rend(), IsUsed).base();
-  Result.first_bucket = static_cast<std::int32_t>(First - Seen.Latency.begin());
-  if (First < Last)
-    Result.latency.assign(First, Last);
+      std::find_if(Seen.Latency.begin(), Seen.Latency.end(), IsUsed) -
+      Seen.Latency.begin();
+  const auto Unused =
+      std::find_if(Seen.Latency.rbegin(), Seen.Latency.rend(), IsUsed) -
+      Seen.Latency.rbegin();
+  Result.first_bucket = static_cast<std::int32_t>(First);
+  const auto Used = static_cast<std::ptrdiff_t>(LatencyBuckets) - Unused;
+  for (std::ptrdiff_t I = First; I < Used; ++I)
+    Result.latency.push_back(Seen.Latency[static_cast<std::size_t>(I)]);
   return Result;
 }
 
