End a gap where the next life of the node starts

The gap of a killed node reached to the time of the report, so it said nothing about the time after the restart.

--- a/src/refusals/Refusals.h
+++ b/src/refusals/Refusals.h
@@ -43,7 +43,8 @@
 std::vector<RefusalBatch> mergeBatches(std::vector<RefusalBatch> Batches);
 
 /// Sums the batches, each once, and states what is missing. A node whose last
-/// batch is not older than BatchOverdue at \p Now counts as running.
+/// batch is not older than BatchOverdue at \p Now counts as running. A life
+/// without a final batch ends where the next life of its node starts.
 RefusalReport buildReport(std::vector<RefusalBatch> Batches,
                           const ReportFilter &Filter, WallTime Now);
 
--- a/src/refusals/internal/RefusalReport.cpp
+++ b/src/refusals/internal/RefusalReport.cpp
@@ -26,7 +26,8 @@
   void addCounts(const RefusalBatch &Batch);
   void addGap(ReportGap Gap);
   void checkOrder(const RefusalBatch *Before, const RefusalBatch &Batch);
-  void checkEnd(const RefusalBatch &Last, bool Replaced, WallTime Now);
+  void checkEnd(const RefusalBatch &Last, const RefusalBatch *NextLife,
+                WallTime Now);
 };
 
 void Builder::addCounts(const RefusalBatch &Batch) {
@@ -65,15 +66,17 @@
   addGap(std::move(Gap));
 }
 
-void Builder::checkEnd(const RefusalBatch &Last, bool Replaced, WallTime Now) {
-  if (Last.Final || (!Replaced && elapsed(Last.To, Now) <= BatchOverdue))
+void Builder::checkEnd(const RefusalBatch &Last, const RefusalBatch *NextLife,
+                       WallTime Now) {
+  if (Last.Final || (!NextLife && elapsed(Last.To, Now) <= BatchOverdue))
     return;
   ReportGap Gap;
   Gap.Node = Last.Id.Node;
   Gap.Life = Last.Id.Life;
   Gap.Cause = GapCause::NoFinalBatch;
   Gap.From = Last.To;
-  Gap.To = std::max(Last.To, Now);
+  // The next life of an id starts after the one before has ended.
+  Gap.To = std::max(Last.To, NextLife ? NextLife->From : Now);
   addGap(std::move(Gap));
 }
 
@@ -113,7 +116,7 @@
       continue;
     const bool Replaced =
         I + 1 < Ordered.size() && Ordered[I + 1].Id.Node == Batch.Id.Node;
-    Built.checkEnd(Batch, Replaced, Now);
+    Built.checkEnd(Batch, Replaced ? &Ordered[I + 1] : nullptr, Now);
   }
   return finish(std::move(Built));
 }
--- a/src/refusals/tests/RefusalsTest.cpp
+++ b/src/refusals/tests/RefusalsTest.cpp
@@ -167,7 +167,10 @@
   const RefusalBatch Second = *takeBatch(New, WallTime(60), false);
   BOOST_TEST(buildReport({First}, {}, WallTime(1000)).Gaps.empty());
   BOOST_TEST(buildReport({First}, {}, WallTime(1000000)).Gaps.size() == 1);
-  BOOST_TEST(buildReport({First, Second}, {}, WallTime(1000)).Gaps.size() == 1);
+  const RefusalReport Report = buildReport({First, Second}, {}, WallTime(1000));
+  BOOST_TEST_REQUIRE(Report.Gaps.size() == 1);
+  BOOST_TEST(Report.Gaps[0].From == WallTime(10));
+  BOOST_TEST(Report.Gaps[0].To == WallTime(50));
 }
 
 // Guards against a filter that drops refusals or hides that a count reaches
--- a/tests/integration/AccountingTest.cpp
+++ b/tests/integration/AccountingTest.cpp
@@ -1,9 +1,12 @@
 #define BOOST_TEST_MODULE Accounting
 #include "Zinnwerk.h"
 
+#include <Poco/DateTimeFormat.h>
+#include <Poco/DateTimeParser.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
+#include <Poco/Timestamp.h>
 
 #include <boost/test/unit_test.hpp>
 
@@ -36,6 +39,8 @@
   NodeProcess *Entry = nullptr;
   Tally Seen;
   std::set<std::string> Ids;
+  /// Wall clock at each refusal, in ms since the epoch.
+  std::vector<std::int64_t> Times;
   /// Requests without an answer; the node may have counted them.
   std::int64_t Lost = 0;
 };
@@ -65,6 +70,7 @@
     if (const std::string Id = Answer.header("lt-refusal-id"); !Id.empty()) {
       ++By.Seen[{Answer.header("lt-reason"), Answer.header("lt-executed")}];
       By.Ids.insert(Id);
+      By.Times.push_back(Poco::Timestamp().epochMicroseconds() / 1000);
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(20));
   }
@@ -90,6 +96,36 @@
   return Counts;
 }
 
+std::int64_t timeOf(const std::string &Text) {
+  int ZoneOffset = 0;
+  return Poco::DateTimeParser::parse(Poco::DateTimeFormat::ISO8601_FRAC_FORMAT,
+                                     Text, ZoneOffset)
+             .timestamp()
+             .epochMicroseconds() /
+         1000;
+}
+
+/// Refusals that the caller got outside every gap of its node. An answer is
+/// on its way for up to AnswerTimeMs after the node counted it.
+std::int64_t seenOutsideGaps(const Caller &By, const Object::Ptr &Report) {
+  constexpr std::int64_t AnswerTimeMs = 100;
+  std::int64_t Outside = 0;
+  for (const std::int64_t Time : By.Times) {
+    bool Inside = false;
+    const Poco::JSON::Array::Ptr Gaps = Report->getArray("gaps");
+    for (unsigned I = 0; I < Gaps->size(); ++I) {
+      const Object::Ptr Gap = Gaps->getObject(I);
+      if (Gap->getValue<std::string>("node") == By.Entry->Spec.Id)
+        Inside =
+            Inside ||
+            (timeOf(Gap->getValue<std::string>("from")) <= Time &&
+             Time <= timeOf(Gap->getValue<std::string>("to")) + AnswerTimeMs);
+    }
+    Outside += Inside ? 0 : 1;
+  }
+  return Outside;
+}
+
 int gapsOf(const Object::Ptr &Report, const std::string &Node) {
   int Count = 0;
   const Poco::JSON::Array::Ptr Gaps = Report->getArray("gaps");
@@ -132,7 +168,7 @@
   Zinnwerk Tested("accounting");
   std::vector<Caller> Callers;
   for (NodeProcess *Each : Tested.Nodes)
-    Callers.push_back({Each, {}, {}, 0});
+    Callers.push_back({Each, {}, {}, {}, 0});
   std::atomic<bool> Stopped{false};
   std::vector<std::thread> Threads;
   for (Caller &Each : Callers)
@@ -163,6 +199,8 @@
       BOOST_TEST(sumOf(Counted) <= Seen + Each.Lost);
       if (Each.Entry == Tested.Ingolstadt) {
         BOOST_TEST(gapsOf(Report, Id) == 1);
+        BOOST_TEST(sumOf(Counted) >= seenOutsideGaps(Each, Report));
+        BOOST_TEST(seenOutsideGaps(Each, Report) > 100);
         continue;
       }
       BOOST_TEST(gapsOf(Report, Id) == 0);
