Wait for members and read refusals that cut an upload in the tests

Nodes see the members of the other region up to half a second after they are ready themselves, and the test started before.

--- a/tests/harness/HttpCall.cpp
+++ b/tests/harness/HttpCall.cpp
@@ -22,9 +22,14 @@
   for (const auto &[Name, Value] : Call.Headers)
     Request.set(Name, Value);
   Request.setContentLength64(static_cast<Poco::Int64>(Call.Body.size()));
-  std::ostream &Out = Session.sendRequest(Request);
-  // A refusal may come before the whole body is sent.
-  Out.write(Call.Body.data(), static_cast<std::streamsize>(Call.Body.size()));
+  try {
+    std::ostream &Out = Session.sendRequest(Request);
+    Out.write(Call.Body.data(), static_cast<std::streamsize>(Call.Body.size()));
+    Out.flush();
+  } catch (const Poco::Exception &Error) {
+    // A refusal may come before the whole body is sent.
+    Answer.Error = Error.displayText();
+  }
   net::HTTPResponse Response;
   std::istream &In = Session.receiveResponse(Response);
   const int Status = Response.getStatus();
--- a/tests/integration/Zinnwerk.cpp
+++ b/tests/integration/Zinnwerk.cpp
@@ -1,5 +1,9 @@
 #include "Zinnwerk.h"
 
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+
 #include <sstream>
 #include <stdexcept>
 
@@ -15,6 +19,21 @@
 constexpr const char *Desk = "commission-catalogue";
 constexpr const char *Store = "scans-stock-ledger";
 
+/// Members that the node sees as ready, itself included.
+std::size_t readyMembers(const NodeProcess &Node) {
+  const std::string Text = harness::Mesh::status(Node);
+  if (Text.empty())
+    return 0;
+  const auto Status =
+      Poco::JSON::Parser().parse(Text).extract<Poco::JSON::Object::Ptr>();
+  const Poco::JSON::Array::Ptr Rows = Status->getArray("members");
+  std::size_t Ready = 0;
+  for (unsigned I = 0; Rows && I < Rows->size(); ++I)
+    Ready +=
+        Rows->getObject(I)->getObject("states")->optValue<unsigned>("ready", 0);
+  return Ready;
+}
+
 } // namespace
 
 HttpCall callTo(const NodeProcess &Entry, const std::string &Service,
@@ -45,6 +64,9 @@
   if (!eventually(InForceLimit, [this] { return hasDocuments(); }))
     throw std::runtime_error("documents are not in force; see " +
                              Mesh.folder());
+  if (!eventually(InForceLimit, [this] { return hasMembers(); }))
+    throw std::runtime_error("nodes do not see each other; see " +
+                             Mesh.folder());
 }
 
 NodeProcess *Zinnwerk::start(const std::string &Id, const std::string &Region,
@@ -84,6 +106,13 @@
   return true;
 }
 
+bool Zinnwerk::hasMembers() const {
+  for (const NodeProcess *Each : Nodes)
+    if (readyMembers(*Each) != Nodes.size())
+      return false;
+  return true;
+}
+
 int Zinnwerk::executions(const std::string &Key) const {
   int Sum = 0;
   for (const NodeProcess *Each : Nodes) {
--- a/tests/integration/Zinnwerk.h
+++ b/tests/integration/Zinnwerk.h
@@ -26,6 +26,8 @@
   void publish(const std::string &File);
   /// Whether every node has both documents.
   bool hasDocuments() const;
+  /// Whether every node sees every node as ready.
+  bool hasMembers() const;
   /// Executions of the key at all upstreams.
   int executions(const std::string &Key) const;
 
