--- a/src/peer/gen/PeerService.cpp
+++ b/src/peer/gen/PeerService.cpp
@@ -269,6 +269,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->withMembers);
+          this->__isset.withMembers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -294,6 +302,10 @@
   xfer += oprot->writeBool(this->withState);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("withMembers", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->withMembers);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -317,6 +329,10 @@
   xfer += oprot->writeBool((*(this->withState)));
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("withMembers", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool((*(this->withMembers)));
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -960,13 +976,13 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "fetch failed: unknown result");
 }
 
-void PeerServiceClient::snapshot(SnapshotReply& _return, const Caller& caller, const bool withState)
+void PeerServiceClient::snapshot(SnapshotReply& _return, const Caller& caller, const bool withState, const bool withMembers)
 {
-  send_snapshot(caller, withState);
+  send_snapshot(caller, withState, withMembers);
   recv_snapshot(_return);
 }
 
-void PeerServiceClient::send_snapshot(const Caller& caller, const bool withState)
+void PeerServiceClient::send_snapshot(const Caller& caller, const bool withState, const bool withMembers)
 {
   int32_t cseqid = 0;
   oprot_->writeMessageBegin("snapshot", ::apache::thrift::protocol::T_CALL, cseqid);
@@ -974,6 +990,7 @@
   PeerService_snapshot_pargs args;
   args.caller = &caller;
   args.withState = &withState;
+  args.withMembers = &withMembers;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
@@ -1237,7 +1254,7 @@
 
   PeerService_snapshot_result result;
   try {
-    iface_->snapshot(result.success, args.caller, args.withState);
+    iface_->snapshot(result.success, args.caller, args.withState, args.withMembers);
     result.__isset.success = true;
   } catch (const std::exception& e) {
     if (this->eventHandler_.get() != nullptr) {
@@ -1472,13 +1489,13 @@
   } // end while(true)
 }
 
-void PeerServiceConcurrentClient::snapshot(SnapshotReply& _return, const Caller& caller, const bool withState)
+void PeerServiceConcurrentClient::snapshot(SnapshotReply& _return, const Caller& caller, const bool withState, const bool withMembers)
 {
-  int32_t seqid = send_snapshot(caller, withState);
+  int32_t seqid = send_snapshot(caller, withState, withMembers);
   recv_snapshot(_return, seqid);
 }
 
-int32_t PeerServiceConcurrentClient::send_snapshot(const Caller& caller, const bool withState)
+int32_t PeerServiceConcurrentClient::send_snapshot(const Caller& caller, const bool withState, const bool withMembers)
 {
   int32_t cseqid = this->sync_->generateSeqId();
   ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
@@ -1487,6 +1504,7 @@
   PeerService_snapshot_pargs args;
   args.caller = &caller;
   args.withState = &withState;
+  args.withMembers = &withMembers;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
--- a/src/peer/gen/PeerService.h
+++ b/src/peer/gen/PeerService.h
@@ -23,7 +23,7 @@
  public:
   virtual ~PeerServiceIf() {}
   virtual void fetch(FetchReply& _return, const Caller& caller, const int64_t start, const int32_t maxRecords) = 0;
-  virtual void snapshot(SnapshotReply& _return, const Caller& caller, const bool withState) = 0;
+  virtual void snapshot(SnapshotReply& _return, const Caller& caller, const bool withState, const bool withMembers) = 0;
   virtual int64_t acknowledge(const Caller& caller, const std::vector<RawRecord> & records) = 0;
   virtual void call(std::string& _return, const Caller& caller, const std::string& topic, const std::string& payload) = 0;
 };
@@ -58,7 +58,7 @@
   void fetch(FetchReply& /* _return */, const Caller& /* caller */, const int64_t /* start */, const int32_t /* maxRecords */) override {
     return;
   }
-  void snapshot(SnapshotReply& /* _return */, const Caller& /* caller */, const bool /* withState */) override {
+  void snapshot(SnapshotReply& /* _return */, const Caller& /* caller */, const bool /* withState */, const bool /* withMembers */) override {
     return;
   }
   int64_t acknowledge(const Caller& /* caller */, const std::vector<RawRecord> & /* records */) override {
@@ -191,9 +191,10 @@
 };
 
 typedef struct _PeerService_snapshot_args__isset {
-  _PeerService_snapshot_args__isset() : caller(false), withState(false) {}
+  _PeerService_snapshot_args__isset() : caller(false), withState(false), withMembers(false) {}
   bool caller :1;
   bool withState :1;
+  bool withMembers :1;
 } _PeerService_snapshot_args__isset;
 
 class PeerService_snapshot_args {
@@ -202,12 +203,14 @@
   PeerService_snapshot_args(const PeerService_snapshot_args&);
   PeerService_snapshot_args& operator=(const PeerService_snapshot_args&);
   PeerService_snapshot_args() noexcept
-                            : withState(0) {
+                            : withState(0),
+                              withMembers(0) {
   }
 
   virtual ~PeerService_snapshot_args() noexcept;
   Caller caller;
   bool withState;
+  bool withMembers;
 
   _PeerService_snapshot_args__isset __isset;
 
@@ -215,12 +218,16 @@
 
   void __set_withState(const bool val);
 
+  void __set_withMembers(const bool val);
+
   bool operator == (const PeerService_snapshot_args & rhs) const
   {
     if (!(caller == rhs.caller))
       return false;
     if (!(withState == rhs.withState))
       return false;
+    if (!(withMembers == rhs.withMembers))
+      return false;
     return true;
   }
   bool operator != (const PeerService_snapshot_args &rhs) const {
@@ -242,6 +249,7 @@
   virtual ~PeerService_snapshot_pargs() noexcept;
   const Caller* caller;
   const bool* withState;
+  const bool* withMembers;
 
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
@@ -571,8 +579,8 @@
   void fetch(FetchReply& _return, const Caller& caller, const int64_t start, const int32_t maxRecords) override;
   void send_fetch(const Caller& caller, const int64_t start, const int32_t maxRecords);
   void recv_fetch(FetchReply& _return);
-  void snapshot(SnapshotReply& _return, const Caller& caller, const bool withState) override;
-  void send_snapshot(const Caller& caller, const bool withState);
+  void snapshot(SnapshotReply& _return, const Caller& caller, const bool withState, const bool withMembers) override;
+  void send_snapshot(const Caller& caller, const bool withState, const bool withMembers);
   void recv_snapshot(SnapshotReply& _return);
   int64_t acknowledge(const Caller& caller, const std::vector<RawRecord> & records) override;
   void send_acknowledge(const Caller& caller, const std::vector<RawRecord> & records);
@@ -644,13 +652,13 @@
     return;
   }
 
-  void snapshot(SnapshotReply& _return, const Caller& caller, const bool withState) override {
+  void snapshot(SnapshotReply& _return, const Caller& caller, const bool withState, const bool withMembers) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
     for (; i < (sz - 1); ++i) {
-      ifaces_[i]->snapshot(_return, caller, withState);
+      ifaces_[i]->snapshot(_return, caller, withState, withMembers);
     }
-    ifaces_[i]->snapshot(_return, caller, withState);
+    ifaces_[i]->snapshot(_return, caller, withState, withMembers);
     return;
   }
 
@@ -708,8 +716,8 @@
   void fetch(FetchReply& _return, const Caller& caller, const int64_t start, const int32_t maxRecords) override;
   int32_t send_fetch(const Caller& caller, const int64_t start, const int32_t maxRecords);
   void recv_fetch(FetchReply& _return, const int32_t seqid);
-  void snapshot(SnapshotReply& _return, const Caller& caller, const bool withState) override;
-  int32_t send_snapshot(const Caller& caller, const bool withState);
+  void snapshot(SnapshotReply& _return, const Caller& caller, const bool withState, const bool withMembers) override;
+  int32_t send_snapshot(const Caller& caller, const bool withState, const bool withMembers);
   void recv_snapshot(SnapshotReply& _return, const int32_t seqid);
   int64_t acknowledge(const Caller& caller, const std::vector<RawRecord> & records) override;
   int32_t send_acknowledge(const Caller& caller, const std::vector<RawRecord> & records);
--- a/src/peer/internal/FeedLoop.cpp
+++ b/src/peer/internal/FeedLoop.cpp
@@ -104,9 +104,10 @@
   }
 
   /// Returns the time to wait when the peer is busy.
-  Milliseconds askForSnapshot(const Member &Target, bool WithState) {
-    const wire::SnapshotReply Reply =
-        Context.Clients->snapshot(Target.Control, Target.At.In, WithState);
+  Milliseconds askForSnapshot(const Member &Target, bool WithState,
+                              bool WithMembers) {
+    const wire::SnapshotReply Reply = Context.Clients->snapshot(
+        Target.Control, Target.At.In, WithState, WithMembers);
     if (Reply.busy)
       return Milliseconds(std::clamp<std::int64_t>(
           Reply.retryAfterMs, distribution::FirstBackoff.count(),
@@ -135,14 +136,15 @@
 
   // The first answer brings the members, out of which the other sources are
   // chosen; they only name their positions.
-  std::size_t askEach(const std::vector<Member> &Targets) {
+  void askEach(const std::vector<Member> &Targets, std::size_t Wanted,
+               bool WithMembers) {
     std::size_t Answers = 0;
     for (const Member &Target : Targets) {
-      if (Context.Stopping || Answers >= distribution::SnapshotSources)
-        break;
+      if (Context.Stopping || Answers >= Wanted)
+        return;
       try {
         const Milliseconds Busy =
-            askForSnapshot(Target, State.Position == Offset(0));
+            askForSnapshot(Target, State.Position == Offset(0), WithMembers);
         if (Busy.count() > 0)
           NextAskAt = after(steadyNow(), Busy);
         else
@@ -153,7 +155,6 @@
         distribution::onStartupFailure(Context.Feed);
       }
     }
-    return Answers;
   }
 
   void askPeers() {
@@ -162,10 +163,10 @@
     NextAskAt = SteadyTime();
     std::vector<Member> Sources = snapshotSources();
     if (Sources.empty()) {
-      askEach(Seeds.find(AskAttempts));
+      askEach(Seeds.find(AskAttempts), 1, true);
       Sources = snapshotSources();
     }
-    askEach(Sources);
+    askEach(Sources, distribution::SnapshotSources, false);
     if (NextAskAt == SteadyTime()) {
       const std::lock_guard<std::mutex> Guard(Context.Lock);
       NextAskAt = after(steadyNow(), backoffDelay(AskAttempts, seed()));
@@ -233,7 +234,7 @@
         Context.Clients->fetch(Source.Control, Source.At.In, From, PullRecords);
     if (Reply.tooOld) {
       const Offset Before = State.Position;
-      askForSnapshot(Source, true);
+      askForSnapshot(Source, true, false);
       return State.Position > Before;
     }
     const Offset Next = Context.Records.append(fromWire(Reply.records));
@@ -362,7 +363,7 @@
       return;
     try {
       const wire::SnapshotReply Reply =
-          Context.Clients->snapshot(*With, Region(), false);
+          Context.Clients->snapshot(*With, Region(), false, true);
       if (!Reply.busy)
         mergeMembers(Reply);
     } catch (const std::exception &Problem) {
--- a/src/peer/internal/PeerAnswers.cpp
+++ b/src/peer/internal/PeerAnswers.cpp
@@ -40,7 +40,8 @@
   return Reply;
 }
 
-wire::SnapshotReply answerSnapshot(PeerContext &Context, bool WithState) {
+wire::SnapshotReply answerSnapshot(PeerContext &Context, bool WithState,
+                                   bool WithMembers) {
   wire::SnapshotReply Reply;
   std::vector<membership::Update> Members;
   {
@@ -55,7 +56,8 @@
     }
     Reply.serving = Context.Feed.Serving;
     Reply.named = std::max(Context.Feed.Named, Context.Feed.Held).value();
-    Members = membership::allUpdates(Context.Table);
+    if (WithMembers)
+      Members = membership::allUpdates(Context.Table);
   }
   const SlotGuard Slot(Context);
   for (const membership::Update &Item : Members)
@@ -108,8 +110,8 @@
   Functions.Fetch = [&Context](Offset From, std::size_t MaxRecords) {
     return answerFetch(Context, From, MaxRecords);
   };
-  Functions.Snapshot = [&Context](bool WithState) {
-    return answerSnapshot(Context, WithState);
+  Functions.Snapshot = [&Context](bool WithState, bool WithMembers) {
+    return answerSnapshot(Context, WithState, WithMembers);
   };
   Functions.Acknowledge =
       [&Context](const std::vector<wire::RawRecord> &Records) {
--- a/src/peer/internal/PeerClients.cpp
+++ b/src/peer/internal/PeerClients.cpp
@@ -168,11 +168,11 @@
 }
 
 wire::SnapshotReply PeerClients::snapshot(const Endpoint &To, const Region &In,
-                                          bool WithState) {
+                                          bool WithState, bool WithMembers) {
   return Impl_->run(
       To, In, TrafficKind::Snapshot, MaxSnapshotBytes, SnapshotTimeout,
       [&](wire::PeerServiceClient &Writer) {
-        Writer.send_snapshot(Impl_->caller(), WithState);
+        Writer.send_snapshot(Impl_->caller(), WithState, WithMembers);
       },
       [](wire::PeerServiceClient &Reader) {
         wire::SnapshotReply Reply;
--- a/src/peer/internal/PeerClients.h
+++ b/src/peer/internal/PeerClients.h
@@ -23,7 +23,7 @@
   wire::FetchReply fetch(const Endpoint &To, const Region &In, Offset From,
                          std::size_t MaxRecords);
   wire::SnapshotReply snapshot(const Endpoint &To, const Region &In,
-                               bool WithState);
+                               bool WithState, bool WithMembers);
   Offset acknowledge(const Endpoint &To, const Region &In,
                      const std::vector<wire::RawRecord> &Records);
   std::string call(const Endpoint &To, const Region &In,
--- a/src/peer/internal/PeerServer.cpp
+++ b/src/peer/internal/PeerServer.cpp
@@ -58,9 +58,9 @@
   }
 
   void snapshot(wire::SnapshotReply &Reply, const wire::Caller &Caller,
-                const bool WithState) override {
+                const bool WithState, const bool WithMembers) override {
     note(TrafficKind::Snapshot, Caller);
-    Reply = State_.Functions.Snapshot(WithState);
+    Reply = State_.Functions.Snapshot(WithState, WithMembers);
   }
 
   std::int64_t
--- a/src/peer/internal/PeerServer.h
+++ b/src/peer/internal/PeerServer.h
@@ -16,7 +16,7 @@
 /// What the server answers with; called from several threads.
 struct ServerFunctions {
   std::function<wire::FetchReply(Offset From, std::size_t MaxRecords)> Fetch;
-  std::function<wire::SnapshotReply(bool WithState)> Snapshot;
+  std::function<wire::SnapshotReply(bool WithState, bool WithMembers)> Snapshot;
   std::function<Offset(const std::vector<wire::RawRecord> &)> Acknowledge;
   /// Throws wire::CallFailed.
   std::function<std::string(const std::string &Topic,
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -101,7 +101,8 @@
 
 service PeerService {
   FetchReply fetch(1: Caller caller, 2: i64 start, 3: i32 maxRecords)
-  SnapshotReply snapshot(1: Caller caller, 2: bool withState)
+  SnapshotReply snapshot(1: Caller caller, 2: bool withState,
+                         3: bool withMembers)
   // Hands over records that are not in force yet; the answer acknowledges all
   // offsets below it.
   i64 acknowledge(1: Caller caller, 2: list<RawRecord> records)
