--- a/src/proxy/internal/ClaimKeeper.cpp
+++ b/src/proxy/internal/ClaimKeeper.cpp
@@ -104,7 +104,9 @@
           throw platform::LogUnavailable("the claim cannot be read back");
         fold(Batch);
       } catch (const platform::LogTrimmed &Error) {
-        Position = std::max(Position, Error.kept().First);
+        if (Error.kept().First <= Position)
+          throw platform::LogUnavailable("the log contradicts itself");
+        Position = Error.kept().First;
       }
     }
   }
@@ -162,7 +164,22 @@
     return Written;
   }
 
+  /// Folds what the stream holds at the start, so that the first claim does
+  /// not have to.
+  void catchUp() {
+    const std::lock_guard<std::timed_mutex> Guard(FoldLock);
+    try {
+      const Offset Next = Log->Bounds(Stream).Next;
+      if (Position < Next)
+        readPast(Offset(Next.value() - 1));
+    } catch (const std::exception &Error) {
+      BOOST_LOG_TRIVIAL(info)
+          << "proxy: " << Stream << " is not read yet: " << Error.what();
+    }
+  }
+
   void write() {
+    catchUp();
     std::unique_lock<std::mutex> Guard(QueueLock);
     for (;;) {
       QueueChanged.wait(Guard, [this] { return Stopping || !Queue.empty(); });
