--- a/src/proxy/internal/HttpConnection.cpp
+++ b/src/proxy/internal/HttpConnection.cpp
@@ -129,7 +129,8 @@
   for (;;) {
     const std::string_view Data(Buffer_.data() + Begin_, End_ - Begin_);
     const std::size_t Size = findHeadEnd(Data, Scanned);
-    if (Size != std::string_view::npos && Size <= MaxHeadBytes) {
+    // npos, for a head without its end so far, is above the limit too.
+    if (Size <= MaxHeadBytes) {
       Begin_ += Size;
       return Data.substr(0, Size);
     }
