--- a/src/moves/Moves.h
+++ b/src/moves/Moves.h
@@ -55,8 +55,8 @@
 /// Lease subject of the owner of a service's moves.
 LeaseSubject leaseSubject(const ServiceName &Service);
 
-/// Starts the evidence on \p Item. The false alarm rate is shared by two tests
-/// for each route of the group.
+/// Starts the evidence on \p Item. The false alarm rate is shared by the tests
+/// of all routes of the group: two streams against two alternatives each.
 Judge makeJudge(const Move &Item, const ServiceDocument &Document);
 
 /// Starts the evidence of an entry node, which tests failures only: its
--- a/src/moves/internal/DecideMove.cpp
+++ b/src/moves/internal/DecideMove.cpp
@@ -1,5 +1,7 @@
 #include "moves/Moves.h"
 
+#include <algorithm>
+
 namespace lycheethread::moves {
 
 namespace {
@@ -53,8 +55,16 @@
   return "";
 }
 
+/// Half of the time that the plan leaves over: a hold during a fault of both
+/// versions must not make the move late at once.
+Milliseconds reserveOf(const Move &Item) {
+  const auto Spare = elapsed(Item.StartedAt, latestStart(Item.Plan, 0));
+  return std::max(Spare / 2, Milliseconds(0));
+}
+
 /// Steps go on early when the evidence is sufficient. With too few requests
-/// for that, a step is taken at its latest start, provided that obstacle()
+/// for that, a step is taken on schedule, which is its latest start less a
+/// reserve, provided that obstacle()
 /// finds nothing: no test is more than half of the way to its upper threshold
 /// (one failure is not, two are with a clean baseline), no route of the new
 /// version goes without the requests that its share promises, the old version
@@ -70,7 +80,7 @@
     return false;
   if (Tested.Sufficient)
     return true;
-  const WallTime Latest = latestStart(Item.Plan, Next);
+  const WallTime Latest = after(latestStart(Item.Plan, Next), -reserveOf(Item));
   // latestStart of the end contains the last step's extra time.
   return Now >= (Last ? after(Latest, Item.Plan.StepLength) : Latest);
 }
--- a/src/moves/internal/Judge.cpp
+++ b/src/moves/internal/Judge.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t JudgeWindows = LaterWindows + EarlierWindows + 2;
 constexpr std::size_t MaxRoutes = 256;
 constexpr std::size_t MaxHops = 64;
+constexpr std::int64_t HopMemoryWindows = 30;
 /// The first requests of an upstream fill caches and pools.
 constexpr Milliseconds ColdStart{10'000};
 /// The chance of no request where this many are expected is below 0.1%.
@@ -66,7 +67,7 @@
 }
 
 void settle(const Judge &State, StreamTest &Test) {
-  const double Against = withoutWorstHop(Test);
+  const double Against = ratioAgainst(Test);
   if (Against >= upperThreshold(State, Test.Cycle)) {
     Test.Condemned = true;
     return;
@@ -78,6 +79,19 @@
     restartCycle(Test);
 }
 
+void addTally(StreamTests &Tests, const NodeId &Hop, const Tally &Seen,
+              const RatePair &Mild) {
+  addTally(Tests.Mild, Hop, Seen, Mild);
+  addTally(Tests.Severe, Hop, Seen, severeRates(Mild.Good));
+}
+
+void settle(const Judge &State, StreamTests &Tests, std::size_t Hops) {
+  Tests.Mild.Hops = Hops;
+  Tests.Severe.Hops = Hops;
+  settle(State, Tests.Mild);
+  settle(State, Tests.Severe);
+}
+
 void testWindow(const Judge &State, RouteJudge &Route,
                 const RouteWindow &Tested) {
   const OutcomeCounts Recent = recentOld(Route);
@@ -96,8 +110,8 @@
     if (TestsSlow)
       addTally(Route.Slow, Hop, slowTally(Counts, FirstSlow), Slow);
   }
-  settle(State, Route.Failed);
-  settle(State, Route.Slow);
+  settle(State, Route.Failed, Route.LastSeen.size());
+  settle(State, Route.Slow, Route.LastSeen.size());
   const bool OldFails = isWorse(BaseFailed, OldFailed);
   const bool OldSlows = TestsSlow && isWorse(BaseSlow, OldSlow);
   const Tally NewFailed = failedTally(RecentNew);
@@ -111,8 +125,18 @@
     addCounts(Route.Baseline, Tested.Old);
 }
 
+/// A node with little traffic does not report in each window.
+void forgetSilentHops(RouteJudge &Route) {
+  for (auto It = Route.LastSeen.begin(); It != Route.LastSeen.end();)
+    It = Route.WindowNumber - It->second > HopMemoryWindows
+             ? Route.LastSeen.erase(It)
+             : std::next(It);
+}
+
 void closeWindow(const Judge &State, RouteJudge &Route) {
   Route.Windows.emplace_back();
+  ++Route.WindowNumber;
+  forgetSilentHops(Route);
   while (Route.Windows.size() > JudgeWindows)
     Route.Windows.pop_front();
   if (Route.Windows.size() < LaterWindows + 2)
@@ -143,15 +167,22 @@
     return;
   State.StepsTaken = Item.StepsTaken;
   for (auto &[Name, Route] : State.Routes) {
-    Route.Failed.Accepted = false;
-    Route.Slow.Accepted = false;
+    Route.Failed.Mild.Accepted = false;
+    Route.Slow.Mild.Accepted = false;
     Route.OldSinceStep = 0;
     Route.NewSinceStep = 0;
   }
 }
 
-bool isDoubtful(const Judge &State, const StreamTest &Test) {
-  return withoutWorstHop(Test) > upperThreshold(State, Test.Cycle) / 2;
+bool isDoubtful(const Judge &State, const StreamTests &Tests) {
+  for (const StreamTest *Test : {&Tests.Mild, &Tests.Severe})
+    if (ratioAgainst(*Test) > upperThreshold(State, Test->Cycle) / 2)
+      return true;
+  return false;
+}
+
+bool isCondemned(const StreamTests &Tests) {
+  return Tests.Mild.Condemned || Tests.Severe.Condemned;
 }
 
 bool isUnreached(const Judge &State, const RouteName &Name,
@@ -164,13 +195,20 @@
   return Route.NewSinceStep == 0 && Expected >= MinExpected;
 }
 
+void describeRatio(std::ostream &Out, const Judge &State,
+                   const StreamTest &Test) {
+  Out << " llr " << ratioAgainst(Test) << " of "
+      << upperThreshold(State, Test.Cycle);
+}
+
 void describeTest(std::ostream &Out, const Judge &State, const char *Name,
-                  const StreamTest &Test) {
-  Out << " " << Name << " " << Test.Events << "/" << Test.Samples << " llr "
-      << withoutWorstHop(Test) << " of " << upperThreshold(State, Test.Cycle)
-      << (Test.Condemned  ? " bad"
-          : Test.Accepted ? " good"
-                          : " open");
+                  const StreamTests &Tests) {
+  Out << " " << Name << " " << Tests.Mild.Events << "/" << Tests.Mild.Samples;
+  describeRatio(Out, State, Tests.Mild);
+  describeRatio(Out, State, Tests.Severe);
+  Out << (isCondemned(Tests)    ? " bad"
+          : Tests.Mild.Accepted ? " good"
+                                : " open");
 }
 
 void describeRoute(std::ostream &Out, const Judge &State, const RouteName &Name,
@@ -187,7 +225,7 @@
 }
 
 bool isCondemned(const RouteJudge &Route) {
-  return Route.Failed.Condemned || Route.Slow.Condemned;
+  return isCondemned(Route.Failed) || isCondemned(Route.Slow);
 }
 
 /// Condemned routes come first, since the text is cut at a fixed length.
@@ -217,7 +255,7 @@
     if (Route.Class != RequestClass::Repeatable)
       Result.Guarded.insert(Name);
   }
-  Result.Tests = 2 * std::max(Routes, 1);
+  Result.Tests = 4 * std::max(Routes, 1);
   Result.StepsTaken = Item.StepsTaken;
   return Result;
 }
@@ -257,6 +295,7 @@
     if (Open.New.count(Report.Hop) == 0 && Open.New.size() >= MaxHops)
       continue;
     addCounts(Open.New[Report.Hop], Counts);
+    Route.LastSeen[Report.Hop] = Route.WindowNumber;
     Route.NewSinceStep += Counts.Requests;
     Route.NewAnswered += Counts.Requests - Counts.Failures;
   }
@@ -280,8 +319,8 @@
     Result.Answered |= Route.NewAnswered > 0;
     if (Route.NewSinceStep == 0)
       continue;
-    const bool Passed =
-        Route.Failed.Accepted && (Route.Slow.Accepted || !State.JudgesLatency);
+    const bool Passed = Route.Failed.Mild.Accepted &&
+                        (Route.Slow.Mild.Accepted || !State.JudgesLatency);
     AnyPassed |= Passed;
     AllPassed &= Passed;
   }
--- a/src/moves/internal/Likelihood.cpp
+++ b/src/moves/internal/Likelihood.cpp
@@ -89,6 +89,8 @@
 
 RatePair slowRates(double Old) { return rates(Old, 0.1); }
 
+RatePair severeRates(double Old) { return rates(Old, 0.25); }
+
 double logLikelihood(const Tally &Seen, const RatePair &Rates) {
   const auto Events = static_cast<double>(Seen.Events);
   const auto Others = static_cast<double>(Seen.Samples - Seen.Events);
@@ -96,13 +98,13 @@
          Others * std::log((1 - Rates.Bad) / (1 - Rates.Good));
 }
 
-double withoutWorstHop(const StreamTest &Test) {
-  if (Test.ByHop.size() < 2)
+double ratioAgainst(const StreamTest &Test) {
+  if (Test.Hops < 2)
     return Test.Total;
   double Worst = 0;
   for (const auto &[Hop, Part] : Test.ByHop)
     Worst = std::max(Worst, Part);
-  return Test.Total - Worst;
+  return std::min(Test.Total, 2 * (Test.Total - Worst));
 }
 
 std::size_t slowBucket(const OutcomeCounts &Old) {
--- a/src/moves/internal/Likelihood.h
+++ b/src/moves/internal/Likelihood.h
@@ -32,13 +32,15 @@
 
 RatePair failedRates(double Old);
 RatePair slowRates(double Old);
+RatePair severeRates(double Old);
 
 /// Log-likelihood ratio of one tally.
 double logLikelihood(const Tally &Seen, const RatePair &Rates);
 
-/// Ratio without the node that speaks most against the new version, when there
-/// are several: one broken instance does not make a bad version.
-double withoutWorstHop(const StreamTest &Test);
+/// Ratio that counts against the new version: the total, of which at least half
+/// must come from other nodes than the worst one when there are several, since
+/// one broken instance does not make a bad version.
+double ratioAgainst(const StreamTest &Test);
 
 /// First latency bucket that counts as slow: the bucket limit nearest to
 /// 3 x median + 5 ms. LatencyBuckets when \p Old is too small for a median.
--- a/src/moves/tests/JudgeTest.cpp
+++ b/src/moves/tests/JudgeTest.cpp
@@ -137,6 +137,19 @@
   BOOST_TEST(!Last.Condemned);
 }
 
+// Guards against a broken instance that counts as the only one because the
+// others report in another second.
+BOOST_AUTO_TEST_CASE(ABrokenInstanceIsKnownAsOneOfSeveralBetweenReports) {
+  Trial Run;
+  Run.seconds(20, {{"tickets", "v1", 500, 1}});
+  for (int I = 0; I < 10; ++I) {
+    Run.second({{"tickets", "v1", 500, 1}, {"tickets", "v2", 90, 0, 4, "n3"}});
+    const auto Last = Run.second(
+        {{"tickets", "v1", 500, 1}, {"tickets", "v2", 20, 20, 4, "n2"}});
+    BOOST_TEST(!Last.Condemned);
+  }
+}
+
 // Guards against a decision by a handful of requests.
 BOOST_AUTO_TEST_CASE(FewSamplesDecideNothing) {
   Trial Run;
--- a/src/moves/types/Judge.h
+++ b/src/moves/types/Judge.h
@@ -38,6 +38,8 @@
   /// and the part of each node.
   double Total = 0;
   std::map<NodeId, double> ByHop;
+  /// Nodes that reported the new version lately.
+  std::size_t Hops = 0;
   /// Counted from 1; a cycle ends when the lower threshold is reached.
   std::int64_t Cycle = 1;
   /// The lower threshold was reached since the last step.
@@ -48,14 +50,26 @@
   std::int64_t Samples = 0;
 };
 
+/// Tests of one stream against two alternatives. The mild one finds a small
+/// worsening and decides when a step has passed; the severe one finds a large
+/// worsening in a few requests.
+struct StreamTests {
+  StreamTest Mild;
+  StreamTest Severe;
+};
+
 /// Evidence on one route.
 struct RouteJudge {
   /// Newest last; the last one is still open. At most JudgeWindows.
   std::deque<RouteWindow> Windows{1};
   /// The old version before the windows, without those of a general fault.
   OutcomeCounts Baseline;
-  StreamTest Failed;
-  StreamTest Slow;
+  StreamTests Failed;
+  StreamTests Slow;
+  /// Number of the open window, and of the last one in which a node reported
+  /// the new version.
+  std::int64_t WindowNumber = 0;
+  std::map<NodeId, std::int64_t> LastSeen;
   /// Requests since the last step.
   std::int64_t OldSinceStep = 0;
   std::int64_t NewSinceStep = 0;
@@ -72,7 +86,7 @@
   VersionName From;
   VersionName To;
   /// Number of tests that share the false alarm rate.
-  std::int32_t Tests = 2;
+  std::int32_t Tests = 4;
   double FalseAlarmRate = 0.01;
   bool JudgesLatency = true;
   /// Failure rate that is tolerated whatever the old version does.
