Compare both versions in the same fault and ask for four events

A fault that starts in the tested window was diluted by the healthy windows before it, two slow requests in a cold start could reject a version, and a report covered requests from before the end of the cold start. The old version is now also estimated from the tested and later windows alone, windows in which a fault of both versions explains the new one's rate are not counted, and a rejection needs four events.

--- a/src/moves/internal/Judge.cpp
+++ b/src/moves/internal/Judge.cpp
@@ -18,8 +18,12 @@
 constexpr std::size_t MaxRoutes = 256;
 constexpr std::size_t MaxHops = 64;
 constexpr std::int64_t HopMemoryWindows = 30;
-/// The first requests of an upstream fill caches and pools.
-constexpr Milliseconds ColdStart{10'000};
+/// The first requests of an upstream fill caches and pools. A report also
+/// covers the 2 s before it.
+constexpr Milliseconds ColdStart{12'500};
+/// A version is not rejected for fewer events, whatever their ratio says: a
+/// clean baseline makes two of them look impossible.
+constexpr std::int64_t MinEvents = 4;
 /// The chance of no request where this many are expected is below 0.1%.
 constexpr double MinExpected = 7;
 
@@ -34,10 +38,10 @@
   return Result;
 }
 
-/// Old version in the windows around the tested one.
-OutcomeCounts recentOld(const RouteJudge &Route) {
+/// Old version in the complete windows from \p First on.
+OutcomeCounts oldSince(const RouteJudge &Route, std::size_t First) {
   OutcomeCounts Result;
-  for (std::size_t I = 0; I + 1 < Route.Windows.size(); ++I)
+  for (std::size_t I = First; I + 1 < Route.Windows.size(); ++I)
     addCounts(Result, Route.Windows[I].Old);
   return Result;
 }
@@ -53,6 +57,7 @@
 void restartCycle(StreamTest &Test) {
   Test.Total = 0;
   Test.ByHop.clear();
+  Test.EventsInCycle = 0;
   ++Test.Cycle;
 }
 
@@ -63,12 +68,14 @@
   Test.Total += Ratio;
   Test.ByHop[Hop] += Ratio;
   Test.Events += Seen.Events;
+  Test.EventsInCycle += Seen.Events;
   Test.Samples += Seen.Samples;
 }
 
 void settle(const Judge &State, StreamTest &Test) {
   const double Against = ratioAgainst(Test);
-  if (Against >= upperThreshold(State, Test.Cycle)) {
+  if (Against >= upperThreshold(State, Test.Cycle) &&
+      Test.EventsInCycle >= MinEvents) {
     Test.Condemned = true;
     return;
   }
@@ -92,36 +99,79 @@
   settle(State, Tests.Severe);
 }
 
+/// What one stream is compared with in the tested window.
+struct Comparison {
+  RatePair Rates;
+  /// The old version is worse than its baseline.
+  bool OldWorse = false;
+  /// The new version is worse too, or has no samples.
+  bool NewWorse = false;
+  /// The new version is no worse than a fault of both versions explains.
+  bool Explained = false;
+};
+
+/// Around is the old version in all windows, Lately in the tested and the later
+/// ones: at the start of a fault the earlier windows would hide it.
+struct StreamTallies {
+  Tally Baseline;
+  Tally Around;
+  Tally Lately;
+  Tally New;
+};
+
+bool isExplained(const Tally &New, const Tally &Old) {
+  if (New.Samples == 0 || Old.Samples == 0)
+    return true;
+  const double NewRate =
+      static_cast<double>(New.Events) / static_cast<double>(New.Samples);
+  const double OldRate =
+      static_cast<double>(Old.Events) / static_cast<double>(Old.Samples);
+  return NewRate <= 2 * OldRate + 0.1;
+}
+
+Comparison compare(const StreamTallies &Seen, double Tolerated,
+                   RatePair (*Mild)(double)) {
+  Comparison Result;
+  Result.Rates =
+      Mild(std::max({oldRate(Seen.Baseline, Seen.Around),
+                     oldRate(Seen.Baseline, Seen.Lately), Tolerated}));
+  Result.OldWorse = isWorse(Seen.Baseline, Seen.Around) ||
+                    isWorse(Seen.Baseline, Seen.Lately);
+  Result.NewWorse = Seen.New.Samples == 0 || isWorse(Seen.Baseline, Seen.New);
+  Result.Explained = Result.OldWorse && (isExplained(Seen.New, Seen.Lately) ||
+                                         isExplained(Seen.New, Seen.Around));
+  return Result;
+}
+
 void testWindow(const Judge &State, RouteJudge &Route,
                 const RouteWindow &Tested) {
-  const OutcomeCounts Recent = recentOld(Route);
-  const OutcomeCounts RecentNew = recentNew(Route);
+  const OutcomeCounts Around = oldSince(Route, 0);
+  const OutcomeCounts Lately =
+      oldSince(Route, Route.Windows.size() - LaterWindows - 2);
+  const OutcomeCounts New = recentNew(Route);
   const std::size_t FirstSlow = slowBucket(Route.Baseline);
-  const Tally BaseFailed = failedTally(Route.Baseline);
-  const Tally BaseSlow = slowTally(Route.Baseline, FirstSlow);
-  const Tally OldFailed = failedTally(Recent);
-  const Tally OldSlow = slowTally(Recent, FirstSlow);
-  const RatePair Failed = failedRates(
-      std::max(oldRate(BaseFailed, OldFailed), State.ToleratedFailures));
-  const RatePair Slow = slowRates(oldRate(BaseSlow, OldSlow));
   const bool TestsSlow = State.JudgesLatency && FirstSlow < LatencyBuckets;
+  const Comparison Failed =
+      compare({failedTally(Route.Baseline), failedTally(Around),
+               failedTally(Lately), failedTally(New)},
+              State.ToleratedFailures, failedRates);
+  const Comparison Slow = compare(
+      {slowTally(Route.Baseline, FirstSlow), slowTally(Around, FirstSlow),
+       slowTally(Lately, FirstSlow), slowTally(New, FirstSlow)},
+      0, slowRates);
   for (const auto &[Hop, Counts] : Tested.New) {
-    addTally(Route.Failed, Hop, failedTally(Counts), Failed);
-    if (TestsSlow)
-      addTally(Route.Slow, Hop, slowTally(Counts, FirstSlow), Slow);
+    if (!Failed.Explained)
+      addTally(Route.Failed, Hop, failedTally(Counts), Failed.Rates);
+    if (TestsSlow && !Slow.Explained)
+      addTally(Route.Slow, Hop, slowTally(Counts, FirstSlow), Slow.Rates);
   }
   settle(State, Route.Failed, Route.LastSeen.size());
   settle(State, Route.Slow, Route.LastSeen.size());
-  const bool OldFails = isWorse(BaseFailed, OldFailed);
-  const bool OldSlows = TestsSlow && isWorse(BaseSlow, OldSlow);
-  const Tally NewFailed = failedTally(RecentNew);
-  const Tally NewSlow = slowTally(RecentNew, FirstSlow);
+  const bool SlowWorse = TestsSlow && Slow.OldWorse;
   Route.BothWorse =
-      (OldFails &&
-       (NewFailed.Samples == 0 || isWorse(BaseFailed, NewFailed))) ||
-      (OldSlows && (NewSlow.Samples == 0 || isWorse(BaseSlow, NewSlow)));
+      (Failed.OldWorse && Failed.NewWorse) || (SlowWorse && Slow.NewWorse);
   // A general fault must not become the baseline that hides a worse version.
-  if (!OldFails && !OldSlows)
+  if (!Failed.OldWorse && !SlowWorse)
     addCounts(Route.Baseline, Tested.Old);
 }
 
--- a/src/moves/types/Judge.h
+++ b/src/moves/types/Judge.h
@@ -42,6 +42,7 @@
   std::size_t Hops = 0;
   /// Counted from 1; a cycle ends when the lower threshold is reached.
   std::int64_t Cycle = 1;
+  std::int64_t EventsInCycle = 0;
   /// The lower threshold was reached since the last step.
   bool Accepted = false;
   bool Condemned = false;
