--- /dev/null
+++ b/tests/load/compare.sh
@@ -0,0 +1,27 @@
+#!/usr/bin/env bash
+# Added latency over two nodes (entry and last hop) against the same call
+# straight to the upstream: compare.sh [build folder] [seconds].
+set -euo pipefail
+Build=${1:-build}/tests
+Seconds=${2:-5}
+Pids=()
+trap 'kill "${Pids[@]}"; wait' EXIT
+Limits=(--slots 200 --connections 300 --caller-share 100)
+Node=(--node n2=127.0.0.1:7122)
+"$Build/standins/upstream/lychee-test-upstream" --listen 127.0.0.1:7101 \
+  --slots 200 &
+Pids+=($!)
+"$Build/load/lychee-bench-node" --id n2 --listen 127.0.0.1:7112 \
+  --hop 127.0.0.1:7122 --upstream 127.0.0.1:7101 "${Node[@]}" "${Limits[@]}" &
+Pids+=($!)
+"$Build/load/lychee-bench-node" --id n1 --listen 127.0.0.1:7111 \
+  "${Node[@]}" "${Limits[@]}" &
+Pids+=($!)
+sleep 1
+for Spec in "1 200" "20 1000" "110 1000"; do
+  read -r Connections Rate <<<"$Spec"
+  echo "$Connections connections, $Rate requests a second"
+  "$Build/load/lychee-load" --target 127.0.0.1:7111 --compare 127.0.0.1:7101 \
+    --connections "$Connections" --rate "$Rate" --seconds "$Seconds"
+done
+uptime
