--- a/src/app/Main.cpp
+++ b/src/app/Main.cpp
@@ -20,6 +20,7 @@
     {"check", runCheck, "check service documents and print all findings"},
     {"publish", runPublish, "publish a service document"},
     {"status", runStatus, "show what a node knows and does"},
+    {"moves", runMoves, "list version moves with outcome and evidence"},
     {"refusals", runRefusals, "list which callers were refused, when and why"},
 };
 
