Route once-only and upload requests by the guarded share

Cause: the selection used the share of repeatable routes for every class, so a commission could be the probe of a bad version. Change: selectUpstream takes the request class and asks moves::candidateShare.

--- a/src/proxy/internal/Balancer.cpp
+++ b/src/proxy/internal/Balancer.cpp
@@ -33,8 +33,9 @@
   const auto Brakes = Impl_->Brakes->load();
   const std::lock_guard<std::mutex> Guard(Impl_->Lock);
   auto Found = requests::selectUpstream(
-      Group->second, {Call.Id, Brakes ? *Brakes : NoBrakes, Impl_->Ejections,
-                      Impl_->Load, Excluded, steadyNow(), Impl_->Seed});
+      Group->second,
+      {Call.Id, Call.Match.Found->Class, Brakes ? *Brakes : NoBrakes,
+       Impl_->Ejections, Impl_->Load, Excluded, steadyNow(), Impl_->Seed});
   if (Found)
     ++Impl_->Load.InProgress[Found->Target.Id];
   return Found;
--- a/src/requests/internal/SelectUpstream.cpp
+++ b/src/requests/internal/SelectUpstream.cpp
@@ -82,7 +82,8 @@
   // The move id is the seed, so that moves do not always hit the same ids.
   const std::uint64_t Hash =
       stableHash(Input.Id.str(), stableHash(Share.InProgress.str()));
-  return static_cast<std::int64_t>(Hash % 1000) < Share.CandidateShare.value();
+  const Permille Wanted = moves::candidateShare(Input.Class, Share);
+  return static_cast<std::int64_t>(Hash % 1000) < Wanted.value();
 }
 
 std::optional<Selection> pick(Candidates List, const VersionName &Version,
--- a/src/requests/tests/RequestsTest.cpp
+++ b/src/requests/tests/RequestsTest.cpp
@@ -46,6 +46,7 @@
   LoadTable Load;
   std::set<NodeId> Excluded;
   SteadyTime Now{1000};
+  RequestClass Class = RequestClass::Repeatable;
 
   void add(const std::string &Id, Distance Away, const VersionName &Version) {
     Member Item = memberOf(Id, "z");
@@ -57,7 +58,7 @@
   std::string pick(const std::string &Id) const {
     const RequestId Request(Id);
     const auto Found = selectUpstream(
-        Group, {Request, Brakes, Ejections, Load, Excluded, Now, 7});
+        Group, {Request, Class, Brakes, Ejections, Load, Excluded, Now, 7});
     return Found ? Found->Target.Id.str() : "";
   }
 
@@ -141,6 +142,23 @@
   BOOST_TEST(P.countOf("new") == 0);
 }
 
+// Guards against a commission that is the probe of a new version: guarded
+// classes follow their own, later share.
+BOOST_AUTO_TEST_CASE(OnceOnlyRequestsFollowTheGuardedShare) {
+  Picker P;
+  P.add("old", Distance::SameZone, V1);
+  P.add("new", Distance::SameZone, V2);
+  P.Group.Share.Candidate = V2;
+  P.Group.Share.InProgress = MoveId("shop/g/2");
+  P.Group.Share.CandidateShare = Permille(1000);
+  P.Group.Share.GuardedShare = Permille(0);
+  BOOST_TEST(P.countOf("new") == 10000);
+  P.Class = RequestClass::OnceOnly;
+  BOOST_TEST(P.countOf("new") == 0);
+  P.Class = RequestClass::Upload;
+  BOOST_TEST(P.countOf("new") == 0);
+}
+
 // Guards against ejections without end, without growth, or of a whole group.
 BOOST_AUTO_TEST_CASE(EjectionDoublesAndSparesHalfOfTheGroup) {
   Picker P;
--- a/src/requests/types/Selection.h
+++ b/src/requests/types/Selection.h
@@ -36,6 +36,7 @@
 /// What a pick depends on besides the group.
 struct SelectionInput {
   const RequestId &Id;
+  RequestClass Class = RequestClass::Repeatable;
   const moves::BrakeSet &Brakes;
   const EjectionTable &Ejections;
   const LoadTable &Load;
