Let groups of nodes that started apart find each other

A node whose seeds did not answer yet and that found an empty members stream served alone and never looked again, so nodes that start at nearly the same time could split for ever.

Each node now keeps a book of endpoints outside its membership. Seeds that are no live members are contacted again, after 1 s doubling to 32 s, and the reader of a region follows the members stream every 5 s and hands unknown joins to the book; at most one contact a second, three for a join record. The decision is nextContact. Whoever meets another group merges its view as news and tells the group what it lacks. Views are exchanged on a thread of their own, because a silent peer could hold up the feed loop for 5 s.

--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -4,6 +4,7 @@
 /// Public header of the membership library: SWIM with confirmation through
 /// other availability zones, as pure functions.
 
+#include "membership/types/ContactBook.h"
 #include "membership/types/MemberTable.h"
 
 namespace lycheethread::membership {
@@ -22,6 +23,22 @@
 Actions mergeMembers(MemberTable &Table, const std::vector<Update> &Updates,
                      SteadyTime Now);
 
+/// Merges the view of a group that this node met outside the membership, as
+/// news to both sides: it is spread here, and \p With is told the members that
+/// \p Theirs lacks.
+Actions meet(MemberTable &Table, const Endpoint &With,
+             const std::vector<Update> &Theirs, SteadyTime Now);
+
+ContactBook makeContactBook(const std::vector<Endpoint> &Seeds, SteadyTime Now);
+/// Notes a join record of the log whose node may be unknown here.
+void hearOfJoin(ContactBook &Book, const MemberTable &Table,
+                const Member &Joined, SteadyTime Now);
+/// Endpoint whose view of the members should be fetched now, if any: a seed
+/// that is no live member, or a node that only a join record named.
+std::optional<Endpoint> nextContact(ContactBook &Book, MemberTable &Table,
+                                    SteadyTime Now);
+void onContactAnswer(ContactBook &Book, const Endpoint &From, SteadyTime Now);
+
 /// Announces another state of this node; raises its incarnation, so that the
 /// news overrides every suspicion.
 Actions announce(MemberTable &Table, MemberState State, SteadyTime Now);
--- a/src/membership/internal/Messages.cpp
+++ b/src/membership/internal/Messages.cpp
@@ -2,6 +2,7 @@
 #include "membership/internal/Internal.h"
 
 #include <algorithm>
+#include <set>
 
 namespace lycheethread::membership {
 
@@ -237,4 +238,31 @@
   return Out;
 }
 
+Actions meet(MemberTable &Table, const Endpoint &With,
+             const std::vector<Update> &Theirs, SteadyTime Now) {
+  Actions Out;
+  std::set<NodeId> Told;
+  for (const Update &Item : Theirs) {
+    if (!hasEnded(Item))
+      Told.insert(Item.Who.Id);
+    mergeUpdate(Table, Item, Now, Out);
+  }
+  std::vector<Update> Missing;
+  for (Update &Item : allUpdates(Table))
+    if (!hasEnded(Item) && Told.count(Item.Who.Id) == 0)
+      Missing.push_back(std::move(Item));
+  // What does not fit follows through the comparison of digests.
+  auto Next = Missing.begin();
+  while (Next != Missing.end() && Out.Sends.size() < MaxMeetDatagrams) {
+    UpdateSpace Space;
+    while (Next != Missing.end() && Space.add(*Next))
+      ++Next;
+    Message News = composeMessage(Table, MessageKind::Push, Sequence(), nullptr,
+                                  false, Now);
+    News.Updates = std::move(Space.Taken);
+    Out.Sends.push_back({With, Region(), std::move(News)});
+  }
+  return Out;
+}
+
 } // namespace lycheethread::membership
--- a/src/membership/tests/MembershipTest.cpp
+++ b/src/membership/tests/MembershipTest.cpp
@@ -178,3 +178,62 @@
   BOOST_TEST(Count > 0U);
   BOOST_TEST(Count * 164U <= UpdateBytes);
 }
+
+// Guards against a seed that is never asked again, and against one that is
+// asked without end or although it is a member.
+BOOST_AUTO_TEST_CASE(UnknownSeedIsContactedWithBackOff) {
+  MemberTable Table = makeTable();
+  const Member Seed = makeMember(1, "zone-b");
+  ContactBook Book = makeContactBook({Seed.Control, Table.Self.Control}, Start);
+  int Contacts = 0;
+  SteadyTime Now = Start;
+  for (; elapsed(Start, Now) < Milliseconds(600000);
+       Now = after(Now, Milliseconds(100)))
+    if (const auto At = nextContact(Book, Table, Now)) {
+      BOOST_TEST((*At == Seed.Control));
+      ++Contacts;
+    }
+  // 600 s at 16 to 32 s, and 6 attempts before that.
+  BOOST_TEST(Contacts >= 20);
+  BOOST_TEST(Contacts <= 45);
+  add(Table, Seed);
+  Now = after(Now, LongestContactDelay);
+  BOOST_TEST(!nextContact(Book, Table, Now).has_value());
+}
+
+// Guards against groups that stay apart although one read a join record of the
+// other, and against contacts to nodes that are known to be gone.
+BOOST_AUTO_TEST_CASE(JoinRecordOfAnUnknownNodeIsFollowed) {
+  MemberTable Table = makeTable();
+  const Member Known = makeMember(1, "zone-b");
+  const Member Unknown = makeMember(2, "zone-b");
+  add(Table, Known);
+  ContactBook Book = makeContactBook({}, Start);
+  hearOfJoin(Book, Table, Known, Start);
+  hearOfJoin(Book, Table, Table.Self, Start);
+  hearOfJoin(Book, Table, Unknown, Start);
+  int Contacts = 0;
+  for (SteadyTime Now = Start; elapsed(Start, Now) < Milliseconds(100000);
+       Now = after(Now, Milliseconds(100)))
+    if (const auto At = nextContact(Book, Table, Now)) {
+      BOOST_TEST((*At == Unknown.Control));
+      ++Contacts;
+    }
+  BOOST_TEST(Contacts == JoinContactAttempts);
+}
+
+// Guards against a merge that only one of the two groups notices.
+BOOST_AUTO_TEST_CASE(MeetingTellsTheOtherGroupWhatItLacks) {
+  MemberTable Table = makeTable();
+  const Member Near = makeMember(1, "zone-b");
+  const Member Far = makeMember(2, "zone-b");
+  add(Table, Near);
+  const Actions Asked = meet(Table, Far.Control, {{Far, false}}, Start);
+  BOOST_TEST(Table.Others.count(Far.Id) == 1U);
+  BOOST_TEST_REQUIRE(Asked.Sends.size() == 1U);
+  BOOST_TEST((Asked.Sends[0].To == Far.Control));
+  MemberTable Other = makeMemberTable(Far, Start, 9);
+  handleMessage(Other, Asked.Sends[0].Content, Table.Self.Control, Start);
+  BOOST_TEST(Other.Others.count(Near.Id) == 1U);
+  BOOST_TEST(Other.Others.count(Table.Self.Id) == 1U);
+}
--- a/src/peer/internal/FeedLoop.cpp
+++ b/src/peer/internal/FeedLoop.cpp
@@ -27,10 +27,12 @@
 } // namespace
 
 struct FeedLoop::Impl {
-  Impl(PeerContext &C, GossipLoop &G) : Context(C), Gossip(G), Seeds(C) {}
+  Impl(PeerContext &C, GossipLoop &G, MemberExchange &E)
+      : Context(C), Gossip(G), Exchange(E), Seeds(C) {}
 
   PeerContext &Context;
   GossipLoop &Gossip;
+  MemberExchange &Exchange;
   SeedFinder Seeds;
   std::thread Worker;
   config::ConfigState State;
@@ -86,23 +88,6 @@
       adopt(std::move(*Next), "a checkpoint in the log");
   }
 
-  void mergeMembers(const wire::SnapshotReply &Reply) {
-    std::vector<membership::Update> Updates;
-    Offset Highest(std::max<std::int64_t>(Reply.named, Reply.position));
-    for (const wire::WireMember &Item : Reply.members) {
-      Updates.push_back(fromWire(Item));
-      Highest = std::max(Highest, Updates.back().Who.ConfigPosition);
-    }
-    membership::Actions Asked;
-    {
-      const std::lock_guard<std::mutex> Guard(Context.Lock);
-      Asked = membership::mergeMembers(Context.Table, Updates, steadyNow());
-      distribution::namePosition(Context.Feed, Highest, NodeId());
-    }
-    Gossip.perform(Asked);
-    Gossip.publishMembers();
-  }
-
   /// Returns the time to wait when the peer is busy.
   Milliseconds askForSnapshot(const Member &Target, bool WithState,
                               bool WithMembers) {
@@ -112,7 +97,7 @@
       return Milliseconds(std::clamp<std::int64_t>(
           Reply.retryAfterMs, distribution::FirstBackoff.count(),
           distribution::LongestBackoff.count()));
-    mergeMembers(Reply);
+    Exchange.merge(Reply);
     if (WithState && Reply.serving && !Reply.parts.empty() &&
         Offset(Reply.position) > State.Position)
       adopt(Context.Options.Fold.RestoreCheckpoint(Reply.parts),
@@ -353,25 +338,6 @@
         Context.Options.Fold.BuildView(*Config, *Members, Context.place())));
   }
 
-  void syncMembers() {
-    std::optional<Endpoint> With;
-    {
-      const std::lock_guard<std::mutex> Guard(Context.Lock);
-      With.swap(Context.SyncWith);
-    }
-    if (!With)
-      return;
-    try {
-      const wire::SnapshotReply Reply =
-          Context.Clients->snapshot(*With, Region(), false, true);
-      if (!Reply.busy)
-        mergeMembers(Reply);
-    } catch (const std::exception &Problem) {
-      BOOST_LOG_TRIVIAL(debug)
-          << "peer: members were not compared: " << Problem.what();
-    }
-  }
-
   bool serving() {
     const std::lock_guard<std::mutex> Guard(Context.Lock);
     return Context.Feed.Serving;
@@ -390,7 +356,6 @@
     Gossip.forwardWaiting();
     if (serving())
       refreshView();
-    syncMembers();
     if (!More)
       Context.waitForWake(IdleStep);
   }
@@ -408,8 +373,9 @@
   }
 };
 
-FeedLoop::FeedLoop(PeerContext &Context, GossipLoop &Gossip)
-    : Impl_(std::make_unique<Impl>(Context, Gossip)) {}
+FeedLoop::FeedLoop(PeerContext &Context, GossipLoop &Gossip,
+                   MemberExchange &Exchange)
+    : Impl_(std::make_unique<Impl>(Context, Gossip, Exchange)) {}
 
 FeedLoop::~FeedLoop() { stop(); }
 
--- a/src/peer/internal/FeedLoop.h
+++ b/src/peer/internal/FeedLoop.h
@@ -2,6 +2,7 @@
 #define LYCHEETHREAD_PEER_INTERNAL_FEEDLOOP_H
 
 #include "peer/internal/GossipLoop.h"
+#include "peer/internal/MemberExchange.h"
 #include "peer/internal/PeerContext.h"
 
 #include <memory>
@@ -12,7 +13,7 @@
 /// folds and builds the routing view.
 class FeedLoop {
 public:
-  FeedLoop(PeerContext &Context, GossipLoop &Gossip);
+  FeedLoop(PeerContext &Context, GossipLoop &Gossip, MemberExchange &Exchange);
   ~FeedLoop();
 
   void start();
--- a/src/peer/internal/LogReader.cpp
+++ b/src/peer/internal/LogReader.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/log/trivial.hpp>
 
+#include <algorithm>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -19,6 +21,15 @@
 constexpr std::size_t ReadRecords = 64;
 constexpr std::int64_t JoinJitterMs = 3000;
 constexpr Milliseconds CheckpointRetry{30000};
+/// A read without records takes about 300 bytes, so following the joins costs
+/// the reader of a region 60 bytes a second.
+constexpr Milliseconds FollowInterval{5000};
+constexpr std::size_t FollowRecords = 200;
+
+const StreamName &membersStream() {
+  static const StreamName Name("members");
+  return Name;
+}
 
 const StreamName &controlStream() {
   static const StreamName Name("control");
@@ -36,6 +47,9 @@
   bool Joined = false;
   SteadyTime JoinAt;
   SteadyTime NextCheckpointAt;
+  /// Next join record to read; empty before the first read as reader.
+  std::optional<Offset> NextJoin;
+  SteadyTime NextFollowAt;
   MemberList RankedMembers;
   std::size_t Rank = 0;
 
@@ -155,7 +169,7 @@
       Self = Context.Table.Self;
     }
     try {
-      Context.Log->Append(StreamName("members"), encodeJoin(Self, wallNow()));
+      Context.Log->Append(membersStream(), encodeJoin(Self, wallNow()));
       Joined = true;
     } catch (const platform::LogUnavailable &) {
       const std::lock_guard<std::mutex> Guard(Context.Lock);
@@ -165,6 +179,46 @@
     }
   }
 
+  Offset firstJoin() const {
+    const platform::StreamBounds Kept = Context.Log->Bounds(membersStream());
+    const auto Wanted = static_cast<std::int64_t>(FollowRecords);
+    return Offset(std::max(Kept.First.value(), Kept.Next.value() - Wanted));
+  }
+
+  void noteJoins(const platform::LogBatch &Batch) {
+    for (const platform::LogRecord &Item : Batch.Records) {
+      NextJoin = Item.At.next();
+      try {
+        const Member Joined = decodeJoin(Item.Data);
+        const std::lock_guard<std::mutex> Guard(Context.Lock);
+        membership::hearOfJoin(Context.Contacts, Context.Table, Joined,
+                               steadyNow());
+      } catch (const std::exception &Problem) {
+        BOOST_LOG_TRIVIAL(warning) << "peer: join record " << Item.At
+                                   << " is invalid: " << Problem.what();
+      }
+    }
+  }
+
+  // Groups of nodes that started apart find each other here: the reader of a
+  // region hears of every join.
+  void followJoins() {
+    if (Failures > 0 || steadyNow() < NextFollowAt)
+      return;
+    NextFollowAt = after(steadyNow(), FollowInterval);
+    try {
+      if (!NextJoin)
+        NextJoin = firstJoin();
+      noteJoins(Context.Log->Read(membersStream(), *NextJoin, FollowRecords,
+                                  Milliseconds(0)));
+    } catch (const platform::LogTrimmed &Trimmed) {
+      NextJoin = Trimmed.kept().First;
+    } catch (const platform::LogUnavailable &Problem) {
+      BOOST_LOG_TRIVIAL(debug)
+          << "peer: join records cannot be read: " << Problem.what();
+    }
+  }
+
   void writeCheckpoint() {
     const SteadyTime Now = steadyNow();
     const MemberList Members = Context.members();
@@ -210,6 +264,8 @@
       Context.pause(CommitStep);
     else
       read();
+    if (Reads)
+      followJoins();
   }
 
   void run() {
--- a/src/peer/internal/PeerContext.h
+++ b/src/peer/internal/PeerContext.h
@@ -37,6 +37,7 @@
   /// Guards the following; never held during input or output.
   std::mutex Lock;
   membership::MemberTable Table;
+  membership::ContactBook Contacts;
   distribution::DistributionState Feed;
   distribution::SnapshotSlots Snapshots;
   distribution::CheckpointMark Checkpoint;
--- a/src/peer/internal/PeerNode.cpp
+++ b/src/peer/internal/PeerNode.cpp
@@ -6,6 +6,7 @@
 #include "peer/internal/Clock.h"
 #include "peer/internal/FeedLoop.h"
 #include "peer/internal/LogReader.h"
+#include "peer/internal/MemberExchange.h"
 #include "peer/internal/PeerAnswers.h"
 #include "peer/internal/PeerServer.h"
 
@@ -68,6 +69,7 @@
   std::mutex HandlersLock;
   std::map<std::string, CallHandler> Handlers;
   std::unique_ptr<GossipLoop> Gossip;
+  std::unique_ptr<MemberExchange> Exchange;
   std::unique_ptr<FeedLoop> Feed;
   std::unique_ptr<LogReader> Reader;
   std::unique_ptr<PeerServer> Server;
@@ -158,6 +160,7 @@
     const SteadyTime Now = steadyNow();
     const std::lock_guard<std::mutex> Guard(Context.Lock);
     Context.Table = membership::makeMemberTable(Self, Now, Seed);
+    Context.Contacts = membership::makeContactBook(Context.Settings.Seeds, Now);
     distribution::DistributionState &Feed = Context.Feed;
     Feed.Self = Self.Id;
     Feed.Life = Self.Life;
@@ -182,7 +185,8 @@
         Self.At.In, Context.Options.Allow, Context.Traffic);
     Gossip = std::make_unique<GossipLoop>(Context, Rumours, Sockets.Datagrams);
     Gossip->publishMembers();
-    Feed = std::make_unique<FeedLoop>(Context, *Gossip);
+    Exchange = std::make_unique<MemberExchange>(Context, *Gossip);
+    Feed = std::make_unique<FeedLoop>(Context, *Gossip, *Exchange);
     Reader = std::make_unique<LogReader>(Context);
     ServerFunctions Functions = makeAnswers(Context);
     Functions.Call = [this](const std::string &Topic,
@@ -193,6 +197,7 @@
         Sockets.Calls, Self.At.In, std::move(Functions), Context.Traffic);
     Rumours.start();
     Gossip->start();
+    Exchange->start();
     Feed->start();
     Reader->start();
     BOOST_LOG_TRIVIAL(info) << "peer: control port " << Self.Control.Address
@@ -206,6 +211,7 @@
     Context.stop();
     Reader->stop();
     Feed->stop();
+    Exchange->stop();
     Gossip->stop();
     Server->stop();
     Rumours.stop();
--- a/src/peer/tests/MemoryLog.cpp
+++ b/src/peer/tests/MemoryLog.cpp
@@ -4,8 +4,8 @@
 
 namespace lycheethread::peer {
 
-void MemoryLog::checkUp() const {
-  if (Down)
+void MemoryLog::checkUp(const std::string &Stream) const {
+  if (Down || (MembersDown && Stream == "members"))
     throw platform::LogUnavailable("the log is down");
 }
 
@@ -35,12 +35,12 @@
 platform::LogBatch MemoryLog::read(const StreamName &Stream, Offset From,
                                    std::size_t MaxRecords, Milliseconds Wait) {
   ++Reads;
-  checkUp();
+  checkUp(Stream.str());
   std::unique_lock<std::mutex> Guard(Lock_);
   Kept &Source = Streams_[Stream.str()];
   Appended_.wait_for(Guard, Wait,
                      [&] { return Down || Source.bounds().Next > From; });
-  checkUp();
+  checkUp(Stream.str());
   if (From < Source.bounds().First)
     throw platform::LogTrimmed("trimmed", Source.bounds());
   platform::LogBatch Batch;
@@ -57,7 +57,7 @@
 platform::LogClient MemoryLog::client() {
   platform::LogClient Client;
   Client.Append = [this](const StreamName &Stream, const std::string &Data) {
-    checkUp();
+    checkUp(Stream.str());
     return append(Stream.str(), Data);
   };
   Client.Read = [this](const StreamName &Stream, Offset From,
@@ -65,7 +65,7 @@
     return read(Stream, From, MaxRecords, Wait);
   };
   Client.Bounds = [this](const StreamName &Stream) {
-    checkUp();
+    checkUp(Stream.str());
     const std::lock_guard<std::mutex> Guard(Lock_);
     return Streams_[Stream.str()].bounds();
   };
--- a/src/peer/tests/MemoryLog.h
+++ b/src/peer/tests/MemoryLog.h
@@ -23,6 +23,8 @@
   std::size_t size(const std::string &Stream);
 
   std::atomic<bool> Down{false};
+  /// Only the stream "members" is down.
+  std::atomic<bool> MembersDown{false};
   std::atomic<std::int64_t> Reads{0};
 
 private:
@@ -36,7 +38,7 @@
     }
   };
 
-  void checkUp() const;
+  void checkUp(const std::string &Stream) const;
   platform::LogBatch read(const StreamName &Stream, Offset From,
                           std::size_t MaxRecords, Milliseconds Wait);
 
--- a/src/peer/tests/PeerCluster.cpp
+++ b/src/peer/tests/PeerCluster.cpp
@@ -1,5 +1,8 @@
 #include "peer/tests/PeerCluster.h"
 
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+
 #include <algorithm>
 #include <stdexcept>
 
@@ -184,29 +187,42 @@
 }
 
 TestNode &PeerCluster::start(std::size_t Number) {
+  std::vector<Endpoint> Seeds;
+  for (const auto &Item : Nodes)
+    if (Seeds.size() < 3 && Item.second)
+      Seeds.push_back(Item.second->self().Control);
+  return start(Number, std::move(Seeds));
+}
+
+TestNode &PeerCluster::start(std::size_t Number, std::vector<Endpoint> Seeds,
+                             const Endpoint &Control) {
   settings::NodeSettings Settings;
   Settings.Id = NodeId("node-" + std::to_string(Number));
   Settings.At.In = regionOf(Number);
   Settings.At.Zone =
       AvailabilityZone(Settings.At.In.str() + "-zone-" +
                        std::to_string(Number / Regions_ % Zones_));
-  Settings.Control = {"127.0.0.1", 0};
+  Settings.Control = Control;
+  Settings.Seeds = std::move(Seeds);
   Settings.Hop = {"127.0.0.1", 9};
   Settings.Service = ServiceName("service-" + std::to_string(Number % 3));
   Settings.Group = GroupName("group");
   Settings.Version = VersionName("v1");
-  for (const auto &Item : Nodes)
-    if (Settings.Seeds.size() < 3 && Item.second)
-      Settings.Seeds.push_back(Item.second->self().Control);
   const std::string Group = Settings.At.In.str();
   Nodes[Number] =
       std::make_unique<TestNode>(std::move(Settings), Log, Network, Group);
   return *Nodes[Number];
 }
 
-void PeerCluster::startAll(std::size_t Count) {
+void PeerCluster::startAll(std::size_t Count, SeedUse Use) {
   for (std::size_t Number = 0; Number < Count; ++Number)
-    start(Number);
+    Use == NoSeeds ? start(Number, {}) : start(Number);
+}
+
+Endpoint PeerCluster::freeEndpoint() {
+  const Poco::Net::ServerSocket Socket(
+      Poco::Net::SocketAddress("127.0.0.1", 0));
+  return {"127.0.0.1", Socket.address().port()};
 }
 
 void PeerCluster::kill(std::size_t Number) {
@@ -235,4 +251,10 @@
                      [](const auto &Item) { return Item.second->serves(); });
 }
 
+bool PeerCluster::allSeeReady(std::size_t Count) const {
+  return std::all_of(Nodes.begin(), Nodes.end(), [Count](const auto &Item) {
+    return Item.second->count(MemberState::Ready) == Count;
+  });
+}
+
 } // namespace lycheethread::peer
--- a/src/peer/tests/PeerCluster.h
+++ b/src/peer/tests/PeerCluster.h
@@ -92,7 +92,12 @@
 
   /// Starts node \p Number; seeds are up to 3 running nodes.
   TestNode &start(std::size_t Number);
-  void startAll(std::size_t Count);
+  TestNode &start(std::size_t Number, std::vector<Endpoint> Seeds,
+                  const Endpoint &Control = {"127.0.0.1", 0});
+  enum SeedUse { RunningSeeds, NoSeeds };
+  void startAll(std::size_t Count, SeedUse Use = RunningSeeds);
+  /// Endpoint on which nothing listens yet.
+  static Endpoint freeEndpoint();
   void kill(std::size_t Number);
 
   Region regionOf(std::size_t Number) const;
@@ -100,6 +105,8 @@
   static bool await(const std::function<bool()> &Done, Milliseconds Limit);
   bool allAt(Offset Position) const;
   bool allServe() const;
+  /// Whether each node sees exactly \p Count ready members.
+  bool allSeeReady(std::size_t Count) const;
 
   MemoryLog Log;
   FakeNetwork Network;
--- a/src/peer/tests/PeerTest.cpp
+++ b/src/peer/tests/PeerTest.cpp
@@ -203,3 +203,26 @@
   Cluster.kill(1);
   BOOST_CHECK_THROW(Caller.Call(Target, "echo", "a"), PeerUnavailable);
 }
+
+// Guards against nodes that start together on an empty stream and never learn
+// of each other: each would read the log and serve alone for ever.
+BOOST_AUTO_TEST_CASE(GroupsThatStartApartMeetThroughTheLog) {
+  PeerCluster Cluster(2, 1);
+  Cluster.startAll(4, PeerCluster::NoSeeds);
+  BOOST_TEST(PeerCluster::await([&] { return Cluster.allSeeReady(4); }, Soon));
+}
+
+// Guards against the same when the log is down for the join records: a seed
+// that was not up at the start of a node must be asked again.
+BOOST_AUTO_TEST_CASE(GroupsThatStartApartMeetThroughTheSeeds) {
+  PeerCluster Cluster(2, 1);
+  const Endpoint Late = PeerCluster::freeEndpoint();
+  Cluster.Log.MembersDown = true;
+  Cluster.start(0, {Late});
+  Cluster.start(2, {Cluster.Nodes[0]->self().Control});
+  BOOST_TEST_REQUIRE(
+      PeerCluster::await([&] { return Cluster.allSeeReady(2); }, Soon));
+  Cluster.start(1, {}, Late);
+  Cluster.start(3, {Late});
+  BOOST_TEST(PeerCluster::await([&] { return Cluster.allSeeReady(4); }, Soon));
+}
