Compare the other region's view of the own region

Two nodes of a region that start at the same moment with seeds of the other region could stay unknown to each other: nobody of the own region compares views with them, and the join news is sent a limited number of times. In the new failure tests east-1 and east-2 did not know each other after 30 s in two of three starts.

A digest of the own region from another region now counts as well, so that the node fetches a whole view after DigestPatience.

--- a/src/membership/internal/Messages.cpp
+++ b/src/membership/internal/Messages.cpp
@@ -148,9 +148,11 @@
 void compareDigests(MemberTable &Table, const Message &Received,
                     const Endpoint &Source, SteadyTime Now, Actions &Out) {
   bool Differs = differsLong(Table, Received.In, Received.Digest, Now);
-  // Only members of the own region see the other one by the same means.
-  if (!crossesRegion(Table, Received))
-    for (const RegionAge &Item : Received.Regions)
+  // Only members of the own region see the other one by the same means. The
+  // other region's view of this one still counts: two nodes that started at
+  // the same moment may know only members of the other region.
+  for (const RegionAge &Item : Received.Regions)
+    if (!crossesRegion(Table, Received) || Item.In == Table.Self.At.In)
       Differs = differsLong(Table, Item.In, Item.Digest, Now) || Differs;
   if (!Differs || Now < Table.NextSyncAt)
     return;
--- a/src/membership/tests/MembershipTest.cpp
+++ b/src/membership/tests/MembershipTest.cpp
@@ -178,3 +178,23 @@
   BOOST_TEST(Count > 0U);
   BOOST_TEST(Count * 164U <= UpdateBytes);
 }
+
+// Guards against two nodes of one region that started at the same moment and
+// know only members of the other region: nobody probes them for each other.
+BOOST_AUTO_TEST_CASE(AsksTheOtherRegionThatSeesMoreOfThisOne) {
+  MemberTable Table = makeTable();
+  const Member Far = makeMember(1, "zone-e", "east");
+  add(Table, Far);
+  Message Ping = pingFrom(Far, {});
+  Ping.Digest = Table.Regions[Far.At.In].Digest;
+  const std::uint64_t Same = Table.Regions[Table.Self.At.In].Digest;
+  Ping.Regions = {{Table.Self.At.In, Milliseconds(0), Same}};
+  const SteadyTime Late = after(Start, 2 * DigestPatience);
+  BOOST_TEST(!handleMessage(Table, Ping, Far.Control, Start).SyncWith);
+  BOOST_TEST(!handleMessage(Table, Ping, Far.Control, Late).SyncWith);
+  Ping.Regions.front().Digest = Same + 1;
+  BOOST_TEST(!handleMessage(Table, Ping, Far.Control, Late).SyncWith);
+  const SteadyTime Later = after(Late, 2 * DigestPatience);
+  const auto Asked = handleMessage(Table, Ping, Far.Control, Later).SyncWith;
+  BOOST_TEST((Asked == Far.Control));
+}
