--- a/tests/harness/Mesh.cpp
+++ b/tests/harness/Mesh.cpp
@@ -48,7 +48,9 @@
       << "\ncontrol = " << local(Node.ControlPort)
       << "\nadmin = " << local(Node.AdminPort) << "\n";
   if (!Spec.Service.empty())
-    Out << "\n[upstream]\naddress = " << local(Node.UpstreamPort)
+    Out << "\n[upstream]\naddress = "
+        << local(Node.UpstreamLink != nullptr ? Node.UpstreamLink->ListenPort
+                                              : Node.UpstreamPort)
         << "\nservice = " << Spec.Service << "\ngroup = " << Spec.Group
         << "\nversion = " << Spec.Version << "\n";
   Out << "\n[log]\nurl = " << Spec.LogUrl << "\n";
@@ -143,6 +145,9 @@
     *Port = freePort();
   if (!Spec.Service.empty())
     launchUpstream(*Made);
+  if (Spec.FaultToUpstream)
+    Made->UpstreamLink =
+        &startFault(Spec.Id + "-upstream-fault", Made->UpstreamPort);
   std::string Seeds;
   for (std::size_t I = 0; I < Nodes_.size() && I < MaxSeeds; ++I)
     Seeds += (I == 0 ? "" : ", ") + local(Nodes_[I]->ControlPort);
@@ -154,6 +159,8 @@
 
 void Mesh::restart(NodeProcess &Node) const { launch(Node); }
 
+void Mesh::restartUpstream(NodeProcess &Node) const { launchUpstream(Node); }
+
 std::string Mesh::status(const NodeProcess &Node) {
   HttpCall Call;
   Call.Port = Node.AdminPort;
--- a/tests/harness/Mesh.h
+++ b/tests/harness/Mesh.h
@@ -25,6 +25,22 @@
   std::vector<std::string> UpstreamArgs;
   /// Base URL of the log, or of a forward to it.
   std::string LogUrl;
+  /// Puts a fault proxy between the node and its upstream.
+  bool FaultToUpstream = false;
+};
+
+/// A fault proxy with one forward.
+struct FaultProcess {
+  std::uint16_t ControlPort = 0;
+  std::uint16_t ListenPort = 0;
+  std::unique_ptr<ChildProcess> Process;
+
+  std::string url() const {
+    return "http://127.0.0.1:" + std::to_string(ListenPort);
+  }
+  /// Sets the rule given as the members of a JSON object without "listen",
+  /// such as "\"mode\":\"reset\""; empty passes everything.
+  void rule(const std::string &Members) const;
 };
 
 /// One node process; keeps its ports over a restart.
@@ -38,6 +54,8 @@
   std::string SettingsFile;
   std::unique_ptr<ChildProcess> Process;
   std::unique_ptr<ChildProcess> Upstream;
+  /// Null without FaultToUpstream.
+  FaultProcess *UpstreamLink = nullptr;
 };
 
 /// A program with one port.
@@ -48,20 +66,6 @@
   std::string url() const { return "http://127.0.0.1:" + std::to_string(Port); }
 };
 
-/// A fault proxy with one forward.
-struct FaultProcess {
-  std::uint16_t ControlPort = 0;
-  std::uint16_t ListenPort = 0;
-  std::unique_ptr<ChildProcess> Process;
-
-  std::string url() const {
-    return "http://127.0.0.1:" + std::to_string(ListenPort);
-  }
-  /// Sets the rule given as the members of a JSON object without "listen",
-  /// such as "\"mode\":\"reset\""; empty passes everything.
-  void rule(const std::string &Members) const;
-};
-
 /// All processes of one test, and the folder with their settings and output.
 class Mesh {
 public:
@@ -77,6 +81,8 @@
   NodeProcess &startNode(const NodeSpec &Spec);
   /// Starts a node that has ended with the same settings.
   void restart(NodeProcess &Node) const;
+  /// Starts an upstream that has ended on its port.
+  void restartUpstream(NodeProcess &Node) const;
 
   /// Waits until the node's status says "ready"; false after \p Limit.
   static bool waitReady(const NodeProcess &Node,
--- a/tests/standins/upstream/Faults.cpp
+++ b/tests/standins/upstream/Faults.cpp
@@ -17,7 +17,10 @@
 } // namespace
 
 Faults::Faults(const Options &Used)
-    : Options_(Used), Started_(Clock::now()), ActiveFrom_(Started_) {}
+    : Options_(Used), Started_(Clock::now()), ActiveFrom_(Started_) {
+  if (!Used.RunsFile.empty())
+    Runs_.open(Used.RunsFile, std::ios::app);
+}
 
 void Faults::control(const Poco::URI &Uri) {
   const std::lock_guard<std::mutex> Guard(Lock_);
@@ -90,6 +93,15 @@
     ++Executions_[Key];
 }
 
+void Faults::recordRun(const std::string &Id) {
+  const std::lock_guard<std::mutex> Guard(Lock_);
+  if (!Runs_.is_open())
+    return;
+  const auto Now = std::chrono::system_clock::now().time_since_epoch();
+  Runs_ << std::chrono::duration_cast<std::chrono::milliseconds>(Now).count()
+        << " " << Id << std::endl;
+}
+
 std::string Faults::executions() {
   const std::lock_guard<std::mutex> Guard(Lock_);
   std::string Text;
--- a/tests/standins/upstream/Faults.h
+++ b/tests/standins/upstream/Faults.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
+#include <fstream>
 #include <map>
 #include <mutex>
 #include <string>
@@ -23,6 +24,9 @@
   int Workers = 0;
   int ServiceTimeMs = 0;
   int ColdStartMs = 0;
+  /// File to which each run is appended before it starts, so that the record
+  /// outlives a killed process; empty for none.
+  std::string RunsFile;
 };
 
 /// What the stand-in does to one request.
@@ -48,6 +52,8 @@
   void work(int DelayMs);
 
   void countExecution(const std::string &Key);
+  /// Appends a line "ms-since-epoch id" to the file of runs.
+  void recordRun(const std::string &Id);
   /// "key count" lines.
   std::string executions();
   bool isHealthy();
@@ -69,6 +75,7 @@
   bool Draining_ = false;
   std::uint64_t Seen_ = 0;
   std::map<std::string, int> Executions_;
+  std::ofstream Runs_;
 };
 
 } // namespace lycheethread::upstream
--- a/tests/standins/upstream/Handler.cpp
+++ b/tests/standins/upstream/Handler.cpp
@@ -96,6 +96,7 @@
   if (!Body.Complete)
     return Response.setKeepAlive(false);
   Faults_.countExecution(Request.get("idempotency-key", ""));
+  Faults_.recordRun(Request.get("x-run-id", "-"));
   if (Request.get("x-crash", "") == "1")
     std::_Exit(CrashCode);
   const int Delay = Done.DelayMs + std::stoi(parameter(Uri, "ms", "0"));
@@ -120,12 +121,15 @@
                     HTTPServerResponse &Response) {
   const Poco::Net::SocketAddress Node(Options_.Node);
   Poco::Net::HTTPClientSession Session(Node.host().toString(), Node.port());
+  const std::string RunId = Request.get("x-run-id", "-");
+  Faults_.recordRun(RunId);
   HTTPRequest Onward(HTTPRequest::HTTP_GET, parameter(Uri, "path", "/work"),
                      HTTPRequest::HTTP_1_1);
   Onward.setHost(parameter(Uri, "service", ""));
   for (const auto &[Name, Value] : Request)
     if (startsWith(Name, "lt-"))
       Onward.set(Name, Value);
+  Onward.set("x-run-id", RunId);
   Session.sendRequest(Onward);
   HTTPResponse Inner;
   std::string Body;
--- a/tests/standins/upstream/Main.cpp
+++ b/tests/standins/upstream/Main.cpp
@@ -44,7 +44,9 @@
       cxxopts::value(Result.Workers))("service-time-ms", "time of one request",
                                       cxxopts::value(Result.ServiceTimeMs))(
       "cold-start-ms", "time in which requests take longer",
-      cxxopts::value(Result.ColdStartMs))(
+      cxxopts::value(Result.ColdStartMs))("runs-file",
+                                          "file to which runs are appended",
+                                          cxxopts::value(Result.RunsFile))(
       "node", "listen endpoint of the own node", cxxopts::value(Result.Node));
   Parser.parse(Argc, Argv);
   return Result;
