Add the capacity bench and the measurement script

Cause: the capacity page needs slopes of the decisions and one command that takes every figure again. Change: tests/capacity measures fold, membership, view and refusals at several sizes; scripts/measure.sh writes all measurements; the convergence tool waits for the cluster to settle. Measured: not yet run on a quiet machine.

--- /dev/null
+++ b/scripts/measure.sh
@@ -0,0 +1,51 @@
+#!/usr/bin/env bash
+# Takes the measurements of docs/CAPACITY.md and docs/proved.md into
+# docs/measurements/; about 10 minutes. measure.sh [PART...], with the parts
+# decisions, latency, convergence, goodput, moves; all without an argument. Run
+# it on a machine that does nothing else: the pages quote what it prints.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+Build=${BUILD_DIR:-build}
+Out=docs/measurements
+Parts=("$@")
+[ "${#Parts[@]}" -gt 0 ] || Parts=(decisions latency convergence goodput moves)
+
+# record NAME COMMAND...: writes the command and its output to NAME.txt.
+record() {
+  local Name=$1
+  shift
+  echo "== $Name"
+  {
+    echo "\$ $*"
+    "$@" 2>&1 | sed 's/\x1b\[[0-9;]*m//g'
+    echo
+  } >>"$Out/$Name.txt"
+}
+
+for Part in "${Parts[@]}"; do
+  rm -f "$Out/$Part.txt"
+  case $Part in
+  decisions) record decisions "$Build/tests/capacity/lychee-capacity" ;;
+  latency)
+    for _ in 1 2 3; do record latency tests/load/compare.sh "$Build" 5; done
+    ;;
+  convergence)
+    for Nodes in 12 50 150; do
+      record convergence "$Build/tests/convergence/lychee-convergence" \
+        --processes --nodes "$Nodes" --zones 4 --changes 10 \
+        --settle-seconds 45 --idle-seconds 20
+    done
+    ;;
+  goodput) record goodput "$Build/tests/load/lychee-goodput" --seconds 5 ;;
+  moves)
+    for Deployment in zinnwerk wijesekera; do
+      record moves "$Build/tests/moves/lychee-move-trials" --seed 301 \
+        --seeds 10 --good 20 --bad 20 --deployment "$Deployment"
+    done
+    ;;
+  *)
+    echo "measure.sh: unknown part \"$Part\"" >&2
+    exit 2
+    ;;
+  esac
+done
--- /dev/null
+++ b/tests/capacity/Capacity.cpp
@@ -0,0 +1,167 @@
+// Measures processor time and memory of the pure decisions at several sizes,
+// for the slopes of docs/CAPACITY.md. Takes no options.
+
+#include "decisions/Decisions.h"
+
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <string>
+#include <unistd.h>
+
+using namespace lycheethread;
+
+namespace {
+
+constexpr int GroupsPerDocument = 2;
+constexpr int RoutesPerDocument = 10;
+constexpr SteadyTime Start{1000000};
+
+double microsecondsOf(int Repeats, const std::function<void()> &Work) {
+  const auto Begin = std::chrono::steady_clock::now();
+  for (int I = 0; I < Repeats; ++I)
+    Work();
+  const std::chrono::duration<double, std::micro> Took =
+      std::chrono::steady_clock::now() - Begin;
+  return Took.count() / Repeats;
+}
+
+double residentKilobytes() {
+  std::ifstream In("/proc/self/statm");
+  double Total = 0;
+  double Resident = 0;
+  In >> Total >> Resident;
+  return Resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1024;
+}
+
+std::string documentText(int Number) {
+  std::string Text = "[service]\nname = service-" + std::to_string(Number) +
+                     "\nteam = team\nbuilds_on = 0\n";
+  for (int I = 0; I < GroupsPerDocument; ++I)
+    Text += "[upstreams.group-" + std::to_string(I) + "]\nversions = v1\n";
+  for (int I = 0; I < RoutesPerDocument; ++I)
+    Text += "[route.route-" + std::to_string(I) + "]\npath = /path/" +
+            std::to_string(I) + "\nclass = repeatable\nupstreams = group-" +
+            std::to_string(I % GroupsPerDocument) + "\ntimeout_ms = 2000\n";
+  return Text;
+}
+
+config::ConfigState stateWith(int Documents) {
+  config::ConfigState State;
+  for (int I = 0; I < Documents; ++I) {
+    Record Item;
+    Item.Header = {NodeId("operator-" + std::to_string(I)), Incarnation(1),
+                   Sequence(1), WallTime(1800000000000 + I)};
+    Item.Body = PublishRecord{ServiceName("service-" + std::to_string(I)),
+                              Revision(0), documentText(I)};
+    config::foldRecord(State, State.Position, Item);
+  }
+  return State;
+}
+
+Member memberOf(int Number, int Services) {
+  Member Item;
+  Item.Id = NodeId("node-" + std::to_string(Number));
+  Item.Life = Incarnation(1);
+  Item.State = MemberState::Ready;
+  Item.Hop = {"10.0.0.1", static_cast<std::uint16_t>(1000 + Number)};
+  Item.Control = {"10.0.0.1", static_cast<std::uint16_t>(20000 + Number)};
+  Item.At = {Region("region-" + std::to_string(Number % 2)),
+             AvailabilityZone("zone-" + std::to_string(Number % 8))};
+  Item.Service = ServiceName("service-" + std::to_string(Number % Services));
+  Item.Group = GroupName("group-" + std::to_string(Number % GroupsPerDocument));
+  Item.Version = VersionName("v1");
+  return Item;
+}
+
+void measureFold(int Documents) {
+  const double Before = residentKilobytes();
+  const auto Begin = std::chrono::steady_clock::now();
+  config::ConfigState State = stateWith(Documents);
+  const std::chrono::duration<double, std::micro> Took =
+      std::chrono::steady_clock::now() - Begin;
+  const double Resident = residentKilobytes() - Before;
+  std::size_t Bytes = 0;
+  const double Checkpoint = microsecondsOf(5, [&] {
+    Bytes = 0;
+    for (const std::string &Part : config::makeCheckpoint(State))
+      Bytes += Part.size();
+  });
+  const double Copy =
+      microsecondsOf(5, [&] { const config::ConfigState Copied = State; });
+  std::printf("fold        %5d documents of %zu B (%zu accepted): %.1f us a "
+              "document, %.0f KB resident, checkpoint %zu B in %.0f us, "
+              "copy %.0f us\n",
+              Documents, documentText(0).size(), State.Documents.size(),
+              Took.count() / Documents, Resident, Bytes, Checkpoint, Copy);
+}
+
+void measureView(int Members) {
+  const int Documents = std::max(2, Members * 120 / 1000);
+  const config::ConfigState State = stateWith(Documents);
+  std::vector<Member> List;
+  for (int I = 0; I < Members; ++I)
+    List.push_back(memberOf(I, Documents));
+  const double Build = microsecondsOf(10, [&] {
+    requests::buildRoutingView(State, List, {Region("region-0"), {}});
+  });
+  std::printf("view        %5d members, %d documents: %.0f us a build\n",
+              Members, Documents, Build);
+}
+
+void measureMembership(int Members) {
+  const double Before = residentKilobytes();
+  membership::MemberTable Table =
+      membership::makeMemberTable(memberOf(0, 120), Start, 1);
+  std::vector<membership::Update> Updates;
+  for (int I = 1; I < Members; ++I) {
+    membership::Update Item;
+    Item.Who = memberOf(I, 120);
+    Updates.push_back(Item);
+  }
+  const double Merge = microsecondsOf(
+      1, [&] { membership::mergeMembers(Table, Updates, Start); });
+  SteadyTime Now = Start;
+  constexpr int Ticks = 200;
+  const double Tick = microsecondsOf(Ticks, [&] {
+    Now = after(Now, Milliseconds(50));
+    membership::tick(Table, Now);
+  });
+  const double Visible =
+      microsecondsOf(20, [&] { membership::visibleMembers(Table, Now); });
+  std::printf("membership  %5d members: %.0f KB resident, merge %.0f us, tick "
+              "%.1f us (20 a second), list %.0f us\n",
+              Members, residentKilobytes() - Before, Merge, Tick, Visible);
+}
+
+void measureRefusals(int Callers) {
+  refusals::RefusalLedger Ledger =
+      refusals::makeLedger(NodeId("node-1"), Incarnation(1), WallTime(1));
+  Refusal Item;
+  Item.Service = ServiceName("service-1");
+  Item.Route = RouteName("route-1");
+  Item.Reason = RefusalReason::CallerLimit;
+  int Next = 0;
+  const double Add = microsecondsOf(200000, [&] {
+    Item.Id = RefusalId("node-1-" + std::to_string(Next));
+    Item.Caller = CallerId("caller-" + std::to_string(Next++ % Callers));
+    Item.At = WallTime(Next);
+    refusals::addRefusal(Ledger, Item);
+  });
+  const auto Batch = refusals::takeBatch(Ledger, WallTime(Next), false);
+  std::printf("refusals    %5d callers: %.2f us a refusal\n", Callers, Add);
+}
+
+} // namespace
+
+int main() {
+  for (const int Documents : {30, 120, 480})
+    measureFold(Documents);
+  for (const int Members : {100, 300, 1000, 2000})
+    measureMembership(Members);
+  for (const int Members : {100, 300, 1000, 2000})
+    measureView(Members);
+  for (const int Callers : {10, 100, 1000})
+    measureRefusals(Callers);
+  return 0;
+}
--- a/tests/convergence/Main.cpp
+++ b/tests/convergence/Main.cpp
@@ -164,7 +164,7 @@
                    Parsed["settle-seconds"].as<int>()};
   if (Parsed.count("processes") != 0) {
     runProcesses(Asked.Nodes, Asked.Zones, Asked.Changes, Asked.ChangeBytes,
-                 Asked.IdleSeconds);
+                 Asked.SettleSeconds, Asked.IdleSeconds);
     return 0;
   }
   run(Asked);
--- a/tests/convergence/Processes.cpp
+++ b/tests/convergence/Processes.cpp
@@ -156,7 +156,8 @@
 } // namespace
 
 void runProcesses(std::size_t Nodes, std::size_t Zones, int Changes,
-                  std::size_t ChangeBytes, int IdleSeconds) {
+                  std::size_t ChangeBytes, int SettleSeconds,
+                  int IdleSeconds) {
   Mesh Running("convergence");
   const std::uint16_t LogPort = Running.startLog().Port;
   std::vector<NodeProcess *> All;
@@ -172,6 +173,7 @@
               "bytes\n",
               Nodes, Zones, Changes, ChangeBytes);
   awaitReady("start", All);
+  std::this_thread::sleep_for(std::chrono::seconds(SettleSeconds));
   const Sums Begin = take(All);
   std::this_thread::sleep_for(std::chrono::seconds(IdleSeconds));
   const Sums Idle = take(All);
--- a/tests/convergence/Processes.h
+++ b/tests/convergence/Processes.h
@@ -8,7 +8,7 @@
 /// Measures \p Nodes node processes with the log stand-in: one publication a
 /// second, bytes from /metrics, processor time and memory from /proc.
 void runProcesses(std::size_t Nodes, std::size_t Zones, int Changes,
-                  std::size_t ChangeBytes, int IdleSeconds);
+                  std::size_t ChangeBytes, int SettleSeconds, int IdleSeconds);
 
 } // namespace lycheethread::convergence
 
