Let a fault proxy stand before the control endpoint of a node

Datagrams between regions could not be cut between real processes, because a node announces the address that it binds. The optional setting listen.announce names the control endpoint that others use, as behind any forward. A rule of the fault proxy may be limited to datagrams from one client address, and the harness starts a forward for TCP and UDP before a node.

--- a/src/peer/internal/PeerNode.cpp
+++ b/src/peer/internal/PeerNode.cpp
@@ -144,6 +144,8 @@
     Self.Life = Incarnation(wallNow().value());
     Self.Hop = Settings.Hop;
     Self.Control = {Settings.Control.Address, ControlPort};
+    if (Settings.Announce.Port != 0)
+      Self.Control = Settings.Announce;
     Self.At = Settings.At;
     Self.Service = Settings.Service;
     Self.Group = Settings.Group;
--- a/src/settings/internal/SettingsParser.cpp
+++ b/src/settings/internal/SettingsParser.cpp
@@ -37,6 +37,7 @@
   readEndpoint(To, From, "hop", To.Settings.Hop);
   readEndpoint(To, From, "control", To.Settings.Control);
   readEndpoint(To, From, "admin", To.Settings.Admin);
+  readEndpoint(To, From, "announce", To.Settings.Announce);
 }
 
 void readUpstream(Parsing &To, const SchemaSection &From) {
--- a/src/settings/types/NodeSettings.h
+++ b/src/settings/types/NodeSettings.h
@@ -19,6 +19,8 @@
   Endpoint Hop;
   /// Control protocol between nodes, UDP and TCP.
   Endpoint Control;
+  /// Control endpoint that other nodes use; port 0 when it is Control itself.
+  Endpoint Announce;
   /// Metrics, status and drain; bound to a local address by default.
   Endpoint Admin;
 
--- a/tests/harness/Mesh.cpp
+++ b/tests/harness/Mesh.cpp
@@ -38,15 +38,26 @@
   return {std::istreambuf_iterator<char>(In), {}};
 }
 
+std::string controlOf(const NodeProcess &Node) {
+  return Node.Spec.ControlAddress + ":" + std::to_string(Node.ControlPort);
+}
+
+/// Where other nodes reach the control endpoint.
+std::string announcedBy(const NodeProcess &Node) {
+  return Node.ControlFault != nullptr ? local(Node.ControlFault->ListenPort)
+                                      : controlOf(Node);
+}
+
 std::string settingsOf(const NodeProcess &Node, const std::string &Seeds) {
   const NodeSpec &Spec = Node.Spec;
   std::ostringstream Out;
   Out << "[node]\nid = " << Spec.Id << "\nregion = " << Spec.Region
       << "\nzone = " << Spec.Zone
       << "\n\n[listen]\nrequests = " << local(Node.RequestPort)
-      << "\nhop = " << local(Node.HopPort)
-      << "\ncontrol = " << local(Node.ControlPort)
+      << "\nhop = " << local(Node.HopPort) << "\ncontrol = " << controlOf(Node)
       << "\nadmin = " << local(Node.AdminPort) << "\n";
+  if (Node.ControlFault != nullptr)
+    Out << "announce = " << announcedBy(Node) << "\n";
   if (!Spec.Service.empty())
     Out << "\n[upstream]\naddress = " << local(Node.UpstreamPort)
         << "\nservice = " << Spec.Service << "\ngroup = " << Spec.Group
@@ -103,14 +114,26 @@
 }
 
 FaultProcess &Mesh::startFault(const std::string &Name, std::uint16_t Target) {
+  return launchFault(Name, local(Target), false);
+}
+
+FaultProcess &Mesh::startControlFault(const std::string &Name,
+                                      const std::string &Target) {
+  return launchFault(Name, Target, true);
+}
+
+FaultProcess &Mesh::launchFault(const std::string &Name,
+                                const std::string &Target, bool WithUdp) {
   auto Made = std::make_unique<FaultProcess>();
   Made->ControlPort = freePort();
   Made->ListenPort = freePort();
-  Made->Process = std::make_unique<ChildProcess>(
-      LYCHEE_TEST_FAULT,
-      std::vector<std::string>{"--control", local(Made->ControlPort), "--tcp",
-                               local(Made->ListenPort) + "=" + local(Target)},
-      outputOf(Name));
+  const std::string Forward = local(Made->ListenPort) + "=" + Target;
+  std::vector<std::string> Args{"--control", local(Made->ControlPort), "--tcp",
+                                Forward};
+  if (WithUdp)
+    Args.insert(Args.end(), {"--udp", Forward});
+  Made->Process =
+      std::make_unique<ChildProcess>(LYCHEE_TEST_FAULT, Args, outputOf(Name));
   requireAnswer(Name, Made->ControlPort);
   Faults_.push_back(std::move(Made));
   return *Faults_.back();
@@ -143,9 +166,12 @@
     *Port = freePort();
   if (!Spec.Service.empty())
     launchUpstream(*Made);
+  if (Spec.ForwardControl)
+    Made->ControlFault =
+        &startControlFault(Spec.Id + "-fault", controlOf(*Made));
   std::string Seeds;
   for (std::size_t I = 0; I < Nodes_.size() && I < MaxSeeds; ++I)
-    Seeds += (I == 0 ? "" : ", ") + local(Nodes_[I]->ControlPort);
+    Seeds += (I == 0 ? "" : ", ") + announcedBy(*Nodes_[I]);
   Made->SettingsFile = write(Spec.Id + ".ini", settingsOf(*Made, Seeds));
   launch(*Made);
   Nodes_.push_back(std::move(Made));
--- a/tests/harness/Mesh.h
+++ b/tests/harness/Mesh.h
@@ -25,19 +25,11 @@
   std::vector<std::string> UpstreamArgs;
   /// Base URL of the log, or of a forward to it.
   std::string LogUrl;
-};
-
-/// One node process; keeps its ports over a restart.
-struct NodeProcess {
-  NodeSpec Spec;
-  std::uint16_t RequestPort = 0;
-  std::uint16_t HopPort = 0;
-  std::uint16_t ControlPort = 0;
-  std::uint16_t AdminPort = 0;
-  std::uint16_t UpstreamPort = 0;
-  std::string SettingsFile;
-  std::unique_ptr<ChildProcess> Process;
-  std::unique_ptr<ChildProcess> Upstream;
+  /// Address of the control endpoint. With another one than 127.0.0.1 a fault
+  /// proxy can tell the datagrams of this node from those of others.
+  std::string ControlAddress = "127.0.0.1";
+  /// Whether other nodes reach the control endpoint through a fault proxy.
+  bool ForwardControl = false;
 };
 
 /// A program with one port.
@@ -62,6 +54,21 @@
   void rule(const std::string &Members) const;
 };
 
+/// One node process; keeps its ports over a restart.
+struct NodeProcess {
+  NodeSpec Spec;
+  std::uint16_t RequestPort = 0;
+  std::uint16_t HopPort = 0;
+  std::uint16_t ControlPort = 0;
+  std::uint16_t AdminPort = 0;
+  std::uint16_t UpstreamPort = 0;
+  /// Before the control endpoint, when that is wanted.
+  FaultProcess *ControlFault = nullptr;
+  std::string SettingsFile;
+  std::unique_ptr<ChildProcess> Process;
+  std::unique_ptr<ChildProcess> Upstream;
+};
+
 /// All processes of one test, and the folder with their settings and output.
 class Mesh {
 public:
@@ -72,6 +79,9 @@
 
   PortProcess &startLog();
   FaultProcess &startFault(const std::string &Name, std::uint16_t Target);
+  /// The same for TCP and UDP at \p Target ("ip:port").
+  FaultProcess &startControlFault(const std::string &Name,
+                                  const std::string &Target);
   /// Starts the upstream, when there is one, and the node beside it. The first
   /// nodes started are its seeds.
   NodeProcess &startNode(const NodeSpec &Spec);
@@ -96,6 +106,8 @@
 
 private:
   std::string outputOf(const std::string &Name) const;
+  FaultProcess &launchFault(const std::string &Name, const std::string &Target,
+                            bool WithUdp);
   void launch(NodeProcess &Node) const;
   void launchUpstream(NodeProcess &Node) const;
 
--- a/tests/standins/faultproxy/ControlServer.cpp
+++ b/tests/standins/faultproxy/ControlServer.cpp
@@ -43,6 +43,7 @@
   Rule.JitterMs = number(Given, "jitter_ms");
   Rule.BytesPerSecond = number(Given, "bytes_per_s");
   Rule.CloseAfterBytes = number(Given, "close_after_bytes");
+  Rule.From = Given->optValue<std::string>("from", "");
   const std::string Way = Given->optValue<std::string>("direction", "both");
   if (Way != "up" && Way != "down" && Way != "both")
     throw std::invalid_argument("direction \"" + Way +
--- a/tests/standins/faultproxy/ControlServer.h
+++ b/tests/standins/faultproxy/ControlServer.h
@@ -11,7 +11,7 @@
 /// Sets rules over HTTP. POST /control takes
 ///   {"listen": "ip:port" or "*", "direction": "up" | "down" | "both",
 ///    "mode": "pass" | "reset" | "drop", "delay_ms": n, "jitter_ms": n,
-///    "bytes_per_s": n, "close_after_bytes": n}
+///    "bytes_per_s": n, "close_after_bytes": n, "from": "ip"}
 /// where all but listen may be left out. GET /control answers the totals.
 class ControlServer {
 public:
--- a/tests/standins/faultproxy/FaultProxy.cpp
+++ b/tests/standins/faultproxy/FaultProxy.cpp
@@ -100,6 +100,9 @@
     if (Listen != "*" && Each->State.Totals.Spec.Listen != Listen)
       continue;
     Found = true;
+    // A connection on the loopback does not show which client opened it.
+    if (!Rule.From.empty() && Each->Tcp)
+      continue;
     if (Up)
       Each->State.Up = Rule;
     if (Down)
--- a/tests/standins/faultproxy/FaultRule.h
+++ b/tests/standins/faultproxy/FaultRule.h
@@ -27,6 +27,8 @@
   std::int64_t BytesPerSecond = 0;
   /// A connection is reset after this many bytes; 0 for never.
   std::int64_t CloseAfterBytes = 0;
+  /// Only datagrams of clients with this IP address; empty for all traffic.
+  std::string From;
 };
 
 enum class Protocol { Tcp, Udp };
--- a/tests/standins/faultproxy/UdpForward.cpp
+++ b/tests/standins/faultproxy/UdpForward.cpp
@@ -30,6 +30,14 @@
   }
 }
 
+/// The rule as it applies to datagrams from and to \p Client.
+FaultRule ruleFor(const FaultRule &Rule,
+                  const Poco::Net::SocketAddress &Client) {
+  const bool Applies =
+      Rule.From.empty() || Rule.From == Client.host().toString();
+  return Applies ? Rule : FaultRule();
+}
+
 } // namespace
 
 UdpForward::UdpForward(const ForwardSpec &Spec)
@@ -77,7 +85,7 @@
     if (Data.empty())
       continue;
     State.Totals.BytesUp += static_cast<std::int64_t>(Data.size());
-    queue(State.Up, {flowOf(Client), Target_, Data}, Random);
+    queue(ruleFor(State.Up, Client), {flowOf(Client), Target_, Data}, Random);
   }
   for (auto &[Client, Flow] : Flows_)
     for (Got = true; Got;) {
@@ -86,7 +94,7 @@
       if (Data.empty())
         continue;
       State.Totals.BytesDown += static_cast<std::int64_t>(Data.size());
-      queue(State.Down, {Listener_, Client, Data}, Random);
+      queue(ruleFor(State.Down, Client), {Listener_, Client, Data}, Random);
     }
 }
 
