Announce a node as ready only when it serves a configuration

The other way round the feed announced ready although the upstream was still starting. stateToAnnounce decides from both, under one lock with the announcement, so that a drain or the leave is not taken back either.

--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -39,6 +39,10 @@
                                     SteadyTime Now);
 void onContactAnswer(ContactBook &Book, const Endpoint &From, SteadyTime Now);
 
+/// State to announce when the node's other parts asked for \p Asked, if they
+/// did: a node that does not serve a configuration yet is never ready.
+MemberState stateToAnnounce(bool Serving, std::optional<MemberState> Asked);
+
 /// Announces another state of this node; raises its incarnation, so that the
 /// news overrides every suspicion.
 Actions announce(MemberTable &Table, MemberState State, SteadyTime Now);
--- a/src/membership/internal/MemberTable.cpp
+++ b/src/membership/internal/MemberTable.cpp
@@ -189,6 +189,12 @@
   return Out;
 }
 
+MemberState stateToAnnounce(bool Serving, std::optional<MemberState> Asked) {
+  const MemberState Wanted = Asked.value_or(MemberState::Ready);
+  return Wanted == MemberState::Ready && !Serving ? MemberState::Starting
+                                                  : Wanted;
+}
+
 Actions announce(MemberTable &Table, MemberState State, SteadyTime Now) {
   if (State != Table.Self.State) {
     RegionView &View = Table.Regions[Table.Self.At.In];
--- a/src/membership/tests/MembershipTest.cpp
+++ b/src/membership/tests/MembershipTest.cpp
@@ -179,6 +179,20 @@
   BOOST_TEST(Count * 164U <= UpdateBytes);
 }
 
+// Guards against a node that others use because its upstream is ready although
+// the node has no configuration yet, and against a drain that is taken back.
+BOOST_AUTO_TEST_CASE(NodeIsReadyOnlyWhenItServes) {
+  const auto Ready = MemberState::Ready;
+  const auto Starting = MemberState::Starting;
+  const auto Draining = MemberState::Draining;
+  BOOST_TEST((stateToAnnounce(false, Ready) == Starting));
+  BOOST_TEST((stateToAnnounce(true, Ready) == Ready));
+  BOOST_TEST((stateToAnnounce(true, std::nullopt) == Ready));
+  BOOST_TEST((stateToAnnounce(true, Starting) == Starting));
+  BOOST_TEST((stateToAnnounce(false, Draining) == Draining));
+  BOOST_TEST((stateToAnnounce(true, Draining) == Draining));
+}
+
 // Guards against a seed that is never asked again, and against one that is
 // asked without end or although it is a member.
 BOOST_AUTO_TEST_CASE(UnknownSeedIsContactedWithBackOff) {
--- a/src/peer/internal/FeedLoop.cpp
+++ b/src/peer/internal/FeedLoop.cpp
@@ -162,12 +162,10 @@
 
   void becomeReady() {
     distribution::Readiness Verdict;
-    bool Announce = false;
     {
       const std::lock_guard<std::mutex> Guard(Context.Lock);
       Verdict = distribution::readiness(Context.Feed, steadyNow());
       Context.Feed.Serving = Verdict.MayServe;
-      Announce = Context.Table.Self.State == MemberState::Starting;
     }
     if (!Verdict.MayServe) {
       logWaiting(Verdict.WaitingFor);
@@ -175,8 +173,7 @@
     }
     BOOST_LOG_TRIVIAL(info) << "peer: serves from position " << State.Position;
     refreshView();
-    if (Announce)
-      Gossip.announce(MemberState::Ready);
+    Gossip.announceAgain();
   }
 
   void logWaiting(const std::string &Text) {
--- a/src/peer/internal/GossipLoop.cpp
+++ b/src/peer/internal/GossipLoop.cpp
@@ -332,10 +332,21 @@
 }
 
 void GossipLoop::announce(MemberState State) {
-  membership::Actions Asked;
   {
     const std::lock_guard<std::mutex> Guard(Impl_->Context.Lock);
-    Asked = membership::announce(Impl_->Context.Table, State, steadyNow());
+    Impl_->Context.AskedState = State;
+  }
+  announceAgain();
+}
+
+void GossipLoop::announceAgain() {
+  PeerContext &Context = Impl_->Context;
+  membership::Actions Asked;
+  {
+    const std::lock_guard<std::mutex> Guard(Context.Lock);
+    const MemberState State =
+        membership::stateToAnnounce(Context.Feed.Serving, Context.AskedState);
+    Asked = membership::announce(Context.Table, State, steadyNow());
   }
   perform(Asked);
   publishMembers();
--- a/src/peer/internal/GossipLoop.h
+++ b/src/peer/internal/GossipLoop.h
@@ -23,7 +23,10 @@
 
   /// Sends what a step of the membership asks for.
   void perform(const membership::Actions &Asked);
+  /// Announces \p State as soon as the node may be in it.
   void announce(MemberState State);
+  /// Announces what was asked for, after a change of the node's readiness.
+  void announceAgain();
   /// Forwards a heartbeat that waited for its records.
   void forwardWaiting();
   /// Sends a heartbeat now if this node reads and its position has risen.
--- a/src/peer/internal/PeerContext.h
+++ b/src/peer/internal/PeerContext.h
@@ -38,6 +38,8 @@
   std::mutex Lock;
   membership::MemberTable Table;
   membership::ContactBook Contacts;
+  /// State that other parts of the node asked to announce.
+  std::optional<MemberState> AskedState;
   distribution::DistributionState Feed;
   distribution::SnapshotSlots Snapshots;
   distribution::CheckpointMark Checkpoint;
