--- a/tests/capacity/Capacity.cpp
+++ b/tests/capacity/Capacity.cpp
@@ -5,9 +5,9 @@
 
 #include <chrono>
 #include <cstdio>
-#include <fstream>
+#include <functional>
+#include <malloc.h>
 #include <string>
-#include <unistd.h>
 
 using namespace lycheethread;
 
@@ -26,12 +26,9 @@
   return Took.count() / Repeats;
 }
 
-double residentKilobytes() {
-  std::ifstream In("/proc/self/statm");
-  double Total = 0;
-  double Resident = 0;
-  In >> Total >> Resident;
-  return Resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1024;
+/// Memory in use by the program, without what the allocator keeps.
+double usedKilobytes() {
+  return static_cast<double>(mallinfo2().uordblks) / 1024;
 }
 
 std::string documentText(int Number) {
@@ -75,12 +72,12 @@
 }
 
 void measureFold(int Documents) {
-  const double Before = residentKilobytes();
+  const double Before = usedKilobytes();
   const auto Begin = std::chrono::steady_clock::now();
   config::ConfigState State = stateWith(Documents);
   const std::chrono::duration<double, std::micro> Took =
       std::chrono::steady_clock::now() - Begin;
-  const double Resident = residentKilobytes() - Before;
+  const double Used = usedKilobytes() - Before;
   std::size_t Bytes = 0;
   const double Checkpoint = microsecondsOf(5, [&] {
     Bytes = 0;
@@ -90,10 +87,10 @@
   const double Copy =
       microsecondsOf(5, [&] { const config::ConfigState Copied = State; });
   std::printf("fold        %5d documents of %zu B (%zu accepted): %.1f us a "
-              "document, %.0f KB resident, checkpoint %zu B in %.0f us, "
+              "document, %.0f KB of memory, checkpoint %zu B in %.0f us, "
               "copy %.0f us\n",
               Documents, documentText(0).size(), State.Documents.size(),
-              Took.count() / Documents, Resident, Bytes, Checkpoint, Copy);
+              Took.count() / Documents, Used, Bytes, Checkpoint, Copy);
 }
 
 void measureView(int Members) {
@@ -110,7 +107,7 @@
 }
 
 void measureMembership(int Members) {
-  const double Before = residentKilobytes();
+  const double Before = usedKilobytes();
   membership::MemberTable Table =
       membership::makeMemberTable(memberOf(0, 120), Start, 1);
   std::vector<membership::Update> Updates;
@@ -129,9 +126,9 @@
   });
   const double Visible =
       microsecondsOf(20, [&] { membership::visibleMembers(Table, Now); });
-  std::printf("membership  %5d members: %.0f KB resident, merge %.0f us, tick "
+  std::printf("membership  %5d members: %.0f KB of memory, merge %.0f us, tick "
               "%.1f us (20 a second), list %.0f us\n",
-              Members, residentKilobytes() - Before, Merge, Tick, Visible);
+              Members, usedKilobytes() - Before, Merge, Tick, Visible);
 }
 
 void measureRefusals(int Callers) {
--- a/tests/convergence/Processes.cpp
+++ b/tests/convergence/Processes.cpp
@@ -156,8 +156,7 @@
 } // namespace
 
 void runProcesses(std::size_t Nodes, std::size_t Zones, int Changes,
-                  std::size_t ChangeBytes, int SettleSeconds,
-                  int IdleSeconds) {
+                  std::size_t ChangeBytes, int SettleSeconds, int IdleSeconds) {
   Mesh Running("convergence");
   const std::uint16_t LogPort = Running.startLog().Port;
   std::vector<NodeProcess *> All;
--- a/tests/harness/Mesh.h
+++ b/tests/harness/Mesh.h
@@ -27,6 +27,19 @@
   std::string LogUrl;
   /// Puts a fault proxy between the node and its upstream.
   bool FaultToUpstream = false;
+  /// Address of the control endpoint. With another one than 127.0.0.1 a fault
+  /// proxy can tell the datagrams of this node from those of others.
+  std::string ControlAddress = "127.0.0.1";
+  /// Whether other nodes reach the control endpoint through a fault proxy.
+  bool ForwardControl = false;
+};
+
+/// A program with one port.
+struct PortProcess {
+  std::uint16_t Port = 0;
+  std::unique_ptr<ChildProcess> Process;
+
+  std::string url() const { return "http://127.0.0.1:" + std::to_string(Port); }
 };
 
 /// A fault proxy with one forward.
@@ -51,19 +64,13 @@
   std::uint16_t ControlPort = 0;
   std::uint16_t AdminPort = 0;
   std::uint16_t UpstreamPort = 0;
-  std::string SettingsFile;
-  std::unique_ptr<ChildProcess> Process;
-  std::unique_ptr<ChildProcess> Upstream;
   /// Null without FaultToUpstream.
   FaultProcess *UpstreamLink = nullptr;
-};
-
-/// A program with one port.
-struct PortProcess {
-  std::uint16_t Port = 0;
+  /// Before the control endpoint, when that is wanted.
+  FaultProcess *ControlFault = nullptr;
+  std::string SettingsFile;
   std::unique_ptr<ChildProcess> Process;
-
-  std::string url() const { return "http://127.0.0.1:" + std::to_string(Port); }
+  std::unique_ptr<ChildProcess> Upstream;
 };
 
 /// All processes of one test, and the folder with their settings and output.
@@ -76,6 +83,9 @@
 
   PortProcess &startLog();
   FaultProcess &startFault(const std::string &Name, std::uint16_t Target);
+  /// The same for TCP and UDP at \p Target ("ip:port").
+  FaultProcess &startControlFault(const std::string &Name,
+                                  const std::string &Target);
   /// Starts the upstream, when there is one, and the node beside it. The first
   /// nodes started are its seeds.
   NodeProcess &startNode(const NodeSpec &Spec);
@@ -102,6 +112,8 @@
 
 private:
   std::string outputOf(const std::string &Name) const;
+  FaultProcess &launchFault(const std::string &Name, const std::string &Target,
+                            bool WithUdp);
   void launch(NodeProcess &Node) const;
   void launchUpstream(NodeProcess &Node) const;
 
