End the port for callers before a node leaves

A draining node now ends each connection with its next answer, closes the port for callers once the last hop has had nothing in progress for 3 s, serves what was accepted, and ends. The port stays open until then because the calls of the own upstream come in there.

--- a/src/app/internal/NodeCommand.cpp
+++ b/src/app/internal/NodeCommand.cpp
@@ -14,6 +14,7 @@
 #include <csignal>
 #include <cxxopts.hpp>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <pthread.h>
 #include <sstream>
@@ -30,6 +31,9 @@
 /// A request that was on its way when the drain began must have arrived, and
 /// the other nodes must have heard of the drain, before the ports close.
 constexpr Milliseconds DrainQuietTime{3000};
+/// A caller that connected just before the port closed must have sent its
+/// request.
+constexpr Milliseconds ListenQuietTime{1000};
 
 sigset_t endSignals() {
   sigset_t Signals;
@@ -77,8 +81,27 @@
   Node.add(admin::makeAdminModule());
 }
 
-/// Waits until no request has been in progress for DrainQuietTime, the limit
-/// has passed or a second signal asks for an immediate end.
+/// Waits until nothing has been in progress for \p Quiet. False after \p Limit
+/// or a second signal, which asks for an immediate end.
+bool waitForQuiet(const std::function<std::int64_t()> &InProgress,
+                  Milliseconds Quiet, Milliseconds &Limit) {
+  Milliseconds QuietFor{0};
+  while (QuietFor < Quiet) {
+    if (endSignalWithin(DrainPoll)) {
+      BOOST_LOG_TRIVIAL(warning) << "node: second signal, stopping with "
+                                 << InProgress() << " requests open";
+      return false;
+    }
+    Limit -= DrainPoll;
+    if (Limit <= Milliseconds(0))
+      return false;
+    QuietFor = InProgress() == 0 ? QuietFor + DrainPoll : Milliseconds(0);
+  }
+  return true;
+}
+
+/// Callers that stay connected would keep the node from ever being quiet, so
+/// the port for callers closes once the last hop has nothing in progress.
 void drain(kernel::ServiceRegistry &Registry, Milliseconds Limit) {
   const auto Drain =
       Registry.find<proxy::DrainControl>(kernel::service_names::Drain);
@@ -86,17 +109,10 @@
       Registry.find<peer::PeerControl>(kernel::service_names::Peers);
   Drain->Begin();
   Peers->Announce(MemberState::Draining);
-  Milliseconds Waited{0};
-  Milliseconds Quiet{0};
-  while (Waited < Limit && Quiet < DrainQuietTime) {
-    if (endSignalWithin(DrainPoll)) {
-      BOOST_LOG_TRIVIAL(warning) << "node: second signal, stopping with "
-                                 << Drain->InProgress() << " requests open";
-      return;
-    }
-    Waited += DrainPoll;
-    Quiet = Drain->InProgress() == 0 ? Quiet + DrainPoll : Milliseconds(0);
-  }
+  if (!waitForQuiet(Drain->LastHopInProgress, DrainQuietTime, Limit))
+    return;
+  Drain->StopListening();
+  waitForQuiet(Drain->InProgress, ListenQuietTime, Limit);
 }
 
 std::string readFile(const std::string &Path) {
--- a/src/proxy/internal/HttpServer.cpp
+++ b/src/proxy/internal/HttpServer.cpp
@@ -12,6 +12,8 @@
 #include <atomic>
 #include <mutex>
 #include <set>
+#include <thread>
+#include <vector>
 
 namespace lycheethread::proxy {
 
@@ -27,6 +29,9 @@
 /// Threads beyond the limit, which tell callers that there are too many.
 constexpr int SpareThreads = 8;
 constexpr int MaxQueued = 64;
+/// For accepted connections that wait for a thread when the port closes.
+constexpr Milliseconds QueueTime{1000};
+constexpr Milliseconds QueuePoll{10};
 
 } // namespace
 
@@ -35,11 +40,15 @@
   std::int32_t MaxConnections = 0;
   std::atomic<std::int64_t> InProgress{0};
   std::atomic<std::int32_t> Connections{0};
+  std::atomic<bool> Closing{false};
   std::atomic<bool> Stopping{false};
   std::mutex Lock;
   std::set<HttpConnection *> Open;
   std::unique_ptr<Poco::ThreadPool> Threads;
+  Poco::Net::ServerSocket Socket;
   std::unique_ptr<Poco::Net::TCPServer> Server;
+  /// Connections that were in the backlog when the port closed.
+  std::vector<std::thread> Late;
 
   void add(HttpConnection &Item) {
     const std::lock_guard<std::mutex> Guard(Lock);
@@ -62,6 +71,8 @@
       Callbacks.Refuse(From, RefusalReason::BadRequest);
       return false;
     }
+    if (Closing.load())
+      Request.setKeepAlive(false);
     ++InProgress;
     bool Keep = false;
     try {
@@ -139,14 +150,14 @@
   Poco::Net::TCPServerParams::Ptr Params = new Poco::Net::TCPServerParams;
   Params->setMaxThreads(MaxThreads);
   Params->setMaxQueued(MaxQueued);
-  const Poco::Net::ServerSocket Socket(
+  Impl_->Socket = Poco::Net::ServerSocket(
       Poco::Net::SocketAddress(Listen.Address, Listen.Port), Backlog);
   Impl *Shared = Impl_.get();
   Impl_->Server = std::make_unique<Poco::Net::TCPServer>(
       new Factory([Shared](const Poco::Net::StreamSocket &Accepted) {
         Shared->run(Accepted);
       }),
-      *Impl_->Threads, Socket, Params);
+      *Impl_->Threads, Impl_->Socket, Params);
   Impl_->Server->start();
 }
 
@@ -158,10 +169,30 @@
     for (HttpConnection *Item : Impl_->Open)
       Item->shutdown();
   }
+  for (std::thread &Each : Impl_->Late)
+    Each.join();
   Impl_->Threads->joinAll();
   Impl_->Server.reset();
 }
 
+void HttpServer::closeAfterAnswers() { Impl_->Closing = true; }
+
+void HttpServer::stopAccepting() {
+  const SteadyTime Limit = after(steadyNow(), QueueTime);
+  while (Impl_->Server->queuedConnections() > 0 &&
+         timeLeft(Limit) > Milliseconds(0))
+    std::this_thread::sleep_for(QueuePoll);
+  Impl_->Server->stop();
+  // Closing the port resets what the kernel has accepted in the meantime.
+  Impl *Shared = Impl_.get();
+  while (
+      Impl_->Socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+    const Poco::Net::StreamSocket Accepted = Impl_->Socket.acceptConnection();
+    Impl_->Late.emplace_back([Shared, Accepted] { Shared->run(Accepted); });
+  }
+  Impl_->Socket.close();
+}
+
 std::int64_t HttpServer::inProgress() const { return Impl_->InProgress.load(); }
 
 } // namespace lycheethread::proxy
--- a/src/proxy/internal/HttpServer.h
+++ b/src/proxy/internal/HttpServer.h
@@ -30,6 +30,11 @@
   /// Ends all connections.
   ~HttpServer();
 
+  /// Ends each connection with its next answer from now on.
+  void closeAfterAnswers();
+  /// Closes the port; accepted connections are served.
+  void stopAccepting();
+
   /// Requests that are being served.
   std::int64_t inProgress() const;
 
--- a/src/proxy/internal/LastHop.cpp
+++ b/src/proxy/internal/LastHop.cpp
@@ -8,6 +8,7 @@
 #include <Poco/SHA1Engine.h>
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <random>
 
@@ -84,6 +85,7 @@
   CrashWatch Watch;
   ClaimKeeper Claims;
   Readiness Ready;
+  std::atomic<std::int64_t> InProgress{0};
 
   AttemptResult exchange(const CallContext &Call, const HTTPRequest &Request,
                          RequestBody &Body, Reply &To,
@@ -238,9 +240,11 @@
   if (Result.End != AttemptEnd::Delivered)
     return Result;
   const auto Admitted = Clock::now();
+  ++Impl_->InProgress;
   Result = guardAttempt(NotYet, Call.Deadline, [&] {
     return Impl_->runAdmitted(Call, Request, Body, To, AskedFirst);
   });
+  --Impl_->InProgress;
   Impl_->Gate.leave(Item, Limits, since(Admitted));
   Impl_->Services.Metrics->Record(
       {metrics::Hop::LastHop, Call.Caller, Call.Class, since(Asked),
@@ -254,6 +258,8 @@
   Impl_->Ready.beginDrain();
 }
 
+std::int64_t LastHop::inProgress() const { return Impl_->InProgress.load(); }
+
 std::int64_t LastHop::unwritten() const { return Impl_->Claims.waiting(); }
 
 } // namespace lycheethread::proxy
--- a/src/proxy/internal/LastHop.h
+++ b/src/proxy/internal/LastHop.h
@@ -26,6 +26,8 @@
                     Reply &To, bool AskedFirst);
 
   void beginDrain();
+  /// Admitted requests, of this entry too.
+  std::int64_t inProgress() const;
   /// Outcomes of once-only requests that are not yet written.
   std::int64_t unwritten() const;
 
--- a/src/proxy/internal/ProxyModule.cpp
+++ b/src/proxy/internal/ProxyModule.cpp
@@ -27,6 +27,8 @@
     auto Drain = std::make_shared<DrainControl>();
     Drain->Begin = [this] { beginDrain(); };
     Drain->InProgress = [this] { return inProgress(); };
+    Drain->LastHopInProgress = [this] { return lastHopInProgress(); };
+    Drain->StopListening = [this] { stopListening(); };
     Registry.add(names::Drain, Drain);
   }
 
@@ -101,6 +103,24 @@
     const std::lock_guard<std::mutex> Guard(Lock_);
     if (Own_)
       Own_->beginDrain();
+    if (ListenServer_)
+      ListenServer_->closeAfterAnswers();
+  }
+
+  void stopListening() {
+    const std::lock_guard<std::mutex> Guard(Lock_);
+    if (ListenServer_)
+      ListenServer_->stopAccepting();
+  }
+
+  std::int64_t lastHopInProgress() {
+    const std::lock_guard<std::mutex> Guard(Lock_);
+    std::int64_t Sum = 0;
+    if (HopServer_)
+      Sum += HopServer_->inProgress();
+    if (Own_)
+      Sum += Own_->inProgress() + Own_->unwritten();
+    return Sum;
   }
 
   std::int64_t inProgress() {
--- a/src/proxy/types/DrainControl.h
+++ b/src/proxy/types/DrainControl.h
@@ -12,6 +12,12 @@
   std::function<void()> Begin;
   /// Requests in progress, at the entry and at the last hop.
   std::function<std::int64_t()> InProgress;
+  /// Requests in progress at the last hop, and its claims to be written.
+  std::function<std::int64_t()> LastHopInProgress;
+  /// Refuses connections of callers from now on; open ones end after their
+  /// next answer. The own upstream's calls come in here too, so this is for
+  /// when the last hop has nothing in progress.
+  std::function<void()> StopListening;
 };
 
 } // namespace lycheethread::proxy
