Eject an upstream that only sheds

A member whose upstream has answered nothing but sheds for 1 s, at least three times, is now ejected like one that refuses connections. An overloaded upstream answers some requests in that time and stays.

RequestsTests passes.

--- a/src/proxy/internal/Balancer.cpp
+++ b/src/proxy/internal/Balancer.cpp
@@ -50,6 +50,9 @@
     requests::noteUpstreamCrash(Impl_->Ejections, Target, steadyNow());
   else if (Result.Fault == UpstreamFault::NoConnection)
     requests::noteConnectFailure(Impl_->Ejections, Target, steadyNow());
+  else if (Result.End == AttemptEnd::Refused &&
+           Result.Reason == RefusalReason::Shed)
+    requests::noteShed(Impl_->Ejections, Target, steadyNow());
   else if (Result.End == AttemptEnd::Delivered)
     requests::noteAnswer(Impl_->Ejections, Target);
 }
--- a/src/requests/Requests.h
+++ b/src/requests/Requests.h
@@ -38,6 +38,10 @@
 void noteConnectFailure(EjectionTable &Table, const NodeId &Target,
                         SteadyTime Now);
 
+/// Counts a request that the member's upstream shed; one that has only shed
+/// for a while is ejected.
+void noteShed(EjectionTable &Table, const NodeId &Target, SteadyTime Now);
+
 /// Ejects a member whose upstream crashed.
 void noteUpstreamCrash(EjectionTable &Table, const NodeId &Target,
                        SteadyTime Now);
--- a/src/requests/internal/SelectUpstream.cpp
+++ b/src/requests/internal/SelectUpstream.cpp
@@ -8,6 +8,10 @@
 namespace {
 
 constexpr std::int32_t FailuresForEjection = 3;
+/// An overloaded upstream still answers some requests in this time; one that
+/// drains answers none.
+constexpr Milliseconds OnlyShedding{1000};
+constexpr std::int32_t ShedsForEjection = 3;
 constexpr Milliseconds FirstEjection{1000};
 constexpr Milliseconds LongestEjection{30000};
 /// Doublings after which the length has reached LongestEjection.
@@ -129,6 +133,16 @@
     eject(Item, Now);
 }
 
+void noteShed(EjectionTable &Table, const NodeId &Target, SteadyTime Now) {
+  Ejection &Item = Table.Members[Target];
+  if (++Item.ShedsInARow == 1)
+    Item.FirstShed = Now;
+  // Requests that were on their way when it was ejected count only once.
+  if (Item.ShedsInARow >= ShedsForEjection && Item.Until <= Now &&
+      elapsed(Item.FirstShed, Now) >= OnlyShedding)
+    eject(Item, Now);
+}
+
 void noteUpstreamCrash(EjectionTable &Table, const NodeId &Target,
                        SteadyTime Now) {
   Ejection &Item = Table.Members[Target];
--- a/src/requests/tests/RequestsTest.cpp
+++ b/src/requests/tests/RequestsTest.cpp
@@ -264,3 +264,22 @@
   BOOST_TEST(isQuarantined(Table, Print, SteadyTime(600009)));
   BOOST_TEST(!isQuarantined(Table, Print, SteadyTime(600010)));
 }
+
+// Guards against calls that go on to an upstream that drains, and against the
+// ejection of one that sheds some of its load.
+BOOST_AUTO_TEST_CASE(EjectsAnUpstreamThatOnlySheds) {
+  EjectionTable Table;
+  const NodeId A("a");
+  for (int I = 0; I < 20; ++I)
+    noteShed(Table, A, SteadyTime(1000 + I * 40));
+  noteAnswer(Table, A);
+  for (int I = 0; I < 20; ++I)
+    noteShed(Table, A, SteadyTime(1900 + I * 40));
+  BOOST_TEST(Table.Members[A].Until.value() == 0);
+  noteShed(Table, A, SteadyTime(2900));
+  BOOST_TEST(Table.Members[A].Until.value() == 3900);
+  noteShed(Table, A, SteadyTime(3000));
+  BOOST_TEST(Table.Members[A].Until.value() == 3900);
+  noteShed(Table, A, SteadyTime(3900));
+  BOOST_TEST(Table.Members[A].Until.value() == 5900);
+}
--- a/src/requests/types/Selection.h
+++ b/src/requests/types/Selection.h
@@ -22,6 +22,8 @@
   /// Ejections since the last answer; each doubles the next length.
   std::int32_t Times = 0;
   SteadyTime Until;
+  std::int32_t ShedsInARow = 0;
+  SteadyTime FirstShed;
 };
 
 struct EjectionTable {
