--- a/tests/failures/requests/World.cpp
+++ b/tests/failures/requests/World.cpp
@@ -18,8 +18,8 @@
 
 constexpr std::chrono::seconds ReadyLimit{30};
 
-constexpr const char *DeskDocument = R"([service]
-name = desk
+constexpr const char *ServiceLines = "[service]\nname = ";
+constexpr const char *Limits = R"(
 team = tests
 builds_on = 0
 
@@ -46,7 +46,8 @@
 path = /lookup
 class = repeatable
 upstreams = main
-timeout_ms = 1500
+timeout_ms = )";
+constexpr const char *Routes = R"(
 
 [route.orders]
 path = /orders
@@ -91,12 +92,34 @@
     : Mesh("failures-" + TestName + "-" + std::to_string(seed())),
       Log(&Mesh.startLog()), LogFault(&Mesh.startFault("log-fault", Log->Port)),
       Random_(seed()) {
-  const std::string File = Mesh.write("desk.ini", DeskDocument);
+  publish("desk", 1500);
+}
+
+void World::publish(const std::string &Service, int LookupTimeoutMs) {
+  const std::string File = Mesh.write(
+      Service + ".ini", ServiceLines + Service + Limits +
+                            std::to_string(LookupTimeoutMs) + Routes);
   const Mesh::Run Published = Mesh.run({"publish", File, "--log", Log->url()});
   if (Published.ExitCode != 0)
     throw std::runtime_error("publishing failed: " + Published.Output);
 }
 
+NodeProcess &World::addOf(const std::string &Service, const std::string &Id,
+                          const std::vector<std::string> &UpstreamArgs,
+                          bool Faulty) {
+  NodeSpec Spec;
+  Spec.Id = Id;
+  Spec.Region = "west";
+  Spec.Zone = "west-a";
+  Spec.Service = Service;
+  Spec.Group = "main";
+  Spec.UpstreamArgs = {"--runs-file", runsFile(Id)};
+  Spec.UpstreamArgs.insert(Spec.UpstreamArgs.end(), UpstreamArgs.begin(),
+                           UpstreamArgs.end());
+  Spec.FaultToUpstream = Faulty;
+  return start(Spec);
+}
+
 std::string World::runsFile(const std::string &Id) const {
   return Mesh.folder() + "/" + Id + ".runs";
 }
--- a/tests/failures/requests/World.h
+++ b/tests/failures/requests/World.h
@@ -41,6 +41,12 @@
   /// before the upstream.
   harness::NodeProcess &add(const std::string &Id, const std::string &Region,
                             const std::string &Zone, bool Faulty = false);
+  /// Publishes a document like that of "desk" for another service.
+  void publish(const std::string &Service, int LookupTimeoutMs);
+  /// Starts a node with an upstream of any service.
+  harness::NodeProcess &addOf(const std::string &Service, const std::string &Id,
+                              const std::vector<std::string> &UpstreamArgs,
+                              bool Faulty = false);
   /// Starts a node without an upstream.
   harness::NodeProcess &addGate(const std::string &Id,
                                 const std::string &Region,
