Take the life of a move owner's records once

The member's incarnation rises with each state that the node announces, so records of one process carried several lives. The owner now reads the life when it is made; a test raises the incarnation and checks the headers.

--- a/src/moveowner/internal/MoveOwner.cpp
+++ b/src/moveowner/internal/MoveOwner.cpp
@@ -69,9 +69,13 @@
 } // namespace
 
 struct MoveOwner::Impl : std::enable_shared_from_this<MoveOwner::Impl> {
-  explicit Impl(MoveOwnerPorts Given) : Ports(std::move(Given)) {}
+  explicit Impl(MoveOwnerPorts Given)
+      : Ports(std::move(Given)), Life(Ports.Peers->Self().Life) {}
 
   MoveOwnerPorts Ports;
+  /// Taken once: the member's incarnation rises with each announced state, and
+  /// records of one process belong to one life.
+  const Incarnation Life;
   std::mutex Lock;
   BrakeBook Book;
   OutcomeSums Sums;
@@ -254,7 +258,7 @@
 RecordHeader MoveOwner::Impl::nextHeader(const Member &Self) {
   RecordHeader Result;
   Result.Writer = writerOf(Self.Id);
-  Result.Life = Self.Life;
+  Result.Life = Life;
   Result.WrittenAt = Ports.WallNow();
   const std::lock_guard<std::mutex> Guard(LogLock);
   // Starts from the time, so that a node that restarts with the same
--- a/src/moveowner/tests/MoveOwnerTest.cpp
+++ b/src/moveowner/tests/MoveOwnerTest.cpp
@@ -253,6 +253,20 @@
   BOOST_TEST(&holder(Next, Frozen) == &Next);
 }
 
+// Guards against records of one process that claim several lives, because the
+// member's incarnation rises with each state that it announces.
+BOOST_AUTO_TEST_CASE(AnAnnouncedStateDoesNotChangeTheLifeOfTheRecords) {
+  Platform Shared;
+  Node A(Shared, "a");
+  const Incarnation First = A.Self.Life;
+  run(Shared, {&A}, 2);
+  A.Self.Life = Incarnation(First.value() + 1);
+  run(Shared, {&A}, 10);
+  BOOST_REQUIRE(Shared.Records.size() > 2U);
+  for (const Record &Item : Shared.Records)
+    BOOST_TEST(Item.Header.Life == First);
+}
+
 // Guards against an entry node that keeps sending to a version which fails
 // each of its requests until the owner has decided.
 BOOST_AUTO_TEST_CASE(AnEntryNodeStopsByItself) {
