Keep a comparison share and recognise faults of both versions

The old version keeps 5% until the move is finished. That alone changes nothing, because a route sees too few of these requests, so the judge adds up the old version's evidence over all routes.

--- a/src/moves/Moves.h
+++ b/src/moves/Moves.h
@@ -17,6 +17,10 @@
 inline constexpr Milliseconds LeaseLength{10'000};
 inline constexpr Milliseconds LeaseRenewal{4'000};
 
+/// Least share of the old version while a move runs. With all the traffic on
+/// the new version, a fault of both versions cannot be told from a worse one.
+inline constexpr Permille ComparisonShare{50};
+
 /// Checks whether the steps of \p Plan fit before its deadline when it is
 /// accepted at \p LogTime. Places are filled in by the caller.
 Findings checkPlan(const MovePlan &Plan, WallTime LogTime);
@@ -43,7 +47,8 @@
 /// Ends moves whose deadline lies before \p LogTime as undone.
 void expireMoves(MoveTable &Table, WallTime LogTime);
 
-/// Division of the group's traffic: the running move, else the version that the
+/// Division of the group's traffic: the running move, in which the old version
+/// keeps at least ComparisonShare, else the version that the
 /// last ended move left in charge if the group still lists it, else the first
 /// listed version.
 GroupShare shareOf(const MoveTable &Table, const ServiceDocument &Document,
--- a/src/moves/internal/Judge.cpp
+++ b/src/moves/internal/Judge.cpp
@@ -119,6 +119,53 @@
   Tally New;
 };
 
+/// The old version in all routes together: few routes have enough of its
+/// requests for a test of their own while it has a small share.
+struct GeneralFault {
+  bool Present = false;
+  Tally Failed;
+  Tally Slow;
+};
+
+/// Likelihood ratio 100:1 that the old version is much worse than before.
+constexpr double GeneralFaultRatio = 4.6;
+/// Requests of the old version from which a route is compared on its own.
+constexpr std::int64_t MinOwnSamples = 20;
+
+/// A tally of a few requests understates a rate that it happened to miss.
+Tally withPrior(const Tally &Seen) { return {Seen.Events + 1, Seen.Samples + 2}; }
+
+void add(Tally &Sum, const Tally &More) {
+  Sum.Events += More.Events;
+  Sum.Samples += More.Samples;
+}
+
+GeneralFault generalFault(const Judge &State) {
+  GeneralFault Result;
+  double FailedRatio = 0;
+  double SlowRatio = 0;
+  for (const auto &[Name, Route] : State.Routes) {
+    if (Route.Windows.size() < LaterWindows + 2)
+      continue;
+    const OutcomeCounts Lately =
+        oldSince(Route, Route.Windows.size() - LaterWindows - 2);
+    const Tally Failed = failedTally(Lately);
+    add(Result.Failed, Failed);
+    FailedRatio += logLikelihood(
+        Failed, severeRates(oldRate(failedTally(Route.Baseline), Tally())));
+    const std::size_t FirstSlow = slowBucket(Route.Baseline);
+    if (!State.JudgesLatency || FirstSlow >= LatencyBuckets)
+      continue;
+    const Tally Slow = slowTally(Lately, FirstSlow);
+    add(Result.Slow, Slow);
+    SlowRatio += logLikelihood(
+        Slow, severeRates(oldRate(slowTally(Route.Baseline, FirstSlow),
+                                  Tally())));
+  }
+  Result.Present = std::max(FailedRatio, SlowRatio) >= GeneralFaultRatio;
+  return Result;
+}
+
 bool isExplained(const Tally &New, const Tally &Old) {
   if (New.Samples == 0 || Old.Samples == 0)
     return true;
@@ -143,22 +190,37 @@
   return Result;
 }
 
+/// Applies what the old version went through in all routes, where this route
+/// has too few of its requests to tell.
+void explain(Comparison &Result, const Tally &New, const Tally &OldOfRoute,
+             const Tally &OldOfAll) {
+  if (OldOfRoute.Samples >= MinOwnSamples)
+    return;
+  Result.OldWorse = true;
+  Result.Explained = Result.Explained || isExplained(New, withPrior(OldOfAll));
+}
+
 void testWindow(const Judge &State, RouteJudge &Route,
-                const RouteWindow &Tested) {
+                const RouteWindow &Tested, const GeneralFault &General) {
   const OutcomeCounts Around = oldSince(Route, 0);
   const OutcomeCounts Lately =
       oldSince(Route, Route.Windows.size() - LaterWindows - 2);
   const OutcomeCounts New = recentNew(Route);
   const std::size_t FirstSlow = slowBucket(Route.Baseline);
   const bool TestsSlow = State.JudgesLatency && FirstSlow < LatencyBuckets;
-  const Comparison Failed =
+  Comparison Failed =
       compare({failedTally(Route.Baseline), failedTally(Around),
                failedTally(Lately), failedTally(New)},
               State.ToleratedFailures, failedRates);
-  const Comparison Slow = compare(
+  Comparison Slow = compare(
       {slowTally(Route.Baseline, FirstSlow), slowTally(Around, FirstSlow),
        slowTally(Lately, FirstSlow), slowTally(New, FirstSlow)},
       0, slowRates);
+  if (General.Present) {
+    explain(Failed, failedTally(New), failedTally(Lately), General.Failed);
+    explain(Slow, slowTally(New, FirstSlow), slowTally(Lately, FirstSlow),
+            General.Slow);
+  }
   for (const auto &[Hop, Counts] : Tested.New) {
     if (!Failed.Explained)
       addTally(Route.Failed, Hop, failedTally(Counts), Failed.Rates);
@@ -183,17 +245,21 @@
              : std::next(It);
 }
 
-void closeWindow(const Judge &State, RouteJudge &Route) {
+void closeWindow(RouteJudge &Route) {
   Route.Windows.emplace_back();
   ++Route.WindowNumber;
   forgetSilentHops(Route);
   while (Route.Windows.size() > JudgeWindows)
     Route.Windows.pop_front();
+}
+
+void testClosedWindow(const Judge &State, RouteJudge &Route,
+                      const GeneralFault &General) {
   if (Route.Windows.size() < LaterWindows + 2)
     return;
   const RouteWindow Tested =
       Route.Windows[Route.Windows.size() - LaterWindows - 2];
-  testWindow(State, Route, Tested);
+  testWindow(State, Route, Tested, General);
 }
 
 void closeWindows(Judge &State, SteadyTime Now) {
@@ -206,7 +272,10 @@
       return;
     }
     for (auto &[Name, Route] : State.Routes)
-      closeWindow(State, Route);
+      closeWindow(Route);
+    const GeneralFault General = generalFault(State);
+    for (auto &[Name, Route] : State.Routes)
+      testClosedWindow(State, Route, General);
   }
 }
 
--- a/src/moves/internal/MoveFold.cpp
+++ b/src/moves/internal/MoveFold.cpp
@@ -170,10 +170,15 @@
                      });
 }
 
+/// While the move runs, the old version keeps enough traffic to compare with.
+Permille withComparison(Permille Share) {
+  return std::min(Share, Permille(1000 - ComparisonShare.value()));
+}
+
 Permille guardedShare(const Move &Item, const ServiceDocument &Document) {
   const bool Last = Item.Share == Permille(1000);
   if (Last || !hasRepeatableRoute(Document, Item.Plan.Group))
-    return Item.Share;
+    return withComparison(Item.Share);
   if (Item.StepsTaken < 2)
     return Permille(0);
   return Item.Plan.Steps[static_cast<std::size_t>(Item.StepsTaken) - 2];
@@ -231,7 +236,7 @@
     Result.Stable = Running->Plan.From;
     Result.InProgress = Running->Id;
     Result.Candidate = Running->Plan.To;
-    Result.CandidateShare = Running->Share;
+    Result.CandidateShare = withComparison(Running->Share);
     Result.GuardedShare = guardedShare(*Running, Document);
     return Result;
   }
--- a/src/moves/tests/JudgeTest.cpp
+++ b/src/moves/tests/JudgeTest.cpp
@@ -107,6 +107,35 @@
   }
 }
 
+// Guards against a shared fault in the last step that is blamed on the new
+// version because each route has only a few requests of the old one.
+BOOST_AUTO_TEST_CASE(AFaultSeenByTheSmallComparisonShareDoesNotCondemn) {
+  Trial Run;
+  Run.seconds(60, {{"tickets", "v1", 50}, {"releases", "v1", 50}});
+  Run.seconds(10, {{"tickets", "v1", 2},
+                   {"tickets", "v2", 38},
+                   {"releases", "v1", 1},
+                   {"releases", "v2", 19}});
+  const auto Last = Run.seconds(15, {{"tickets", "v1", 2, 0, 9},
+                                     {"tickets", "v2", 38, 8, 9},
+                                     {"releases", "v1", 1, 1, 9},
+                                     {"releases", "v2", 19, 4, 9}});
+  BOOST_TEST(!Last.Condemned);
+  BOOST_TEST(Last.BothWorse);
+}
+
+// Guards against the same leniency towards a version that is worse than the
+// comparison share.
+BOOST_AUTO_TEST_CASE(AFaultOfTheNewVersionAloneStillCondemnsInTheLastStep) {
+  Trial Run;
+  Run.seconds(60, {{"tickets", "v1", 50}, {"releases", "v1", 50}});
+  const auto Last = Run.seconds(6, {{"tickets", "v1", 2},
+                                    {"tickets", "v2", 38, 8, 9},
+                                    {"releases", "v1", 1},
+                                    {"releases", "v2", 19, 4, 9}});
+  BOOST_TEST(Last.Condemned);
+}
+
 // Guards against a slow version that passes because it answers everything.
 BOOST_AUTO_TEST_CASE(ASlowVersionIsCondemned) {
   Trial Run;
