--- a/src/moves/internal/Judge.cpp
+++ b/src/moves/internal/Judge.cpp
@@ -133,7 +133,9 @@
 constexpr std::int64_t MinOwnSamples = 20;
 
 /// A tally of a few requests understates a rate that it happened to miss.
-Tally withPrior(const Tally &Seen) { return {Seen.Events + 1, Seen.Samples + 2}; }
+Tally withPrior(const Tally &Seen) {
+  return {Seen.Events + 1, Seen.Samples + 2};
+}
 
 void add(Tally &Sum, const Tally &More) {
   Sum.Events += More.Events;
@@ -159,8 +161,8 @@
     const Tally Slow = slowTally(Lately, FirstSlow);
     add(Result.Slow, Slow);
     SlowRatio += logLikelihood(
-        Slow, severeRates(oldRate(slowTally(Route.Baseline, FirstSlow),
-                                  Tally())));
+        Slow,
+        severeRates(oldRate(slowTally(Route.Baseline, FirstSlow), Tally())));
   }
   Result.Present = std::max(FailedRatio, SlowRatio) >= GeneralFaultRatio;
   return Result;
@@ -208,10 +210,9 @@
   const OutcomeCounts New = recentNew(Route);
   const std::size_t FirstSlow = slowBucket(Route.Baseline);
   const bool TestsSlow = State.JudgesLatency && FirstSlow < LatencyBuckets;
-  Comparison Failed =
-      compare({failedTally(Route.Baseline), failedTally(Around),
-               failedTally(Lately), failedTally(New)},
-              State.ToleratedFailures, failedRates);
+  Comparison Failed = compare({failedTally(Route.Baseline), failedTally(Around),
+                               failedTally(Lately), failedTally(New)},
+                              State.ToleratedFailures, failedRates);
   Comparison Slow = compare(
       {slowTally(Route.Baseline, FirstSlow), slowTally(Around, FirstSlow),
        slowTally(Lately, FirstSlow), slowTally(New, FirstSlow)},
--- a/tests/harness/Mesh.h
+++ b/tests/harness/Mesh.h
@@ -5,6 +5,7 @@
 #include "FreePorts.h"
 #include "HttpCall.h"
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <thread>
@@ -100,7 +101,8 @@
   void launchUpstream(NodeProcess &Node) const;
 
   std::string Folder_;
-  int Runs_ = 0;
+  /// Commands may run at the same time.
+  std::atomic<int> Runs_{0};
   std::vector<std::unique_ptr<PortProcess>> Logs_;
   std::vector<std::unique_ptr<FaultProcess>> Faults_;
   std::vector<std::unique_ptr<NodeProcess>> Nodes_;
--- a/tests/moves/MoveTrials.cpp
+++ b/tests/moves/MoveTrials.cpp
@@ -102,8 +102,7 @@
     std::cout << "wrong: " << toString(One.Given.Kind) << " at "
               << One.Ours.EndedAt << " s (";
     printSpell("shared fault", One.Given.SharedFault);
-    printSpell(One.Given.FaultAtNew ? "new instance down"
-                                    : "old instance down",
+    printSpell(One.Given.FaultAtNew ? "new instance down" : "old instance down",
                One.Given.InstanceFault);
     std::cout << One.Given.NewHops << " new instances): " << One.Ours.Reason
               << "\n";
