--- /dev/null
+++ b/examples/embed/Main.cpp
@@ -0,0 +1,99 @@
+/// Uses the decisions of lycheethread without its daemon: no socket, thread or
+/// clock. Arguments are documents; the last one uses the groups of the others.
+#include "decisions/Decisions.h"
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+using namespace lycheethread;
+
+namespace {
+
+/// An embedding program passes its own clock.
+constexpr WallTime Noon{1'796'472'000'000};
+constexpr SteadyTime Start{0};
+const Place Here{Region("oberbayern"), AvailabilityZone("eichstaett")};
+
+void publish(config::ConfigState &State, const std::string &Path) {
+  std::ifstream In(Path);
+  std::ostringstream Text;
+  Text << In.rdbuf();
+  const ServiceDocument Document = parseDocument(Path, Text.str()).Document;
+  const RecordHeader Header{NodeId("publish-" + Document.Service.str()),
+                            Incarnation(1), Sequence(1), Noon};
+  config::foldRecord(
+      State, State.Position,
+      {Header, PublishRecord{Document.Service, Document.BuildsOn, Text.str()}});
+  const config::PublishVerdict *Verdict = config::findVerdict(State, Header);
+  std::cout << "publish " << Document.Service << ": "
+            << (Verdict->Accepted ? "accepted" : "refused") << ", revision "
+            << Verdict->InForce << "\n";
+}
+
+membership::Update ready(const std::string &Id, const std::string &Address,
+                         const std::string &Zone) {
+  Member Who;
+  Who.Id = NodeId(Id);
+  Who.Life = Incarnation(1);
+  Who.State = MemberState::Ready;
+  Who.Hop = Who.Control = {Address, 8081};
+  Who.At = {Here.In, AvailabilityZone(Zone)};
+  Who.Service = ServiceName("commission-catalogue");
+  Who.Group = GroupName("workshop");
+  Who.Version = VersionName("v1");
+  return {Who, false};
+}
+
+void select(const requests::RoutingView &View, const std::string &Path) {
+  const requests::RouteMatch Match =
+      requests::findRoute(View, "commission-catalogue", Path);
+  const requests::GroupView &Group =
+      Match.Service->Groups.at(Match.Found->Group);
+  const RequestId Id("r1");
+  const moves::BrakeSet Brakes;
+  const requests::EjectionTable Ejections;
+  const requests::LoadTable Load;
+  const std::set<NodeId> Excluded;
+  const requests::SelectionInput Input{
+      Id, Match.Found->Class, Brakes, Ejections, Load, Excluded, Start};
+  const auto Chosen = requests::selectUpstream(Group, Input);
+  std::cout << "route " << Path << ": " << Match.Found->Name << " to "
+            << (Chosen ? Chosen->Target.Id.str() : "no upstream") << "\n";
+}
+
+void admit(requests::AdmissionState &State, const ServiceLimits &Limits,
+           std::int64_t Ticket, const std::string &Caller) {
+  const requests::AdmitVerdict Verdict =
+      requests::admit(State, Limits,
+                      {Ticket, CallerId(Caller), RequestClass::Repeatable,
+                       after(Start, Milliseconds(2000))},
+                      Start);
+  std::cout << "request of " << Caller << ": ";
+  if (Verdict.Action != requests::AdmitAction::Refuse)
+    std::cout << "admitted\n";
+  else
+    std::cout << "refused, " << toString(Verdict.Reason) << ", not executed\n";
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  config::ConfigState State;
+  for (int I = 1; I < Argc; ++I)
+    publish(State, Argv[I]);
+
+  auto Table = membership::makeMemberTable(
+      ready("workshop-1", "10.1.1.11", "eichstaett").Who, Start, /*Seed=*/1);
+  membership::mergeMembers(
+      Table, {ready("workshop-2", "10.1.2.11", "ingolstadt")}, Start);
+  const auto Members = membership::visibleMembers(Table, Start);
+  std::cout << "members: " << Members.size() << "\n";
+  const auto View = requests::buildRoutingView(State, Members, Here);
+  select(View, "/orders/17");
+
+  const ServiceLimits Limits{/*Slots=*/2, /*Connections=*/110, /*Queue=*/0};
+  requests::AdmissionState Upstream;
+  admit(Upstream, Limits, 1, "council");
+  admit(Upstream, Limits, 2, "council");
+}
