--- a/src/app/internal/MovesCommand.cpp
+++ b/src/app/internal/MovesCommand.cpp
@@ -74,6 +74,10 @@
     followPatiently(State, Log, timeLeft(Until));
     Code = exitCodeOf(State.Moves, Request.Waited);
   }
+  if (Code == ExitUnavailable) {
+    report("there is no move \"" + Request.Waited.str() + "\" in the log");
+    return ExitUnavailable;
+  }
   print(Request, listMoves(State.Moves, Request.Service));
   if (!Code)
     report("the move has not ended within the timeout");
--- a/src/app/internal/Publication.cpp
+++ b/src/app/internal/Publication.cpp
@@ -41,8 +41,10 @@
 
 void findOwnVerdict(Publication &Of) {
   const auto *Found = config::findVerdict(*Of.State, Of.Item.Header);
-  if (Found != nullptr)
-    Of.Result.Verdict = *Found;
+  if (Found == nullptr)
+    return;
+  Of.Result.Verdict = *Found;
+  Of.Result.Moves = Of.State->Moves;
 }
 
 /// Reads on until the own verdict or the head of the stream.
--- a/src/app/internal/Publication.h
+++ b/src/app/internal/Publication.h
@@ -15,6 +15,8 @@
 struct PublicationResult {
   /// Empty when no verdict could be read.
   std::optional<config::PublishVerdict> Verdict;
+  /// The moves as they are when the verdict is read.
+  moves::MoveTable Moves;
   /// Whether an append was tried, so that the record may be in the log.
   bool Sent = false;
   /// Why there is no verdict.
--- a/src/app/internal/PublishCommand.cpp
+++ b/src/app/internal/PublishCommand.cpp
@@ -126,6 +126,25 @@
   return ExitUnavailable;
 }
 
+/// Whether each move that the document asks for runs, because an unchanged plan
+/// that has ended does not start again.
+void printMoves(const ServiceDocument &Document,
+                const moves::MoveTable &Moves) {
+  for (const auto &[Group, Plan] : Document.Moves) {
+    const moves::Move *Running = nullptr;
+    for (const auto &[Id, Item] : Moves.Running)
+      if (Item.Service == Document.Service && Item.Plan.Group == Group)
+        Running = &Item;
+    if (Running != nullptr)
+      std::cout << "move " << Running->Id << " is running from "
+                << Running->Plan.From << " to " << Running->Plan.To << "\n";
+    else
+      std::cout << "no move of group " << Group
+                << " is running: this plan has ended before; another "
+                   "finish_by starts a new move\n";
+  }
+}
+
 void printVerdictJson(const config::PublishVerdict &Verdict) {
   Poco::JSON::Object Body;
   Body.set("result", Verdict.Accepted ? "accepted" : "refused");
@@ -147,13 +166,16 @@
 }
 
 int reportVerdict(const PublishOptions &Options, const DocumentFile &File,
-                  config::PublishVerdict Verdict) {
+                  const PublicationResult &Result) {
+  config::PublishVerdict Verdict = *Result.Verdict;
   for (Finding &Item : Verdict.Problems)
     Item.File = File.Parsed.File;
   if (Options.Json)
     printVerdictJson(Verdict);
   else
     printVerdict(Verdict);
+  if (!Options.Json && Verdict.Accepted)
+    printMoves(File.Parsed.Document, Result.Moves);
   return Verdict.Accepted ? ExitOk : ExitRefused;
 }
 
@@ -170,7 +192,7 @@
       });
   if (!Result.Verdict)
     return reportUnknown(Options, Result);
-  return reportVerdict(Options, File, *Result.Verdict);
+  return reportVerdict(Options, File, Result);
 }
 
 } // namespace
--- a/src/app/tests/DocumentCommandTest.cpp
+++ b/src/app/tests/DocumentCommandTest.cpp
@@ -196,3 +196,26 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against an operator who waits for a move that never starts, because
+// its plan is that of a move that has ended, or because its id is mistyped.
+BOOST_FIXTURE_TEST_CASE(PublicationTellsWhetherItsMoveRuns, Fixture) {
+  const std::string Plan = ", v2\n[move.main]\nfrom = v1\nto = v2\n"
+                           "finish_by = 2099-01-01T00:00:00Z\n";
+  const std::string First = Good.substr(0, Good.size() - 1) + Plan;
+  BOOST_TEST(publish(First).Out == "accepted: desk revision 1\n"
+                                   "move desk/main/1 is running from v1 to "
+                                   "v2\n");
+  const auto revision = [](const std::string &Text, const char *BuildsOn) {
+    return std::string(Text).replace(Text.find("builds_on = 0"), 13,
+                                     std::string("builds_on = ") + BuildsOn);
+  };
+  BOOST_TEST(publish(revision(Good, "1")).Out == "accepted: desk revision 2\n");
+  BOOST_TEST(
+      contains(publish(revision(First, "2")).Out,
+               "no move of group main is running: this plan has ended before"));
+  const Outcome Wrong =
+      run(app::runMoves, {"moves", "--log", Url, "--wait", "desk/main/9"});
+  BOOST_TEST(Wrong.Code == app::ExitUnavailable);
+  BOOST_TEST(contains(Wrong.Err, "there is no move \"desk/main/9\""));
+}
