--- a/src/app/tests/DocumentCommandTest.cpp
+++ b/src/app/tests/DocumentCommandTest.cpp
@@ -206,13 +206,14 @@
   BOOST_TEST(publish(First).Out == "accepted: desk revision 1\n"
                                    "move desk/main/1 is running from v1 to "
                                    "v2\n");
-  const auto revision = [](const std::string &Text, const char *BuildsOn) {
+  const auto WithBuildsOn = [](const std::string &Text, const char *BuildsOn) {
     return std::string(Text).replace(Text.find("builds_on = 0"), 13,
                                      std::string("builds_on = ") + BuildsOn);
   };
-  BOOST_TEST(publish(revision(Good, "1")).Out == "accepted: desk revision 2\n");
+  BOOST_TEST(publish(WithBuildsOn(Good, "1")).Out ==
+             "accepted: desk revision 2\n");
   BOOST_TEST(
-      contains(publish(revision(First, "2")).Out,
+      contains(publish(WithBuildsOn(First, "2")).Out,
                "no move of group main is running: this plan has ended before"));
   const Outcome Wrong =
       run(app::runMoves, {"moves", "--log", Url, "--wait", "desk/main/9"});
