--- a/tests/failures/configuration/Fleet.cpp
+++ b/tests/failures/configuration/Fleet.cpp
@@ -268,14 +268,6 @@
   return exampleWith("scans-stock-ledger.ini", BuildsOn, More);
 }
 
-bool Fleet::allAt(std::int64_t Position,
-                  const std::vector<NodeProcess *> &Of) const {
-  return std::all_of(Of.begin(), Of.end(), [Position](const NodeProcess *Each) {
-    const auto Status = statusOf(*Each);
-    return Status && Status->Position >= Position;
-  });
-}
-
 double Fleet::secondsUntilAt(std::int64_t Position,
                              const std::vector<NodeProcess *> &Of,
                              std::chrono::steady_clock::time_point From,
--- a/tests/failures/configuration/Fleet.h
+++ b/tests/failures/configuration/Fleet.h
@@ -119,8 +119,6 @@
                               const std::string &More = "");
   static std::string storeWith(int BuildsOn, const std::string &More = "");
 
-  bool allAt(std::int64_t Position,
-             const std::vector<harness::NodeProcess *> &Of) const;
   /// Time until all of \p Of are at \p Position, or at least \p Limit.
   static double secondsUntilAt(std::int64_t Position,
                                const std::vector<harness::NodeProcess *> &Of,
