--- a/src/proxy/internal/ClaimKeeper.cpp
+++ b/src/proxy/internal/ClaimKeeper.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/log/trivial.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -24,6 +25,10 @@
 /// After a failure only one claim at a time tries the log for this long;
 /// otherwise claims that wait for a slow log would hold all slots.
 constexpr Milliseconds FailurePause{500};
+/// A repeat that meets a request in progress waits this long for its outcome:
+/// the outcome follows the answer in the log by a few milliseconds.
+constexpr Milliseconds OutcomeWait{500};
+constexpr Milliseconds OutcomePoll{20};
 
 } // namespace
 
@@ -139,6 +144,30 @@
     return requests::settleClaim(Table, Claim);
   }
 
+  /// Reads on until the outcome of the claim that holds the key is folded or
+  /// the time is over; a log that fails meanwhile leaves the verdict as it is.
+  requests::ClaimVerdict awaitOutcome(const requests::ClaimEntry &Claim,
+                                      requests::ClaimVerdict Verdict,
+                                      SteadyTime Deadline) {
+    const SteadyTime Until =
+        std::min(after(steadyNow(), OutcomeWait), Deadline);
+    while (Verdict.Action == requests::ClaimAction::Unknown &&
+           Verdict.Ran == Executed::Unknown &&
+           timeLeft(Until) > OutcomePoll) {
+      std::this_thread::sleep_for(OutcomePoll);
+      try {
+        const std::lock_guard<std::timed_mutex> Guard(FoldLock);
+        fold(Log->Read(Stream, Position, ReadBatch, Milliseconds(0)));
+        Verdict = requests::settleClaim(Table, Claim);
+      } catch (const std::exception &Error) {
+        BOOST_LOG_TRIVIAL(debug) << "proxy: outcome of key " << Claim.Key
+                                 << " is not read: " << Error.what();
+        return Verdict;
+      }
+    }
+    return Verdict;
+  }
+
   void abandon(const std::string &Token) {
     const std::lock_guard<std::mutex> Guard(AbandonedLock);
     if (Abandoned.size() < MaxAbandoned)
@@ -220,7 +249,7 @@
     const requests::ClaimVerdict Verdict =
         Impl_->appendAndSettle(Claim, Deadline);
     Impl_->IsLogFailing = false;
-    return Verdict;
+    return Impl_->awaitOutcome(Claim, Verdict, Deadline);
   } catch (const std::exception &Error) {
     Impl_->noteFailure();
     Impl_->abandon(Claim.Token);
