--- a/src/peer/internal/GossipLoop.cpp
+++ b/src/peer/internal/GossipLoop.cpp
@@ -7,7 +7,6 @@
 #include <Poco/Net/SocketAddress.h>
 #include <boost/log/trivial.hpp>
 
-#include <algorithm>
 #include <array>
 #include <optional>
 #include <set>
@@ -21,8 +20,6 @@
 using metrics::Direction;
 using metrics::TrafficKind;
 
-/// Between two looks at seeds that are not among the members.
-constexpr Milliseconds SeedInterval{5000};
 constexpr Milliseconds TickInterval{50};
 constexpr Milliseconds MembersInterval{2000};
 constexpr int MaxDatagramsPerTick = 256;
@@ -289,28 +286,7 @@
     Context.wake();
   }
 
-  /// Nodes that started at the same moment may each have found the others'
-  /// ports closed; without another look at the seeds they would never meet.
-  void lookForSeeds() {
-    const SteadyTime Now = steadyNow();
-    if (elapsed(SeedsAt, Now) < SeedInterval)
-      return;
-    SeedsAt = Now;
-    const std::lock_guard<std::mutex> Guard(Context.Lock);
-    const auto &Others = Context.Table.Others;
-    for (const Endpoint &Seed : Context.Settings.Seeds) {
-      const bool Known =
-          Seed == Context.Table.Self.Control ||
-          std::any_of(Others.begin(), Others.end(), [&Seed](const auto &Item) {
-            return Item.second.Last.Who.Control == Seed;
-          });
-      if (!Known && !Context.SyncWith)
-        Context.SyncWith = Seed;
-    }
-  }
-
   void run() {
-    SeedsAt = steadyNow();
     while (!Context.Stopping) {
       try {
         receive();
@@ -320,7 +296,6 @@
           Asked = membership::tick(Context.Table, steadyNow());
         }
         perform(Asked);
-        lookForSeeds();
         beat();
         const std::lock_guard<std::mutex> Guard(PublishLock);
         publishMembers();
@@ -333,7 +308,6 @@
   }
 
   std::mutex PublishLock;
-  SteadyTime SeedsAt;
 };
 
 GossipLoop::GossipLoop(PeerContext &Context, RumourBox &Rumours,
--- a/src/proxy/internal/ClaimKeeper.cpp
+++ b/src/proxy/internal/ClaimKeeper.cpp
@@ -152,8 +152,7 @@
     const SteadyTime Until =
         std::min(after(steadyNow(), OutcomeWait), Deadline);
     while (Verdict.Action == requests::ClaimAction::Unknown &&
-           Verdict.Ran == Executed::Unknown &&
-           timeLeft(Until) > OutcomePoll) {
+           Verdict.Ran == Executed::Unknown && timeLeft(Until) > OutcomePoll) {
       std::this_thread::sleep_for(OutcomePoll);
       try {
         const std::lock_guard<std::timed_mutex> Guard(FoldLock);
