--- a/tests/capacity/Capacity.cpp
+++ b/tests/capacity/Capacity.cpp
@@ -84,8 +84,8 @@
     for (const std::string &Part : config::makeCheckpoint(State))
       Bytes += Part.size();
   });
-  const double Copy =
-      microsecondsOf(5, [&] { const config::ConfigState Copied = State; });
+  config::ConfigState Copied;
+  const double Copy = microsecondsOf(5, [&] { Copied = State; });
   std::printf("fold        %5d documents of %zu B (%zu accepted): %.1f us a "
               "document, %.0f KB of memory, checkpoint %zu B in %.0f us, "
               "copy %.0f us\n",
