Weigh crashes of requests that upstreams have answered at half

Change: a fingerprint that the crashed upstream answered in the last 10 minutes is quarantined after four crashes instead of two; the weight is in the rumour. Ruled out: exempting answered fingerprints, which leaves crashes unbounded when only a header makes the request crash.

--- a/src/proxy/gen/proxy_types.cpp
+++ b/src/proxy/gen/proxy_types.cpp
@@ -203,36 +203,15 @@
   body = other0.body;
   __isset = other0.__isset;
 }
-ClaimMessage::ClaimMessage(ClaimMessage&& other1) noexcept {
+ClaimMessage& ClaimMessage::operator=(const ClaimMessage& other1) {
   kind = other1.kind;
-  key = std::move(other1.key);
-  token = std::move(other1.token);
-  digest = std::move(other1.digest);
+  key = other1.key;
+  token = other1.token;
+  digest = other1.digest;
   status = other1.status;
-  contentType = std::move(other1.contentType);
-  body = std::move(other1.body);
+  contentType = other1.contentType;
+  body = other1.body;
   __isset = other1.__isset;
-}
-ClaimMessage& ClaimMessage::operator=(const ClaimMessage& other2) {
-  kind = other2.kind;
-  key = other2.key;
-  token = other2.token;
-  digest = other2.digest;
-  status = other2.status;
-  contentType = other2.contentType;
-  body = other2.body;
-  __isset = other2.__isset;
-  return *this;
-}
-ClaimMessage& ClaimMessage::operator=(ClaimMessage&& other3) noexcept {
-  kind = other3.kind;
-  key = std::move(other3.key);
-  token = std::move(other3.token);
-  digest = std::move(other3.digest);
-  status = other3.status;
-  contentType = std::move(other3.contentType);
-  body = std::move(other3.body);
-  __isset = other3.__isset;
   return *this;
 }
 void ClaimMessage::printTo(std::ostream& out) const {
@@ -260,6 +239,10 @@
 void CrashMessage::__set_crash(const std::string& val) {
   this->crash = val;
 }
+
+void CrashMessage::__set_weight(const int32_t val) {
+  this->weight = val;
+}
 std::ostream& operator<<(std::ostream& out, const CrashMessage& obj)
 {
   obj.printTo(out);
@@ -304,6 +287,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->weight);
+          this->__isset.weight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -329,6 +320,10 @@
   xfer += oprot->writeString(this->crash);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("weight", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->weight);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -338,29 +333,21 @@
   using ::std::swap;
   swap(a.digest, b.digest);
   swap(a.crash, b.crash);
+  swap(a.weight, b.weight);
   swap(a.__isset, b.__isset);
 }
 
-CrashMessage::CrashMessage(const CrashMessage& other4) {
-  digest = other4.digest;
-  crash = other4.crash;
-  __isset = other4.__isset;
-}
-CrashMessage::CrashMessage(CrashMessage&& other5) noexcept {
-  digest = std::move(other5.digest);
-  crash = std::move(other5.crash);
-  __isset = other5.__isset;
-}
-CrashMessage& CrashMessage::operator=(const CrashMessage& other6) {
-  digest = other6.digest;
-  crash = other6.crash;
-  __isset = other6.__isset;
-  return *this;
+CrashMessage::CrashMessage(const CrashMessage& other2) {
+  digest = other2.digest;
+  crash = other2.crash;
+  weight = other2.weight;
+  __isset = other2.__isset;
 }
-CrashMessage& CrashMessage::operator=(CrashMessage&& other7) noexcept {
-  digest = std::move(other7.digest);
-  crash = std::move(other7.crash);
-  __isset = other7.__isset;
+CrashMessage& CrashMessage::operator=(const CrashMessage& other3) {
+  digest = other3.digest;
+  crash = other3.crash;
+  weight = other3.weight;
+  __isset = other3.__isset;
   return *this;
 }
 void CrashMessage::printTo(std::ostream& out) const {
@@ -368,6 +355,7 @@
   out << "CrashMessage(";
   out << "digest=" << to_string(digest);
   out << ", " << "crash=" << to_string(crash);
+  out << ", " << "weight=" << to_string(weight);
   out << ")";
 }
 
--- a/src/proxy/gen/proxy_types.h
+++ b/src/proxy/gen/proxy_types.h
@@ -40,9 +40,7 @@
  public:
 
   ClaimMessage(const ClaimMessage&);
-  ClaimMessage(ClaimMessage&&) noexcept;
   ClaimMessage& operator=(const ClaimMessage&);
-  ClaimMessage& operator=(ClaimMessage&&) noexcept;
   ClaimMessage() noexcept
                : kind(0),
                  key(),
@@ -115,26 +113,27 @@
 std::ostream& operator<<(std::ostream& out, const ClaimMessage& obj);
 
 typedef struct _CrashMessage__isset {
-  _CrashMessage__isset() : digest(false), crash(false) {}
+  _CrashMessage__isset() : digest(false), crash(false), weight(false) {}
   bool digest :1;
   bool crash :1;
+  bool weight :1;
 } _CrashMessage__isset;
 
 class CrashMessage : public virtual ::apache::thrift::TBase {
  public:
 
   CrashMessage(const CrashMessage&);
-  CrashMessage(CrashMessage&&) noexcept;
   CrashMessage& operator=(const CrashMessage&);
-  CrashMessage& operator=(CrashMessage&&) noexcept;
   CrashMessage() noexcept
                : digest(),
-                 crash() {
+                 crash(),
+                 weight(0) {
   }
 
   virtual ~CrashMessage() noexcept;
   std::string digest;
   std::string crash;
+  int32_t weight;
 
   _CrashMessage__isset __isset;
 
@@ -142,12 +141,16 @@
 
   void __set_crash(const std::string& val);
 
+  void __set_weight(const int32_t val);
+
   bool operator == (const CrashMessage & rhs) const
   {
     if (!(digest == rhs.digest))
       return false;
     if (!(crash == rhs.crash))
       return false;
+    if (!(weight == rhs.weight))
+      return false;
     return true;
   }
   bool operator != (const CrashMessage &rhs) const {
--- a/src/proxy/internal/CrashWatch.cpp
+++ b/src/proxy/internal/CrashWatch.cpp
@@ -35,6 +35,7 @@
   Endpoint Upstream;
   mutable std::mutex Lock;
   requests::SuspectTable Table;
+  requests::AnsweredTable Answered;
   std::map<std::int64_t, InProgress> Running;
   std::int64_t LastTicket = 0;
   std::int64_t Crashes = 0;
@@ -78,8 +79,9 @@
                                   std::to_string(Self.Life.value()) + "/" +
                                   std::to_string(++Crashes));
     for (const requests::Fingerprint &Print : Prints) {
-      requests::noteSuspect(Table, Print, Crash, steadyNow());
-      Reports.push_back({Print, Crash});
+      const auto Weight = requests::weightOf(Answered, Print, steadyNow());
+      requests::noteSuspect(Table, Print, Crash, Weight, steadyNow());
+      Reports.push_back({Print, Crash, Weight});
     }
     return Reports;
   }
@@ -98,7 +100,7 @@
       return;
     const std::lock_guard<std::mutex> Guard(Shared->Lock);
     requests::noteSuspect(Shared->Table, Report->Print, Report->Crash,
-                          steadyNow());
+                          Report->Weight, steadyNow());
   });
 }
 
@@ -115,8 +117,11 @@
   return Impl_->LastTicket;
 }
 
-void CrashWatch::ended(std::int64_t Ticket) {
+void CrashWatch::ended(std::int64_t Ticket, bool Answered) {
   const std::lock_guard<std::mutex> Guard(Impl_->Lock);
+  const auto It = Impl_->Running.find(Ticket);
+  if (Answered && It != Impl_->Running.end())
+    requests::noteAnswered(Impl_->Answered, It->second.Print, steadyNow());
   Impl_->Running.erase(Ticket);
 }
 
--- a/src/proxy/internal/CrashWatch.h
+++ b/src/proxy/internal/CrashWatch.h
@@ -22,7 +22,7 @@
 
   /// A request goes to the upstream; the result is for ended().
   std::int64_t started(const requests::Fingerprint &Print);
-  void ended(std::int64_t Ticket);
+  void ended(std::int64_t Ticket, bool Answered);
 
   /// The connection of \p Ticket broke: checks whether the upstream is gone
   /// and, if so, reports what was in progress. Returns whether it is gone.
--- a/src/proxy/internal/LastHop.cpp
+++ b/src/proxy/internal/LastHop.cpp
@@ -129,7 +129,7 @@
         Result.End == AttemptEnd::Refused || Result.End == AttemptEnd::CutOff;
     if (Failed && Result.Reason == RefusalReason::UpstreamFailed)
       lookForCrash(Result, Ticket, Out.has_value());
-    Watch.ended(Ticket);
+    Watch.ended(Ticket, Result.End == AttemptEnd::Delivered);
     if (saysSomethingOfUpstream(Result))
       Services.LastHopOutcomes->Add({Call.service(), Call.Match.Found->Group,
                                      Call.route(), Services.Settings->Version,
--- a/src/proxy/internal/WireFormat.cpp
+++ b/src/proxy/internal/WireFormat.cpp
@@ -79,15 +79,21 @@
   wire::CrashMessage Message;
   Message.__set_digest(Report.Print.str());
   Message.__set_crash(Report.Crash.str());
+  Message.__set_weight(static_cast<std::int32_t>(Report.Weight));
   return encode(Message);
 }
 
 std::optional<CrashReport> decodeCrash(const std::string &Data) {
   const auto Message = decode<wire::CrashMessage>(Data, MaxCrashBytes);
-  if (!Message)
+  if (!Message ||
+      Message->weight <
+          static_cast<std::int32_t>(requests::SuspectWeight::Answered) ||
+      Message->weight >
+          static_cast<std::int32_t>(requests::SuspectWeight::NeverAnswered))
     return std::nullopt;
   return CrashReport{requests::Fingerprint(Message->digest),
-                     requests::CrashId(Message->crash)};
+                     requests::CrashId(Message->crash),
+                     static_cast<requests::SuspectWeight>(Message->weight)};
 }
 
 } // namespace lycheethread::proxy
--- a/src/proxy/internal/WireFormat.h
+++ b/src/proxy/internal/WireFormat.h
@@ -12,6 +12,7 @@
 struct CrashReport {
   requests::Fingerprint Print;
   requests::CrashId Crash;
+  requests::SuspectWeight Weight = requests::SuspectWeight::NeverAnswered;
 };
 
 /// Thrift compact encoding, see proxy.thrift. Decoders return nothing for
--- a/src/proxy/proxy.thrift
+++ b/src/proxy/proxy.thrift
@@ -16,4 +16,5 @@
 struct CrashMessage {
   1: string digest
   2: string crash
+  3: i32 weight          // 1 answered lately, 2 never answered
 }
--- a/src/requests/Requests.h
+++ b/src/requests/Requests.h
@@ -82,9 +82,18 @@
 /// Notes that \p Print was in progress at the crash \p Crash; a repeated
 /// report of the same crash counts once.
 void noteSuspect(SuspectTable &Table, const Fingerprint &Print,
-                 const CrashId &Crash, SteadyTime Now);
+                 const CrashId &Crash, SuspectWeight Weight, SteadyTime Now);
 
-/// Whether \p Print was present at two crashes in the last 10 minutes.
+/// Notes that the upstream gave a whole answer to \p Print.
+void noteAnswered(AnsweredTable &Table, const Fingerprint &Print,
+                  SteadyTime Now);
+
+/// Weight of a crash at which \p Print was in progress.
+SuspectWeight weightOf(const AnsweredTable &Table, const Fingerprint &Print,
+                       SteadyTime Now);
+
+/// Whether the crashes of \p Print in the last 10 minutes weigh
+/// QuarantineWeight or more.
 bool isQuarantined(const SuspectTable &Table, const Fingerprint &Print,
                    SteadyTime Now);
 
--- a/src/requests/internal/CrashSuspects.cpp
+++ b/src/requests/internal/CrashSuspects.cpp
@@ -13,7 +13,7 @@
 SteadyTime lastSeen(const Suspect &Item) {
   SteadyTime Last;
   for (const auto &[Crash, Seen] : Item.Crashes)
-    Last = std::max(Last, Seen);
+    Last = std::max(Last, Seen.At);
   return Last;
 }
 
@@ -38,18 +38,33 @@
 } // namespace
 
 void noteSuspect(SuspectTable &Table, const Fingerprint &Print,
-                 const CrashId &Crash, SteadyTime Now) {
+                 const CrashId &Crash, SuspectWeight Weight, SteadyTime Now) {
   if (Table.Suspects.count(Print) == 0)
     makeRoom(Table, Now);
   Suspect &Item = Table.Suspects[Print];
-  if (Item.Crashes.size() >= CrashesForQuarantine &&
-      Item.Crashes.count(Crash) == 0) {
+  if (Item.Crashes.size() >= MaxCrashesKept && Item.Crashes.count(Crash) == 0) {
     auto Oldest = std::min_element(
         Item.Crashes.begin(), Item.Crashes.end(),
-        [](const auto &L, const auto &R) { return L.second < R.second; });
+        [](const auto &L, const auto &R) { return L.second.At < R.second.At; });
     Item.Crashes.erase(Oldest);
   }
-  Item.Crashes.emplace(Crash, Now);
+  Item.Crashes.emplace(Crash, SuspectCrash{Now, Weight});
+}
+
+void noteAnswered(AnsweredTable &Table, const Fingerprint &Print,
+                  SteadyTime Now) {
+  // Cleared as a whole: a popular request is back with its next answer.
+  if (Table.Last.size() >= MaxAnswered && Table.Last.count(Print) == 0)
+    Table.Last.clear();
+  Table.Last[Print] = Now;
+}
+
+SuspectWeight weightOf(const AnsweredTable &Table, const Fingerprint &Print,
+                       SteadyTime Now) {
+  const auto It = Table.Last.find(Print);
+  return It != Table.Last.end() && isRecent(It->second, Now)
+             ? SuspectWeight::Answered
+             : SuspectWeight::NeverAnswered;
 }
 
 bool isQuarantined(const SuspectTable &Table, const Fingerprint &Print,
@@ -58,13 +73,13 @@
   if (It == Table.Suspects.end())
     return false;
   const Suspect &Item = It->second;
-  // Counted from the last crash; the earlier one lies within the same length
+  // Counted from the last crash; the earlier ones lie within the same length
   // before it.
   const SteadyTime Last = lastSeen(Item);
-  std::size_t Present = 0;
+  int Weight = 0;
   for (const auto &[Crash, Seen] : Item.Crashes)
-    Present += isRecent(Seen, Last) ? 1 : 0;
-  return Present >= CrashesForQuarantine && isRecent(Last, Now);
+    Weight += isRecent(Seen.At, Last) ? static_cast<int>(Seen.Weight) : 0;
+  return Weight >= QuarantineWeight && isRecent(Last, Now);
 }
 
 } // namespace lycheethread::requests
--- a/src/requests/tests/RequestsTest.cpp
+++ b/src/requests/tests/RequestsTest.cpp
@@ -257,10 +257,13 @@
 BOOST_AUTO_TEST_CASE(TwoCrashesQuarantineForTenMinutes) {
   SuspectTable Table;
   const Fingerprint Print("f");
-  noteSuspect(Table, Print, CrashId("n1/1"), SteadyTime(0));
-  noteSuspect(Table, Print, CrashId("n1/1"), SteadyTime(5));
+  noteSuspect(Table, Print, CrashId("n1/1"), SuspectWeight::NeverAnswered,
+              SteadyTime(0));
+  noteSuspect(Table, Print, CrashId("n1/1"), SuspectWeight::NeverAnswered,
+              SteadyTime(5));
   BOOST_TEST(!isQuarantined(Table, Print, SteadyTime(6)));
-  noteSuspect(Table, Print, CrashId("n2/1"), SteadyTime(10));
+  noteSuspect(Table, Print, CrashId("n2/1"), SuspectWeight::NeverAnswered,
+              SteadyTime(10));
   BOOST_TEST(isQuarantined(Table, Print, SteadyTime(600009)));
   BOOST_TEST(!isQuarantined(Table, Print, SteadyTime(600010)));
 }
@@ -283,3 +286,22 @@
   noteShed(Table, A, SteadyTime(3900));
   BOOST_TEST(Table.Members[A].Until.value() == 5900);
 }
+
+// Guards against a page that all callers read and that is quarantined because
+// it is in progress whenever another request crashes an upstream.
+BOOST_AUTO_TEST_CASE(AnsweredRequestIsQuarantinedOnlyAfterFourCrashes) {
+  AnsweredTable Answered;
+  SuspectTable Table;
+  const Fingerprint Page("page");
+  BOOST_TEST((weightOf(Answered, Page, SteadyTime(0)) ==
+              SuspectWeight::NeverAnswered));
+  noteAnswered(Answered, Page, SteadyTime(0));
+  for (int I = 0; I < 4; ++I) {
+    BOOST_TEST(!isQuarantined(Table, Page, SteadyTime(I)));
+    noteSuspect(Table, Page, CrashId("n/" + std::to_string(I)),
+                weightOf(Answered, Page, SteadyTime(I)), SteadyTime(I));
+  }
+  BOOST_TEST(isQuarantined(Table, Page, SteadyTime(5)));
+  BOOST_TEST((weightOf(Answered, Page, SteadyTime(600000)) ==
+              SuspectWeight::NeverAnswered));
+}
