--- a/src/platform/Platform.h
+++ b/src/platform/Platform.h
@@ -8,7 +8,7 @@
 
 namespace lycheethread::platform {
 
-/// Client of the log at \p BaseUrl ("http://ip:port"), see docs/log-api.md.
+/// Client of the log at \p BaseUrl ("http://ip:port"), see docs/design.md.
 /// Every call ends within \p Timeout plus the wait of a read.
 LogClient makeHttpLog(const std::string &BaseUrl, Milliseconds Timeout);
 
