--- /dev/null
+++ b/src/proxy/tests/ProxyTest.cpp
@@ -0,0 +1,209 @@
+#define BOOST_TEST_MODULE Proxy
+#include "TestClient.h"
+#include "TestCluster.h"
+
+#include <Poco/SHA2Engine.h>
+#include <Poco/Thread.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+#include <random>
+
+using namespace lycheethread;
+using namespace lycheethread::proxy;
+
+namespace {
+
+std::string digestOf(const std::string &Text) {
+  Poco::SHA2Engine Engine(Poco::SHA2Engine::SHA_256);
+  Engine.update(Text);
+  return Poco::DigestEngine::digestToHex(Engine.digest());
+}
+
+std::string randomBody(std::size_t Size) {
+  std::mt19937_64 Random(Size);
+  std::string Body(Size, '\0');
+  for (char &Byte : Body)
+    Byte = static_cast<char>(Random());
+  return Body;
+}
+
+/// An entry node without an upstream, and one last hop.
+struct TwoNodes {
+  UpstreamProcess Upstream;
+  TestCluster Cluster;
+  TestNode *Entry;
+  TestNode *Last;
+
+  TwoNodes() {
+    Entry = &Cluster.add("entry", "", {});
+    Last = &Cluster.add("last", "shop", Upstream.endpoint());
+    Cluster.publish();
+  }
+  TestClient client() const { return TestClient(Entry->Settings->Listen.Port); }
+};
+
+} // namespace
+
+// Guards against lost headers, bodies and status of the upstream's answer.
+BOOST_AUTO_TEST_CASE(LookupPassesThroughBothNodes) {
+  TwoNodes Nodes;
+  const TestAnswer Answer = Nodes.client().get("/work");
+  BOOST_TEST(Answer.Status == 200);
+  BOOST_TEST(Answer.Body == "ok v1\n");
+  BOOST_TEST(Answer.header("lt-path") == "entry, last");
+  BOOST_TEST(Answer.header("x-version") == "v1");
+  const std::string Body = randomBody(100000);
+  BOOST_TEST(Nodes.client().post("/echo", Body).Body == Body);
+  BOOST_TEST(Nodes.client().post("/echo", Body, true).Body == Body);
+}
+
+// Guards against a request for this node's upstream that skips admission, or
+// goes over a connection to the node itself.
+BOOST_AUTO_TEST_CASE(OwnUpstreamIsReachedInProcess) {
+  TwoNodes Nodes;
+  const TestClient Client(Nodes.Last->Settings->Listen.Port);
+  BOOST_TEST(Client.get("/work").header("lt-path") == "last");
+  Nodes.Last->drain()->Begin();
+  const TestAnswer Refused = Client.get("/work");
+  BOOST_TEST(Refused.header("lt-reason") == "draining");
+  BOOST_TEST(Refused.header("lt-executed") == "no");
+  BOOST_TEST(Nodes.Last->Refusals.size() == 1U);
+  BOOST_TEST(Nodes.Last->Refusals.front().Id.str() ==
+             Refused.header("lt-refusal-id"));
+}
+
+// Guards against truncated or reordered large bodies.
+BOOST_AUTO_TEST_CASE(LargeUploadArrivesComplete) {
+  TwoNodes Nodes;
+  const std::string Body = randomBody(50 * 1024 * 1024);
+  const std::string Wanted =
+      std::to_string(Body.size()) + " " + digestOf(Body) + "\n";
+  BOOST_TEST(Nodes.client().post("/upload", Body).Body == Wanted);
+  BOOST_TEST(Nodes.client().post("/upload", Body, true).Body == Wanted);
+}
+
+// Guards against bodies above the route's limit, announced or chunked.
+BOOST_AUTO_TEST_CASE(BodyLimitHolds) {
+  TwoNodes Nodes;
+  const std::string Body = randomBody(300000);
+  for (const bool Chunked : {false, true}) {
+    const TestAnswer Answer = Nodes.client().post("/echo/small", Body, Chunked);
+    BOOST_TEST(Answer.header("lt-reason") == "body-too-large");
+  }
+  BOOST_TEST(Nodes.client().post("/echo/small", Body.substr(0, 150000)).Body ==
+             Body.substr(0, 150000));
+}
+
+// Guards against a second execution of a request with a key.
+BOOST_AUTO_TEST_CASE(RepeatOfAKeyGetsTheRecordedAnswer) {
+  TwoNodes Nodes;
+  TestClient Client = Nodes.client();
+  Client.Headers["idempotency-key"] = "order-1";
+  const TestAnswer First = Client.post("/work/order", "two plates");
+  BOOST_TEST(First.Status == 200);
+  TestAnswer Repeat;
+  for (int I = 0; I < 100 && Repeat.Status != 200; ++I) {
+    Repeat = Client.post("/work/order", "two plates");
+    Poco::Thread::sleep(10);
+  }
+  BOOST_TEST(Repeat.Body == First.Body);
+  BOOST_TEST(Repeat.header("lt-executed") == "yes");
+  BOOST_TEST(Client.post("/work/order", "other").header("lt-reason") ==
+             "bad-request");
+  BOOST_TEST(Nodes.Upstream.get("/control/executions") == "order-1 1\n");
+}
+
+// Guards against two copies that run at once at different upstreams.
+BOOST_AUTO_TEST_CASE(ConcurrentCopiesOfAKeyRunOnce) {
+  TwoNodes Nodes;
+  UpstreamProcess Second;
+  Nodes.Cluster.add("last2", "shop", Second.endpoint());
+  Nodes.Cluster.publish();
+  std::vector<std::future<TestAnswer>> Answers;
+  for (int I = 0; I < 12; ++I)
+    Answers.push_back(std::async(std::launch::async, [&Nodes] {
+      TestClient Client = Nodes.client();
+      Client.Headers["idempotency-key"] = "release-9";
+      return Client.post("/work/order?ms=100", "x");
+    }));
+  int Executed = 0;
+  for (auto &Each : Answers) {
+    const TestAnswer Answer = Each.get();
+    Executed += Answer.Status == 200 && Answer.header("lt-executed").empty();
+    if (Answer.Status != 200)
+      BOOST_TEST(Answer.header("lt-reason") == "already-accepted");
+  }
+  BOOST_TEST(Executed == 1);
+  BOOST_TEST(Nodes.Upstream.get("/control/executions") +
+                 Second.get("/control/executions") ==
+             "release-9 1\n");
+}
+
+// Guards against execution without a readable claim, and against a key that
+// stays blocked after the refusal said "not executed".
+BOOST_AUTO_TEST_CASE(UnreadableLogRefusesAndTheKeyStaysUsable) {
+  TwoNodes Nodes;
+  TestClient Client = Nodes.client();
+  Client.Headers["idempotency-key"] = "order-2";
+  Nodes.Cluster.log().LosesAnswers = true;
+  const TestAnswer Refused = Client.post("/work/order", "x");
+  BOOST_TEST(Refused.header("lt-reason") == "log-unavailable");
+  BOOST_TEST(Refused.header("lt-executed") == "no");
+  Nodes.Cluster.log().LosesAnswers = false;
+  TestAnswer Answer;
+  for (int I = 0; I < 100 && Answer.Status != 200; ++I) {
+    Answer = Client.post("/work/order", "x");
+    Poco::Thread::sleep(10);
+  }
+  BOOST_TEST(Answer.Status == 200);
+  BOOST_TEST(Nodes.Upstream.get("/control/executions") == "order-2 1\n");
+}
+
+// Guards against chains that lose the deadline, depth or path.
+BOOST_AUTO_TEST_CASE(ChainReachesASecondService) {
+  TestCluster Cluster;
+  UpstreamProcess Stock;
+  TestNode &Entry = Cluster.add("entry", "", {});
+  Cluster.add("stock", "stock", Stock.endpoint());
+  UpstreamProcess Shop(
+      {"--node", "127.0.0.1:" + std::to_string(Entry.Settings->Listen.Port)});
+  Cluster.add("last", "shop", Shop.endpoint());
+  Cluster.publish();
+  TestClient Client(Entry.Settings->Listen.Port);
+  const TestAnswer Answer = Client.get("/chain?service=stock&path=/work");
+  BOOST_TEST(Answer.Body == "chain: ok v1\n");
+  BOOST_TEST(Answer.header("x-inner-path") == "entry, stock");
+  const TestAnswer Inner = Client.get("/chain?service=absent&path=/work");
+  BOOST_TEST(Inner.header("lt-reason") == "no-route");
+  BOOST_TEST(Inner.header("lt-depth") == "2");
+  Client.Headers["lt-depth"] = "15";
+  const TestAnswer Deep = Client.get("/chain?service=stock&path=/work");
+  BOOST_TEST(Deep.header("lt-reason") == "too-deep");
+}
+
+// Guards against an upload or a lookup that a drain interrupts, and against
+// new work after the drain began.
+BOOST_AUTO_TEST_CASE(DrainLetsAnUploadFinish) {
+  TwoNodes Nodes;
+  const std::string Body = randomBody(4 * 1024 * 1024);
+  const TestClient Client = Nodes.client();
+  Poco::Net::StreamSocket Socket = Client.connect();
+  std::string Start = Client.head("POST", "/upload") +
+                      "Content-Length: " + std::to_string(Body.size()) +
+                      "\r\nConnection: close\r\n\r\n" +
+                      Body.substr(0, Body.size() / 2);
+  Socket.sendBytes(Start.data(), static_cast<int>(Start.size()));
+  Poco::Thread::sleep(200);
+  Nodes.Last->drain()->Begin();
+  BOOST_TEST(Nodes.Last->drain()->InProgress() == 1);
+  BOOST_TEST(Client.get("/work").header("lt-reason") == "draining");
+  const std::string Rest = Body.substr(Body.size() / 2);
+  Socket.sendBytes(Rest.data(), static_cast<int>(Rest.size()));
+  const std::string Answer = TestClient::readAll(Socket);
+  BOOST_TEST(Answer.find(digestOf(Body)) != std::string::npos);
+  Poco::Thread::sleep(50);
+  BOOST_TEST(Nodes.Last->drain()->InProgress() == 0);
+  BOOST_TEST((Nodes.Last->State == MemberState::Draining));
+}
