--- a/src/proxy/internal/ClaimKeeper.cpp
+++ b/src/proxy/internal/ClaimKeeper.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t MaxAbandoned = 1000;
 constexpr Milliseconds RetryPause{200};
 constexpr Milliseconds LastWrites{2000};
+/// After a failure only one claim at a time tries the log for this long;
+/// otherwise claims that wait for a slow log would hold all slots.
+constexpr Milliseconds FailurePause{500};
 
 } // namespace
 
@@ -29,12 +32,16 @@
   std::string TokenPrefix;
   std::atomic<std::int64_t> LastToken{0};
 
+  std::atomic<bool> IsLogFailing{false};
+  std::atomic<std::int64_t> NextTry{0};
+
   /// Held while reading, so that waiting claims profit from one read.
-  std::mutex FoldLock;
+  std::timed_mutex FoldLock;
   requests::ClaimTable Table;
   Offset Position;
   /// Tokens of claims that were refused because the log gave no answer; their
   /// records may still appear.
+  std::mutex AbandonedLock;
   std::set<std::string> Abandoned;
 
   std::mutex QueueLock;
@@ -57,9 +64,13 @@
     QueueChanged.notify_one();
   }
 
+  bool takeAbandoned(const std::string &Token) {
+    const std::lock_guard<std::mutex> Guard(AbandonedLock);
+    return Abandoned.erase(Token) != 0;
+  }
+
   void releaseIfAbandoned(const requests::ClaimEntry &Entry) {
-    if (Entry.Kind != requests::ClaimKind::Claim ||
-        Abandoned.erase(Entry.Token) == 0)
+    if (Entry.Kind != requests::ClaimKind::Claim || !takeAbandoned(Entry.Token))
       return;
     requests::ClaimEntry Release = Entry;
     Release.Kind = requests::ClaimKind::Release;
@@ -97,7 +108,33 @@
     }
   }
 
+  /// Whether the log may be asked now.
+  bool mayTry() {
+    if (!IsLogFailing.load())
+      return true;
+    const std::int64_t Now = steadyNow().value();
+    std::int64_t Due = NextTry.load();
+    return Now >= Due &&
+           NextTry.compare_exchange_strong(Due, Now + FailurePause.count());
+  }
+
+  void noteFailure() {
+    NextTry = after(steadyNow(), FailurePause).value();
+    IsLogFailing = true;
+  }
+
+  requests::ClaimVerdict appendAndSettle(const requests::ClaimEntry &Claim,
+                                         SteadyTime Deadline) {
+    const Offset At = Log->Append(Stream, encodeClaim(Claim));
+    std::unique_lock<std::timed_mutex> Guard(FoldLock, std::defer_lock);
+    if (!Guard.try_lock_for(timeLeft(Deadline)))
+      throw platform::LogUnavailable("the stream is read too slowly");
+    readPast(At);
+    return requests::settleClaim(Table, Claim);
+  }
+
   void abandon(const std::string &Token) {
+    const std::lock_guard<std::mutex> Guard(AbandonedLock);
     if (Abandoned.size() < MaxAbandoned)
       Abandoned.insert(Token);
   }
@@ -152,16 +189,19 @@
   Impl_->Writer.join();
 }
 
-requests::ClaimVerdict ClaimKeeper::claim(requests::ClaimEntry &Claim) {
+requests::ClaimVerdict ClaimKeeper::claim(requests::ClaimEntry &Claim,
+                                          SteadyTime Deadline) {
   Claim.Kind = requests::ClaimKind::Claim;
   Claim.Token = Impl_->TokenPrefix + "/" + std::to_string(++Impl_->LastToken);
+  if (!Impl_->mayTry())
+    throw platform::LogUnavailable("the log failed a moment ago");
   try {
-    const Offset At = Impl_->Log->Append(Impl_->Stream, encodeClaim(Claim));
-    const std::lock_guard<std::mutex> Guard(Impl_->FoldLock);
-    Impl_->readPast(At);
-    return requests::settleClaim(Impl_->Table, Claim);
+    const requests::ClaimVerdict Verdict =
+        Impl_->appendAndSettle(Claim, Deadline);
+    Impl_->IsLogFailing = false;
+    return Verdict;
   } catch (const std::exception &Error) {
-    const std::lock_guard<std::mutex> Guard(Impl_->FoldLock);
+    Impl_->noteFailure();
     Impl_->abandon(Claim.Token);
     throw platform::LogUnavailable(Error.what());
   }
--- a/src/proxy/internal/ClaimKeeper.h
+++ b/src/proxy/internal/ClaimKeeper.h
@@ -21,7 +21,8 @@
   /// Appends a claim, reads the stream back and settles. Fills in the token of
   /// \p Claim. Throws platform::LogUnavailable; the request must not be
   /// executed then.
-  requests::ClaimVerdict claim(requests::ClaimEntry &Claim);
+  requests::ClaimVerdict claim(requests::ClaimEntry &Claim,
+                               SteadyTime Deadline);
 
   /// Queues an outcome or a release.
   void append(requests::ClaimEntry Entry);
--- a/src/proxy/internal/Exchange.cpp
+++ b/src/proxy/internal/Exchange.cpp
@@ -24,6 +24,13 @@
                    SteadyTime Deadline)
     : Pool_(Pool), Target_(Target), Connection_(Pool.take(Target, Deadline)) {}
 
+void Exchange::waitForPeer(const HttpConnection &Caller, SteadyTime Deadline) {
+  if (FollowsCaller_)
+    Connection_->waitForInput(Deadline, Caller);
+  else if (!Connection_->waitForInput(Deadline))
+    throw ConnectionTimeout("no answer in time");
+}
+
 void Exchange::readAnswerHead(SteadyTime Deadline) {
   Answer_ = HTTPResponse();
   parseResponse(Connection_->readHead(Deadline), Answer_);
@@ -32,7 +39,7 @@
 void Exchange::readFinalHead(const HttpConnection &Caller,
                              SteadyTime Deadline) {
   for (int I = 0; I < MaxInterim; ++I) {
-    Connection_->waitForInput(Deadline, Caller);
+    waitForPeer(Caller, Deadline);
     readAnswerHead(Deadline);
     if (Answer_.getStatus() < FirstFinalStatus)
       continue;
@@ -95,7 +102,7 @@
   Connection_->write(First, Deadline);
   SentAll_ = Whole;
   if (Ask) {
-    Connection_->waitForInput(Deadline, Body.connection());
+    waitForPeer(Body.connection(), Deadline);
     readAnswerHead(Deadline);
     HasAnswer_ = Answer_.getStatus() >= FirstFinalStatus;
   }
--- a/src/proxy/internal/Exchange.h
+++ b/src/proxy/internal/Exchange.h
@@ -24,6 +24,13 @@
   void run(Poco::Net::HTTPRequest &Request, RequestBody &Body, bool AskFirst,
            SteadyTime Deadline);
 
+  /// Whether the exchange ends when the caller closes its connection.
+  void setFollowsCaller(bool Follows) { FollowsCaller_ = Follows; }
+
+  /// Waits for the peer. Throws ConnectionTimeout and, when the exchange
+  /// follows its caller, CallerGone.
+  void waitForPeer(const HttpConnection &Caller, SteadyTime Deadline);
+
   /// Whether any byte may have reached the peer.
   bool hasSent() const { return Sent_; }
   Poco::Net::HTTPResponse &answer() { return Answer_; }
@@ -46,6 +53,7 @@
   std::string Method_;
   Poco::Net::HTTPResponse Answer_;
   std::optional<BodyReader> Body_;
+  bool FollowsCaller_ = true;
   bool Sent_ = false;
   bool SentAll_ = false;
   bool HasAnswer_ = false;
--- a/src/proxy/internal/LastHop.cpp
+++ b/src/proxy/internal/LastHop.cpp
@@ -89,6 +89,9 @@
                          RequestBody &Body, Reply &To,
                          std::optional<Exchange> &Out, AnswerCopy *Copy) {
     Out.emplace(Pool, Services.Settings->Upstream, Call.Deadline);
+    // A claimed request runs on for its outcome, which the caller gets when it
+    // sends the request again.
+    Out->setFollowsCaller(Copy == nullptr);
     HTTPRequest Onward = makeOnward(Request, Call);
     Out->run(Onward, Body, false, Call.Deadline);
     if (isShed(Out->answer())) {
@@ -172,7 +175,7 @@
     Claim.Print = Digest;
     requests::ClaimVerdict Verdict;
     try {
-      Verdict = Claims.claim(Claim);
+      Verdict = Claims.claim(Claim, Call.Deadline);
     } catch (const platform::LogUnavailable &Error) {
       return refused(RefusalReason::LogUnavailable, Executed::No, Error.what());
     }
--- a/src/proxy/internal/Reply.cpp
+++ b/src/proxy/internal/Reply.cpp
@@ -79,7 +79,7 @@
 private:
   std::size_t read(char *Into, std::size_t Size) {
     const SteadyTime Limit = after(steadyNow(), Stall_);
-    From_.connection().waitForInput(Limit, To_.To);
+    From_.waitForPeer(To_.To, Limit);
     const std::size_t Count = From_.body().read(Into, Size, Limit);
     Bytes_ += static_cast<std::int64_t>(Count);
     if (Copy_ != nullptr)
--- a/src/proxy/tests/ProxyTest.cpp
+++ b/src/proxy/tests/ProxyTest.cpp
@@ -152,6 +152,8 @@
   BOOST_TEST(Refused.header("lt-reason") == "log-unavailable");
   BOOST_TEST(Refused.header("lt-executed") == "no");
   Nodes.Cluster.log().LosesAnswers = false;
+  // Longer than the pause after a failure.
+  Poco::Thread::sleep(600);
   TestAnswer Answer;
   for (int I = 0; I < 100 && Answer.Status != 200; ++I) {
     Answer = Client.post("/work/order", "x");
@@ -161,6 +163,53 @@
   BOOST_TEST(Nodes.Upstream.get("/control/executions") == "order-2 1\n");
 }
 
+// Guards against lookups that find no slot because once-only requests wait for
+// a log that is down and slow.
+BOOST_AUTO_TEST_CASE(SlowLogDoesNotStopLookups) {
+  TwoNodes Nodes;
+  Nodes.Cluster.log().IsDown = true;
+  Nodes.Cluster.log().AppendMs = 400;
+  std::vector<std::future<TestAnswer>> Orders;
+  for (int I = 0; I < 40; ++I)
+    Orders.push_back(std::async(std::launch::async, [&Nodes, I] {
+      Poco::Thread::sleep(I * 25);
+      TestClient Client = Nodes.client();
+      Client.Headers["idempotency-key"] = "slow-" + std::to_string(I);
+      Client.Headers["lt-caller"] = "c" + std::to_string(I);
+      return Client.post("/work/order", "x");
+    }));
+  TestClient Lookups = Nodes.client();
+  for (int I = 0; I < 20; ++I) {
+    BOOST_TEST(Lookups.get("/work").Status == 200);
+    Poco::Thread::sleep(50);
+  }
+  for (auto &Each : Orders) {
+    const TestAnswer Answer = Each.get();
+    BOOST_TEST(Answer.header("lt-executed") == "no");
+  }
+  BOOST_TEST(Nodes.Upstream.get("/control/executions").find("slow-") ==
+             std::string::npos);
+}
+
+// Guards against an outcome that is lost because the caller did not wait.
+BOOST_AUTO_TEST_CASE(ClaimedRequestRunsOnWithoutItsCaller) {
+  TwoNodes Nodes;
+  TestClient Client = Nodes.client();
+  Client.Headers["idempotency-key"] = "order-3";
+  {
+    Poco::Net::StreamSocket Socket = Client.connect();
+    const std::string Text = Client.head("POST", "/work/order?ms=300") +
+                             "Content-Length: 1\r\n\r\nx";
+    Socket.sendBytes(Text.data(), static_cast<int>(Text.size()));
+    Poco::Thread::sleep(100);
+  }
+  Poco::Thread::sleep(400);
+  const TestAnswer Repeat = Client.post("/work/order?ms=300", "x");
+  BOOST_TEST(Repeat.Status == 200);
+  BOOST_TEST(Repeat.header("lt-executed") == "yes");
+  BOOST_TEST(Nodes.Upstream.get("/control/executions") == "order-3 1\n");
+}
+
 // Guards against chains that lose the deadline, depth or path.
 BOOST_AUTO_TEST_CASE(ChainReachesASecondService) {
   TestCluster Cluster;
--- a/src/proxy/tests/TestCluster.cpp
+++ b/src/proxy/tests/TestCluster.cpp
@@ -53,6 +53,7 @@
 std::shared_ptr<platform::LogClient> FakeLog::client() {
   auto Client = std::make_shared<platform::LogClient>();
   Client->Append = [this](const StreamName &Stream, const std::string &Data) {
+    Poco::Thread::sleep(AppendMs);
     const std::lock_guard<std::mutex> Guard(Lock);
     if (IsDown)
       throw platform::LogUnavailable("the log is down");
--- a/src/proxy/tests/TestCluster.h
+++ b/src/proxy/tests/TestCluster.h
@@ -21,6 +21,7 @@
   bool IsDown = false;
   /// Appends take effect but report an error.
   bool LosesAnswers = false;
+  int AppendMs = 0;
 
   std::shared_ptr<platform::LogClient> client();
 };
