--- a/cmake/LycheeModule.cmake
+++ b/cmake/LycheeModule.cmake
@@ -9,15 +9,22 @@
 endfunction()
 
 # lychee_test(NAME SOURCES ... DEPENDS ... TIMEOUT s) adds one Boost.Test
-# program and registers it with ctest. Each source holds part of the suite.
+# program and registers it with ctest, unless tests are off. Each source holds
+# part of the suite.
 function(lychee_test name)
-  cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPENDS;ARGS" ${ARGN})
+  if(NOT LYCHEETHREAD_TESTS)
+    return()
+  endif()
+  cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPENDS;ARGS;DEFINITIONS;PROGRAMS" ${ARGN})
   if(NOT ARG_TIMEOUT)
     set(ARG_TIMEOUT 60)
   endif()
   add_executable(${name} ${ARG_SOURCES})
   target_compile_options(${name} PRIVATE -Wall -Wextra)
-  target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK)
+  target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK ${ARG_DEFINITIONS})
+  if(ARG_PROGRAMS)
+    add_dependencies(${name} ${ARG_PROGRAMS})
+  endif()
   target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} Boost::unit_test_framework)
   add_test(NAME ${name} COMMAND ${name} ${ARG_ARGS})
   set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
--- a/src/app/internal/Logging.cpp
+++ b/src/app/internal/Logging.cpp
@@ -1,11 +1,14 @@
 #include "app/internal/Logging.h"
+#include "app/internal/NonBlockingOutput.h"
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/log/utility/setup/console.hpp>
+#include <boost/smart_ptr/make_shared_object.hpp>
 
 #include <iostream>
 
@@ -13,20 +16,38 @@
 
 namespace logging = boost::log;
 
-void startLogging(const std::string &Level) {
+namespace {
+
+logging::formatter lineFormat() {
+  return logging::expressions::stream
+         << logging::expressions::format_date_time<boost::posix_time::ptime>(
+                "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+         << " " << logging::trivial::severity << " "
+         << logging::expressions::smessage;
+}
+
+void setLevel(const std::string &Level) {
   logging::trivial::severity_level Lowest = logging::trivial::info;
   logging::trivial::from_string(Level.c_str(), Level.size(), Lowest);
   logging::add_common_attributes();
-  logging::add_console_log(
-      std::cerr,
-      logging::keywords::format =
-          logging::expressions::stream
-          << logging::expressions::format_date_time<boost::posix_time::ptime>(
-                 "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-          << " " << logging::trivial::severity << " "
-          << logging::expressions::smessage,
-      logging::keywords::auto_flush = true);
   logging::core::get()->set_filter(logging::trivial::severity >= Lowest);
 }
 
+} // namespace
+
+void startLogging(const std::string &Level) {
+  setLevel(Level);
+  logging::add_console_log(std::cerr,
+                           logging::keywords::format = lineFormat(),
+                           logging::keywords::auto_flush = true);
+}
+
+void startStandardOutputLogging(const std::string &Level) {
+  setLevel(Level);
+  using Sink = logging::sinks::unlocked_sink<NonBlockingOutput>;
+  const auto Made = boost::make_shared<Sink>();
+  Made->set_formatter(lineFormat());
+  logging::core::get()->add_sink(Made);
+}
+
 } // namespace lycheethread::app
--- a/src/app/internal/MovesCommand.cpp
+++ b/src/app/internal/MovesCommand.cpp
@@ -46,7 +46,7 @@
 }
 
 /// Folds what arrives within one long poll.
-void follow(config::ConfigState &State, const platform::LogClient &Log,
+void follow(config::ConfigState &State, const streamlog::LogClient &Log,
             Milliseconds Left) {
   bootstrap::foldBatch(State,
                        Log.Read(bootstrap::controlStream(), State.Position,
@@ -55,19 +55,19 @@
 }
 
 /// Goes on through outages of the log: the move ends without this command.
-void followPatiently(config::ConfigState &State, const platform::LogClient &Log,
+void followPatiently(config::ConfigState &State, const streamlog::LogClient &Log,
                      Milliseconds Left) {
   try {
     follow(State, Log, Left);
-  } catch (const platform::LogTrimmed &) {
+  } catch (const streamlog::LogTrimmed &) {
     State = bootstrap::loadFromLog(Log, report);
-  } catch (const platform::LogUnavailable &) {
+  } catch (const streamlog::LogUnavailable &) {
     std::this_thread::sleep_for(std::min(Left, RetryPause));
   }
 }
 
 int waitForEnd(const MovesRequest &Request, config::ConfigState &State,
-               const platform::LogClient &Log) {
+               const streamlog::LogClient &Log) {
   const Clock::time_point Until = Clock::now() + Request.Timeout;
   std::optional<int> Code = exitCodeOf(State.Moves, Request.Waited);
   while (!Code && timeLeft(Until) > Milliseconds(0)) {
@@ -86,14 +86,14 @@
 
 int showMoves(const MovesRequest &Request) {
   try {
-    const platform::LogClient Log =
-        platform::makeHttpLog(Request.LogUrl, LogTimeout);
+    const streamlog::LogClient Log =
+        streamlog::makeHttpLog(Request.LogUrl, LogTimeout);
     config::ConfigState State = bootstrap::loadFromLog(Log, report);
     if (!Request.Waited.empty())
       return waitForEnd(Request, State, Log);
     print(Request, listMoves(State.Moves, Request.Service));
     return ExitOk;
-  } catch (const platform::LogUnavailable &Error) {
+  } catch (const streamlog::LogUnavailable &Error) {
     report(std::string("the log does not answer: ") + Error.what());
   } catch (const bootstrap::NoCheckpoint &Error) {
     report(Error.what());
--- a/src/app/internal/NodeCommand.cpp
+++ b/src/app/internal/NodeCommand.cpp
@@ -6,9 +6,11 @@
 #include "moveowner/MoveOwner.h"
 #include "peer/Peer.h"
 #include "platform/Platform.h"
+#include "streamlog/StreamLog.h"
 #include "proxy/Proxy.h"
 #include "refusallog/RefusalLog.h"
 #include "settings/Settings.h"
+#include "sidecar/Sidecar.h"
 
 #include <boost/log/trivial.hpp>
 #include <csignal>
@@ -72,7 +74,7 @@
 /// peers and log can still be reached.
 void addModules(kernel::Kernel &Node, const NodeSettings &Checked) {
   Node.add(settingsModule(Checked));
-  Node.add(platform::makePlatformModule());
+  Node.add(streamlog::makeStreamLogModule());
   Node.add(metrics::makeMetricsModule());
   Node.add(peer::makePeerModule());
   Node.add(refusallog::makeRefusalLogModule());
@@ -143,6 +145,32 @@
   return ExitOk;
 }
 
+/// A node whose configuration comes from a platform's store.
+int runSidecar(const std::string &Path, const std::string &LogLevel) {
+  startStandardOutputLogging(LogLevel);
+  kernel::Kernel Node;
+  Node.add({"platform",
+            [](kernel::ServiceRegistry &Registry) {
+              Registry.add(sidecar::PlatformPortName,
+                           std::make_shared<sidecar::PlatformPort>(
+                               platform::makePlatformPort()));
+            },
+            {},
+            {}});
+  Node.add(metrics::makeMetricsModule());
+  Node.add(sidecar::makeSidecarModule(Path));
+  Node.start();
+  Node.registry().find<sidecar::SidecarRunner>(sidecar::RunnerName)->Run();
+  Node.stop();
+  return ExitOk;
+}
+
+bool reportFindings(const Findings &Problems) {
+  for (const Finding &Item : Problems)
+    std::cerr << toString(Item) << "\n";
+  return !Problems.empty();
+}
+
 } // namespace
 
 int runNode(int Argc, char **Argv) {
@@ -160,13 +188,20 @@
     throw std::runtime_error("--settings FILE is missing");
 
   const auto Path = Parsed["settings"].as<std::string>();
+  const std::string Text = readFile(Path);
+  const bool OnlyCheck = Parsed.count("check") != 0;
+  if (settings::isForSidecar(Text)) {
+    const settings::ParsedSidecarSettings Result =
+        settings::parseSidecarSettings(Path, Text);
+    if (reportFindings(Result.Problems))
+      return ExitRefused;
+    return OnlyCheck ? ExitOk : runSidecar(Path, Result.Settings.LogLevel);
+  }
   const settings::ParsedSettings Result =
-      settings::parseNodeSettings(Path, readFile(Path));
-  for (const Finding &Item : Result.Problems)
-    std::cerr << toString(Item) << "\n";
-  if (!Result.Problems.empty())
+      settings::parseNodeSettings(Path, Text);
+  if (reportFindings(Result.Problems))
     return ExitRefused;
-  return Parsed.count("check") != 0 ? ExitOk : runChecked(Result.Settings);
+  return OnlyCheck ? ExitOk : runChecked(Result.Settings);
 }
 
 } // namespace lycheethread::app
--- a/src/app/internal/Publication.cpp
+++ b/src/app/internal/Publication.cpp
@@ -20,7 +20,7 @@
 constexpr Milliseconds RetryPause{200};
 
 struct Publication {
-  const platform::LogClient &Log;
+  const streamlog::LogClient &Log;
   const Record &Item;
   Clock::time_point Latest;
   const bootstrap::Notice &Report;
@@ -81,11 +81,11 @@
 void attempt(Publication &Of) {
   try {
     advance(Of);
-  } catch (const platform::LogTrimmed &Error) {
+  } catch (const streamlog::LogTrimmed &Error) {
     // The state is read anew, from a checkpoint.
     Of.Result.Problem = Error.what();
     Of.State.reset();
-  } catch (const platform::LogUnavailable &Error) {
+  } catch (const streamlog::LogUnavailable &Error) {
     Of.Result.Problem = Error.what();
     std::this_thread::sleep_for(std::min(RetryPause, waitOf(Of)));
   } catch (const bootstrap::NoCheckpoint &Error) {
@@ -97,7 +97,7 @@
 } // namespace
 
 PublicationResult
-publishRecord(const platform::LogClient &Log, const Record &Item,
+publishRecord(const streamlog::LogClient &Log, const Record &Item,
               std::chrono::steady_clock::time_point Latest,
               const std::function<void(const std::string &)> &Report) {
   Publication Of{Log, Item, Latest, Report, {}, false, {}};
--- a/src/app/internal/Publication.h
+++ b/src/app/internal/Publication.h
@@ -2,7 +2,7 @@
 #define LYCHEETHREAD_APP_INTERNAL_PUBLICATION_H
 
 #include "config/Config.h"
-#include "platform/Platform.h"
+#include "streamlog/StreamLog.h"
 
 #include <chrono>
 #include <functional>
@@ -28,7 +28,7 @@
 /// lost, the stream is read to its head and the same record is appended again
 /// if it is not there, which folds it once.
 PublicationResult
-publishRecord(const platform::LogClient &Log, const Record &Item,
+publishRecord(const streamlog::LogClient &Log, const Record &Item,
               std::chrono::steady_clock::time_point Latest,
               const std::function<void(const std::string &)> &Report);
 
--- a/src/app/internal/PublishCommand.cpp
+++ b/src/app/internal/PublishCommand.cpp
@@ -180,7 +180,7 @@
 }
 
 int publish(const PublishOptions &Options) {
-  const auto Log = platform::makeHttpLog(Options.LogUrl, CallTimeout);
+  const auto Log = streamlog::makeHttpLog(Options.LogUrl, CallTimeout);
   const DocumentFile File = readDocumentFile(Options.File);
   if (!File.Parsed.Problems.empty())
     return reportLocal(Options, File.Parsed.Problems);
--- a/src/app/internal/RefusalsCommand.cpp
+++ b/src/app/internal/RefusalsCommand.cpp
@@ -1,6 +1,6 @@
 #include "app/internal/Commands.h"
 #include "app/internal/RefusalsText.h"
-#include "platform/Platform.h"
+#include "streamlog/StreamLog.h"
 #include "refusallog/RefusalLog.h"
 
 #include <cxxopts.hpp>
@@ -52,7 +52,7 @@
                bool Json) {
   try {
     refusallog::StoredBatches Stored = refusallog::readStoredBatches(
-        platform::makeHttpLog(LogUrl, LogTimeout));
+        streamlog::makeHttpLog(LogUrl, LogTimeout));
     const refusals::RefusalReport Report =
         refusals::buildReport(std::move(Stored.Batches), Filter, wallNow());
     std::cout << (Json ? refusalsJson(Report, Stored.BadRecords)
@@ -61,7 +61,7 @@
       std::cerr << "refusals: " << Stored.BadRecords
                 << " records of the stream could not be decoded\n";
     return ExitOk;
-  } catch (const platform::LogUnavailable &Error) {
+  } catch (const streamlog::LogUnavailable &Error) {
     std::cerr << "refusals: the log does not answer: " << Error.what() << "\n";
     return ExitUnavailable;
   }
--- a/src/app/tests/DocumentCommandTest.cpp
+++ b/src/app/tests/DocumentCommandTest.cpp
@@ -127,12 +127,12 @@
 // against a repeat under a new identity: the record stands there twice and is
 // accepted once.
 BOOST_AUTO_TEST_CASE(RepeatsOfOneRecordAreFoldedOnce) {
-  platform::LogClient Log = platform::makeHttpLog(Url, Milliseconds(1000));
+  streamlog::LogClient Log = streamlog::makeHttpLog(Url, Milliseconds(1000));
   const auto Real = Log.Append;
   int Calls = 0;
   Log.Append = [&](const StreamName &Name, const std::string &Data) {
     if (++Calls == 1)
-      throw platform::LogUnavailable("not sent");
+      throw streamlog::LogUnavailable("not sent");
     Real(Name, Data);
     return Real(Name, Data);
   };
@@ -163,7 +163,7 @@
 // read from a checkpoint.
 BOOST_AUTO_TEST_CASE(PublishesOnATrimmedStream) {
   BOOST_TEST(publish(Good).Code == app::ExitOk);
-  const auto Log = platform::makeHttpLog(Url, Milliseconds(1000));
+  const auto Log = streamlog::makeHttpLog(Url, Milliseconds(1000));
   const auto Quiet = [](const std::string &) {};
   bootstrap::storeCheckpoint(Log, bootstrap::loadFromLog(Log, Quiet));
   Server.store().trim("control", 1);
@@ -179,7 +179,7 @@
   std::vector<std::thread> Operators;
   for (int I = 0; I < 8; ++I)
     Operators.emplace_back([&, I] {
-      const auto Log = platform::makeHttpLog(Url, Milliseconds(2000));
+      const auto Log = streamlog::makeHttpLog(Url, Milliseconds(2000));
       const Record Item{{NodeId("w" + std::to_string(I)), Incarnation(1),
                          Sequence(1), WallTime(1000 + I)},
                         PublishRecord{ServiceName("desk"), Revision(0), Good}};
--- a/src/bootstrap/Bootstrap.h
+++ b/src/bootstrap/Bootstrap.h
@@ -5,7 +5,7 @@
 /// the platform's log, with checkpoints where the log is trimmed.
 
 #include "config/Config.h"
-#include "platform/Platform.h"
+#include "streamlog/StreamLog.h"
 
 #include <functional>
 #include <optional>
@@ -30,31 +30,31 @@
 
 /// Folds the records of \p Batch; one that does not decode is reported and has
 /// no effect.
-void foldBatch(config::ConfigState &State, const platform::LogBatch &Batch,
+void foldBatch(config::ConfigState &State, const streamlog::LogBatch &Batch,
                const Notice &Report);
 
 /// Folds the control stream up to the head that the log names first. Throws
-/// platform::LogUnavailable, and platform::LogTrimmed when the next record is
+/// streamlog::LogUnavailable, and streamlog::LogTrimmed when the next record is
 /// no longer kept.
-void foldToHead(config::ConfigState &State, const platform::LogClient &Log,
+void foldToHead(config::ConfigState &State, const streamlog::LogClient &Log,
                 const Notice &Report);
 
 /// The state at the head of the control stream: folded from the oldest record,
 /// or from the newest complete checkpoint when the stream is trimmed. Throws
-/// platform::LogUnavailable and NoCheckpoint.
-config::ConfigState loadFromLog(const platform::LogClient &Log,
+/// streamlog::LogUnavailable and NoCheckpoint.
+config::ConfigState loadFromLog(const streamlog::LogClient &Log,
                                 const Notice &Report);
 
 /// The complete checkpoint with the highest position from \p AtLeast up to
-/// \p AtMost. Throws platform::LogUnavailable.
+/// \p AtMost. Throws streamlog::LogUnavailable.
 std::optional<config::ConfigState>
-findCheckpoint(const platform::LogClient &Log, Offset AtLeast, Offset AtMost,
+findCheckpoint(const streamlog::LogClient &Log, Offset AtLeast, Offset AtMost,
                const Notice &Report);
 
 /// Appends the parts of a checkpoint and returns the notice for the control
-/// stream, which the caller appends. Throws platform::LogUnavailable; the parts
+/// stream, which the caller appends. Throws streamlog::LogUnavailable; the parts
 /// that were appended before it have no effect.
-CheckpointNotice storeCheckpoint(const platform::LogClient &Log,
+CheckpointNotice storeCheckpoint(const streamlog::LogClient &Log,
                                  const config::ConfigState &State);
 
 } // namespace lycheethread::bootstrap
--- a/src/bootstrap/internal/Checkpoints.cpp
+++ b/src/bootstrap/internal/Checkpoints.cpp
@@ -26,14 +26,14 @@
 using PartsByIndex = std::map<std::int32_t, std::string>;
 
 struct Search {
-  const platform::LogClient &Log;
+  const streamlog::LogClient &Log;
   Offset AtLeast;
   Offset AtMost;
   const Notice &Report;
   std::map<CheckpointKey, PartsByIndex> Candidates;
 };
 
-void collect(Search &In, const platform::LogRecord &Item) {
+void collect(Search &In, const streamlog::LogRecord &Item) {
   try {
     const config::CheckpointPart Part = config::describePart(Item.Data);
     if (Part.Position < In.AtLeast || Part.Position > In.AtMost)
@@ -57,10 +57,10 @@
           In.Log.Read(checkpointStream(), From, Left, Milliseconds(0));
       if (Batch.Records.empty())
         return;
-      for (const platform::LogRecord &Item : Batch.Records)
+      for (const streamlog::LogRecord &Item : Batch.Records)
         collect(In, Item);
       From = Batch.Records.back().At.next();
-    } catch (const platform::LogTrimmed &Error) {
+    } catch (const streamlog::LogTrimmed &Error) {
       From = Error.kept().First;
     }
   }
@@ -99,10 +99,10 @@
 }
 
 std::optional<config::ConfigState>
-findCheckpoint(const platform::LogClient &Log, Offset AtLeast, Offset AtMost,
+findCheckpoint(const streamlog::LogClient &Log, Offset AtLeast, Offset AtMost,
                const Notice &Report) {
   Search In{Log, AtLeast, AtMost, Report, {}};
-  const platform::StreamBounds Bounds = Log.Bounds(checkpointStream());
+  const streamlog::StreamBounds Bounds = Log.Bounds(checkpointStream());
   Offset To = Bounds.Next;
   // The newest checkpoints stand last, so the stream is searched backwards.
   while (To > Bounds.First) {
@@ -117,7 +117,7 @@
   return std::nullopt;
 }
 
-CheckpointNotice storeCheckpoint(const platform::LogClient &Log,
+CheckpointNotice storeCheckpoint(const streamlog::LogClient &Log,
                                  const config::ConfigState &State) {
   const std::vector<std::string> Parts = config::makeCheckpoint(State);
   CheckpointNotice Stored;
--- a/src/bootstrap/internal/LoadFromLog.cpp
+++ b/src/bootstrap/internal/LoadFromLog.cpp
@@ -9,7 +9,7 @@
 /// The stream may be trimmed again while a checkpoint is read.
 constexpr int MaxRestores = 3;
 
-void foldOne(config::ConfigState &State, const platform::LogRecord &Item,
+void foldOne(config::ConfigState &State, const streamlog::LogRecord &Item,
              const Notice &Report) {
   try {
     config::foldRecord(State, Item.At, records::decodeRecord(Item.Data));
@@ -20,14 +20,14 @@
   }
 }
 
-platform::LogBatch readNext(const config::ConfigState &State,
-                            const platform::LogClient &Log) {
+streamlog::LogBatch readNext(const config::ConfigState &State,
+                            const streamlog::LogClient &Log) {
   return Log.Read(controlStream(), State.Position, RecordsPerRead,
                   Milliseconds(0));
 }
 
-config::ConfigState restore(const platform::LogClient &Log,
-                            platform::StreamBounds Kept, const Notice &Report) {
+config::ConfigState restore(const streamlog::LogClient &Log,
+                            streamlog::StreamBounds Kept, const Notice &Report) {
   auto Found = findCheckpoint(Log, Kept.First, Kept.Next, Report);
   if (!Found)
     throw NoCheckpoint("the control stream starts at offset " +
@@ -44,39 +44,39 @@
   return Name;
 }
 
-void foldBatch(config::ConfigState &State, const platform::LogBatch &Batch,
+void foldBatch(config::ConfigState &State, const streamlog::LogBatch &Batch,
                const Notice &Report) {
-  for (const platform::LogRecord &Item : Batch.Records)
+  for (const streamlog::LogRecord &Item : Batch.Records)
     foldOne(State, Item, Report);
 }
 
-void foldToHead(config::ConfigState &State, const platform::LogClient &Log,
+void foldToHead(config::ConfigState &State, const streamlog::LogClient &Log,
                 const Notice &Report) {
-  platform::LogBatch Batch = readNext(State, Log);
+  streamlog::LogBatch Batch = readNext(State, Log);
   const Offset Head = Batch.Bounds.Next;
   // A state ahead of the head comes from another log, or this one lost data.
   if (State.Position > Head)
-    throw platform::LogUnavailable(
+    throw streamlog::LogUnavailable(
         "the control stream ends at offset " + std::to_string(Head.value()) +
         ", before the position " + std::to_string(State.Position.value()));
   foldBatch(State, Batch, Report);
   while (State.Position < Head) {
     Batch = readNext(State, Log);
     if (Batch.Records.empty())
-      throw platform::LogUnavailable("the control stream has no record at " +
+      throw streamlog::LogUnavailable("the control stream has no record at " +
                                      std::to_string(State.Position.value()));
     foldBatch(State, Batch, Report);
   }
 }
 
-config::ConfigState loadFromLog(const platform::LogClient &Log,
+config::ConfigState loadFromLog(const streamlog::LogClient &Log,
                                 const Notice &Report) {
   config::ConfigState State;
   for (int Restores = 0; Restores <= MaxRestores; ++Restores) {
     try {
       foldToHead(State, Log, Report);
       return State;
-    } catch (const platform::LogTrimmed &Error) {
+    } catch (const streamlog::LogTrimmed &Error) {
       State = restore(Log, Error.kept(), Report);
     }
   }
--- a/src/bootstrap/tests/BootstrapTest.cpp
+++ b/src/bootstrap/tests/BootstrapTest.cpp
@@ -8,9 +8,9 @@
 
 using namespace lycheethread;
 using namespace lycheethread::bootstrap;
-using platform::LogBatch;
-using platform::LogTrimmed;
-using platform::StreamBounds;
+using streamlog::LogBatch;
+using streamlog::LogTrimmed;
+using streamlog::StreamBounds;
 
 namespace {
 
@@ -26,7 +26,7 @@
 /// A log in memory with small answers.
 struct Fixture {
   std::map<StreamName, FakeStream> Streams;
-  platform::LogClient Log;
+  streamlog::LogClient Log;
   int Notices = 0;
   Notice Report = [this](const std::string &) { ++Notices; };
 
@@ -124,7 +124,7 @@
   publishUpTo(3);
   config::ConfigState State = loadFromLog(Log, Report);
   Streams[controlStream()].All.pop_back();
-  BOOST_CHECK_THROW(foldToHead(State, Log, Report), platform::LogUnavailable);
+  BOOST_CHECK_THROW(foldToHead(State, Log, Report), streamlog::LogUnavailable);
   BOOST_TEST(State.Documents.size() == 4);
 }
 
--- /dev/null
+++ b/src/http/Http.h
@@ -0,0 +1,10 @@
+#ifndef LYCHEETHREAD_HTTP_HTTP_H
+#define LYCHEETHREAD_HTTP_HTTP_H
+
+/// Public header of the http library: HTTP/1.1 heads and body framing without
+/// any socket, for blocking and event-driven users alike.
+
+#include "http/types/BodyDecoder.h"
+#include "http/types/Head.h"
+
+#endif // LYCHEETHREAD_HTTP_HTTP_H
--- a/src/proxy/internal/HttpHead.cpp
+++ b/src/http/internal/Head.cpp
@@ -1,5 +1,4 @@
-#include "proxy/internal/HttpHead.h"
-#include "proxy/internal/HttpConnection.h"
+#include "http/Http.h"
 
 #include <Poco/Exception.h>
 #include <Poco/MemoryStream.h>
@@ -8,7 +7,7 @@
 #include <algorithm>
 #include <array>
 
-namespace lycheethread::proxy {
+namespace lycheethread::http {
 
 namespace {
 
@@ -203,4 +202,4 @@
   return Head;
 }
 
-} // namespace lycheethread::proxy
+} // namespace lycheethread::http
--- a/src/proxy/internal/HttpHead.h
+++ b/src/http/types/Head.h
@@ -1,14 +1,24 @@
-#ifndef LYCHEETHREAD_PROXY_INTERNAL_HTTPHEAD_H
-#define LYCHEETHREAD_PROXY_INTERNAL_HTTPHEAD_H
+#ifndef LYCHEETHREAD_HTTP_TYPES_HEAD_H
+#define LYCHEETHREAD_HTTP_TYPES_HEAD_H
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 
 #include <cstdint>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 
-namespace lycheethread::proxy {
+namespace lycheethread::http {
+
+/// A message that breaks the rules of HTTP or exceeds a limit.
+class BadMessage : public std::runtime_error {
+public:
+  using std::runtime_error::runtime_error;
+};
+
+/// Largest request or response head, in bytes.
+inline constexpr std::size_t MaxHeadBytes = 32 * 1024;
 
 enum class FramingKind { None, Fixed, Chunked, UntilClose };
 
@@ -19,7 +29,7 @@
   std::int64_t Length = 0;
 };
 
-/// Parse a head that HttpConnection::readHead returned. Throw BadMessage.
+/// Parse a head up to and including its empty line. Throw BadMessage.
 void parseRequest(std::string_view Head, Poco::Net::HTTPRequest &Request);
 void parseResponse(std::string_view Head, Poco::Net::HTTPResponse &Response);
 
@@ -39,6 +49,6 @@
 std::string serialize(const Poco::Net::HTTPRequest &Request);
 std::string serialize(const Poco::Net::HTTPResponse &Response);
 
-} // namespace lycheethread::proxy
+} // namespace lycheethread::http
 
-#endif // LYCHEETHREAD_PROXY_INTERNAL_HTTPHEAD_H
+#endif // LYCHEETHREAD_HTTP_TYPES_HEAD_H
--- a/src/kernel/types/ServiceNames.h
+++ b/src/kernel/types/ServiceNames.h
@@ -5,8 +5,8 @@
 
 /// settings::NodeSettings.
 inline constexpr const char *Settings = "settings";
-/// platform::LogClient.
-inline constexpr const char *Log = "platform.log";
+/// streamlog::LogClient.
+inline constexpr const char *Log = "streamlog.client";
 /// SnapshotStore<config::ConfigState>: the configuration in force.
 inline constexpr const char *Config = "config.snapshot";
 /// SnapshotStore<std::vector<Member>>: the members as this node sees them.
--- /dev/null
+++ b/src/mesh/Mesh.h
@@ -0,0 +1,106 @@
+#ifndef LYCHEETHREAD_MESH_MESH_H
+#define LYCHEETHREAD_MESH_MESH_H
+
+/// Public header of the mesh library: the decisions of a node whose
+/// configuration, members and rollouts come from the platform's store. All of
+/// it is pure: no socket, clock or thread.
+
+#include "mesh/types/CheckIn.h"
+#include "mesh/types/HopQueue.h"
+#include "mesh/types/MeshConfig.h"
+#include "mesh/types/NodeNews.h"
+#include "mesh/types/Placement.h"
+#include "mesh/types/RetryBudget.h"
+#include "mesh/types/Rollout.h"
+
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace lycheethread::mesh {
+
+/// The route with the longest prefix of \p Target's path at \p Host (a port is
+/// ignored), or null.
+const MeshRoute *findRoute(const MeshConfig &Config, const std::string &Host,
+                           const std::string &Target);
+
+/// Where one node stands in dividing the requests of a route.
+struct SplitState {
+  std::vector<std::int64_t> Credit;
+};
+
+/// The service for the next request, so that each part's share is met closely
+/// also over few requests. Null for a route without parts.
+const ServiceName *chooseService(const MeshRoute &Route, SplitState &State);
+
+/// Time until a slot is free for one more request.
+Milliseconds expectedWait(std::int32_t Held, std::int32_t Capacity,
+                          Milliseconds ServiceTime);
+
+/// The candidate with the least expected cost to the caller, or none without
+/// candidates.
+std::optional<Placed> place(const std::vector<Candidate> &Candidates,
+                            const PlacementRequest &Request,
+                            std::mt19937_64 &Random);
+
+/// Order of two waiting requests: rank, then what can still be in time, then
+/// arrival.
+bool runsBefore(const QueuedJob &First, const QueuedJob &Second,
+                SteadyTime Now);
+
+/// Whether a request that arrives now runs, waits or is refused. It waits only
+/// when it can be expected to be answered within its objective.
+QueueVerdict admitJob(const HopQueue &Queue, const QueuedJob &Job,
+                      Milliseconds MeanService, SteadyTime Now);
+
+/// Removes waiting requests that cannot be answered in time any more.
+std::vector<JobId> takeHopeless(HopQueue &Queue, SteadyTime Now);
+
+/// Moves the next waiting request to a free slot, if there are both.
+std::optional<JobId> takeNext(HopQueue &Queue, SteadyTime Now);
+
+/// False when the request does not wait.
+bool removeWaiting(HopQueue &Queue, JobId Id);
+
+/// Share and end of a rollout. Every node comes to the same result from the
+/// same view; a later view can only raise the share along the fixed steps.
+RolloutDecision decideRollout(const RolloutView &View);
+
+/// Takes news that are newer than what is known. False when they are not.
+bool mergeNews(Fleet &Known, const NodeNews &News, SteadyTime Now);
+
+/// Whether the node has been heard of lately.
+bool isAlive(const KnownNode &Node, SteadyTime Now);
+
+void forgetSilent(Fleet &Known, SteadyTime Now);
+
+/// Position of this node, from 0, among the living nodes in an order that
+/// depends on \p Subject only.
+std::size_t rankOf(const Fleet &Known, const std::string &Subject,
+                   SteadyTime Now);
+
+/// Whether a node of rank \p Rank reads the store itself. \p ConfirmedAge is
+/// the age of the newest confirmation by any node.
+bool shouldReadStore(std::size_t Rank, Milliseconds ConfirmedAge);
+
+Tier tierOf(const Place &From, const NodeId &Self, const NodeNews &Of);
+
+/// False when the check-in is older than what is known, or its start has left.
+bool applyCheckIn(Registration &Known, const CheckIn &Item, SteadyTime Now);
+
+/// False when another upstream is registered.
+bool applyLeave(Registration &Known, const UpstreamId &Id);
+
+/// Whether the upstream has missed several check-ins.
+bool isSilent(const Registration &Known, Milliseconds Interval, SteadyTime Now);
+
+/// Adds what one more request of a service allows.
+void earnRetries(MeshRetryBudget &Budget);
+
+/// Takes one repeat; false when none is left.
+bool spendRetry(MeshRetryBudget &Budget, RepeatKind Kind);
+
+} // namespace lycheethread::mesh
+
+#endif // LYCHEETHREAD_MESH_MESH_H
--- /dev/null
+++ b/src/mesh/internal/HopQueue.cpp
@@ -0,0 +1,103 @@
+#include "mesh/Mesh.h"
+
+#include <algorithm>
+
+namespace lycheethread::mesh {
+
+namespace {
+
+/// Work times are spread widely: a request that is to be in time with some
+/// certainty needs this many mean service times.
+constexpr int ServiceTimesNeeded = 2;
+/// A request that can no longer be in time is taken only when the wait is
+/// about as short as the scheduling of the node itself.
+constexpr Milliseconds LateRequestWait{30};
+/// Part of the mean service time (in percent) below which a waiting request is
+/// given up: with less left hardly any answer is in time.
+constexpr int HopelessPercent = 70;
+
+bool canBeInTime(const QueuedJob &Job, SteadyTime Now) {
+  return elapsed(Now, Job.ObjectiveAt) * 100 >= Job.Service * HopelessPercent;
+}
+
+/// Waiting requests that are served before \p Job.
+std::size_t jobsAhead(const HopQueue &Queue, const QueuedJob &Job,
+                      SteadyTime Now) {
+  return static_cast<std::size_t>(
+      std::count_if(Queue.Waiting.begin(), Queue.Waiting.end(),
+                    [&](const QueuedJob &Other) {
+                      return runsBefore(Other, Job, Now);
+                    }));
+}
+
+} // namespace
+
+bool runsBefore(const QueuedJob &First, const QueuedJob &Second,
+                SteadyTime Now) {
+  if (First.Rank != Second.Rank)
+    return First.Rank < Second.Rank;
+  const bool FirstInTime = canBeInTime(First, Now);
+  if (FirstInTime != canBeInTime(Second, Now))
+    return FirstInTime;
+  return First.Id < Second.Id;
+}
+
+QueueVerdict admitJob(const HopQueue &Queue, const QueuedJob &Job,
+                      Milliseconds MeanService, SteadyTime Now) {
+  if (elapsed(Now, Job.DeadlineAt) <= Milliseconds(0) || Queue.Slots <= 0)
+    return {QueueVerdict::Action::Refuse, Milliseconds(0)};
+  if (Queue.Running < Queue.Slots && Queue.Waiting.empty())
+    return {QueueVerdict::Action::Run, Milliseconds(0)};
+  const auto Ahead =
+      static_cast<std::int64_t>(jobsAhead(Queue, Job, Now)) + 1;
+  const Milliseconds Wait(MeanService.count() * Ahead / Queue.Slots);
+  const Milliseconds InTime = elapsed(Now, Job.ObjectiveAt) -
+                              std::max(Job.Service, Milliseconds(1)) *
+                                  ServiceTimesNeeded;
+  const Milliseconds Allowed = std::max(InTime, LateRequestWait);
+  if (Wait <= Allowed)
+    return {QueueVerdict::Action::Wait, Milliseconds(0)};
+  return {QueueVerdict::Action::Refuse, Wait - Allowed};
+}
+
+std::vector<JobId> takeHopeless(HopQueue &Queue, SteadyTime Now) {
+  std::vector<JobId> Given;
+  const auto IsHopeless = [&](const QueuedJob &Job) {
+    const bool TooLate = !canBeInTime(Job, Now) &&
+                         elapsed(Job.Arrived, Now) > LateRequestWait;
+    return TooLate || Job.DeadlineAt <= Now;
+  };
+  for (const QueuedJob &Job : Queue.Waiting)
+    if (IsHopeless(Job))
+      Given.push_back(Job.Id);
+  Queue.Waiting.erase(std::remove_if(Queue.Waiting.begin(), Queue.Waiting.end(),
+                                     IsHopeless),
+                      Queue.Waiting.end());
+  return Given;
+}
+
+std::optional<JobId> takeNext(HopQueue &Queue, SteadyTime Now) {
+  if (Queue.Running >= Queue.Slots || Queue.Waiting.empty())
+    return std::nullopt;
+  const auto Next = std::min_element(
+      Queue.Waiting.begin(), Queue.Waiting.end(),
+      [Now](const QueuedJob &L, const QueuedJob &R) {
+        return runsBefore(L, R, Now);
+      });
+  const JobId Id = Next->Id;
+  Queue.Waiting.erase(Next);
+  ++Queue.Running;
+  return Id;
+}
+
+bool removeWaiting(HopQueue &Queue, JobId Id) {
+  const auto Found =
+      std::find_if(Queue.Waiting.begin(), Queue.Waiting.end(),
+                   [Id](const QueuedJob &Job) { return Job.Id == Id; });
+  if (Found == Queue.Waiting.end())
+    return false;
+  Queue.Waiting.erase(Found);
+  return true;
+}
+
+} // namespace lycheethread::mesh
--- /dev/null
+++ b/src/mesh/internal/Place.cpp
@@ -0,0 +1,70 @@
+#include "mesh/Mesh.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lycheethread::mesh {
+
+namespace {
+
+/// Round trips by distance. The settings of an instance give none; the users
+/// state one way 0.1 ms within a zone, about 1 ms between zones and 30 ms
+/// between regions.
+constexpr double RoundTripMs[] = {0, 0.5, 2, 62};
+/// Extra time charged for bytes that cross a zone or the region link, per
+/// KiB: both are billed by volume, and the region link is shared by all.
+constexpr double LinkMsPerKiB[] = {0, 0, 0.3, 2.5};
+/// Charged for leaving the region even with a small body.
+constexpr double LinkBaseMs[] = {0, 0, 3, 40};
+/// An upstream runs slower the fuller it is; part of the service time added
+/// at full use.
+constexpr double CrowdingFactor = 0.5;
+/// A failed request costs the caller about this many service times.
+constexpr double FailureCost = 6;
+/// Spread between equal candidates, so that nodes with the same view do not
+/// all choose the same upstream.
+constexpr double JitterPart = 0.15;
+constexpr double BytesPerKiB = 1024;
+
+} // namespace
+
+Milliseconds expectedWait(std::int32_t Held, std::int32_t Capacity,
+                          Milliseconds ServiceTime) {
+  const std::int32_t Ahead = Held - Capacity + 1;
+  if (Ahead <= 0 || Capacity <= 0)
+    return Milliseconds(0);
+  return Milliseconds(ServiceTime.count() * Ahead / Capacity);
+}
+
+std::optional<Placed> place(const std::vector<Candidate> &Candidates,
+                            const PlacementRequest &Request,
+                            std::mt19937_64 &Random) {
+  std::optional<Placed> Best;
+  double BestCost = 0;
+  std::uniform_real_distribution<double> Jitter(0, JitterPart);
+  for (std::size_t At = 0; At < Candidates.size(); ++At) {
+    const Candidate &Item = Candidates[At];
+    const auto Distance = static_cast<std::size_t>(Item.Distance);
+    const auto Service = static_cast<double>(
+        std::max(Item.ServiceTime, Milliseconds(1)).count());
+    const double Use = std::min(
+        1.0, static_cast<double>(Item.Held) / std::max(1, Item.Capacity));
+    const Milliseconds Wait =
+        expectedWait(Item.Held, Item.Capacity, Item.ServiceTime);
+    const double Expected = RoundTripMs[Distance] + Service +
+                            static_cast<double>(Wait.count());
+    const double Cost =
+        Expected + LinkBaseMs[Distance] +
+        LinkMsPerKiB[Distance] * static_cast<double>(Request.BodyBytes) /
+            BytesPerKiB +
+        Service * (CrowdingFactor * Use * Use + FailureCost * Item.FailureRate +
+                   Jitter(Random));
+    if (Best && Cost >= BestCost)
+      continue;
+    BestCost = Cost;
+    Best = Placed{At, Milliseconds(std::lround(Expected)), Wait};
+  }
+  return Best;
+}
+
+} // namespace lycheethread::mesh
--- /dev/null
+++ b/src/mesh/internal/Registration.cpp
@@ -0,0 +1,57 @@
+#include "mesh/Mesh.h"
+
+namespace lycheethread::mesh {
+
+namespace {
+
+/// Check-ins missed before an upstream counts as silent.
+constexpr int MissedCheckIns = 3;
+constexpr std::size_t MaxLeftKept = 64;
+
+bool isNewer(const Registration &Known, const CheckIn &Item) {
+  if (Known.Now.Id.empty())
+    return true;
+  if (Item.From.Born != Known.Now.Born)
+    return Item.From.Born > Known.Now.Born;
+  return Item.From.Id == Known.Now.Id && Item.Number > Known.Number;
+}
+
+} // namespace
+
+bool applyCheckIn(Registration &Known, const CheckIn &Item, SteadyTime Now) {
+  const auto Left = Known.Left.find(Item.From.Id);
+  if (Left != Known.Left.end() && Item.From.Born <= Left->second)
+    return false;
+  if (!isNewer(Known, Item))
+    return false;
+  const bool SameStart =
+      Item.From.Id == Known.Now.Id && Item.From.Born == Known.Now.Born;
+  // Leaving is final for one start.
+  const bool StaysDraining =
+      SameStart && Known.Now.State == UpstreamState::Draining;
+  Known.Now = Item.From;
+  if (StaysDraining)
+    Known.Now.State = UpstreamState::Draining;
+  Known.Address = Item.Address;
+  Known.Number = Item.Number;
+  Known.HeardAt = Now;
+  return true;
+}
+
+bool applyLeave(Registration &Known, const UpstreamId &Id) {
+  if (Known.Now.Id != Id)
+    return false;
+  if (Known.Left.size() >= MaxLeftKept)
+    Known.Left.clear();
+  Known.Left[Id] = Known.Now.Born;
+  Known.Now.State = UpstreamState::Gone;
+  return true;
+}
+
+bool isSilent(const Registration &Known, Milliseconds Interval,
+              SteadyTime Now) {
+  return !Known.Now.Id.empty() &&
+         elapsed(Known.HeardAt, Now) > Interval * MissedCheckIns;
+}
+
+} // namespace lycheethread::mesh
--- /dev/null
+++ b/src/mesh/tests/FleetTest.cpp
@@ -0,0 +1,72 @@
+#include "mesh/Mesh.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lycheethread;
+using namespace lycheethread::mesh;
+
+namespace {
+
+NodeNews news(const std::string &Id, std::int64_t Life, std::int64_t Number) {
+  NodeNews Made;
+  Made.Id = NodeId(Id);
+  Made.Life = Incarnation(Life);
+  Made.Number = Sequence(Number);
+  return Made;
+}
+
+Fleet fleetOf(int Nodes) {
+  Fleet Known;
+  Known.Self = NodeId("n0");
+  for (int At = 1; At < Nodes; ++At)
+    mergeNews(Known, news("n" + std::to_string(At), 1, 1), SteadyTime(1000));
+  return Known;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FleetNews)
+
+// Guards against an earlier life, or a datagram that was overtaken, that
+// brings back an upstream which has left.
+BOOST_AUTO_TEST_CASE(onlyNewerNewsAreTaken) {
+  Fleet Known;
+  Known.Self = NodeId("self");
+  BOOST_TEST(mergeNews(Known, news("a", 5, 7), SteadyTime(1)));
+  BOOST_TEST(!mergeNews(Known, news("a", 5, 7), SteadyTime(2)));
+  BOOST_TEST(!mergeNews(Known, news("a", 4, 99), SteadyTime(2)));
+  BOOST_TEST(mergeNews(Known, news("a", 6, 1), SteadyTime(2)));
+  BOOST_TEST(!mergeNews(Known, news("self", 1, 1), SteadyTime(2)));
+}
+
+// Guards against two nodes that both, or none, hold themselves for the first.
+BOOST_AUTO_TEST_CASE(ranksAreDistinctAndStable) {
+  std::set<std::size_t> Ranks;
+  for (int Self = 0; Self < 7; ++Self) {
+    Fleet Known;
+    Known.Self = NodeId("n" + std::to_string(Self));
+    for (int At = 0; At < 7; ++At)
+      mergeNews(Known, news("n" + std::to_string(At), 1, 1), SteadyTime(1));
+    Ranks.insert(rankOf(Known, "store", SteadyTime(1)));
+  }
+  BOOST_TEST(Ranks.size() == 7U);
+  BOOST_TEST(*Ranks.rbegin() == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(silentNodesDoNotCount) {
+  const Fleet Known = fleetOf(5);
+  BOOST_TEST(rankOf(Known, "x", SteadyTime(100'000)) == 0U);
+  Fleet Old = Known;
+  forgetSilent(Old, SteadyTime(100'000));
+  BOOST_TEST(Old.Nodes.empty());
+}
+
+// Guards against a change that nobody reads after the readers were killed: it
+// must be in force within 2.5 s.
+BOOST_AUTO_TEST_CASE(otherNodesReadWhenConfirmationsStop) {
+  BOOST_TEST(shouldReadStore(0, Milliseconds(0)));
+  BOOST_TEST(!shouldReadStore(50, Milliseconds(1200)));
+  BOOST_TEST(shouldReadStore(50, Milliseconds(2000)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/mesh/tests/PlaceTest.cpp
@@ -0,0 +1,83 @@
+#include "mesh/Mesh.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lycheethread;
+using namespace lycheethread::mesh;
+
+namespace {
+
+Candidate candidate(const std::string &Node, Tier Distance,
+                    std::int32_t Held = 0) {
+  Candidate Made;
+  Made.Node = NodeId(Node);
+  Made.Distance = Distance;
+  Made.Capacity = 10;
+  Made.Held = Held;
+  Made.ServiceTime = Milliseconds(80);
+  return Made;
+}
+
+std::string chosen(const std::vector<Candidate> &From,
+                   const PlacementRequest &Request) {
+  std::mt19937_64 Random(1);
+  const auto Placed = place(From, Request, Random);
+  return Placed ? From[Placed->Index].Node.str() : "";
+}
+
+const PlacementRequest Small{0, Milliseconds(400)};
+const PlacementRequest Upload{280'000, Milliseconds(500)};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Placement)
+
+BOOST_AUTO_TEST_CASE(nothingWithoutCandidates) {
+  BOOST_TEST(chosen({}, Small) == "");
+}
+
+BOOST_AUTO_TEST_CASE(nearUpstreamIsPreferred) {
+  BOOST_TEST(chosen({candidate("far", Tier::OtherRegion),
+                     candidate("zone", Tier::OwnZone),
+                     candidate("region", Tier::OwnRegion)},
+                    Small) == "zone");
+}
+
+// Guards against a queue in one zone while the other region has free slots.
+BOOST_AUTO_TEST_CASE(fullUpstreamsGiveWayToTheOtherRegion) {
+  BOOST_TEST(chosen({candidate("zone", Tier::OwnZone, 40),
+                     candidate("far", Tier::OtherRegion)},
+                    Small) == "far");
+}
+
+// Guards against uploads that fill the shared region link.
+BOOST_AUTO_TEST_CASE(uploadWaitsForItsZoneRatherThanCrossTheLink) {
+  const std::vector<Candidate> Both = {
+      candidate("zone", Tier::OwnZone, 20),
+      candidate("far", Tier::OtherRegion)};
+  BOOST_TEST(chosen(Both, Small) == "far");
+  BOOST_TEST(chosen(Both, Upload) == "zone");
+}
+
+// Guards against work for an upstream that fails while its health is good.
+BOOST_AUTO_TEST_CASE(failingUpstreamIsAvoided) {
+  Candidate Grey = candidate("grey", Tier::OwnZone);
+  Grey.FailureRate = 0.4;
+  BOOST_TEST(chosen({Grey, candidate("sound", Tier::OwnRegion)}, Small) ==
+             "sound");
+}
+
+BOOST_AUTO_TEST_CASE(slowUpstreamIsAvoided) {
+  Candidate Slow = candidate("slow", Tier::OwnZone);
+  Slow.ServiceTime = Milliseconds(400);
+  BOOST_TEST(chosen({Slow, candidate("sound", Tier::OwnRegion)}, Small) ==
+             "sound");
+}
+
+BOOST_AUTO_TEST_CASE(waitCountsWhatIsHeldBeyondTheSlots) {
+  BOOST_TEST(expectedWait(9, 10, Milliseconds(80)).count() == 0);
+  BOOST_TEST(expectedWait(10, 10, Milliseconds(80)).count() == 8);
+  BOOST_TEST(expectedWait(29, 10, Milliseconds(80)).count() == 160);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/mesh/tests/RegistrationTest.cpp
@@ -0,0 +1,81 @@
+#include "mesh/Mesh.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lycheethread;
+using namespace lycheethread::mesh;
+
+namespace {
+
+CheckIn checkIn(const std::string &Id, std::int64_t Born, std::int64_t Number,
+                UpstreamState State = UpstreamState::Ready) {
+  CheckIn Made;
+  Made.From.Id = UpstreamId(Id);
+  Made.From.Born = Born;
+  Made.From.State = State;
+  Made.Number = Sequence(Number);
+  return Made;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Registrations)
+
+// Guards against a check-in that was held up by a partition and replaces the
+// start that came after it.
+BOOST_AUTO_TEST_CASE(checkInOfAnEarlierStartIsIgnored) {
+  Registration Known;
+  BOOST_TEST(applyCheckIn(Known, checkIn("b", 200, 1), SteadyTime(1)));
+  BOOST_TEST(!applyCheckIn(Known, checkIn("a", 100, 9), SteadyTime(2)));
+  BOOST_TEST(Known.Now.Id.str() == "b");
+}
+
+BOOST_AUTO_TEST_CASE(sameIdStartsAnewWithItsCountsAnew) {
+  Registration Known;
+  applyCheckIn(Known, checkIn("a", 100, 9), SteadyTime(1));
+  BOOST_TEST(!applyCheckIn(Known, checkIn("a", 100, 9), SteadyTime(2)));
+  BOOST_TEST(applyCheckIn(Known, checkIn("a", 150, 1), SteadyTime(2)));
+}
+
+// Guards against new work for an upstream whose leaving was acknowledged.
+BOOST_AUTO_TEST_CASE(leavingIsFinal) {
+  Registration Known;
+  applyCheckIn(Known, checkIn("a", 100, 1, UpstreamState::Draining),
+               SteadyTime(1));
+  applyCheckIn(Known, checkIn("a", 100, 2), SteadyTime(2));
+  BOOST_TEST((Known.Now.State == UpstreamState::Draining));
+  BOOST_TEST(applyLeave(Known, UpstreamId("a")));
+  BOOST_TEST((Known.Now.State == UpstreamState::Gone));
+  BOOST_TEST(!applyCheckIn(Known, checkIn("a", 100, 3), SteadyTime(3)));
+  BOOST_TEST(applyCheckIn(Known, checkIn("b", 300, 1), SteadyTime(4)));
+  BOOST_TEST(!applyCheckIn(Known, checkIn("a", 100, 4), SteadyTime(5)));
+}
+
+BOOST_AUTO_TEST_CASE(leaveOfAnotherUpstreamIsIgnored) {
+  Registration Known;
+  applyCheckIn(Known, checkIn("b", 200, 1), SteadyTime(1));
+  BOOST_TEST(!applyLeave(Known, UpstreamId("a")));
+  BOOST_TEST((Known.Now.State == UpstreamState::Ready));
+}
+
+BOOST_AUTO_TEST_CASE(missedCheckInsMeanSilence) {
+  Registration Known;
+  applyCheckIn(Known, checkIn("b", 200, 1), SteadyTime(1000));
+  BOOST_TEST(!isSilent(Known, Milliseconds(1500), SteadyTime(5000)));
+  BOOST_TEST(isSilent(Known, Milliseconds(1500), SteadyTime(6000)));
+}
+
+// Guards against more repeats than all nodes may make together.
+BOOST_AUTO_TEST_CASE(repeatsAreBoundedByRequests) {
+  MeshRetryBudget Budget;
+  int Repeats = 0;
+  for (int Count = 0; Count < 1000; ++Count) {
+    earnRetries(Budget);
+    Repeats += spendRetry(Budget, RepeatKind::Rejected) ? 1 : 0;
+    Repeats += spendRetry(Budget, RepeatKind::Rerun) ? 1 : 0;
+  }
+  BOOST_TEST(Repeats <= 200);
+  BOOST_TEST(Repeats >= 50);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/mesh/tests/RolloutTest.cpp
@@ -0,0 +1,111 @@
+#include "mesh/Mesh.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lycheethread;
+using namespace lycheethread::mesh;
+
+namespace {
+
+constexpr Milliseconds Duration{16'000};
+
+RouteTotals totals(std::int64_t OldGood, std::int64_t OldBad,
+                   std::int64_t NewGood, std::int64_t NewBad,
+                   std::int64_t NewMs = 80) {
+  return {{OldGood, OldBad, Milliseconds(80 * OldGood)},
+          {NewGood, NewBad, Milliseconds(NewMs * NewGood)}};
+}
+
+RolloutView viewAt(std::int64_t AgeMs, const RouteTotals &Read) {
+  RolloutView View;
+  View.Duration = Duration;
+  View.Age = Milliseconds(AgeMs);
+  View.ReadyNew = 3;
+  View.ReadyOld = 3;
+  View.Routes[RouteName("read")] = Read;
+  return View;
+}
+
+bool isRolledBack(const RolloutDecision &Decided) {
+  return Decided.End == RolloutState::RolledBack;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RolloutDecisions)
+
+// Guards against a first probe with requests that may run only once.
+BOOST_AUTO_TEST_CASE(firstStepTakesOnlyRepeatableRequests) {
+  const RolloutDecision First =
+      decideRollout(viewAt(500, totals(100, 0, 5, 0)));
+  BOOST_TEST(First.Repeatable.value() > 0);
+  BOOST_TEST(First.Guarded.value() == 0);
+}
+
+// Guards against a good version that is not finished in time.
+BOOST_AUTO_TEST_CASE(goodVersionCompletesBeforeItsTime) {
+  const RouteTotals Sound = totals(5000, 10, 400, 1);
+  RolloutView View = viewAt(12'500, Sound);
+  View.OldBusy = 2;
+  BOOST_TEST(decideRollout(View).Repeatable.value() == 1000);
+  BOOST_TEST(!decideRollout(View).End.has_value());
+  View.OldBusy = 0;
+  BOOST_TEST(
+      (decideRollout(View).End == std::optional(RolloutState::Completed)));
+}
+
+// Guards against a bad version that gets more than a tenth of the requests:
+// the shares up to the step before the last, weighted by their time.
+BOOST_AUTO_TEST_CASE(sharesBeforeTheLastStepStayUnderATenth) {
+  const RouteTotals Sound = totals(5000, 10, 400, 1);
+  double Sum = 0;
+  for (std::int64_t Age = 0; Age < Duration.count(); ++Age) {
+    const auto Share = decideRollout(viewAt(Age, Sound)).Repeatable.value();
+    Sum += Share == 1000 ? 0 : static_cast<double>(Share) / 1000;
+  }
+  BOOST_TEST(Sum / static_cast<double>(Duration.count()) < 0.1);
+}
+
+BOOST_AUTO_TEST_CASE(failingVersionIsRolledBack) {
+  BOOST_TEST(isRolledBack(decideRollout(viewAt(2000, totals(300, 2, 5, 5)))));
+}
+
+// Guards against a version that fails on one route only, hidden by the others.
+BOOST_AUTO_TEST_CASE(oneBadRouteIsEnough) {
+  RolloutView View = viewAt(7000, totals(3000, 5, 300, 0));
+  View.Routes[RouteName("write")] = totals(500, 1, 6, 6);
+  BOOST_TEST(isRolledBack(decideRollout(View)));
+}
+
+BOOST_AUTO_TEST_CASE(slowVersionIsRolledBack) {
+  BOOST_TEST(
+      isRolledBack(decideRollout(viewAt(3000, totals(300, 0, 20, 0, 500)))));
+}
+
+// Guards against a sound version that is blamed for a fault of both.
+BOOST_AUTO_TEST_CASE(faultOfBothVersionsCondemnsNone) {
+  BOOST_TEST(
+      !isRolledBack(decideRollout(viewAt(3000, totals(200, 100, 20, 11)))));
+}
+
+BOOST_AUTO_TEST_CASE(singleErrorCondemnsNone) {
+  BOOST_TEST(!isRolledBack(decideRollout(viewAt(1000, totals(50, 0, 1, 1)))));
+}
+
+BOOST_AUTO_TEST_CASE(verdictOfAnotherNodeIsKept) {
+  RolloutView View = viewAt(3000, totals(300, 0, 30, 0));
+  View.Condemned = true;
+  const RolloutDecision Decided = decideRollout(View);
+  BOOST_TEST(isRolledBack(Decided));
+  BOOST_TEST(Decided.Repeatable.value() == 0);
+}
+
+// Guards against an undecided rollout that stays open past its time.
+BOOST_AUTO_TEST_CASE(undecidedAtTheEndIsRolledBack) {
+  BOOST_TEST(isRolledBack(decideRollout(viewAt(15'500, totals(900, 0, 3, 0)))));
+  RolloutView None = viewAt(15'500, {});
+  None.ReadyNew = 0;
+  BOOST_TEST(isRolledBack(decideRollout(None)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/mesh/types/MeshConfig.h
@@ -0,0 +1,70 @@
+#ifndef LYCHEETHREAD_MESH_TYPES_MESHCONFIG_H
+#define LYCHEETHREAD_MESH_TYPES_MESHCONFIG_H
+
+#include "model/Model.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace lycheethread::mesh {
+
+/// Number of a configuration; a node never goes back to a lower one.
+using ConfigVersion = StrongNumber<struct ConfigVersionTag>;
+
+/// One destination of a route and its share of the route's requests.
+struct SplitPart {
+  ServiceName Service;
+  /// Relative to the sum of the route's weights.
+  std::int32_t Weight = 1;
+};
+
+struct MeshRoute {
+  RouteName Name;
+  /// Begins and ends with a slash.
+  std::string Prefix;
+  RequestClass Class = RequestClass::Repeatable;
+  std::vector<SplitPart> Parts;
+  /// Longest time that a request is kept waiting.
+  Milliseconds Timeout{0};
+  /// Answers within this time are worth most to the caller.
+  Milliseconds LatencyObjective{0};
+  /// Upstreams that one request may run on.
+  std::int32_t MaxAttempts = 1;
+  /// 0 is served first.
+  std::int32_t Rank = 0;
+};
+
+/// What callers may send and how long they may take.
+struct CallerLimits {
+  std::size_t MaxHeadBytes = 16 * 1024;
+  std::int64_t MaxBodyBytes = 64 * 1024 * 1024;
+  Milliseconds HeadTimeout{3000};
+  Milliseconds IdleTimeout{15000};
+};
+
+struct MeshService {
+  ServiceName Name;
+  /// Connections that one upstream accepts from all callers together.
+  std::int32_t MaxConnections = 0;
+};
+
+/// The routes of one host by their prefix.
+using HostRoutes = std::unordered_map<std::string, MeshRoute>;
+
+/// A complete configuration of all services.
+struct MeshConfig {
+  ConfigVersion Version;
+  CallerLimits Limits;
+  /// Keys in lower case.
+  std::unordered_map<std::string, HostRoutes> Hosts;
+  std::map<ServiceName, MeshService> Services;
+};
+
+using MeshConfigPtr = std::shared_ptr<const MeshConfig>;
+
+} // namespace lycheethread::mesh
+
+#endif // LYCHEETHREAD_MESH_TYPES_MESHCONFIG_H
--- /dev/null
+++ b/src/mesh/types/Placement.h
@@ -0,0 +1,45 @@
+#ifndef LYCHEETHREAD_MESH_TYPES_PLACEMENT_H
+#define LYCHEETHREAD_MESH_TYPES_PLACEMENT_H
+
+#include "mesh/types/NodeNews.h"
+
+#include <set>
+
+namespace lycheethread::mesh {
+
+/// Distance between two nodes.
+enum class Tier { OwnNode, OwnZone, OwnRegion, OtherRegion };
+
+/// An upstream that could run a request.
+struct Candidate {
+  NodeId Node;
+  UpstreamId Instance;
+  VersionName Version;
+  Tier Distance = Tier::OwnZone;
+  std::int32_t Capacity = 1;
+  /// Requests that it holds, running or waiting, as far as known here.
+  std::int32_t Held = 0;
+  Milliseconds ServiceTime{0};
+  /// Part of the latest requests that failed or were rejected, 0 to 1.
+  double FailureRate = 0;
+};
+
+/// What placement needs to know of a request.
+struct PlacementRequest {
+  std::int64_t BodyBytes = 0;
+  /// Time within which the answer is worth most.
+  Milliseconds ObjectiveLeft{0};
+};
+
+/// The chosen candidate.
+struct Placed {
+  std::size_t Index = 0;
+  /// Expected time until the answer.
+  Milliseconds Expected{0};
+  /// Part of Expected that is spent waiting for a slot.
+  Milliseconds Wait{0};
+};
+
+} // namespace lycheethread::mesh
+
+#endif // LYCHEETHREAD_MESH_TYPES_PLACEMENT_H
--- a/src/moveowner/internal/MoveOwner.cpp
+++ b/src/moveowner/internal/MoveOwner.cpp
@@ -250,7 +250,7 @@
   try {
     Ports.Log->Append(StreamName("control"), Ports.Encode(Item));
     noteLog(false, "");
-  } catch (const platform::LogUnavailable &Error) {
+  } catch (const streamlog::LogUnavailable &Error) {
     noteLog(true, Error.what());
   }
 }
--- a/src/moveowner/internal/MoveOwnerModule.cpp
+++ b/src/moveowner/internal/MoveOwnerModule.cpp
@@ -82,7 +82,7 @@
       Registry.find<kernel::SnapshotStore<std::vector<Member>>>(names::Members);
   Ports.Brakes = State.Brakes;
   Ports.Peers = Registry.find<peer::PeerControl>(names::Peers);
-  Ports.Log = Registry.find<platform::LogClient>(names::Log);
+  Ports.Log = Registry.find<streamlog::LogClient>(names::Log);
   Ports.LastHop = Registry.find<proxy::OutcomeLog>(names::LastHopOutcomes);
   Ports.Entry = Registry.find<proxy::OutcomeLog>(names::EntryOutcomes);
   Ports.Encode = records::encodeRecord;
--- a/src/moveowner/tests/MoveOwnerTest.cpp
+++ b/src/moveowner/tests/MoveOwnerTest.cpp
@@ -65,7 +65,7 @@
     Ports.Peers->Spread = [this](const std::string &, const std::string &Text) {
       Shared.Brakes.push_back(Text);
     };
-    Ports.Log = std::make_shared<platform::LogClient>();
+    Ports.Log = std::make_shared<streamlog::LogClient>();
     Ports.Log->Append = [this](const StreamName &, const std::string &) {
       return append();
     };
@@ -88,10 +88,10 @@
 
   Offset append() {
     if (Shared.Mode == LogMode::Down)
-      throw platform::LogUnavailable("down");
+      throw streamlog::LogUnavailable("down");
     Shared.Records.push_back(Shared.Encoded.back());
     if (Shared.Mode == LogMode::LosesAnswers)
-      throw platform::LogUnavailable("no answer");
+      throw streamlog::LogUnavailable("no answer");
     return Offset(static_cast<std::int64_t>(Shared.Records.size()) - 1);
   }
 
--- a/src/moveowner/types/MoveOwnerPorts.h
+++ b/src/moveowner/types/MoveOwnerPorts.h
@@ -6,7 +6,7 @@
 #include "model/Model.h"
 #include "moves/Moves.h"
 #include "peer/types/PeerControl.h"
-#include "platform/types/LogClient.h"
+#include "streamlog/types/LogClient.h"
 #include "proxy/types/OutcomeLog.h"
 
 #include <functional>
@@ -24,7 +24,7 @@
   std::shared_ptr<kernel::SnapshotStore<std::vector<Member>>> Members;
   std::shared_ptr<kernel::SnapshotStore<moves::BrakeSet>> Brakes;
   std::shared_ptr<peer::PeerControl> Peers;
-  std::shared_ptr<platform::LogClient> Log;
+  std::shared_ptr<streamlog::LogClient> Log;
   std::shared_ptr<proxy::OutcomeLog> LastHop;
   std::shared_ptr<proxy::OutcomeLog> Entry;
   std::function<std::string(const Record &)> Encode;
--- a/src/peer/internal/ControlFold.cpp
+++ b/src/peer/internal/ControlFold.cpp
@@ -30,7 +30,7 @@
   BOOST_LOG_TRIVIAL(warning) << "peer: " << Text;
 }
 
-void storeCheckpoint(const platform::LogClient &Log,
+void storeCheckpoint(const streamlog::LogClient &Log,
                      const config::ConfigState &State,
                      const RecordHeader &Header) {
   const CheckpointNotice Notice = bootstrap::storeCheckpoint(Log, State);
@@ -45,7 +45,7 @@
   Fold.Fold = foldRaw;
   Fold.MakeCheckpoint = config::makeCheckpoint;
   Fold.RestoreCheckpoint = config::restoreCheckpoint;
-  Fold.FindCheckpoint = [](const platform::LogClient &Log, Offset AtLeast,
+  Fold.FindCheckpoint = [](const streamlog::LogClient &Log, Offset AtLeast,
                            Offset AtMost) {
     return bootstrap::findCheckpoint(Log, AtLeast, AtMost, report);
   };
--- a/src/peer/internal/ControlFold.h
+++ b/src/peer/internal/ControlFold.h
@@ -3,7 +3,7 @@
 
 #include "config/Config.h"
 #include "model/Model.h"
-#include "platform/types/LogClient.h"
+#include "streamlog/types/LogClient.h"
 #include "requests/Requests.h"
 
 #include <functional>
@@ -28,10 +28,10 @@
   /// Newest complete checkpoint in the log with a position in
   /// [AtLeast, AtMost]. Throws LogUnavailable.
   std::function<std::optional<config::ConfigState>(
-      const platform::LogClient &Log, Offset AtLeast, Offset AtMost)>
+      const streamlog::LogClient &Log, Offset AtLeast, Offset AtMost)>
       FindCheckpoint;
   /// Appends a checkpoint and its notice. Throws LogUnavailable.
-  std::function<void(const platform::LogClient &Log,
+  std::function<void(const streamlog::LogClient &Log,
                      const config::ConfigState &State,
                      const RecordHeader &Header)>
       StoreCheckpoint;
--- a/src/peer/internal/FeedLoop.cpp
+++ b/src/peer/internal/FeedLoop.cpp
@@ -303,10 +303,10 @@
     return false;
   }
 
-  void fold(const std::vector<platform::LogRecord> &Records) {
+  void fold(const std::vector<streamlog::LogRecord> &Records) {
     std::int64_t Counted = 0;
     std::optional<CheckpointNotice> Newest;
-    for (const platform::LogRecord &Item : Records) {
+    for (const streamlog::LogRecord &Item : Records) {
       const auto Notice = Context.Options.Fold.Fold(State, Item.At, Item.Data);
       if (Notice)
         Newest = Notice;
--- a/src/peer/internal/LogReader.cpp
+++ b/src/peer/internal/LogReader.cpp
@@ -99,7 +99,7 @@
   void read() {
     const Offset From = Context.Records.next();
     try {
-      const platform::LogBatch Batch =
+      const streamlog::LogBatch Batch =
           Context.Log->Read(controlStream(), From, ReadRecords, PollWait);
       if (Batch.Bounds.Next < From) {
         fail("its head " + std::to_string(Batch.Bounds.Next.value()) +
@@ -116,19 +116,19 @@
       }
       if (Next > From)
         Context.wake();
-    } catch (const platform::LogTrimmed &Trimmed) {
+    } catch (const streamlog::LogTrimmed &Trimmed) {
       restore(Trimmed.kept(), From);
-    } catch (const platform::LogUnavailable &Problem) {
+    } catch (const streamlog::LogUnavailable &Problem) {
       fail(Problem.what());
     }
   }
 
-  void restore(platform::StreamBounds Kept, Offset From) {
+  void restore(streamlog::StreamBounds Kept, Offset From) {
     std::optional<config::ConfigState> Found;
     try {
       Found = Context.Options.Fold.FindCheckpoint(*Context.Log, Kept.First,
                                                   Kept.Next);
-    } catch (const platform::LogUnavailable &Problem) {
+    } catch (const streamlog::LogUnavailable &Problem) {
       fail(Problem.what());
       return;
     }
@@ -155,7 +155,7 @@
     try {
       succeed(Context.Log->Bounds(controlStream()).Next);
       Context.wake();
-    } catch (const platform::LogUnavailable &Problem) {
+    } catch (const streamlog::LogUnavailable &Problem) {
       fail(Problem.what());
     }
   }
@@ -171,7 +171,7 @@
     try {
       Context.Log->Append(membersStream(), encodeJoin(Self, wallNow()));
       Joined = true;
-    } catch (const platform::LogUnavailable &) {
+    } catch (const streamlog::LogUnavailable &) {
       const std::lock_guard<std::mutex> Guard(Context.Lock);
       JoinAt =
           after(steadyNow(),
@@ -180,13 +180,13 @@
   }
 
   Offset firstJoin() const {
-    const platform::StreamBounds Kept = Context.Log->Bounds(membersStream());
+    const streamlog::StreamBounds Kept = Context.Log->Bounds(membersStream());
     const auto Wanted = static_cast<std::int64_t>(FollowRecords);
     return Offset(std::max(Kept.First.value(), Kept.Next.value() - Wanted));
   }
 
-  void noteJoins(const platform::LogBatch &Batch) {
-    for (const platform::LogRecord &Item : Batch.Records) {
+  void noteJoins(const streamlog::LogBatch &Batch) {
+    for (const streamlog::LogRecord &Item : Batch.Records) {
       NextJoin = Item.At.next();
       try {
         const Member Joined = decodeJoin(Item.Data);
@@ -211,9 +211,9 @@
         NextJoin = firstJoin();
       noteJoins(Context.Log->Read(membersStream(), *NextJoin, FollowRecords,
                                   Milliseconds(0)));
-    } catch (const platform::LogTrimmed &Trimmed) {
+    } catch (const streamlog::LogTrimmed &Trimmed) {
       NextJoin = Trimmed.kept().First;
-    } catch (const platform::LogUnavailable &Problem) {
+    } catch (const streamlog::LogUnavailable &Problem) {
       BOOST_LOG_TRIVIAL(debug)
           << "peer: join records cannot be read: " << Problem.what();
     }
--- a/src/peer/internal/PeerAnswers.cpp
+++ b/src/peer/internal/PeerAnswers.cpp
@@ -80,10 +80,10 @@
 } // namespace
 
 std::vector<wire::RawRecord>
-toWire(const std::vector<platform::LogRecord> &Records) {
+toWire(const std::vector<streamlog::LogRecord> &Records) {
   std::vector<wire::RawRecord> Out;
   Out.reserve(Records.size());
-  for (const platform::LogRecord &Item : Records) {
+  for (const streamlog::LogRecord &Item : Records) {
     wire::RawRecord Raw;
     Raw.offset = Item.At.value();
     Raw.data = Item.Data;
@@ -92,9 +92,9 @@
   return Out;
 }
 
-std::vector<platform::LogRecord>
+std::vector<streamlog::LogRecord>
 fromWire(const std::vector<wire::RawRecord> &Records) {
-  std::vector<platform::LogRecord> Out;
+  std::vector<streamlog::LogRecord> Out;
   Out.reserve(Records.size());
   for (const wire::RawRecord &Item : Records) {
     if (Item.offset < 0 ||
--- a/src/peer/internal/PeerAnswers.h
+++ b/src/peer/internal/PeerAnswers.h
@@ -10,9 +10,9 @@
 ServerFunctions makeAnswers(PeerContext &Context);
 
 std::vector<wire::RawRecord>
-toWire(const std::vector<platform::LogRecord> &Records);
+toWire(const std::vector<streamlog::LogRecord> &Records);
 /// Throws BadMessage for records with gaps.
-std::vector<platform::LogRecord>
+std::vector<streamlog::LogRecord>
 fromWire(const std::vector<wire::RawRecord> &Records);
 
 } // namespace lycheethread::peer
--- a/src/peer/internal/PeerContext.h
+++ b/src/peer/internal/PeerContext.h
@@ -8,7 +8,7 @@
 #include "peer/internal/PeerClients.h"
 #include "peer/internal/PeerOptions.h"
 #include "peer/internal/RecordBuffer.h"
-#include "platform/types/LogClient.h"
+#include "streamlog/types/LogClient.h"
 #include "settings/types/NodeSettings.h"
 
 #include <atomic>
@@ -26,7 +26,7 @@
 struct PeerContext {
   settings::NodeSettings Settings;
   PeerOptions Options;
-  std::shared_ptr<platform::LogClient> Log;
+  std::shared_ptr<streamlog::LogClient> Log;
   metrics::TrafficRecorder Traffic;
   std::shared_ptr<kernel::SnapshotStore<config::ConfigState>> Config;
   std::shared_ptr<kernel::SnapshotStore<std::vector<Member>>> Members;
--- a/src/peer/internal/PeerNode.cpp
+++ b/src/peer/internal/PeerNode.cpp
@@ -177,7 +177,7 @@
   void init(kernel::ServiceRegistry &Registry) {
     namespace names = kernel::service_names;
     Context.Settings = *Registry.find<settings::NodeSettings>(names::Settings);
-    Context.Log = Registry.find<platform::LogClient>(names::Log);
+    Context.Log = Registry.find<streamlog::LogClient>(names::Log);
     Context.Traffic =
         *Registry.find<metrics::TrafficRecorder>(names::TrafficMetrics);
     ControlSockets Sockets = openControl(Context.Settings.Control);
--- a/src/peer/internal/RecordBuffer.cpp
+++ b/src/peer/internal/RecordBuffer.cpp
@@ -15,7 +15,7 @@
 
 struct RecordBuffer::Impl {
   mutable std::mutex Lock;
-  std::deque<platform::LogRecord> Records;
+  std::deque<streamlog::LogRecord> Records;
   Offset Next;
   Offset KeepFrom;
   std::size_t Bytes = 0;
@@ -43,9 +43,9 @@
   Impl_->KeepFrom = Next;
 }
 
-Offset RecordBuffer::append(const std::vector<platform::LogRecord> &Records) {
+Offset RecordBuffer::append(const std::vector<streamlog::LogRecord> &Records) {
   const std::lock_guard<std::mutex> Guard(Impl_->Lock);
-  for (const platform::LogRecord &Item : Records) {
+  for (const streamlog::LogRecord &Item : Records) {
     if (Item.At != Impl_->Next)
       continue;
     Impl_->Records.push_back(Item);
@@ -79,7 +79,7 @@
   const auto Skip =
       static_cast<std::size_t>(From.value() - Impl_->first().value());
   for (std::size_t At = Skip; At < Impl_->Records.size(); ++At) {
-    const platform::LogRecord &Item = Impl_->Records[At];
+    const streamlog::LogRecord &Item = Impl_->Records[At];
     if (Item.At >= To || Answer.Records.size() >= MaxRecords ||
         (Bytes > 0 && Bytes + Item.Data.size() > MaxPartBytes))
       break;
--- a/src/peer/internal/RecordBuffer.h
+++ b/src/peer/internal/RecordBuffer.h
@@ -1,7 +1,7 @@
 #ifndef LYCHEETHREAD_PEER_INTERNAL_RECORDBUFFER_H
 #define LYCHEETHREAD_PEER_INTERNAL_RECORDBUFFER_H
 
-#include "platform/types/LogClient.h"
+#include "streamlog/types/LogClient.h"
 
 #include <cstddef>
 #include <memory>
@@ -19,7 +19,7 @@
   void restart(Offset Next);
   /// Appends those that follow without a gap; returns the offset after the
   /// last record held.
-  Offset append(const std::vector<platform::LogRecord> &Records);
+  Offset append(const std::vector<streamlog::LogRecord> &Records);
   Offset next() const;
   /// Records from \p Position on are never dropped to save memory.
   void keepFrom(Offset Position);
@@ -27,7 +27,7 @@
   /// Records in [From, To), at most \p MaxRecords and about 512 KiB.
   struct Part {
     bool TooOld = false;
-    std::vector<platform::LogRecord> Records;
+    std::vector<streamlog::LogRecord> Records;
   };
   Part read(Offset From, Offset To, std::size_t MaxRecords) const;
 
--- a/src/peer/internal/SeedFinder.cpp
+++ b/src/peer/internal/SeedFinder.cpp
@@ -52,11 +52,11 @@
   std::vector<Member> Found;
   try {
     const StreamName Stream("members");
-    const platform::StreamBounds Bounds = Context_.Log->Bounds(Stream);
+    const streamlog::StreamBounds Bounds = Context_.Log->Bounds(Stream);
     const auto Wanted = static_cast<std::int64_t>(JoinRecords);
     const Offset From(
         std::max(Bounds.First.value(), Bounds.Next.value() - Wanted));
-    const platform::LogBatch Batch =
+    const streamlog::LogBatch Batch =
         Context_.Log->Read(Stream, From, JoinRecords, Milliseconds(0));
     std::set<NodeId> Seen;
     for (auto It = Batch.Records.rbegin(); It != Batch.Records.rend(); ++It) {
--- a/src/peer/tests/MemoryLog.cpp
+++ b/src/peer/tests/MemoryLog.cpp
@@ -6,7 +6,7 @@
 
 void MemoryLog::checkUp(const std::string &Stream) const {
   if (Down || (MembersDown && Stream == "members"))
-    throw platform::LogUnavailable("the log is down");
+    throw streamlog::LogUnavailable("the log is down");
 }
 
 Offset MemoryLog::append(const std::string &Stream, const std::string &Data) {
@@ -32,7 +32,7 @@
   return Streams_[Stream].Records.size();
 }
 
-platform::LogBatch MemoryLog::read(const StreamName &Stream, Offset From,
+streamlog::LogBatch MemoryLog::read(const StreamName &Stream, Offset From,
                                    std::size_t MaxRecords, Milliseconds Wait) {
   ++Reads;
   checkUp(Stream.str());
@@ -42,8 +42,8 @@
                      [&] { return Down || Source.bounds().Next > From; });
   checkUp(Stream.str());
   if (From < Source.bounds().First)
-    throw platform::LogTrimmed("trimmed", Source.bounds());
-  platform::LogBatch Batch;
+    throw streamlog::LogTrimmed("trimmed", Source.bounds());
+  streamlog::LogBatch Batch;
   Batch.Bounds = Source.bounds();
   for (Offset At = From;
        At < Batch.Bounds.Next && Batch.Records.size() < MaxRecords;
@@ -54,8 +54,8 @@
   return Batch;
 }
 
-platform::LogClient MemoryLog::client() {
-  platform::LogClient Client;
+streamlog::LogClient MemoryLog::client() {
+  streamlog::LogClient Client;
   Client.Append = [this](const StreamName &Stream, const std::string &Data) {
     checkUp(Stream.str());
     return append(Stream.str(), Data);
--- a/src/peer/tests/MemoryLog.h
+++ b/src/peer/tests/MemoryLog.h
@@ -1,7 +1,7 @@
 #ifndef LYCHEETHREAD_PEER_TESTS_MEMORYLOG_H
 #define LYCHEETHREAD_PEER_TESTS_MEMORYLOG_H
 
-#include "platform/types/LogClient.h"
+#include "streamlog/types/LogClient.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -16,7 +16,7 @@
 /// Append-only log in memory.
 class MemoryLog {
 public:
-  platform::LogClient client();
+  streamlog::LogClient client();
 
   Offset append(const std::string &Stream, const std::string &Data);
   void trim(const std::string &Stream, Offset First);
@@ -32,14 +32,14 @@
     std::int64_t First = 0;
     std::deque<std::string> Records;
 
-    platform::StreamBounds bounds() const {
+    streamlog::StreamBounds bounds() const {
       return {Offset(First),
               Offset(First + static_cast<std::int64_t>(Records.size()))};
     }
   };
 
   void checkUp(const std::string &Stream) const;
-  platform::LogBatch read(const StreamName &Stream, Offset From,
+  streamlog::LogBatch read(const StreamName &Stream, Offset From,
                           std::size_t MaxRecords, Milliseconds Wait);
 
   std::mutex Lock_;
--- a/src/peer/tests/PeerCluster.cpp
+++ b/src/peer/tests/PeerCluster.cpp
@@ -39,12 +39,12 @@
   return State;
 }
 
-std::optional<config::ConfigState> findFake(const platform::LogClient &Log,
+std::optional<config::ConfigState> findFake(const streamlog::LogClient &Log,
                                             Offset AtLeast, Offset) {
   const StreamName Stream("checkpoints");
   std::optional<config::ConfigState> Newest;
   const auto Batch = Log.Read(Stream, Offset(0), 1000, Milliseconds(0));
-  for (const platform::LogRecord &Item : Batch.Records) {
+  for (const streamlog::LogRecord &Item : Batch.Records) {
     const std::size_t Split = Item.Data.find('\n');
     auto State =
         restoreFake({Item.Data.substr(0, Split), Item.Data.substr(Split + 1)});
@@ -54,7 +54,7 @@
   return Newest;
 }
 
-void storeFake(const platform::LogClient &Log, const config::ConfigState &State,
+void storeFake(const streamlog::LogClient &Log, const config::ConfigState &State,
                const RecordHeader &) {
   const std::string Position = std::to_string(State.Position.value());
   Log.Append(StreamName("checkpoints"),
@@ -117,7 +117,7 @@
   auto &Registry = Kernel_.registry();
   Registry.add(names::Settings,
                std::make_shared<settings::NodeSettings>(Settings_));
-  Registry.add(names::Log, std::make_shared<platform::LogClient>(Log.client()));
+  Registry.add(names::Log, std::make_shared<streamlog::LogClient>(Log.client()));
   auto Recorder = std::make_shared<metrics::TrafficRecorder>();
   Recorder->Record = [Sums = Sums_](const metrics::TrafficSample &Sample) {
     const std::lock_guard<std::mutex> Guard(Sums->Lock);
--- a/src/proxy/internal/BodyReader.h
+++ b/src/proxy/internal/BodyReader.h
@@ -2,7 +2,7 @@
 #define LYCHEETHREAD_PROXY_INTERNAL_BODYREADER_H
 
 #include "proxy/internal/HttpConnection.h"
-#include "proxy/internal/HttpHead.h"
+#include "proxy/internal/HttpConnection.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/proxy/internal/CallContext.h
+++ b/src/proxy/internal/CallContext.h
@@ -1,7 +1,7 @@
 #ifndef LYCHEETHREAD_PROXY_INTERNAL_CALLCONTEXT_H
 #define LYCHEETHREAD_PROXY_INTERNAL_CALLCONTEXT_H
 
-#include "proxy/internal/HttpHead.h"
+#include "proxy/internal/HttpConnection.h"
 #include "requests/Requests.h"
 
 #include <cstdint>
--- a/src/proxy/internal/ClaimKeeper.cpp
+++ b/src/proxy/internal/ClaimKeeper.cpp
@@ -33,7 +33,7 @@
 } // namespace
 
 struct ClaimKeeper::Impl {
-  std::shared_ptr<platform::LogClient> Log;
+  std::shared_ptr<streamlog::LogClient> Log;
   StreamName Stream;
   std::string TokenPrefix;
   std::atomic<std::int64_t> LastToken{0};
@@ -83,8 +83,8 @@
     enqueue(std::move(Release));
   }
 
-  void fold(const platform::LogBatch &Batch) {
-    for (const platform::LogRecord &Item : Batch.Records) {
+  void fold(const streamlog::LogBatch &Batch) {
+    for (const streamlog::LogRecord &Item : Batch.Records) {
       if (Item.At < Position)
         continue;
       Position = Item.At.next();
@@ -103,14 +103,14 @@
   void readPast(Offset Target) {
     while (Position <= Target) {
       try {
-        const platform::LogBatch Batch =
+        const streamlog::LogBatch Batch =
             Log->Read(Stream, Position, ReadBatch, Milliseconds(0));
         if (Batch.Records.empty())
-          throw platform::LogUnavailable("the claim cannot be read back");
+          throw streamlog::LogUnavailable("the claim cannot be read back");
         fold(Batch);
-      } catch (const platform::LogTrimmed &Error) {
+      } catch (const streamlog::LogTrimmed &Error) {
         if (Error.kept().First <= Position)
-          throw platform::LogUnavailable("the log contradicts itself");
+          throw streamlog::LogUnavailable("the log contradicts itself");
         Position = Error.kept().First;
       }
     }
@@ -139,7 +139,7 @@
     // waiting by the steady clock.
     if (!Guard.try_lock_until(std::chrono::system_clock::now() +
                               timeLeft(Deadline)))
-      throw platform::LogUnavailable("the stream is read too slowly");
+      throw streamlog::LogUnavailable("the stream is read too slowly");
     readPast(At);
     return requests::settleClaim(Table, Claim);
   }
@@ -219,7 +219,7 @@
   }
 };
 
-ClaimKeeper::ClaimKeeper(std::shared_ptr<platform::LogClient> Log,
+ClaimKeeper::ClaimKeeper(std::shared_ptr<streamlog::LogClient> Log,
                          const ServiceName &Service, std::string TokenPrefix)
     : Impl_(std::make_unique<Impl>()) {
   Impl_->Log = std::move(Log);
@@ -243,7 +243,7 @@
   Claim.Kind = requests::ClaimKind::Claim;
   Claim.Token = Impl_->TokenPrefix + "/" + std::to_string(++Impl_->LastToken);
   if (!Impl_->mayTry())
-    throw platform::LogUnavailable("the log failed a moment ago");
+    throw streamlog::LogUnavailable("the log failed a moment ago");
   try {
     const requests::ClaimVerdict Verdict =
         Impl_->appendAndSettle(Claim, Deadline);
@@ -252,7 +252,7 @@
   } catch (const std::exception &Error) {
     Impl_->noteFailure();
     Impl_->abandon(Claim.Token);
-    throw platform::LogUnavailable(Error.what());
+    throw streamlog::LogUnavailable(Error.what());
   }
 }
 
--- a/src/proxy/internal/ClaimKeeper.h
+++ b/src/proxy/internal/ClaimKeeper.h
@@ -1,7 +1,7 @@
 #ifndef LYCHEETHREAD_PROXY_INTERNAL_CLAIMKEEPER_H
 #define LYCHEETHREAD_PROXY_INTERNAL_CLAIMKEEPER_H
 
-#include "platform/Platform.h"
+#include "streamlog/StreamLog.h"
 #include "requests/Requests.h"
 
 #include <cstdint>
@@ -13,13 +13,13 @@
 /// Claims of once-only keys in the stream of one service. Thread-safe.
 class ClaimKeeper {
 public:
-  ClaimKeeper(std::shared_ptr<platform::LogClient> Log,
+  ClaimKeeper(std::shared_ptr<streamlog::LogClient> Log,
               const ServiceName &Service, std::string TokenPrefix);
   /// Writes the outcomes that are still waiting, bounded in time.
   ~ClaimKeeper();
 
   /// Appends a claim, reads the stream back and settles. Fills in the token of
-  /// \p Claim. Throws platform::LogUnavailable; the request must not be
+  /// \p Claim. Throws streamlog::LogUnavailable; the request must not be
   /// executed then.
   requests::ClaimVerdict claim(requests::ClaimEntry &Claim,
                                SteadyTime Deadline);
--- a/src/proxy/internal/Entry.h
+++ b/src/proxy/internal/Entry.h
@@ -2,7 +2,7 @@
 #define LYCHEETHREAD_PROXY_INTERNAL_ENTRY_H
 
 #include "proxy/internal/HttpConnection.h"
-#include "proxy/internal/HttpHead.h"
+#include "proxy/internal/HttpConnection.h"
 #include "proxy/internal/LastHop.h"
 #include "proxy/internal/NodeServices.h"
 
--- a/src/proxy/internal/HttpConnection.h
+++ b/src/proxy/internal/HttpConnection.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEETHREAD_PROXY_INTERNAL_HTTPCONNECTION_H
 #define LYCHEETHREAD_PROXY_INTERNAL_HTTPCONNECTION_H
 
+#include "http/Http.h"
 #include "model/Model.h"
 
 #include <Poco/Net/StreamSocket.h>
@@ -31,14 +32,16 @@
   using std::runtime_error::runtime_error;
 };
 
-/// A message that breaks the rules of HTTP or exceeds a limit.
-class BadMessage : public std::runtime_error {
-public:
-  using std::runtime_error::runtime_error;
-};
-
-/// Largest request or response head, in bytes.
-inline constexpr std::size_t MaxHeadBytes = 32 * 1024;
+using http::BadMessage;
+using http::copyEndToEnd;
+using http::Framing;
+using http::FramingKind;
+using http::framingOf;
+using http::MaxHeadBytes;
+using http::parseRequest;
+using http::parseResponse;
+using http::serialize;
+using http::setFraming;
 
 /// One TCP connection with a read buffer. POCO's session streams of 1.11
 /// report a body that was cut off as a complete one, so the framing is read
--- a/src/proxy/internal/LastHop.cpp
+++ b/src/proxy/internal/LastHop.cpp
@@ -178,7 +178,7 @@
     requests::ClaimVerdict Verdict;
     try {
       Verdict = Claims.claim(Claim, Call.Deadline);
-    } catch (const platform::LogUnavailable &Error) {
+    } catch (const streamlog::LogUnavailable &Error) {
       return refused(RefusalReason::LogUnavailable, Executed::No, Error.what());
     }
     switch (Verdict.Action) {
--- a/src/proxy/internal/NodeServices.h
+++ b/src/proxy/internal/NodeServices.h
@@ -4,7 +4,7 @@
 #include "kernel/Kernel.h"
 #include "metrics/types/RequestSample.h"
 #include "peer/types/PeerControl.h"
-#include "platform/Platform.h"
+#include "streamlog/StreamLog.h"
 #include "proxy/types/OutcomeLog.h"
 #include "refusals/types/RefusalSink.h"
 #include "requests/Requests.h"
@@ -22,7 +22,7 @@
   std::shared_ptr<refusals::RefusalSink> Refusals;
   std::shared_ptr<metrics::RequestRecorder> Metrics;
   std::shared_ptr<peer::PeerControl> Peers;
-  std::shared_ptr<platform::LogClient> Log;
+  std::shared_ptr<streamlog::LogClient> Log;
   std::shared_ptr<OutcomeLog> LastHopOutcomes;
   std::shared_ptr<OutcomeLog> EntryOutcomes;
 };
--- a/src/proxy/internal/ProxyModule.cpp
+++ b/src/proxy/internal/ProxyModule.cpp
@@ -69,7 +69,7 @@
     Found.Metrics =
         Registry.find<metrics::RequestRecorder>(names::RequestMetrics);
     Found.Peers = Registry.find<peer::PeerControl>(names::Peers);
-    Found.Log = Registry.find<platform::LogClient>(names::Log);
+    Found.Log = Registry.find<streamlog::LogClient>(names::Log);
     Found.LastHopOutcomes = LastHopOutcomes_;
     Found.EntryOutcomes = EntryOutcomes_;
     return Found;
--- a/src/proxy/tests/TestCluster.cpp
+++ b/src/proxy/tests/TestCluster.cpp
@@ -50,26 +50,26 @@
 
 } // namespace
 
-std::shared_ptr<platform::LogClient> FakeLog::client() {
-  auto Client = std::make_shared<platform::LogClient>();
+std::shared_ptr<streamlog::LogClient> FakeLog::client() {
+  auto Client = std::make_shared<streamlog::LogClient>();
   Client->Append = [this](const StreamName &Stream, const std::string &Data) {
     Poco::Thread::sleep(AppendMs);
     const std::lock_guard<std::mutex> Guard(Lock);
     if (IsDown)
-      throw platform::LogUnavailable("the log is down");
+      throw streamlog::LogUnavailable("the log is down");
     Streams[Stream].push_back(Data);
     if (LosesAnswers)
-      throw platform::LogUnavailable("the answer was lost");
+      throw streamlog::LogUnavailable("the answer was lost");
     return Offset(static_cast<std::int64_t>(Streams[Stream].size()) - 1);
   };
   Client->Read = [this](const StreamName &Stream, Offset From, std::size_t Max,
                         Milliseconds) {
     const std::lock_guard<std::mutex> Guard(Lock);
     if (IsDown)
-      throw platform::LogUnavailable("the log is down");
+      throw streamlog::LogUnavailable("the log is down");
     const std::vector<std::string> &Data = Streams[Stream];
     const auto Next = static_cast<std::int64_t>(Data.size());
-    platform::LogBatch Batch;
+    streamlog::LogBatch Batch;
     Batch.Bounds = {Offset(0), Offset(Next)};
     for (std::int64_t I = From.value(); I < Next && Batch.Records.size() < Max;
          ++I)
--- a/src/proxy/tests/TestCluster.h
+++ b/src/proxy/tests/TestCluster.h
@@ -23,7 +23,7 @@
   bool LosesAnswers = false;
   int AppendMs = 0;
 
-  std::shared_ptr<platform::LogClient> client();
+  std::shared_ptr<streamlog::LogClient> client();
 };
 
 /// A port that was free a moment ago.
--- /dev/null
+++ b/src/reactor/internal/TcpStream.cpp
@@ -0,0 +1,333 @@
+#include "reactor/Reactor.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/SocketImpl.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+
+namespace lycheethread::reactor {
+
+namespace {
+
+constexpr std::size_t ReadBytes = 16 * 1024;
+/// Bytes taken from one connection before others get their turn.
+constexpr std::size_t ReadBytesPerTurn = 64 * 1024;
+/// For a peer that keeps sending after the last answer.
+constexpr Milliseconds GentleCloseTime{1500};
+/// Unacknowledged data for this long ends a connection that has gone silent.
+constexpr int UnackedTimeoutMs = 4000;
+/// Probes of an idle connection: first after this time, then each such time.
+constexpr int KeepAliveSeconds = 2;
+constexpr int KeepAliveProbes = 2;
+
+void setOption(int Descriptor, int Level, int Name, int Value) {
+  // A connection without one of these options still works.
+  ::setsockopt(Descriptor, Level, Name, &Value, sizeof(Value));
+}
+
+void setOptions(int Descriptor) {
+  setOption(Descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+  setOption(Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, UnackedTimeoutMs);
+  setOption(Descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  setOption(Descriptor, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveSeconds);
+  setOption(Descriptor, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveSeconds);
+  setOption(Descriptor, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+}
+
+int pendingError(int Descriptor) {
+  int Error = 0;
+  socklen_t Size = sizeof(Error);
+  if (::getsockopt(Descriptor, SOL_SOCKET, SO_ERROR, &Error, &Size) != 0)
+    return errno;
+  return Error;
+}
+
+} // namespace
+
+struct TcpStream::Impl {
+  EventLoop &Loop;
+  Poco::Net::StreamSocket Socket;
+  int Descriptor;
+  Callbacks Used;
+  std::string Input;
+  std::string Output;
+  bool Open = true;
+  bool Connected = true;
+  bool PeerClosed = false;
+  bool Paused = false;
+  bool Draining = false;
+  bool ShutDown = false;
+  Interest Watched;
+  TimerId Timer;
+
+  Impl(EventLoop &Used, Poco::Net::StreamSocket Taken)
+      : Loop(Used), Socket(std::move(Taken)),
+        Descriptor(Socket.impl()->sockfd()) {}
+
+  void start(const std::shared_ptr<TcpStream> &Owner) {
+    setOptions(Descriptor);
+    Watched = wanted();
+    Loop.watch(Descriptor, Watched,
+               [Weak = std::weak_ptr<TcpStream>(Owner)](Readiness Found) {
+                 // Kept alive while its callbacks run.
+                 if (const auto Self = Weak.lock())
+                   Self->Impl_->onReady(Found);
+               });
+  }
+
+  Interest wanted() const {
+    const bool Reads = Connected && !PeerClosed && (!Paused || Draining);
+    return {Reads, !Connected || !Output.empty()};
+  }
+
+  void updateInterest() {
+    if (!Open)
+      return;
+    const Interest Now = wanted();
+    if (Now.Read == Watched.Read && Now.Write == Watched.Write)
+      return;
+    Watched = Now;
+    Loop.change(Descriptor, Now);
+  }
+
+  void end(StreamEnd How) {
+    const auto Callback = Used.OnEnd;
+    const bool Report = !Draining;
+    close();
+    if (Report && Callback)
+      Callback(How);
+  }
+
+  void close() {
+    if (!Open)
+      return;
+    Open = false;
+    Loop.cancel(Timer);
+    Loop.unwatch(Descriptor);
+    Socket.close();
+  }
+
+  void onReady(Readiness Found) {
+    if (!Connected) {
+      onConnectEnd();
+      return;
+    }
+    if (Found.Writable && !Output.empty() && !flush())
+      return;
+    if (Found.Readable && !PeerClosed && (!Paused || Draining))
+      read();
+    else if (Found.PeerClosed && Paused)
+      onClosedWhilePaused();
+  }
+
+  /// Input is left unread on purpose, but the owner must learn that the peer
+  /// has gone.
+  void onClosedWhilePaused() {
+    if (const int Error = pendingError(Descriptor); Error != 0) {
+      end(StreamEnd::Failed);
+      return;
+    }
+    Paused = false;
+    read();
+  }
+
+  void onConnectEnd() {
+    if (pendingError(Descriptor) != 0) {
+      end(StreamEnd::NotConnected);
+      return;
+    }
+    Connected = true;
+    Loop.cancel(Timer);
+    const auto Callback = Used.OnConnected;
+    if (!Output.empty() && !flush())
+      return;
+    updateInterest();
+    if (Open && Callback)
+      Callback();
+  }
+
+  bool flush() {
+    while (!Output.empty()) {
+      const ssize_t Count =
+          ::send(Descriptor, Output.data(), Output.size(), MSG_NOSIGNAL);
+      if (Count > 0) {
+        Output.erase(0, static_cast<std::size_t>(Count));
+        continue;
+      }
+      if (Count < 0 && errno == EINTR)
+        continue;
+      if (Count < 0 && errno == EAGAIN)
+        break;
+      end(StreamEnd::Failed);
+      return false;
+    }
+    updateInterest();
+    if (!Output.empty())
+      return true;
+    if (Draining && !ShutDown)
+      shutDownSending();
+    const auto Callback = Used.OnSent;
+    if (!Draining && Callback)
+      Callback();
+    return Open;
+  }
+
+  void shutDownSending() {
+    ShutDown = true;
+    ::shutdown(Descriptor, SHUT_WR);
+    if (PeerClosed)
+      close();
+  }
+
+  void read() {
+    std::array<char, ReadBytes> Buffer; // NOLINT: recv fills it
+    std::size_t Taken = 0;
+    bool Closed = false;
+    while (Taken < ReadBytesPerTurn) {
+      const ssize_t Count =
+          ::recv(Descriptor, Buffer.data(), Buffer.size(), MSG_DONTWAIT);
+      if (Count > 0) {
+        if (!Draining)
+          Input.append(Buffer.data(), static_cast<std::size_t>(Count));
+        Taken += static_cast<std::size_t>(Count);
+        if (static_cast<std::size_t>(Count) < Buffer.size())
+          break;
+        continue;
+      }
+      if (Count == 0) {
+        Closed = true;
+        break;
+      }
+      if (errno == EINTR)
+        continue;
+      if (errno == EAGAIN)
+        break;
+      if (Taken > 0 && !Draining)
+        deliver();
+      if (Open)
+        end(StreamEnd::Failed);
+      return;
+    }
+    if (Taken > 0 && !Draining)
+      deliver();
+    if (Open && Closed)
+      onPeerClosed();
+  }
+
+  void deliver() {
+    const auto Callback = Used.OnInput;
+    if (Callback)
+      Callback();
+  }
+
+  void onPeerClosed() {
+    PeerClosed = true;
+    if (Draining) {
+      if (ShutDown)
+        close();
+      else
+        updateInterest();
+      return;
+    }
+    end(StreamEnd::Closed);
+  }
+};
+
+TcpStream::TcpStream(EventLoop &Loop, Poco::Net::StreamSocket Socket)
+    : Impl_(std::make_unique<Impl>(Loop, std::move(Socket))) {}
+
+TcpStream::~TcpStream() { Impl_->close(); }
+
+std::shared_ptr<TcpStream> TcpStream::adopt(EventLoop &Loop,
+                                            Poco::Net::StreamSocket Socket) {
+  Socket.setBlocking(false);
+  std::shared_ptr<TcpStream> Made(new TcpStream(Loop, std::move(Socket)));
+  Made->Impl_->start(Made);
+  return Made;
+}
+
+std::shared_ptr<TcpStream> TcpStream::connect(EventLoop &Loop,
+                                              const Endpoint &Target,
+                                              Milliseconds Timeout) {
+  Poco::Net::StreamSocket Socket;
+  bool Started = true;
+  try {
+    Socket.connectNB(Poco::Net::SocketAddress(Target.Address, Target.Port));
+  } catch (const Poco::Exception &) {
+    Started = false;
+  }
+  std::shared_ptr<TcpStream> Made(new TcpStream(Loop, std::move(Socket)));
+  Made->Impl_->Connected = false;
+  const std::weak_ptr<TcpStream> Weak = Made;
+  const auto Fail = [Weak] {
+    const auto Self = Weak.lock();
+    if (Self && Self->Impl_->Open && !Self->Impl_->Connected)
+      Self->Impl_->end(StreamEnd::NotConnected);
+  };
+  if (!Started) {
+    Loop.defer(Fail);
+    return Made;
+  }
+  Made->Impl_->start(Made);
+  Made->Impl_->Timer = Loop.runAfter(Timeout, Fail);
+  return Made;
+}
+
+void TcpStream::setCallbacks(Callbacks Used) { Impl_->Used = std::move(Used); }
+
+bool TcpStream::isOpen() const { return Impl_->Open && !Impl_->Draining; }
+
+bool TcpStream::isConnected() const { return Impl_->Connected; }
+
+std::string &TcpStream::input() { return Impl_->Input; }
+
+void TcpStream::write(std::string_view Data) {
+  if (!isOpen() || Data.empty())
+    return;
+  const bool Waiting = !Impl_->Output.empty() || !Impl_->Connected;
+  Impl_->Output.append(Data);
+  if (Waiting)
+    return;
+  // The first try mostly takes all and saves a wait for writability. A failure
+  // is left to the loop, so that no callback runs inside write().
+  const ssize_t Count = ::send(Impl_->Descriptor, Impl_->Output.data(),
+                               Impl_->Output.size(), MSG_NOSIGNAL);
+  if (Count > 0)
+    Impl_->Output.erase(0, static_cast<std::size_t>(Count));
+  Impl_->updateInterest();
+}
+
+std::size_t TcpStream::unsent() const { return Impl_->Output.size(); }
+
+void TcpStream::pauseReading(bool Paused) {
+  Impl_->Paused = Paused;
+  Impl_->updateInterest();
+}
+
+void TcpStream::close() {
+  Impl_->Used = {};
+  Impl_->close();
+}
+
+void TcpStream::closeGently() {
+  if (!isOpen())
+    return;
+  Impl_->Used = {};
+  Impl_->Draining = true;
+  // The loop's callback holds only a weak reference; the timer keeps the
+  // object until the connection has ended.
+  const auto Self = shared_from_this();
+  Impl_->Timer = Impl_->Loop.runAfter(GentleCloseTime,
+                                      [Self] { Self->Impl_->close(); });
+  if (Impl_->Output.empty())
+    Impl_->shutDownSending();
+  Impl_->updateInterest();
+}
+
+} // namespace lycheethread::reactor
--- /dev/null
+++ b/src/reactor/tests/ReactorTest.cpp
@@ -0,0 +1,103 @@
+#define BOOST_TEST_MODULE Reactor
+#include "reactor/Reactor.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+using namespace lycheethread;
+using namespace lycheethread::reactor;
+
+namespace {
+
+constexpr std::uint16_t TestPort = 39'417;
+const Endpoint Here{"127.0.0.1", TestPort};
+
+void runFor(EventLoop &Loop, Milliseconds Length) {
+  Loop.runAfter(Length, [&] { Loop.stop(); });
+  Loop.run([] {});
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(timersRunInOrderAndCanBeCancelled) {
+  EventLoop Loop;
+  std::vector<int> Ran;
+  Loop.runAfter(Milliseconds(20), [&] { Ran.push_back(2); });
+  Loop.runAfter(Milliseconds(10), [&] { Ran.push_back(1); });
+  TimerId Dropped = Loop.runAfter(Milliseconds(5), [&] { Ran.push_back(0); });
+  Loop.cancel(Dropped);
+  runFor(Loop, Milliseconds(40));
+  BOOST_TEST(Ran == (std::vector<int>{1, 2}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(bytesArriveAndTheEndIsReported) {
+  EventLoop Loop;
+  std::shared_ptr<TcpStream> Server;
+  std::string Received;
+  bool Ended = false;
+  const TcpListener Listener(Loop, Here, [&](auto Stream) {
+    Server = Stream;
+    Server->setCallbacks({{},
+                          [&] { Received = Server->input(); },
+                          {},
+                          [&](StreamEnd) { Ended = true; }});
+  });
+  const auto Client = TcpStream::connect(Loop, Here, Milliseconds(500));
+  Client->write("hello");
+  Loop.runAfter(Milliseconds(50), [&] { Client->closeGently(); });
+  runFor(Loop, Milliseconds(150));
+  BOOST_TEST(Received == "hello");
+  BOOST_TEST(Ended);
+}
+
+// Guards against work for a caller that has left while its body is not read.
+BOOST_AUTO_TEST_CASE(endIsReportedWhileReadingIsPaused) {
+  EventLoop Loop;
+  std::shared_ptr<TcpStream> Server;
+  bool Ended = false;
+  const TcpListener Listener(Loop, Here, [&](auto Stream) {
+    Server = Stream;
+    Server->setCallbacks({{}, {}, {}, [&](StreamEnd) { Ended = true; }});
+    Server->pauseReading(true);
+  });
+  const auto Client = TcpStream::connect(Loop, Here, Milliseconds(500));
+  Loop.runAfter(Milliseconds(50), [&] { Client->close(); });
+  runFor(Loop, Milliseconds(150));
+  BOOST_TEST(Ended);
+}
+
+BOOST_AUTO_TEST_CASE(refusedConnectionIsReported) {
+  EventLoop Loop;
+  StreamEnd Seen = StreamEnd::Closed;
+  const auto Client = TcpStream::connect(Loop, Here, Milliseconds(500));
+  Client->setCallbacks({{}, {}, {}, [&](StreamEnd How) { Seen = How; }});
+  runFor(Loop, Milliseconds(100));
+  BOOST_TEST((Seen == StreamEnd::NotConnected));
+}
+
+// Guards against an answer that is destroyed by the reset of a connection with
+// unread input.
+BOOST_AUTO_TEST_CASE(gentleCloseDeliversTheAnswerDespiteUnreadInput) {
+  EventLoop Loop;
+  std::shared_ptr<TcpStream> Server;
+  const TcpListener Listener(Loop, Here, [&](auto Stream) {
+    Server = Stream;
+    Server->pauseReading(true);
+  });
+  const auto Client = TcpStream::connect(Loop, Here, Milliseconds(500));
+  std::string Answer;
+  StreamEnd Seen = StreamEnd::Failed;
+  Client->setCallbacks({{},
+                        [&] { Answer = Client->input(); },
+                        {},
+                        [&](StreamEnd How) { Seen = How; }});
+  Client->write(std::string(200'000, 'x'));
+  Loop.runAfter(Milliseconds(50), [&] {
+    Server->write("refused");
+    Server->closeGently();
+  });
+  runFor(Loop, Milliseconds(300));
+  BOOST_TEST(Answer == "refused");
+  BOOST_TEST((Seen == StreamEnd::Closed));
+}
--- a/src/refusallog/RefusalLog.h
+++ b/src/refusallog/RefusalLog.h
@@ -4,7 +4,7 @@
 /// Public header of the refusallog library: ships refusals to the log.
 
 #include "kernel/Kernel.h"
-#include "platform/types/LogClient.h"
+#include "streamlog/types/LogClient.h"
 #include "refusallog/types/RefusalStatus.h"
 #include "refusallog/types/ZoneRecord.h"
 
@@ -21,8 +21,8 @@
   std::int64_t BadRecords = 0;
 };
 
-/// Reads the whole stream; throws platform::LogUnavailable.
-StoredBatches readStoredBatches(const platform::LogClient &Log);
+/// Reads the whole stream; throws streamlog::LogUnavailable.
+StoredBatches readStoredBatches(const streamlog::LogClient &Log);
 
 /// Throws CodecError.
 std::string encodeZoneRecord(const ZoneRecord &Record);
--- a/src/refusallog/internal/Collector.cpp
+++ b/src/refusallog/internal/Collector.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-using platform::LogBatch;
-using platform::LogClient;
+using streamlog::LogBatch;
+using streamlog::LogClient;
 using refusals::BatchId;
 using refusals::RefusalBatch;
 
@@ -126,7 +126,7 @@
     while (true) {
       const LogBatch Read =
           Log.Read(Stream, Open->From, ReadBackRecords, Milliseconds(0));
-      for (const platform::LogRecord &Record : Read.Records) {
+      for (const streamlog::LogRecord &Record : Read.Records) {
         Open->From = Record.At.next();
         Head = Open->From;
         if (Record.Data == Open->Data)
@@ -135,7 +135,7 @@
       if (Read.Records.empty() || Read.Bounds.Next <= Open->From)
         return false;
     }
-  } catch (const platform::LogTrimmed &Error) {
+  } catch (const streamlog::LogTrimmed &Error) {
     // A record that may have been trimmed is appended again; the report counts
     // its batches once.
     Open->From = Error.kept().First;
--- a/src/refusallog/internal/Collector.h
+++ b/src/refusallog/internal/Collector.h
@@ -1,7 +1,7 @@
 #ifndef LYCHEETHREAD_REFUSALLOG_INTERNAL_COLLECTOR_H
 #define LYCHEETHREAD_REFUSALLOG_INTERNAL_COLLECTOR_H
 
-#include "platform/types/LogClient.h"
+#include "streamlog/types/LogClient.h"
 #include "refusallog/internal/ShipMessages.h"
 
 #include <memory>
@@ -12,7 +12,7 @@
 /// only one thread may be in step at a time.
 class Collector {
 public:
-  Collector(platform::LogClient Log, AvailabilityZone Zone, NodeId Self,
+  Collector(streamlog::LogClient Log, AvailabilityZone Zone, NodeId Self,
             Incarnation Life);
   ~Collector();
 
@@ -21,7 +21,7 @@
   ShipState stateOf(const refusals::BatchId &Id) const;
 
   /// Appends what waits and reads it back. Returns whether nothing is left;
-  /// throws platform::LogUnavailable, after which the batches are still held.
+  /// throws streamlog::LogUnavailable, after which the batches are still held.
   bool step();
 
 private:
--- a/src/refusallog/internal/RefusalLogModule.cpp
+++ b/src/refusallog/internal/RefusalLogModule.cpp
@@ -125,7 +125,7 @@
     if (LogDown)
       BOOST_LOG_TRIVIAL(info) << "refusals: the log takes batches again";
     LogDown = false;
-  } catch (const platform::LogUnavailable &Error) {
+  } catch (const streamlog::LogUnavailable &Error) {
     if (!LogDown)
       BOOST_LOG_TRIVIAL(warning)
           << "refusals: batches are kept until the log answers: "
@@ -142,7 +142,7 @@
 
 void Running::start(kernel::ServiceRegistry &Registry) {
   const auto Settings = Registry.find<settings::NodeSettings>(names::Settings);
-  const auto Log = Registry.find<platform::LogClient>(names::Log);
+  const auto Log = Registry.find<streamlog::LogClient>(names::Log);
   const auto Peers = Registry.find<peer::PeerControl>(names::Peers);
   const auto Members = Registry.find<MemberStore>(names::Members);
   // The start time is the life of the batches: it is known before the peer
--- a/src/refusallog/internal/Shipper.cpp
+++ b/src/refusallog/internal/Shipper.cpp
@@ -163,7 +163,7 @@
         return false;
       try {
         Impl_->Own->step();
-      } catch (const platform::LogUnavailable &Error) {
+      } catch (const streamlog::LogUnavailable &Error) {
         BOOST_LOG_TRIVIAL(debug) << "refusals: final batch: " << Error.what();
       }
     }
--- a/src/refusallog/internal/StoredBatches.cpp
+++ b/src/refusallog/internal/StoredBatches.cpp
@@ -18,21 +18,21 @@
 
 } // namespace
 
-StoredBatches readStoredBatches(const platform::LogClient &Log) {
+StoredBatches readStoredBatches(const streamlog::LogClient &Log) {
   const StreamName Stream(RefusalStream);
   StoredBatches Result;
   Offset From = Log.Bounds(Stream).First;
   while (true) {
     try {
-      const platform::LogBatch Read =
+      const streamlog::LogBatch Read =
           Log.Read(Stream, From, RecordsInRead, Milliseconds(0));
-      for (const platform::LogRecord &Record : Read.Records) {
+      for (const streamlog::LogRecord &Record : Read.Records) {
         decodeInto(Result, Record.Data);
         From = Record.At.next();
       }
       if (Read.Records.empty() || Read.Bounds.Next <= From)
         return Result;
-    } catch (const platform::LogTrimmed &Error) {
+    } catch (const streamlog::LogTrimmed &Error) {
       // The trimmed batches appear in the report as a gap.
       From = Error.kept().First;
     }
--- a/src/refusallog/tests/RefusalLogTest.cpp
+++ b/src/refusallog/tests/RefusalLogTest.cpp
@@ -31,14 +31,14 @@
   std::function<bool()> FailsBefore = [] { return false; };
   std::function<bool()> FailsAfter = [] { return false; };
 
-  platform::LogClient client();
+  streamlog::LogClient client();
 };
 
-platform::LogClient FakeLog::client() {
-  platform::LogClient Client;
+streamlog::LogClient FakeLog::client() {
+  streamlog::LogClient Client;
   const auto Fail = [](const std::function<bool()> &Asked) {
     if (Asked())
-      throw platform::LogUnavailable("fake log is away");
+      throw streamlog::LogUnavailable("fake log is away");
   };
   Client.Append = [this, Fail](const StreamName &, const std::string &Data) {
     const std::lock_guard<std::mutex> Guard(Lock);
@@ -50,7 +50,7 @@
   Client.Bounds = [this, Fail](const StreamName &) {
     const std::lock_guard<std::mutex> Guard(Lock);
     Fail(FailsBefore);
-    return platform::StreamBounds{
+    return streamlog::StreamBounds{
         Offset(0), Offset(static_cast<std::int64_t>(Records.size()))};
   };
   Client.Read = [this, Fail](const StreamName &, Offset From, std::size_t Max,
@@ -58,7 +58,7 @@
     const std::lock_guard<std::mutex> Guard(Lock);
     Fail(FailsBefore);
     const auto End = static_cast<std::int64_t>(Records.size());
-    platform::LogBatch Batch{{Offset(0), Offset(End)}, {}};
+    streamlog::LogBatch Batch{{Offset(0), Offset(End)}, {}};
     for (std::int64_t I = From.value(); I < End && Batch.Records.size() < Max;
          ++I)
       Batch.Records.push_back(
@@ -189,7 +189,7 @@
         Node.Sender->tick(WallTime(Tested.Now), SteadyTime(Tested.Now));
         try {
           Node.Own->step();
-        } catch (const platform::LogUnavailable &) {
+        } catch (const streamlog::LogUnavailable &) {
           BOOST_TEST(Node.Sender->unshipped() >= 0);
         }
       }
@@ -234,7 +234,7 @@
   BOOST_TEST((Tested.stateOf(Batch.Id) == ShipState::Unknown));
   BOOST_TEST((Tested.accept(Batch) == ShipState::Pending));
   Log.FailsAfter = [] { return true; };
-  BOOST_CHECK_THROW(Tested.step(), platform::LogUnavailable);
+  BOOST_CHECK_THROW(Tested.step(), streamlog::LogUnavailable);
   BOOST_TEST((Tested.stateOf(Batch.Id) == ShipState::Pending));
   BOOST_TEST(Tested.step());
   BOOST_TEST((Tested.accept(Batch) == ShipState::Stored));
@@ -281,7 +281,7 @@
          Settings->Id = NodeId("n");
          Registry.add(names::Settings, Settings);
          Registry.add(names::Log,
-                      std::make_shared<platform::LogClient>(Log.client()));
+                      std::make_shared<streamlog::LogClient>(Log.client()));
          Registry.add(
              names::Members,
              std::make_shared<kernel::SnapshotStore<std::vector<Member>>>());
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -4,6 +4,7 @@
 /// Public header of the settings library: checked settings of a node.
 
 #include "settings/types/NodeSettings.h"
+#include "settings/types/SidecarSettings.h"
 
 #include <optional>
 
@@ -22,6 +23,23 @@
 ParsedSettings parseNodeSettings(const std::string &FileName,
                                  const std::string &Text);
 
+/// Settings of a node on a platform; valid only when there are no problems.
+struct ParsedSidecarSettings {
+  SidecarSettings Settings;
+  Findings Problems;
+};
+
+/// Every section and key of a node on a platform.
+const std::vector<SectionRule> &sidecarSchema();
+
+/// Reads and checks a settings file; throws nothing for any text.
+ParsedSidecarSettings parseSidecarSettings(const std::string &FileName,
+                                           const std::string &Text);
+
+/// Whether \p Text has the section [store], which only the settings of a node
+/// on a platform have.
+bool isForSidecar(const std::string &Text);
+
 /// "ip:port"; empty when malformed or not an IP number.
 std::optional<Endpoint> parseEndpoint(const std::string &Text);
 
--- a/src/settings/internal/SettingsParser.cpp
+++ b/src/settings/internal/SettingsParser.cpp
@@ -1,21 +1,25 @@
 #include "settings/Settings.h"
 
 #include <Poco/Net/IPAddress.h>
+#include <Poco/NumberParser.h>
 #include <Poco/URI.h>
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace lycheethread::settings {
 
 namespace {
 
 constexpr std::int64_t MaxPort = 65'535;
+constexpr double MinCheckInSeconds = 0.01;
+constexpr double MaxCheckInSeconds = 60;
 
 struct Parsing : SchemaText {
   NodeSettings Settings;
 };
 
-void readEndpoint(Parsing &To, const SchemaSection &From, const char *Key,
+void readEndpoint(SchemaText &To, const SchemaSection &From, const char *Key,
                   Endpoint &Into) {
   const auto Text = textOf(To, From, Key);
   if (!Text)
@@ -67,7 +71,8 @@
   To.Settings.LogUrl = *Text;
 }
 
-void readPeers(Parsing &To, const SchemaSection &From) {
+void readPeers(SchemaText &To, const SchemaSection &From,
+               std::vector<Endpoint> &Seeds) {
   if (From.Entries.count("seeds") == 0)
     return;
   for (const std::string &Part : splitList(From.Entries.at("seeds").Value)) {
@@ -75,7 +80,7 @@
       continue;
     const auto Seed = parseEndpoint(Part);
     if (Seed)
-      To.Settings.Seeds.push_back(*Seed);
+      Seeds.push_back(*Seed);
     else
       reportValue(To, From, "seeds",
                   quoted(Part) + " is not an IP number and port");
@@ -89,13 +94,14 @@
       std::chrono::seconds(numberOf(To, From, "drain_timeout_s"));
 }
 
-void readLogOutput(Parsing &To, const SchemaSection &From) {
+void readLogOutput(SchemaText &To, const SchemaSection &From,
+                   std::string &LogLevel) {
   static constexpr std::array<const char *, 5> Levels = {
       "trace", "debug", "info", "warning", "error"};
   const std::string Level = textOf(To, From, "level").value_or("info");
   if (std::find(Levels.begin(), Levels.end(), Level) == Levels.end())
     reportValue(To, From, "level", quoted(Level) + " is not a level");
-  To.Settings.LogLevel = Level;
+  LogLevel = Level;
 }
 
 void readSection(Parsing &To, const SchemaSection &From) {
@@ -109,15 +115,15 @@
   else if (Name == "log")
     readLog(To, From);
   else if (Name == "peers")
-    readPeers(To, From);
+    readPeers(To, From, To.Settings.Seeds);
   else if (Name == "limits")
     readLimits(To, From);
   else
-    readLogOutput(To, From);
+    readLogOutput(To, From, To.Settings.LogLevel);
 }
 
-void checkSections(Parsing &To) {
-  for (const char *Name : {"node", "listen", "log"})
+void checkSections(SchemaText &To, const std::vector<const char *> &Needed) {
+  for (const char *Name : Needed)
     if (To.Index.Lines.count(Name) == 0)
       report(To, 0, Name, "the section is missing",
              "a section [" + std::string(Name) + "]");
@@ -141,8 +147,76 @@
                "four different endpoints");
 }
 
+struct SidecarParsing : SchemaText {
+  SidecarSettings Settings;
+};
+
+void readSidecarListen(SidecarParsing &To, const SchemaSection &From) {
+  SidecarSettings &Into = To.Settings;
+  readEndpoint(To, From, "outbound", Into.Outbound);
+  readEndpoint(To, From, "inbound", Into.Inbound);
+  readEndpoint(To, From, "readiness", Into.Readiness);
+  readEndpoint(To, From, "check_ins", Into.CheckIns);
+  readEndpoint(To, From, "gossip", Into.Gossip);
+  readEndpoint(To, From, "metrics", Into.Metrics);
+}
+
+/// Seconds with a fraction, as platforms state them.
+void readCheckInInterval(SidecarParsing &To, const SchemaSection &From) {
+  const auto Text = textOf(To, From, "check_in_s");
+  if (!Text)
+    return;
+  double Seconds = 0;
+  if (!Poco::NumberParser::tryParseFloat(*Text, Seconds) ||
+      Seconds < MinCheckInSeconds || Seconds > MaxCheckInSeconds) {
+    reportValue(To, From, "check_in_s", quoted(*Text) + " is out of range");
+    return;
+  }
+  To.Settings.CheckInInterval = Milliseconds(std::llround(Seconds * 1000));
+}
+
+void readSidecarSection(SidecarParsing &To, const SchemaSection &From) {
+  const std::string &Name = From.Rule->Name;
+  SidecarSettings &Into = To.Settings;
+  if (Name == "node") {
+    Into.Id = NodeId(nameOf(To, From, "id"));
+    Into.At.In = Region(nameOf(To, From, "region"));
+    Into.At.Zone = AvailabilityZone(nameOf(To, From, "zone"));
+  } else if (Name == "listen") {
+    readSidecarListen(To, From);
+  } else if (Name == "upstream") {
+    readEndpoint(To, From, "address", Into.Upstream);
+    Into.Service = ServiceName(nameOf(To, From, "service"));
+    readCheckInInterval(To, From);
+  } else if (Name == "store") {
+    readEndpoint(To, From, "address", Into.Store);
+  } else if (Name == "peers") {
+    readPeers(To, From, Into.Seeds);
+  } else if (Name == "platform") {
+    Into.PlatformBounds = textOf(To, From, "bounds").value_or("");
+  } else {
+    readLogOutput(To, From, Into.LogLevel);
+  }
+}
+
 } // namespace
 
+bool isForSidecar(const std::string &Text) {
+  return Text.rfind("[store]", 0) == 0 ||
+         Text.find("\n[store]") != std::string::npos;
+}
+
+ParsedSidecarSettings parseSidecarSettings(const std::string &FileName,
+                                           const std::string &Text) {
+  SidecarParsing State{readSchemaText(FileName, Text, sidecarSchema()), {}};
+  if (Text.size() <= MaxIniBytes) {
+    for (const SchemaSection &Known : State.Sections)
+      readSidecarSection(State, Known);
+    checkSections(State, {"node", "listen", "upstream", "store"});
+  }
+  return {State.Settings, takeProblems(State)};
+}
+
 std::optional<Endpoint> parseEndpoint(const std::string &Text) {
   const auto Colon = Text.rfind(':');
   if (Colon == std::string::npos)
@@ -166,7 +240,7 @@
   if (Text.size() <= MaxIniBytes) {
     for (const SchemaSection &Known : State.Sections)
       readSection(State, Known);
-    checkSections(State);
+    checkSections(State, {"node", "listen", "log"});
     checkPorts(State);
   }
   return {State.Settings, takeProblems(State)};
--- a/src/settings/internal/SettingsSchema.cpp
+++ b/src/settings/internal/SettingsSchema.cpp
@@ -26,6 +26,37 @@
           Max};
 }
 
+std::vector<SectionRule> makeSidecarSchema() {
+  return {
+      {"node",
+       false,
+       {required("id", AllowedName), required("region", AllowedName),
+        required("zone", AllowedName)}},
+      {"listen",
+       false,
+       {required("outbound", AllowedEndpoint),
+        required("inbound", AllowedEndpoint),
+        required("readiness", AllowedEndpoint),
+        required("check_ins", AllowedEndpoint),
+        required("gossip", AllowedEndpoint),
+        optional("metrics", "", AllowedEndpoint)}},
+      {"upstream",
+       false,
+       {required("address", AllowedEndpoint), required("service", AllowedName),
+        {"check_in_s", false, "s", "1.5", "0.01 to 60"}}},
+      {"store", false, {required("address", AllowedEndpoint)}},
+      {"peers",
+       false,
+       {optional("seeds", "", "ip:port of nodes, with commas")}},
+      {"platform",
+       false,
+       {optional("bounds", "", "name=value pairs, with commas")}},
+      {"log_output",
+       false,
+       {optional("level", "info", "trace, debug, info, warning or error")}},
+  };
+}
+
 std::vector<SectionRule> makeSchema() {
   return {
       {"node",
@@ -63,4 +94,9 @@
   return Schema;
 }
 
+const std::vector<SectionRule> &sidecarSchema() {
+  static const std::vector<SectionRule> Schema = makeSidecarSchema();
+  return Schema;
+}
+
 } // namespace lycheethread::settings
--- /dev/null
+++ b/src/sidecar/Sidecar.h
@@ -0,0 +1,32 @@
+#ifndef LYCHEETHREAD_SIDECAR_SIDECAR_H
+#define LYCHEETHREAD_SIDECAR_SIDECAR_H
+
+/// Public header of the sidecar library: a node whose configuration, members
+/// and rollouts come from a platform's store. One thread does all the work.
+
+#include "kernel/Kernel.h"
+#include "sidecar/types/PlatformPort.h"
+
+#include <functional>
+#include <string>
+
+namespace lycheethread::sidecar {
+
+/// Name of the PlatformPort in the service registry.
+inline constexpr const char *PlatformPortName = "sidecar.platform";
+/// Name of the SidecarRunner in the service registry.
+inline constexpr const char *RunnerName = "sidecar.runner";
+
+/// Runs the node. Run returns after a stop that SIGTERM or SIGINT asked for,
+/// and throws what keeps the node from starting.
+struct SidecarRunner {
+  std::function<void()> Run;
+};
+
+/// Registers the runner for the settings file \p SettingsPath, which is read
+/// again on SIGHUP and when it changes.
+kernel::Module makeSidecarModule(const std::string &SettingsPath);
+
+} // namespace lycheethread::sidecar
+
+#endif // LYCHEETHREAD_SIDECAR_SIDECAR_H
--- /dev/null
+++ b/src/sidecar/gossip.thrift
@@ -0,0 +1,77 @@
+// Messages between the nodes of a mesh, in the compact protocol.
+namespace cpp lycheethread.sidecar.wire
+
+struct EndpointMessage {
+  1: string address
+  2: i32 port
+}
+
+struct UpstreamMessage {
+  1: string id
+  2: i64 born
+  3: string serviceName
+  4: string version
+  5: i32 state
+  6: i32 capacity
+  7: i64 coldLeftMs
+}
+
+struct RolloutMessage {
+  1: i64 order
+  2: i64 ageMs
+  3: bool condemned
+  4: i32 state           // 0 running, 1 completed, 2 rolled back
+}
+
+struct EvidenceMessage {
+  1: i64 order
+  2: string route
+  3: i32 good
+  4: i32 bad
+  5: i64 totalTimeMs
+}
+
+struct CrashMessage {
+  1: string fingerprint
+  2: string crash
+  3: i32 weight          // 1 answered lately, 2 never answered
+}
+
+// What a node says of itself. Ages count from the moment of sending.
+struct NewsMessage {
+  1: string id
+  2: i64 life
+  3: i64 number
+  4: string region
+  5: string zone
+  6: EndpointMessage hop
+  7: EndpointMessage gossip
+  8: bool ready
+  9: bool stopping
+  10: optional UpstreamMessage own
+  11: i32 running
+  12: i32 waiting
+  13: i64 serviceTimeMs
+  14: i64 operatorPosition
+  15: i64 confirmedAgeMs
+  16: optional list<RolloutMessage> rollouts
+  17: optional list<EvidenceMessage> evidence
+  18: optional list<CrashMessage> crashes
+}
+
+// One datagram.
+struct GossipMessage {
+  1: list<NewsMessage> news
+}
+
+// The operator's records as one node holds them.
+struct OperatorItemMessage {
+  1: string key
+  2: binary value
+  3: i64 offset
+}
+
+struct OperatorItemsMessage {
+  1: i64 position
+  2: list<OperatorItemMessage> items
+}
--- /dev/null
+++ b/src/sidecar/internal/CallerEntry.cpp
@@ -0,0 +1,430 @@
+#include "sidecar/internal/CallerEntry.h"
+#include "sidecar/internal/HopHeaders.h"
+
+#include <Poco/NumberFormatter.h>
+#include <Poco/NumberParser.h>
+
+#include <algorithm>
+
+namespace lycheethread::sidecar {
+
+namespace {
+
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+/// A body up to this size is read whole first, so that the request can be
+/// offered to another upstream when the first one does not run it.
+constexpr std::int64_t MaxKeptBody = 32 * 1024;
+/// Last hops that may refuse one request before it is given up: each costs a
+/// round trip, during which the caller waits in vain.
+constexpr std::int32_t MaxRefusals = 3;
+/// The last hop's own verdict at the deadline is more precise.
+constexpr Milliseconds DeadlineGrace{60};
+/// A repeat with less time left is not worth its cost.
+constexpr Milliseconds LeastTimeForRepeat{30};
+/// The view of a full upstream is up to this old; it is asked all the same
+/// when its expected wait is only a little too long.
+constexpr double WaitTolerance = 1.5;
+constexpr Milliseconds WaitSlack{40};
+/// Bounds of Retry-After. Callers honour up to a third of their time left.
+constexpr Milliseconds ShortestRetryAfter{60};
+constexpr int RetryAfterParts = 3;
+constexpr int FirstServerError = 500;
+constexpr double MillisecondsPerSecond = 1000;
+
+/// FNV-1a over the parts that make a request the same as an earlier one.
+class Hasher {
+public:
+  Hasher &add(std::string_view Text) {
+    for (const char Byte : Text)
+      mix(static_cast<unsigned char>(Byte));
+    mix(0);
+    return *this;
+  }
+  std::string text() const { return Poco::NumberFormatter::formatHex(Hash_); }
+
+private:
+  void mix(unsigned char Byte) { Hash_ = (Hash_ ^ Byte) * 1099511628211ULL; }
+  Poco::UInt64 Hash_ = 14695981039346656037ULL;
+};
+
+/// What stands between two reasons of the same request and its refusal.
+int statusOf(RefusalReason Reason, bool MayHaveRun) {
+  if (Reason == RefusalReason::NoRoute)
+    return HTTPResponse::HTTP_NOT_FOUND;
+  if (!MayHaveRun)
+    return HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
+  return Reason == RefusalReason::UpstreamTimeout ||
+                 Reason == RefusalReason::Deadline
+             ? HTTPResponse::HTTP_GATEWAY_TIMEOUT
+             : HTTPResponse::HTTP_BAD_GATEWAY;
+}
+
+} // namespace
+
+struct CallerEntry::Call {
+  ServerRequestPtr Request;
+  RequestId Id;
+  const mesh::MeshRoute *Route = nullptr;
+  /// Keeps Route alive under a newer configuration.
+  mesh::MeshConfigPtr Config;
+  HopInfo Info;
+  SteadyTime ArrivedAt;
+  /// The whole body, when it was small enough to be kept.
+  std::optional<std::string> Kept;
+  std::set<NodeId> Excluded;
+  std::int32_t Attempt = 0;
+  std::int32_t Refusals = 0;
+  /// Upstreams on which the request may have run.
+  std::int32_t Runs = 0;
+  bool Ended = false;
+  bool Active = false;
+  bool IsOwn = false;
+  NodeId Node;
+  mesh::JobId Job;
+  reactor::TimerId Timer;
+  std::string Trace;
+};
+
+CallerEntry::CallerEntry(NodeContext &Context, UpstreamHop &Own,
+                         RemoteHop &Remote, UpstreamDirectory &Directory,
+                         Rollouts &Moves)
+    : Context_(Context), Own_(Own), Remote_(Remote), Directory_(Directory),
+      Moves_(Moves) {}
+
+void CallerEntry::handle(const ServerRequestPtr &Request) {
+  const auto Item = std::make_shared<Call>();
+  Item->Request = Request;
+  Item->ArrivedAt = Context_.now();
+  Item->Id =
+      RequestId(Request->head().get(Context_.Platform.Headers.RequestId, ""));
+  ++InProgress_;
+  Request->onGone([this, Item] {
+    cancelAttempt(Item);
+    end(Item, 0, "caller-left");
+  });
+  if (!Context_.Config || !Context_.Serving) {
+    conclude(Item, RefusalReason::NotReady, Milliseconds(0));
+    return;
+  }
+  if (!findRoute(Item))
+    return;
+  readDeadline(Item);
+  waitForBody(Item);
+}
+
+bool CallerEntry::findRoute(const CallPtr &Item) {
+  const HTTPRequest &Head = Item->Request->head();
+  Item->Config = Context_.Config;
+  Item->Route = mesh::findRoute(*Item->Config, Head.get(HTTPRequest::HOST, ""),
+                                Head.getURI());
+  const ServiceName *Service = nullptr;
+  if (Item->Route != nullptr)
+    Service = mesh::chooseService(*Item->Route, Splits_[Item->Route->Name]);
+  if (Service == nullptr) {
+    conclude(Item, RefusalReason::NoRoute, Milliseconds(0));
+    return false;
+  }
+  HopInfo &Info = Item->Info;
+  Info.Service = *Service;
+  Info.Route = Item->Route->Name;
+  Info.Class = Item->Route->Class;
+  Info.Rank = Item->Route->Rank;
+  Info.Caller = Context_.Settings.Service;
+  mesh::earnRetries(Budgets_[Info.Service]);
+  return true;
+}
+
+void CallerEntry::readDeadline(const CallPtr &Item) {
+  Milliseconds Left = Item->Route->Timeout;
+  const std::string Text =
+      Item->Request->head().get(Context_.Platform.Headers.Deadline, "");
+  Poco::Int64 Stated = 0;
+  if (Poco::NumberParser::tryParse64(Text, Stated) && Stated >= 0)
+    Left = std::min(Left, Milliseconds(Stated));
+  Item->Info.DeadlineAt = after(Item->ArrivedAt, Left);
+  const Milliseconds Objective = Item->Route->LatencyObjective;
+  Item->Info.ObjectiveAt =
+      after(Item->ArrivedAt,
+            Objective > Milliseconds(0) ? std::min(Objective, Left) : Left);
+  Item->Timer = Context_.Loop.runAfter(
+      Left + DeadlineGrace, [this, Weak = std::weak_ptr<Call>(Item)] {
+        const auto Late = Weak.lock();
+        if (!Late || Late->Ended)
+          return;
+        const bool WasActive = Late->Active;
+        cancelAttempt(Late);
+        if (WasActive)
+          ++Late->Runs;
+        conclude(Late, RefusalReason::UpstreamTimeout, Milliseconds(0));
+      });
+}
+
+void CallerEntry::waitForBody(const CallPtr &Item) {
+  const BodyPipePtr &Body = Item->Request->body();
+  const http::Framing &Framing = Item->Request->framing();
+  const bool IsLong =
+      Framing.Kind == http::FramingKind::Fixed && Framing.Length > MaxKeptBody;
+  if (Body->isEnded() || IsLong ||
+      Item->Info.Class == RequestClass::Upload) {
+    prepare(Item);
+    return;
+  }
+  if (Item->Request->head().has("Expect"))
+    Item->Request->sendContinue();
+  Body->OnChange = [this, Weak = std::weak_ptr<Call>(Item)] {
+    const auto Found = Weak.lock();
+    if (!Found || Found->Ended)
+      return;
+    const BodyPipePtr Growing = Found->Request->body();
+    if (!Growing->isEnded() &&
+        Growing->size() <= static_cast<std::size_t>(MaxKeptBody))
+      return;
+    Growing->OnChange = nullptr;
+    prepare(Found);
+  };
+}
+
+void CallerEntry::prepare(const CallPtr &Item) {
+  const HTTPRequest &Head = Item->Request->head();
+  const BodyPipePtr &Body = Item->Request->body();
+  Hasher Print;
+  Print.add(Head.getMethod()).add(Head.get(HTTPRequest::HOST, ""));
+  Print.add(Head.getURI()).add(Item->Info.Caller.str());
+  if (Body->isEnded() && Body->size() <= static_cast<std::size_t>(MaxKeptBody)) {
+    Item->Kept = Body->take();
+    Print.add(*Item->Kept);
+  } else {
+    Print.add(std::to_string(Item->Request->framing().Length));
+  }
+  Item->Info.Print = requests::Fingerprint(Print.text());
+  if (requests::isQuarantined(Context_.Suspects, Item->Info.Print,
+                              Context_.now())) {
+    conclude(Item, RefusalReason::CrashSuspect, Milliseconds(0));
+    return;
+  }
+  dispatch(Item);
+}
+
+std::optional<mesh::Candidate> CallerEntry::choose(const CallPtr &Item) {
+  const HopInfo &Info = Item->Info;
+  const std::vector<mesh::Candidate> Candidates = Moves_.select(
+      Info.Service, Info.Class,
+      Directory_.candidates(Info.Service, Item->Excluded));
+  mesh::PlacementRequest Wanted;
+  Wanted.BodyBytes = std::max<std::int64_t>(
+      0, Item->Request->framing().Kind == http::FramingKind::Fixed
+             ? Item->Request->framing().Length
+             : 0);
+  Wanted.ObjectiveLeft = elapsed(Context_.now(), Info.ObjectiveAt);
+  const auto Chosen = mesh::place(Candidates, Wanted, Context_.Random);
+  if (!Chosen) {
+    conclude(Item, RefusalReason::NoUpstream, Milliseconds(0));
+    return std::nullopt;
+  }
+  const mesh::Candidate &Best = Candidates[Chosen->Index];
+  const Milliseconds Allowed = std::max(
+      Milliseconds(0), Wanted.ObjectiveLeft - 2 * Best.ServiceTime);
+  const Milliseconds Tolerated(static_cast<std::int64_t>(
+      static_cast<double>(Allowed.count()) * WaitTolerance));
+  if (Chosen->Wait > Tolerated + WaitSlack) {
+    conclude(Item, RefusalReason::QueueFull, Chosen->Wait - Allowed);
+    return std::nullopt;
+  }
+  return Best;
+}
+
+void CallerEntry::dispatch(const CallPtr &Item) {
+  if (elapsed(Context_.now(), Item->Info.DeadlineAt) <= Milliseconds(0)) {
+    conclude(Item, RefusalReason::Deadline, Milliseconds(0));
+    return;
+  }
+  if (const auto Best = choose(Item))
+    send(Item, *Best);
+}
+
+void CallerEntry::send(const CallPtr &Item, const mesh::Candidate &To) {
+  ++Item->Attempt;
+  Item->Node = To.Node;
+  Item->IsOwn = To.Node == Context_.Settings.Id;
+  Item->Active = true;
+  Item->Trace += (Item->Trace.empty() ? "" : ",") + To.Node.str();
+  HopJob Job;
+  Job.Info = Item->Info;
+  Job.Info.Version = To.Version;
+  Job.Id = Item->Id;
+  Job.Head = Item->Request->head();
+  Job.Head.erase(HopInfoName);
+  Job.Framing = Item->Request->framing();
+  if (Item->Kept) {
+    Job.Body = BodyPipe::complete(*Item->Kept);
+    if (Job.Framing.Kind == http::FramingKind::Chunked)
+      Job.Framing = {http::FramingKind::Fixed,
+                     static_cast<std::int64_t>(Item->Kept->size())};
+  } else {
+    Job.Body = Item->Request->body();
+  }
+  const std::weak_ptr<Call> Weak = Item;
+  const std::int32_t Attempt = Item->Attempt;
+  if (!Item->Kept && Item->Request->head().has("Expect"))
+    Job.OnGranted = [Weak] {
+      if (const auto Found = Weak.lock())
+        Found->Request->sendContinue();
+    };
+  Job.OnEnd = [this, Weak, Attempt](HopOutcome Outcome) {
+    const auto Found = Weak.lock();
+    if (!Found || Found->Ended || Found->Attempt != Attempt)
+      return;
+    onOutcome(Found, std::move(Outcome));
+  };
+  Directory_.onSent(To.Node);
+  // The own last hop may refuse before it returns; the next attempt then sets
+  // its own job.
+  const mesh::JobId Started =
+      Item->IsOwn ? Own_.submit(std::move(Job))
+                  : Remote_.submit(Directory_.hopOf(To.Node), std::move(Job));
+  if (Item->Attempt == Attempt)
+    Item->Job = Started;
+}
+
+void CallerEntry::onOutcome(const CallPtr &Item, HopOutcome Outcome) {
+  Item->Active = false;
+  Directory_.onOutcome(Item->Node, Outcome);
+  if (Outcome.End != HopEnd::NotRun)
+    ++Item->Runs;
+  if (mayRepeat(Item, Outcome)) {
+    Item->Excluded.insert(Item->Node);
+    Context_.Loop.defer([this, Weak = std::weak_ptr<Call>(Item)] {
+      const auto Found = Weak.lock();
+      if (Found && !Found->Ended)
+        dispatch(Found);
+    });
+    return;
+  }
+  if (Outcome.End == HopEnd::Answered)
+    deliver(Item, std::move(Outcome));
+  else
+    conclude(Item, Outcome.Reason, Outcome.RoomIn);
+}
+
+bool CallerEntry::mayRepeat(const CallPtr &Item, const HopOutcome &Outcome) {
+  const bool Answered = Outcome.End == HopEnd::Answered;
+  if (Answered && Outcome.Answer.Head.getStatus() < FirstServerError)
+    return false;
+  const Milliseconds Left = elapsed(Context_.now(), Item->Info.DeadlineAt);
+  const bool BodyIsGone = !Item->Kept && Item->Request->framing().Kind !=
+                                             http::FramingKind::None;
+  if (Left < LeastTimeForRepeat)
+    return false;
+  mesh::MeshRetryBudget &Budget = Budgets_[Item->Info.Service];
+  if (Outcome.End == HopEnd::NotRun) {
+    const bool BodyWasTaken = BodyIsGone && Outcome.Reached;
+    if (++Item->Refusals >= MaxRefusals || BodyWasTaken ||
+        Outcome.Reason == RefusalReason::CrashSuspect)
+      return false;
+    // Only what an upstream rejected has arrived there.
+    return !Outcome.Reached ||
+           mesh::spendRetry(Budget, mesh::RepeatKind::Rejected);
+  }
+  if (Item->Info.Class != RequestClass::Repeatable || BodyIsGone ||
+      Item->Runs >= Item->Route->MaxAttempts ||
+      Outcome.Reason == RefusalReason::UpstreamTimeout)
+    return false;
+  return mesh::spendRetry(Budget, mesh::RepeatKind::Rerun);
+}
+
+void CallerEntry::deliver(const CallPtr &Item, HopOutcome Outcome) {
+  HTTPResponse &From = Outcome.Answer.Head;
+  HTTPResponse Head(From.getStatus(), From.getReason());
+  http::copyEndToEnd(From, Head);
+  const int Status = Head.getStatus();
+  end(Item, Status, "answered");
+  // The caller may leave while a long answer is still being passed on.
+  Item->Request->onGone([this, Item] { cancelAttempt(Item); });
+  Item->Active = !Outcome.Answer.Body->isEnded();
+  Item->Request->answer(Head, Outcome.Answer.Body, Outcome.Answer.KnownLength);
+}
+
+void CallerEntry::conclude(const CallPtr &Item, RefusalReason Reason,
+                           Milliseconds RoomIn) {
+  const bool MayHaveRun = Item->Runs > 0;
+  answerRefusal(Item, statusOf(Reason, MayHaveRun), Reason, RoomIn);
+}
+
+void CallerEntry::answerRefusal(const CallPtr &Item, int Status,
+                                RefusalReason Reason, Milliseconds RoomIn) {
+  if (Item->Ended)
+    return;
+  Item->Trace += ":" + std::string(toString(Reason));
+  end(Item, Status, "refused");
+  HTTPResponse Head(static_cast<HTTPResponse::HTTPStatus>(Status));
+  const std::string &IdName = Context_.Platform.Headers.RequestId;
+  if (!Item->Id.empty())
+    Head.set(IdName, Item->Id.str());
+  Head.set("lt-reason", std::string(toString(Reason)));
+  if (Status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE) {
+    const Milliseconds Left = elapsed(Context_.now(), Item->Info.DeadlineAt);
+    const std::int64_t Longest = std::max<std::int64_t>(
+        Left.count() / RetryAfterParts, ShortestRetryAfter.count());
+    const std::int64_t Wanted = std::clamp<std::int64_t>(
+        RoomIn.count(), ShortestRetryAfter.count(), Longest);
+    // Spread, so that what was refused together does not come back together.
+    std::uniform_int_distribution<std::int64_t> Spread(
+        Wanted, std::max(Wanted, std::min(2 * Wanted, Longest)));
+    Head.set("Retry-After",
+             Poco::NumberFormatter::format(
+                 static_cast<double>(Spread(Context_.Random)) /
+                     MillisecondsPerSecond,
+                 3));
+  }
+  Item->Request->answer(Head, BodyPipe::complete(""));
+}
+
+void CallerEntry::cancelAttempt(const CallPtr &Item) {
+  if (!Item->Active)
+    return;
+  Item->Active = false;
+  if (Item->IsOwn)
+    Own_.cancel(Item->Job);
+  else
+    Remote_.cancel(Item->Job);
+  if (!Item->Ended)
+    Directory_.onCancelled(Item->Node);
+}
+
+void CallerEntry::end(const CallPtr &Item, int Status, const char *Result) {
+  if (Item->Ended)
+    return;
+  Item->Ended = true;
+  --InProgress_;
+  Context_.Loop.cancel(Item->Timer);
+  Item->Request->onGone(nullptr);
+  const SteadyTime Now = Context_.now();
+  const Milliseconds Took = elapsed(Item->ArrivedAt, Now);
+  metrics::RequestSample Sample;
+  Sample.Caller = CallerId(Context_.Settings.Service.str());
+  Sample.Class = Item->Info.Class;
+  Sample.Latency = Took;
+  Context_.Metrics->Record(Sample);
+  const bool Good = Status >= HTTPResponse::HTTP_OK && Status < FirstServerError;
+  const LogClass Class = Good ? LogClass::Success : LogClass::Failure;
+  Context_.Log.write(
+      Class, Now, "request",
+      {{"request", Item->Id.str()},
+       {"result", Result},
+       {"status", std::to_string(Status)},
+       {"route", Item->Info.Route.str()},
+       {"service", Item->Info.Service.str()},
+       {"config", Item->Config ? std::to_string(Item->Config->Version.value())
+                               : "none"},
+       {"path", Item->Trace},
+       {"runs", std::to_string(Item->Runs)},
+       {"ms", std::to_string(Took.count())},
+       {"left_ms",
+        Item->Route == nullptr
+            ? "unknown"
+            : std::to_string(elapsed(Now, Item->Info.DeadlineAt).count())}});
+}
+
+} // namespace lycheethread::sidecar
--- /dev/null
+++ b/src/sidecar/internal/CallerEntry.h
@@ -0,0 +1,55 @@
+#ifndef LYCHEETHREAD_SIDECAR_INTERNAL_CALLERENTRY_H
+#define LYCHEETHREAD_SIDECAR_INTERNAL_CALLERENTRY_H
+
+#include "sidecar/internal/HttpServer.h"
+#include "sidecar/internal/RemoteHop.h"
+#include "sidecar/internal/Rollouts.h"
+#include "sidecar/internal/UpstreamDirectory.h"
+#include "sidecar/internal/UpstreamHop.h"
+
+namespace lycheethread::sidecar {
+
+/// Serves the requests that begin on this instance: finds the route, chooses
+/// an upstream, repeats where that is allowed, and answers.
+class CallerEntry {
+public:
+  CallerEntry(NodeContext &Context, UpstreamHop &Own, RemoteHop &Remote,
+              UpstreamDirectory &Directory, Rollouts &Moves);
+
+  void handle(const ServerRequestPtr &Request);
+
+  std::size_t inProgress() const { return InProgress_; }
+
+private:
+  struct Call;
+  using CallPtr = std::shared_ptr<Call>;
+
+  bool findRoute(const CallPtr &Item);
+  void readDeadline(const CallPtr &Item);
+  void waitForBody(const CallPtr &Item);
+  void prepare(const CallPtr &Item);
+  void dispatch(const CallPtr &Item);
+  std::optional<mesh::Candidate> choose(const CallPtr &Item);
+  void send(const CallPtr &Item, const mesh::Candidate &To);
+  void onOutcome(const CallPtr &Item, HopOutcome Outcome);
+  bool mayRepeat(const CallPtr &Item, const HopOutcome &Outcome);
+  void deliver(const CallPtr &Item, HopOutcome Outcome);
+  void conclude(const CallPtr &Item, RefusalReason Reason, Milliseconds RoomIn);
+  void answerRefusal(const CallPtr &Item, int Status, RefusalReason Reason,
+                     Milliseconds RoomIn);
+  void cancelAttempt(const CallPtr &Item);
+  void end(const CallPtr &Item, int Status, const char *Result);
+
+  NodeContext &Context_;
+  UpstreamHop &Own_;
+  RemoteHop &Remote_;
+  UpstreamDirectory &Directory_;
+  Rollouts &Moves_;
+  std::unordered_map<RouteName, mesh::SplitState> Splits_;
+  std::map<ServiceName, mesh::MeshRetryBudget> Budgets_;
+  std::size_t InProgress_ = 0;
+};
+
+} // namespace lycheethread::sidecar
+
+#endif // LYCHEETHREAD_SIDECAR_INTERNAL_CALLERENTRY_H
--- /dev/null
+++ b/src/sidecar/internal/ClientConnection.cpp
@@ -0,0 +1,315 @@
+#include "sidecar/internal/ClientConnection.h"
+
+#include <Poco/NumberParser.h>
+#include <Poco/String.h>
+
+#include <boost/log/trivial.hpp>
+
+#include <algorithm>
+
+namespace lycheethread::sidecar {
+
+namespace {
+
+using Poco::Net::HTTPMessage;
+using Poco::Net::HTTPResponse;
+using reactor::StreamEnd;
+using reactor::TcpStream;
+
+/// A server that states no idle time states whole seconds only, so that its
+/// idle time may be under a second.
+constexpr Milliseconds IdleWithoutStatement{400};
+/// Subtracted from the stated idle time for the way to the server.
+constexpr Milliseconds IdleMargin{700};
+/// Unsent request bytes at which the body's producer is left waiting.
+constexpr std::size_t MaxUnsentBytes = 128 * 1024;
+/// Answers to other requests that are passed over before the connection is
+/// given up.
+constexpr int MaxSkipped = 3;
+
+Milliseconds statedIdleLimit(const HTTPResponse &Head) {
+  const std::string Text = Head.get("Keep-Alive", "");
+  const std::size_t At = Text.find("timeout=");
+  int Seconds = 0;
+  if (At == std::string::npos ||
+      !Poco::NumberParser::tryParse(
+          Text.substr(At + 8, Text.find_first_of(",; ", At + 8) - At - 8),
+          Seconds))
+    return IdleWithoutStatement;
+  return std::max(Milliseconds(std::chrono::seconds(Seconds)) - IdleMargin,
+                  Milliseconds(0));
+}
+
+/// The callback may replace itself while it runs.
+void callCopy(const std::function<void()> &Callback) {
+  const auto Copy = Callback;
+  if (Copy)
+    Copy();
+}
+
+} // namespace
+
+ClientConnection::ClientConnection(reactor::EventLoop &Loop, Endpoint To)
+    : Loop_(Loop), To_(std::move(To)), IdleLimit_(IdleWithoutStatement) {}
+
+ClientConnectionPtr ClientConnection::open(reactor::EventLoop &Loop,
+                                           const Endpoint &To,
+                                           Milliseconds Timeout) {
+  ClientConnectionPtr Made(new ClientConnection(Loop, To));
+  Made->Stream_ = TcpStream::connect(Loop, To, Timeout);
+  const std::weak_ptr<ClientConnection> Weak = Made;
+  Made->Stream_->setCallbacks({[Weak] {
+                                 const auto Self = Weak.lock();
+                                 if (Self)
+                                   callCopy(Self->OnConnected);
+                               },
+                               [Weak] {
+                                 if (const auto Self = Weak.lock())
+                                   Self->onInput();
+                               },
+                               [Weak] {
+                                 if (const auto Self = Weak.lock())
+                                   Self->sendBody();
+                               },
+                               [Weak](StreamEnd How) {
+                                 if (const auto Self = Weak.lock())
+                                   Self->onEnd(How);
+                               }});
+  return Made;
+}
+
+void ClientConnection::start(ClientRequest Request, ClientCallbacks Callbacks) {
+  Request_ = std::move(Request);
+  Callbacks_ = std::move(Callbacks);
+  Busy_ = true;
+  MaySendBody_ = !Request_.ExpectContinue;
+  BodySent_ = Request_.Body == nullptr;
+  HasHead_ = false;
+  Skipping_ = false;
+  Skipped_ = 0;
+  Delivered_ = false;
+  Answer_ = {};
+  std::string Out = std::move(Request_.Head);
+  if (MaySendBody_ && Request_.Body && !Request_.Chunked)
+    Out += Request_.Body->take();
+  Stream_->write(Out);
+  if (Request_.Body)
+    Request_.Body->OnChange = [Weak = weak_from_this()] {
+      if (const auto Self = Weak.lock())
+        Self->sendBody();
+    };
+  sendBody();
+}
+
+void ClientConnection::sendBody() {
+  if (!Busy_ || BodySent_ || !MaySendBody_ || !Stream_->isOpen())
+    return;
+  const BodyPipePtr Body = Request_.Body;
+  while (Body->size() > 0 && Stream_->unsent() < MaxUnsentBytes) {
+    const std::string Data = Body->take();
+    Stream_->write(Request_.Chunked ? http::encodeChunk(Data) : Data);
+  }
+  if (Body->hasFailed()) {
+    // A request without its end must not look complete to the server.
+    fail(ClientFailure::NoAnswer);
+    return;
+  }
+  if (!Body->isDone())
+    return;
+  if (Request_.Chunked)
+    Stream_->write(http::LastChunk);
+  BodySent_ = true;
+}
+
+void ClientConnection::onInput() {
+  const auto Self = shared_from_this();
+  if (!Busy_) {
+    // Bytes that belong to no request.
+    Reusable_ = false;
+    close();
+    callCopy(OnIdleEnd);
+    return;
+  }
+  while (Busy_ && !Stream_->input().empty()) {
+    if (!HasHead_ && !readHead())
+      return;
+    if (Busy_ && HasHead_ && !readBody())
+      return;
+  }
+}
+
+bool ClientConnection::readHead() {
+  std::string &Input = Stream_->input();
+  const std::size_t End = Input.find("\r\n\r\n");
+  if (End == std::string::npos) {
+    if (Input.size() > http::MaxHeadBytes)
+      fail(ClientFailure::BrokenAnswer);
+    return false;
+  }
+  HTTPResponse Head;
+  try {
+    http::parseResponse(std::string_view(Input).substr(0, End + 4), Head);
+    Input.erase(0, End + 4);
+    const int Status = Head.getStatus();
+    if (Status < HTTPResponse::HTTP_OK) {
+      if (Status == HTTPResponse::HTTP_CONTINUE && !MaySendBody_) {
+        MaySendBody_ = true;
+        if (Callbacks_.OnContinue)
+          Callbacks_.OnContinue();
+        sendBody();
+      }
+      return true;
+    }
+    onAnswerHead(std::move(Head));
+  } catch (const http::BadMessage &Error) {
+    BOOST_LOG_TRIVIAL(info) << "http: broken answer from " << To_.Address << ": "
+                            << Error.what();
+    fail(ClientFailure::BrokenAnswer);
+    return false;
+  }
+  return true;
+}
+
+void ClientConnection::onAnswerHead(HTTPResponse Head) {
+  const http::Framing Framing = http::framingOf(Head, Request_.Method);
+  Decoder_ = http::BodyDecoder(Framing);
+  HasHead_ = true;
+  Skipping_ = Callbacks_.Accept && !Callbacks_.Accept(Head);
+  if (Framing.Kind == http::FramingKind::UntilClose || !Head.getKeepAlive())
+    Reusable_ = false;
+  IdleLimit_ = statedIdleLimit(Head);
+  Answer_.Head = std::move(Head);
+  Answer_.Body = std::make_shared<BodyPipe>();
+  Answer_.KnownLength =
+      Framing.Kind == http::FramingKind::Fixed ? Framing.Length : -1;
+  Answer_.Body->OnRoom = [Weak = weak_from_this()] {
+    if (const auto Self = Weak.lock())
+      Self->Stream_->pauseReading(false);
+  };
+  if (Decoder_.isComplete())
+    complete();
+}
+
+bool ClientConnection::readBody() {
+  std::string &Input = Stream_->input();
+  std::string Data;
+  try {
+    Input.erase(0, Decoder_.feed(Input, Data));
+  } catch (const http::BadMessage &Error) {
+    BOOST_LOG_TRIVIAL(info) << "http: broken answer body from " << To_.Address
+                            << ": " << Error.what();
+    fail(ClientFailure::BrokenAnswer);
+    return false;
+  }
+  if (!Skipping_)
+    Answer_.Body->append(Data);
+  if (Decoder_.isComplete()) {
+    complete();
+    return true;
+  }
+  if (!Skipping_ && Answer_.Body->size() >= HoldBytes) {
+    Stream_->pauseReading(true);
+    deliver();
+  }
+  return true;
+}
+
+void ClientConnection::deliver() {
+  if (Delivered_)
+    return;
+  Delivered_ = true;
+  const auto Callback = Callbacks_.OnAnswer;
+  if (Callback)
+    Callback(Answer_);
+}
+
+void ClientConnection::complete() {
+  HasHead_ = false;
+  if (Skipping_) {
+    Skipping_ = false;
+    // What follows may be the answer; the connection is not used again.
+    Reusable_ = false;
+    if (++Skipped_ > MaxSkipped)
+      fail(ClientFailure::BrokenAnswer);
+    return;
+  }
+  const auto Self = shared_from_this();
+  Busy_ = false;
+  if (Request_.Body)
+    Request_.Body->OnChange = nullptr;
+  // A server may answer before it has read the body; the rest of the body
+  // cannot be told from a next request then.
+  if (!BodySent_ || !Stream_->input().empty())
+    Reusable_ = false;
+  Answer_.Body->OnRoom = nullptr;
+  Answer_.Body->end();
+  deliver();
+  const ClientCallbacks Done = std::move(Callbacks_);
+  Callbacks_ = {};
+  if (Done.OnComplete)
+    Done.OnComplete();
+}
+
+void ClientConnection::onEnd(StreamEnd How) {
+  const auto Self = shared_from_this();
+  Reusable_ = false;
+  if (!Busy_) {
+    callCopy(OnIdleEnd);
+    return;
+  }
+  if (How == StreamEnd::NotConnected) {
+    fail(ClientFailure::NotConnected);
+    return;
+  }
+  // Only an orderly close ends a body without length.
+  if (HasHead_ && How == StreamEnd::Closed && Decoder_.finish()) {
+    complete();
+    return;
+  }
+  fail(HasHead_ ? ClientFailure::BrokenAnswer : ClientFailure::NoAnswer);
+}
+
+void ClientConnection::fail(ClientFailure Why) {
+  const auto Self = shared_from_this();
+  Reusable_ = false;
+  if (!Busy_)
+    return;
+  Busy_ = false;
+  if (Request_.Body)
+    Request_.Body->OnChange = nullptr;
+  const ClientCallbacks Done = std::move(Callbacks_);
+  Callbacks_ = {};
+  const BodyPipePtr Partial = Delivered_ ? Answer_.Body : nullptr;
+  Stream_->close();
+  if (Partial)
+    Partial->fail();
+  if (Done.OnFailure)
+    Done.OnFailure(Why);
+}
+
+bool ClientConnection::isReusable() const {
+  return Reusable_ && !Busy_ && Stream_->isOpen() && Stream_->input().empty();
+}
+
+bool ClientConnection::isConnected() const {
+  return Stream_->isOpen() && Stream_->isConnected();
+}
+
+Milliseconds ClientConnection::idleLimit() const { return IdleLimit_; }
+
+const Endpoint &ClientConnection::peer() const { return To_; }
+
+void ClientConnection::close() {
+  Busy_ = false;
+  Reusable_ = false;
+  Callbacks_ = {};
+  if (Request_.Body)
+    Request_.Body->OnChange = nullptr;
+  Stream_->close();
+  if (!Answer_.Body)
+    return;
+  Answer_.Body->OnRoom = nullptr;
+  Answer_.Body->fail();
+}
+
+} // namespace lycheethread::sidecar
--- /dev/null
+++ b/src/sidecar/internal/ConnectionPool.h
@@ -0,0 +1,41 @@
+#ifndef LYCHEETHREAD_SIDECAR_INTERNAL_CONNECTIONPOOL_H
+#define LYCHEETHREAD_SIDECAR_INTERNAL_CONNECTIONPOOL_H
+
+#include "sidecar/internal/ClientConnection.h"
+
+#include <map>
+#include <vector>
+
+namespace lycheethread::sidecar {
+
+/// Connections that wait for their next request, by server.
+class ConnectionPool {
+public:
+  explicit ConnectionPool(reactor::EventLoop &Loop);
+  ~ConnectionPool();
+
+  /// The connection used last that has idled at most \p MaxIdle, or null.
+  ClientConnectionPtr take(const Endpoint &To, Milliseconds MaxIdle);
+
+  /// Keeps \p Item for reuse, or closes it when it cannot be reused.
+  void give(const ClientConnectionPtr &Item);
+
+  std::size_t idleCount(const Endpoint &To) const;
+  void closeAll(const Endpoint &To);
+
+private:
+  struct Idle {
+    ClientConnectionPtr Item;
+    SteadyTime Since;
+  };
+  void sweep();
+  void remove(const ClientConnectionPtr &Item);
+
+  reactor::EventLoop &Loop_;
+  std::map<Endpoint, std::vector<Idle>> Idle_;
+  reactor::TimerId Timer_;
+};
+
+} // namespace lycheethread::sidecar
+
+#endif // LYCHEETHREAD_SIDECAR_INTERNAL_CONNECTIONPOOL_H
--- /dev/null
+++ b/src/sidecar/internal/Gossip.cpp
@@ -0,0 +1,194 @@
+#include "sidecar/internal/Gossip.h"
+#include "kernel/Clock.h"
+#include "sidecar/internal/NewsCodec.h"
+
+#include <algorithm>
+
+namespace lycheethread::sidecar {
+
+namespace {
+
+constexpr Milliseconds TickInterval{250};
+/// Nodes told in each tick: in the own region, and as many in others. A
+/// datagram to the other region is billed.
+constexpr std::size_t PeersInRegion = 2;
+/// One tick in this many also tells a node of another region.
+constexpr std::uint64_t TicksPerFarPeer = 2;
+constexpr std::size_t MaxToldAtOnce = 40;
+/// A contact that does not answer is tried again, less and less often.
+constexpr Milliseconds FirstContactPause{500};
+constexpr Milliseconds LongestContactPause{8000};
+/// News are not passed on more often than this, plus once for each doubling of
+/// the number of nodes.
+constexpr int MinPassedOn = 3;
+
+int passLimit(std::size_t Nodes) {
+  int Limit = MinPassedOn;
+  for (; Nodes > 1; Nodes /= 2)
+    ++Limit;
+  return Limit;
+}
+
+} // namespace
+
+Gossip::Gossip(NodeContext &Context,
+               std::function<void(mesh::NodeNews &)> Describe,
+               std::function<void()> OnNews)
+    : Context_(Context), Describe_(std::move(Describe)),
+      OnNews_(std::move(OnNews)),
+      // A restarted node must be newer than its earlier life. When the time of
+      // day has been set back it is not; onDatagram() corrects that.
+      Life_(kernel::wallNow().value()) {
+  Socket_ = std::make_unique<reactor::UdpSocket>(
+      Context_.Loop, Context_.Settings.Gossip,
+      [this](std::string_view Data) { onDatagram(Data); });
+  tick();
+}
+
+Gossip::~Gossip() { Context_.Loop.cancel(Timer_); }
+
+void Gossip::addContacts(const std::vector<Endpoint> &Found) {
+  for (const Endpoint &At : Found)
+    if (!(At == Context_.Settings.Gossip))
+      Contacts_.emplace(At, Contact{});
+}
+
+mesh::NodeNews Gossip::ownNews() {
+  mesh::NodeNews News;
+  News.Id = Context_.Settings.Id;
+  News.Life = Life_;
+  News.Number = Number_ = Number_.next();
+  News.At = Context_.Settings.At;
+  News.Hop = Context_.Settings.Inbound;
+  News.Gossip = Context_.Settings.Gossip;
+  Describe_(News);
+  return News;
+}
+
+std::string Gossip::datagram() {
+  std::vector<mesh::NodeNews> News{ownNews()};
+  std::size_t Size = encodedSize(News.front());
+  std::vector<const mesh::KnownNode *> Others;
+  const SteadyTime Now = Context_.now();
+  for (const auto &[Id, Known] : Context_.Fleet.Nodes)
+    if (mesh::isAlive(Known, Now))
+      Others.push_back(&Known);
+  const auto TimesPassed = [&](const mesh::KnownNode &Known) {
+    const auto &Entry = PassedOn_[Known.News.Id];
+    return Entry.first == Known.News.Number ? Entry.second : 0;
+  };
+  std::shuffle(Others.begin(), Others.end(), Context_.Random);
+  std::stable_sort(Others.begin(), Others.end(), [&](auto *L, auto *R) {
+    return TimesPassed(*L) < TimesPassed(*R);
+  });
+  const int Limit = passLimit(Others.size());
+  for (const mesh::KnownNode *Known : Others) {
+    if (TimesPassed(*Known) >= Limit)
+      break;
+    mesh::NodeNews Item = Known->News;
+    // Ages count from the moment of sending.
+    const Milliseconds Held = elapsed(Known->HeardAt, Now);
+    Item.ConfirmedAge += Held;
+    for (mesh::RolloutNews &Rollout : Item.Rollouts)
+      Rollout.Age += Held;
+    Size += encodedSize(Item);
+    if (Size > MaxDatagramBytes)
+      break;
+    PassedOn_[Item.Id] = {Item.Number, TimesPassed(*Known) + 1};
+    News.push_back(std::move(Item));
+  }
+  return encodeNews(News);
+}
+
+std::vector<Endpoint> Gossip::choosePeers() {
+  std::vector<Endpoint> Near;
+  std::vector<Endpoint> Far;
+  for (const auto &[Id, Known] : Context_.Fleet.Nodes) {
+    if (!mesh::isAlive(Known, Context_.now()))
+      continue;
+    const bool IsNear = Known.News.At.In == Context_.Settings.At.In;
+    (IsNear ? Near : Far).push_back(Known.News.Gossip);
+  }
+  std::shuffle(Near.begin(), Near.end(), Context_.Random);
+  std::shuffle(Far.begin(), Far.end(), Context_.Random);
+  Near.resize(std::min(Near.size(), PeersInRegion));
+  if (!Far.empty() && (Near.empty() || Context_.Random() % TicksPerFarPeer == 0))
+    Near.push_back(Far.front());
+  return Near;
+}
+
+void Gossip::tick() {
+  mesh::forgetSilent(Context_.Fleet, Context_.now());
+  const std::string Data = datagram();
+  for (const Endpoint &To : choosePeers())
+    Socket_->send(To, Data);
+  tryContacts(Data);
+  Timer_ = Context_.Loop.runAfter(TickInterval, [this] { tick(); });
+}
+
+void Gossip::tryContacts(const std::string &Data) {
+  const SteadyTime Now = Context_.now();
+  std::set<Endpoint> Known;
+  for (const auto &[Id, Node] : Context_.Fleet.Nodes)
+    if (mesh::isAlive(Node, Now))
+      Known.insert(Node.News.Gossip);
+  for (auto &[At, Item] : Contacts_) {
+    if (Known.count(At) != 0) {
+      Item = {};
+      continue;
+    }
+    if (Now < Item.NextTry)
+      continue;
+    Item.Pause = Item.Pause == Milliseconds(0)
+                     ? FirstContactPause
+                     : std::min(LongestContactPause, Item.Pause * 2);
+    Item.NextTry = after(Now, Item.Pause);
+    Socket_->send(At, Data);
+  }
+}
+
+void Gossip::tellAll() {
+  const std::string Data = datagram();
+  std::vector<Endpoint> To;
+  for (const auto &[Id, Known] : Context_.Fleet.Nodes)
+    if (mesh::isAlive(Known, Context_.now()))
+      To.push_back(Known.News.Gossip);
+  std::shuffle(To.begin(), To.end(), Context_.Random);
+  To.resize(std::min(To.size(), MaxToldAtOnce));
+  for (const Endpoint &At : To)
+    Socket_->send(At, Data);
+}
+
+void Gossip::onDatagram(std::string_view Data) {
+  const auto News = decodeNews(Data);
+  if (!News) {
+    Context_.Log.write(LogClass::State, Context_.now(), "news-unreadable",
+                       {{"bytes", std::to_string(Data.size())}});
+    return;
+  }
+  bool Changed = false;
+  for (const mesh::NodeNews &Item : *News) {
+    if (Item.Id == Context_.Settings.Id) {
+      const bool IsEarlierLife = Item.Life != Life_ || Item.Number > Number_;
+      if (IsEarlierLife && Item.Life >= Life_)
+        Life_ = Item.Life.next();
+      continue;
+    }
+    const bool WasKnown = Context_.Fleet.Nodes.count(Item.Id) != 0;
+    if (!mesh::mergeNews(Context_.Fleet, Item, Context_.now()))
+      continue;
+    Changed = true;
+    if (!WasKnown)
+      Context_.Log.write(LogClass::State, Context_.now(), "node-found",
+                         {{"node", Item.Id.str()},
+                          {"zone", Item.At.Zone.str()},
+                          {"service", Item.Own.Service.str()}});
+    for (const mesh::CrashNews &Crash : Item.Crashes)
+      requests::noteSuspect(Context_.Suspects, Crash.Print, Crash.Crash,
+                            Crash.Weight, Context_.now());
+  }
+  if (Changed)
+    OnNews_();
+}
+
+} // namespace lycheethread::sidecar
--- /dev/null
+++ b/src/sidecar/internal/Gossip.h
@@ -0,0 +1,52 @@
+#ifndef LYCHEETHREAD_SIDECAR_INTERNAL_GOSSIP_H
+#define LYCHEETHREAD_SIDECAR_INTERNAL_GOSSIP_H
+
+#include "sidecar/internal/NodeContext.h"
+
+#include <set>
+
+namespace lycheethread::sidecar {
+
+/// Exchanges news with the other nodes by datagrams.
+class Gossip {
+public:
+  /// \p Describe fills in this node's own news, \p OnNews is called after news
+  /// of other nodes have arrived.
+  Gossip(NodeContext &Context, std::function<void(mesh::NodeNews &)> Describe,
+         std::function<void()> OnNews);
+  ~Gossip();
+
+  /// Endpoints at which other nodes may be found.
+  void addContacts(const std::vector<Endpoint> &Found);
+
+  /// Tells many nodes at once, for news that matter now.
+  void tellAll();
+
+private:
+  struct Contact {
+    SteadyTime NextTry;
+    Milliseconds Pause{0};
+  };
+
+  void tick();
+  void onDatagram(std::string_view Data);
+  mesh::NodeNews ownNews();
+  std::string datagram();
+  std::vector<Endpoint> choosePeers();
+  void tryContacts(const std::string &Data);
+
+  NodeContext &Context_;
+  std::function<void(mesh::NodeNews &)> Describe_;
+  std::function<void()> OnNews_;
+  std::unique_ptr<reactor::UdpSocket> Socket_;
+  std::map<Endpoint, Contact> Contacts_;
+  Incarnation Life_;
+  Sequence Number_;
+  /// How often the newest news of a node have been passed on.
+  std::map<NodeId, std::pair<Sequence, int>> PassedOn_;
+  reactor::TimerId Timer_;
+};
+
+} // namespace lycheethread::sidecar
+
+#endif // LYCHEETHREAD_SIDECAR_INTERNAL_GOSSIP_H
--- /dev/null
+++ b/src/sidecar/internal/HopHeaders.cpp
@@ -0,0 +1,109 @@
+#include "sidecar/internal/HopHeaders.h"
+
+#include <Poco/NumberParser.h>
+#include <Poco/StringTokenizer.h>
+
+namespace lycheethread::sidecar {
+
+namespace {
+
+/// Not part of any name that the model allows.
+constexpr const char *Separator = ";";
+constexpr std::size_t InfoFields = 9;
+constexpr std::size_t LoadFields = 3;
+constexpr std::size_t RefusalFields = 4;
+
+std::string join(std::initializer_list<std::string> Parts) {
+  std::string Text;
+  for (const std::string &Part : Parts)
+    Text.append(Text.empty() ? "" : Separator).append(Part);
+  return Text;
+}
+
+std::optional<std::int64_t> numberAt(const Poco::StringTokenizer &Parts,
+                                     std::size_t Index) {
+  Poco::Int64 Value = 0;
+  if (!Poco::NumberParser::tryParse64(Parts[Index], Value))
+    return std::nullopt;
+  return Value;
+}
+
+} // namespace
+
+std::string encodeInfo(const HopInfo &Info, SteadyTime Now) {
+  return join({Info.Service.str(), Info.Version.str(), Info.Route.str(),
+               std::string(toString(Info.Class)), std::to_string(Info.Rank),
+               std::to_string(elapsed(Now, Info.ObjectiveAt).count()),
+               std::to_string(elapsed(Now, Info.DeadlineAt).count()),
+               Info.Caller.str(), Info.Print.str()});
+}
+
+std::optional<HopInfo> decodeInfo(const std::string &Text, SteadyTime Now) {
+  const Poco::StringTokenizer Parts(Text, Separator);
+  if (Parts.count() != InfoFields)
+    return std::nullopt;
+  const auto Class = requestClassFrom(Parts[3]);
+  const auto Rank = numberAt(Parts, 4);
+  const auto Objective = numberAt(Parts, 5);
+  const auto Deadline = numberAt(Parts, 6);
+  if (!Class || !Rank || !Objective || !Deadline)
+    return std::nullopt;
+  HopInfo Info;
+  Info.Service = ServiceName(Parts[0]);
+  Info.Version = VersionName(Parts[1]);
+  Info.Route = RouteName(Parts[2]);
+  Info.Class = *Class;
+  Info.Rank = static_cast<std::int32_t>(*Rank);
+  Info.ObjectiveAt = after(Now, Milliseconds(*Objective));
+  Info.DeadlineAt = after(Now, Milliseconds(*Deadline));
+  Info.Caller = ServiceName(Parts[7]);
+  Info.Print = requests::Fingerprint(Parts[8]);
+  return Info;
+}
+
+std::string encodeLoad(const mesh::LoadNews &Load) {
+  return join({std::to_string(Load.Running), std::to_string(Load.Waiting),
+               std::to_string(Load.ServiceTime.count())});
+}
+
+std::optional<mesh::LoadNews> decodeLoad(const std::string &Text) {
+  const Poco::StringTokenizer Parts(Text, Separator);
+  if (Parts.count() != LoadFields)
+    return std::nullopt;
+  const auto Running = numberAt(Parts, 0);
+  const auto Waiting = numberAt(Parts, 1);
+  const auto Service = numberAt(Parts, 2);
+  if (!Running || !Waiting || !Service)
+    return std::nullopt;
+  return mesh::LoadNews{static_cast<std::int32_t>(*Running),
+                        static_cast<std::int32_t>(*Waiting),
+                        Milliseconds(*Service)};
+}
+
+std::string encodeRefusal(const HopOutcome &Outcome) {
+  return join({std::string(toString(Outcome.Reason)),
+               std::string(toString(Outcome.End == HopEnd::NotRun
+                                        ? Executed::No
+                                        : Executed::Unknown)),
+               Outcome.Reached ? "1" : "0",
+               std::to_string(Outcome.RoomIn.count())});
+}
+
+std::optional<HopOutcome> decodeRefusal(const std::string &Text) {
+  const Poco::StringTokenizer Parts(Text, Separator);
+  if (Parts.count() != RefusalFields)
+    return std::nullopt;
+  const auto Reason = refusalReasonFrom(Parts[0]);
+  const auto Ran = executedFrom(Parts[1]);
+  const auto RoomIn = numberAt(Parts, 3);
+  if (!Reason || !Ran || !RoomIn)
+    return std::nullopt;
+  HopOutcome Outcome;
+  Outcome.End = *Ran == Executed::No ? HopEnd::NotRun : HopEnd::Failed;
+  Outcome.Reason = *Reason;
+  Outcome.Reached = Parts[2] == "1";
+  Outcome.RoomIn = Milliseconds(*RoomIn);
+  return Outcome;
+}
+
+} // namespace lycheethread::sidecar
--- /dev/null
+++ b/src/sidecar/internal/HopServer.cpp
@@ -0,0 +1,86 @@
+#include "sidecar/internal/HopServer.h"
+#include "sidecar/internal/HopHeaders.h"
+#include "sidecar/internal/NewsCodec.h"
+
+#include <Poco/NumberParser.h>
+
+namespace lycheethread::sidecar {
+
+namespace {
+
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+const std::string RecordsPath = "/records?from=";
+
+} // namespace
+
+HopServer::HopServer(NodeContext &Context, UpstreamHop &Hop)
+    : Context_(Context), Hop_(Hop) {}
+
+void HopServer::handle(const ServerRequestPtr &Request) {
+  const HTTPRequest &Head = Request->head();
+  if (!Head.has(HopInfoName)) {
+    if (Head.getURI().rfind(RecordsPath, 0) == 0)
+      answerRecords(Request);
+    else
+      Request->answer(HTTPResponse::HTTP_NOT_FOUND, "not a request of a node");
+    return;
+  }
+  const auto Info = decodeInfo(Head.get(HopInfoName), Context_.now());
+  if (!Info) {
+    Context_.Log.write(LogClass::Failure, Context_.now(), "hop-unreadable",
+                       {{"info", Head.get(HopInfoName)}});
+    Request->answer(HTTPResponse::HTTP_BAD_REQUEST, "unreadable " + HopInfoName);
+    return;
+  }
+  HopJob Job;
+  Job.Info = *Info;
+  Job.Id = RequestId(Head.get(Context_.Platform.Headers.RequestId, ""));
+  Job.Head = Head;
+  Job.Head.erase(HopInfoName);
+  Job.Framing = Request->framing();
+  Job.Body = Request->body();
+  if (Head.has("Expect"))
+    Job.OnGranted = [Request] { Request->sendContinue(); };
+  Job.OnEnd = [this, Request](HopOutcome Outcome) {
+    Request->onGone(nullptr);
+    answerOutcome(Request, std::move(Outcome));
+  };
+  const auto Started = std::make_shared<mesh::JobId>();
+  Request->onGone([this, Started] { Hop_.cancel(*Started); });
+  *Started = Hop_.submit(std::move(Job));
+}
+
+void HopServer::answerRecords(const ServerRequestPtr &Request) {
+  Poco::Int64 From = 0;
+  Poco::NumberParser::tryParse64(
+      Request->head().getURI().substr(RecordsPath.size()), From);
+  OperatorRecords Newer;
+  Newer.Position = Context_.Records.Position;
+  for (const auto &[Key, Record] : Context_.Records.Items)
+    if (Record.At >= Offset(From))
+      Newer.Items.emplace(Key, Record);
+  Request->answer(HTTPResponse::HTTP_OK, encodeRecords(Newer),
+                  "application/octet-stream");
+}
+
+void HopServer::answerOutcome(const ServerRequestPtr &Request,
+                              HopOutcome Outcome) {
+  const std::string Load = encodeLoad(Outcome.Load.value_or(Hop_.load()));
+  if (Outcome.End != HopEnd::Answered) {
+    HTTPResponse Head(HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+    Head.set(HopRefusalName, encodeRefusal(Outcome));
+    Head.set(HopLoadName, Load);
+    Request->answer(Head, BodyPipe::complete(""));
+    return;
+  }
+  const HTTPResponse &From = Outcome.Answer.Head;
+  HTTPResponse Head(From.getStatus(), From.getReason());
+  http::copyEndToEnd(From, Head);
+  Head.erase(HopRefusalName);
+  Head.set(HopLoadName, Load);
+  Request->answer(Head, Outcome.Answer.Body, Outcome.Answer.KnownLength);
+}
+
+} // namespace lycheethread::sidecar
--- /dev/null
+++ b/src/sidecar/internal/HopServer.h
@@ -0,0 +1,27 @@
+#ifndef LYCHEETHREAD_SIDECAR_INTERNAL_HOPSERVER_H
+#define LYCHEETHREAD_SIDECAR_INTERNAL_HOPSERVER_H
+
+#include "sidecar/internal/HttpServer.h"
+#include "sidecar/internal/UpstreamHop.h"
+
+namespace lycheethread::sidecar {
+
+/// Takes what other nodes send: requests for the upstream beside this node, and
+/// the question for the operator's records.
+class HopServer {
+public:
+  HopServer(NodeContext &Context, UpstreamHop &Hop);
+
+  void handle(const ServerRequestPtr &Request);
+
+private:
+  void answerRecords(const ServerRequestPtr &Request);
+  void answerOutcome(const ServerRequestPtr &Request, HopOutcome Outcome);
+
+  NodeContext &Context_;
+  UpstreamHop &Hop_;
+};
+
+} // namespace lycheethread::sidecar
+
+#endif // LYCHEETHREAD_SIDECAR_INTERNAL_HOPSERVER_H
--- /dev/null
+++ b/src/sidecar/internal/HttpServer.cpp
@@ -0,0 +1,458 @@
+#include "sidecar/internal/HttpServer.h"
+
+#include <Poco/String.h>
+
+#include <boost/log/trivial.hpp>
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace lycheethread::sidecar {
+
+namespace {
+
+using Poco::Net::HTTPMessage;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+using reactor::EventLoop;
+using reactor::StreamEnd;
+using reactor::TcpStream;
+
+/// Unsent answer bytes at which the body's producer is left waiting.
+constexpr std::size_t MaxUnsentBytes = 128 * 1024;
+/// A connection is closed a little later than its last answer promised, so
+/// that a request sent within the promise never meets the close.
+constexpr Milliseconds IdleMargin{1500};
+
+class Connection;
+
+} // namespace
+
+struct ServerRequest::Impl {
+  std::weak_ptr<Connection> From;
+  HTTPRequest Head;
+  http::Framing Body;
+  BodyPipePtr Pipe = std::make_shared<BodyPipe>();
+  std::function<void()> OnGone;
+  bool Gone = false;
+  bool Answered = false;
+};
+
+namespace {
+
+/// What the connections of one server share.
+struct ServerState {
+  EventLoop &Loop;
+  HttpServerOptions Options;
+  std::unordered_set<std::shared_ptr<Connection>> Connections;
+  std::size_t InProgress = 0;
+  bool Closing = false;
+};
+
+class Connection : public std::enable_shared_from_this<Connection> {
+public:
+  Connection(ServerState &Server, std::shared_ptr<TcpStream> Stream);
+
+  void start();
+  void close();
+  bool isIdle() const { return !Request_ && Stream_->input().empty(); }
+  void sendContinue();
+  void answer(HTTPResponse &Head, const BodyPipePtr &Body,
+              std::int64_t KnownLength);
+  void abort();
+
+private:
+  void onInput();
+  void readHead();
+  bool openRequest(std::string_view Text);
+  void readBody();
+  void onEnd();
+  void pump();
+  void finishAnswer();
+  void nextRequest();
+  void setTimer(Milliseconds Length);
+  void onTimer();
+  void refuse(int Status, const std::string &Text);
+  bool keepsAlive() const;
+
+  ServerState &Server_;
+  std::shared_ptr<TcpStream> Stream_;
+  ServerRequestPtr Request_;
+  http::BodyDecoder Decoder_;
+  std::int64_t BodyBytes_ = 0;
+  BodyPipePtr Answer_;
+  bool AnswerChunked_ = false;
+  bool KeepAlive_ = true;
+  bool Reading_ = false;
+  /// Idle time that the last answer promised.
+  Milliseconds Promised_{0};
+  reactor::TimerId Timer_;
+};
+
+Connection::Connection(ServerState &Server,
+                       std::shared_ptr<TcpStream> Stream)
+    : Server_(Server), Stream_(std::move(Stream)) {}
+
+void Connection::start() {
+  const std::weak_ptr<Connection> Weak = weak_from_this();
+  const auto With = [Weak](void (Connection::*Member)()) {
+    return [Weak, Member] {
+      if (const auto Self = Weak.lock())
+        (Self.get()->*Member)();
+    };
+  };
+  Stream_->setCallbacks({{},
+                         With(&Connection::onInput),
+                         With(&Connection::pump),
+                         [Weak](StreamEnd) {
+                           if (const auto Self = Weak.lock())
+                             Self->onEnd();
+                         }});
+  Promised_ = Server_.Options.Limits().IdleTimeout;
+  setTimer(Promised_ + IdleMargin);
+}
+
+void Connection::setTimer(Milliseconds Length) {
+  Server_.Loop.cancel(Timer_);
+  Timer_ = Server_.Loop.runAfter(Length, [Weak = weak_from_this()] {
+    if (const auto Self = Weak.lock())
+      Self->onTimer();
+  });
+}
+
+void Connection::onTimer() {
+  // Between two requests the time was for idling, else for the head.
+  if (Stream_->input().empty())
+    close();
+  else
+    refuse(HTTPResponse::HTTP_REQUEST_TIMEOUT, "the head came too slowly");
+}
+
+void Connection::close() {
+  const auto Self = shared_from_this();
+  Server_.Loop.cancel(Timer_);
+  Stream_->close();
+  Server_.Connections.erase(Self);
+  if (!Request_)
+    return;
+  const ServerRequestPtr Lost = std::move(Request_);
+  --Server_.InProgress;
+  if (Answer_)
+    Answer_->OnChange = nullptr;
+  Lost->Impl_->Gone = true;
+  Lost->Impl_->Pipe->OnRoom = nullptr;
+  // Whoever works on the request learns the reason before its body ends.
+  const auto Callback = std::move(Lost->Impl_->OnGone);
+  if (Callback)
+    Callback();
+  Lost->Impl_->Pipe->fail();
+}
+
+void Connection::onEnd() { close(); }
+
+void Connection::abort() { close(); }
+
+void Connection::onInput() {
+  if (Reading_)
+    return;
+  Reading_ = true;
+  const auto Self = shared_from_this();
+  if (!Request_)
+    readHead();
+  else if (!Decoder_.isComplete())
+    readBody();
+  else
+    // The next request waits until this one is answered.
+    Stream_->pauseReading(true);
+  Reading_ = false;
+}
+
+void Connection::readHead() {
+  std::string &Input = Stream_->input();
+  const std::size_t Lines = Input.find_first_not_of("\r\n");
+  Input.erase(0, std::min(Lines, Input.size()));
+  if (Input.empty())
+    return;
+  const mesh::CallerLimits Limits = Server_.Options.Limits();
+  const std::size_t End = Input.find("\r\n\r\n");
+  const std::size_t Size = End == std::string::npos ? Input.size() : End + 4;
+  if (Size > Limits.MaxHeadBytes) {
+    refuse(HTTPResponse::HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
+           "the head is too large");
+    return;
+  }
+  if (End == std::string::npos) {
+    setTimer(Limits.HeadTimeout);
+    return;
+  }
+  const std::string Head = Input.substr(0, Size);
+  Input.erase(0, Size);
+  if (!openRequest(Head))
+    return;
+  Server_.Loop.cancel(Timer_);
+  if (Decoder_.isComplete())
+    Request_->body()->end();
+  else
+    readBody();
+  if (Request_) {
+    // Kept by copy: the handler may answer, which ends the request.
+    const ServerRequestPtr Handled = Request_;
+    Server_.Options.Handle(Handled);
+  }
+}
+
+bool Connection::openRequest(std::string_view Text) {
+  auto Made = std::make_shared<ServerRequest>();
+  try {
+    http::parseRequest(Text, Made->Impl_->Head);
+    Made->Impl_->Body = http::framingOf(Made->Impl_->Head);
+  } catch (const http::BadMessage &Error) {
+    refuse(HTTPResponse::HTTP_BAD_REQUEST, Error.what());
+    return false;
+  }
+  if (Made->Impl_->Body.Kind == http::FramingKind::Fixed &&
+      Made->Impl_->Body.Length > Server_.Options.Limits().MaxBodyBytes) {
+    refuse(HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE,
+           "the body is too large");
+    return false;
+  }
+  Made->Impl_->From = weak_from_this();
+  Request_ = Made;
+  ++Server_.InProgress;
+  Decoder_ = http::BodyDecoder(Made->Impl_->Body);
+  BodyBytes_ = 0;
+  KeepAlive_ = Made->Impl_->Head.getKeepAlive();
+  Made->Impl_->Pipe->OnRoom = [Weak = weak_from_this()] {
+    if (const auto Self = Weak.lock()) {
+      Self->Stream_->pauseReading(false);
+      Self->onInput();
+    }
+  };
+  return true;
+}
+
+void Connection::readBody() {
+  std::string &Input = Stream_->input();
+  const BodyPipePtr Pipe = Request_->body();
+  std::string Data;
+  try {
+    Input.erase(0, Decoder_.feed(Input, Data));
+  } catch (const http::BadMessage &Error) {
+    BOOST_LOG_TRIVIAL(warning) << "http: broken request body: " << Error.what();
+    close();
+    return;
+  }
+  BodyBytes_ += static_cast<std::int64_t>(Data.size());
+  if (BodyBytes_ > Server_.Options.Limits().MaxBodyBytes) {
+    // Whatever got the first part must not take it for the whole body.
+    Pipe->fail();
+    if (Request_ && !Request_->isAnswered())
+      Request_->answer(HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE,
+                       "the body is too large");
+    return;
+  }
+  Pipe->append(Data);
+  if (Decoder_.isComplete())
+    Pipe->end();
+  if (Pipe->size() >= BodyPipe::HighWater)
+    Stream_->pauseReading(true);
+}
+
+void Connection::sendContinue() {
+  Stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+bool Connection::keepsAlive() const {
+  return KeepAlive_ && !Server_.Closing && Decoder_.isComplete();
+}
+
+void Connection::answer(HTTPResponse &Head, const BodyPipePtr &Body,
+                        std::int64_t KnownLength) {
+  const int Status = Head.getStatus();
+  const bool HasBody = Request_->head().getMethod() != HTTPRequest::HTTP_HEAD &&
+                       Status != HTTPResponse::HTTP_NO_CONTENT &&
+                       Status != HTTPResponse::HTTP_NOT_MODIFIED;
+  AnswerChunked_ = false;
+  if (!HasBody && Request_->head().getMethod() == HTTPRequest::HTTP_HEAD) {
+    if (KnownLength >= 0)
+      Head.setContentLength64(KnownLength);
+  } else if (HasBody && Body->isEnded()) {
+    Head.setContentLength64(static_cast<std::int64_t>(Body->size()));
+  } else if (HasBody && KnownLength >= 0) {
+    Head.setContentLength64(KnownLength);
+  } else if (HasBody && Request_->head().getVersion() ==
+                            HTTPMessage::HTTP_1_0) {
+    KeepAlive_ = false;
+  } else if (HasBody) {
+    Head.setChunkedTransferEncoding(true);
+    AnswerChunked_ = true;
+  }
+  Head.setVersion(HTTPMessage::HTTP_1_1);
+  if (keepsAlive()) {
+    Promised_ = Server_.Options.Limits().IdleTimeout;
+    const auto Seconds =
+        std::chrono::duration_cast<std::chrono::seconds>(Promised_).count();
+    Head.set("Keep-Alive", "timeout=" + std::to_string(Seconds));
+  } else {
+    Head.set(HTTPMessage::CONNECTION, HTTPMessage::CONNECTION_CLOSE);
+    KeepAlive_ = false;
+  }
+  Answer_ = HasBody ? Body : BodyPipe::complete("");
+  // One write for head and body saves a packet and a system call.
+  std::string Out = http::serialize(Head);
+  if (!AnswerChunked_)
+    Out += Answer_->take();
+  Stream_->write(Out);
+  Answer_->OnChange = [Weak = weak_from_this()] {
+    if (const auto Self = Weak.lock())
+      Self->pump();
+  };
+  pump();
+}
+
+void Connection::pump() {
+  if (!Answer_)
+    return;
+  const auto Self = shared_from_this();
+  while (Answer_ && Answer_->size() > 0 && Stream_->unsent() < MaxUnsentBytes) {
+    const std::string Data = Answer_->take();
+    if (Answer_)
+      Stream_->write(AnswerChunked_ ? http::encodeChunk(Data) : Data);
+  }
+  if (!Answer_)
+    return;
+  if (Answer_->hasFailed()) {
+    // Without the last chunk or the full length it does not look complete.
+    close();
+    return;
+  }
+  if (Answer_->isDone())
+    finishAnswer();
+}
+
+void Connection::finishAnswer() {
+  if (AnswerChunked_)
+    Stream_->write(http::LastChunk);
+  Answer_->OnChange = nullptr;
+  Answer_ = nullptr;
+  Request_->body()->OnRoom = nullptr;
+  Request_->onGone(nullptr);
+  Request_ = nullptr;
+  --Server_.InProgress;
+  if (!KeepAlive_ || !Decoder_.isComplete()) {
+    Server_.Loop.cancel(Timer_);
+    Stream_->closeGently();
+    Server_.Connections.erase(shared_from_this());
+    return;
+  }
+  nextRequest();
+}
+
+void Connection::nextRequest() {
+  setTimer(Promised_ + IdleMargin);
+  Stream_->pauseReading(false);
+  if (Stream_->input().empty())
+    return;
+  Server_.Loop.defer([Weak = weak_from_this()] {
+    const auto Self = Weak.lock();
+    if (Self && Self->Stream_->isOpen())
+      Self->onInput();
+  });
+}
+
+void Connection::refuse(int Status, const std::string &Text) {
+  BOOST_LOG_TRIVIAL(info) << "http: request refused with " << Status << ": "
+                          << Text;
+  HTTPResponse Head(static_cast<HTTPResponse::HTTPStatus>(Status));
+  Head.setContentLength64(static_cast<std::int64_t>(Text.size()));
+  Head.setVersion(HTTPMessage::HTTP_1_1);
+  Head.set(HTTPMessage::CONNECTION, HTTPMessage::CONNECTION_CLOSE);
+  Stream_->write(http::serialize(Head) + Text);
+  Server_.Loop.cancel(Timer_);
+  Stream_->closeGently();
+  Server_.Connections.erase(shared_from_this());
+}
+
+} // namespace
+
+struct HttpServer::Impl {
+  ServerState State;
+  std::unique_ptr<reactor::TcpListener> Listener;
+};
+
+ServerRequest::ServerRequest() : Impl_(std::make_unique<Impl>()) {}
+
+ServerRequest::~ServerRequest() = default;
+
+const HTTPRequest &ServerRequest::head() const { return Impl_->Head; }
+
+const http::Framing &ServerRequest::framing() const { return Impl_->Body; }
+
+const BodyPipePtr &ServerRequest::body() const { return Impl_->Pipe; }
+
+bool ServerRequest::isGone() const { return Impl_->Gone; }
+
+bool ServerRequest::isAnswered() const { return Impl_->Answered; }
+
+void ServerRequest::onGone(std::function<void()> Callback) {
+  Impl_->OnGone = std::move(Callback);
+}
+
+void ServerRequest::sendContinue() {
+  const auto From = Impl_->From.lock();
+  if (From && !Impl_->Gone && !Impl_->Answered)
+    From->sendContinue();
+}
+
+void ServerRequest::answer(HTTPResponse &Head, const BodyPipePtr &Body,
+                           std::int64_t KnownLength) {
+  const auto From = Impl_->From.lock();
+  if (!From || Impl_->Gone || Impl_->Answered)
+    return;
+  Impl_->Answered = true;
+  From->answer(Head, Body, KnownLength);
+}
+
+void ServerRequest::answer(int Status, const std::string &Body,
+                           const std::string &ContentType) {
+  HTTPResponse Head(static_cast<HTTPResponse::HTTPStatus>(Status));
+  Head.setContentType(ContentType);
+  answer(Head, BodyPipe::complete(Body));
+}
+
+void ServerRequest::abort() {
+  const auto From = Impl_->From.lock();
+  if (From && !Impl_->Gone)
+    From->abort();
+}
+
+HttpServer::HttpServer(EventLoop &Loop, const Endpoint &At,
+                       HttpServerOptions Options)
+    : Impl_(new Impl{{Loop, std::move(Options), {}, 0, false}, nullptr}) {
+  Impl_->Listener = std::make_unique<reactor::TcpListener>(
+      Loop, At, [Used = &Impl_->State](std::shared_ptr<TcpStream> Stream) {
+        const auto Made =
+            std::make_shared<Connection>(*Used, std::move(Stream));
+        Used->Connections.insert(Made);
+        Made->start();
+      });
+}
+
+HttpServer::~HttpServer() {
+  const auto Copy = Impl_->State.Connections;
+  for (const auto &Item : Copy)
+    Item->close();
+}
+
+std::size_t HttpServer::inProgress() const { return Impl_->State.InProgress; }
+
+void HttpServer::announceClose() { Impl_->State.Closing = true; }
+
+void HttpServer::closeIdle() {
+  const auto Copy = Impl_->State.Connections;
+  for (const auto &Item : Copy)
+    if (Item->isIdle())
+      Item->close();
+}
+
+} // namespace lycheethread::sidecar
--- /dev/null
+++ b/src/sidecar/internal/NodeContext.h
@@ -0,0 +1,50 @@
+#ifndef LYCHEETHREAD_SIDECAR_INTERNAL_NODECONTEXT_H
+#define LYCHEETHREAD_SIDECAR_INTERNAL_NODECONTEXT_H
+
+#include "metrics/Metrics.h"
+#include "reactor/Reactor.h"
+#include "settings/Settings.h"
+#include "sidecar/internal/EventLog.h"
+#include "sidecar/types/OperatorRecords.h"
+#include "sidecar/types/PlatformPort.h"
+
+#include <random>
+
+namespace lycheethread::sidecar {
+
+/// State that several parts of a node share. All of them run in one thread.
+struct NodeContext {
+  reactor::EventLoop &Loop;
+  const PlatformPort &Platform;
+  settings::SidecarSettings Settings;
+  MeshBounds Bounds;
+
+  /// Null until a configuration is known.
+  mesh::MeshConfigPtr Config;
+  OperatorRecords Records;
+  /// When the store last confirmed, to this or another node, that Records was
+  /// complete; zero before.
+  SteadyTime ConfirmedAt;
+
+  mesh::Fleet Fleet;
+  mesh::Registration Registered;
+  requests::SuspectTable Suspects;
+  /// Crashes at the upstream beside this node, newest last.
+  std::vector<mesh::CrashNews> OwnCrashes;
+
+  /// Callers may send to this node.
+  bool Ready = false;
+  /// Requests are served; unlike Ready, also while the node stops.
+  bool Serving = false;
+  bool Stopping = false;
+
+  std::shared_ptr<metrics::RequestRecorder> Metrics;
+  EventLog Log;
+  std::mt19937_64 Random{std::random_device{}()};
+
+  SteadyTime now() const { return Loop.now(); }
+};
+
+} // namespace lycheethread::sidecar
+
+#endif // LYCHEETHREAD_SIDECAR_INTERNAL_NODECONTEXT_H
--- /dev/null
+++ b/src/sidecar/internal/OperatorFeed.cpp
@@ -0,0 +1,304 @@
+#include "sidecar/internal/OperatorFeed.h"
+#include "sidecar/internal/NewsCodec.h"
+
+#include <Poco/Net/HTTPRequest.h>
+
+#include <algorithm>
+
+namespace lycheethread::sidecar {
+
+namespace {
+
+using Poco::Net::HTTPMessage;
+using Poco::Net::HTTPRequest;
+
+/// How long a read waits for a record. Each end without one confirms that
+/// nothing was added.
+constexpr Milliseconds PollWait{1000};
+/// How often a node that does not read looks whether it should.
+constexpr Milliseconds WatchInterval{100};
+/// Pause after a failed call, doubled each time, with jitter.
+constexpr Milliseconds FirstPause{100};
+constexpr Milliseconds LongestPause{1000};
+constexpr Milliseconds PullTimeout{700};
+constexpr Milliseconds ConnectTimeout{250};
+/// A node that has waited this long for the store takes what its peers hold.
+constexpr Milliseconds PatienceForStore{1200};
+/// How often the first reader looks for nodes that nobody knows yet.
+constexpr Milliseconds MembersInterval{5000};
+
+} // namespace
+
+OperatorFeed::OperatorFeed(NodeContext &Context, StoreClient &Store,
+                           Callbacks Used)
+    : Context_(Context), Store_(Store), Used_(std::move(Used)),
+      Pool_(Context.Loop), StartedAt_(Context.now()) {
+  start();
+}
+
+OperatorFeed::~OperatorFeed() {
+  Context_.Loop.cancel(Timer_);
+  Context_.Loop.cancel(PullTimer_);
+}
+
+void OperatorFeed::start() {
+  loadMembers();
+  loadStatus();
+  reload();
+}
+
+void OperatorFeed::loadStatus() {
+  Store_.readNewest(StoreTopic::Status, [this](const StoreRead &Read) {
+    if (Read.Outcome != StoreOutcome::Done) {
+      Context_.Loop.runAfter(nextPause(), [this] { loadStatus(); });
+      return;
+    }
+    StatusKnown_ = true;
+    Used_.OnStatus(Read.Items);
+  });
+}
+
+void OperatorFeed::loadMembers() {
+  MembersAt_ = Context_.now();
+  Store_.readNewest(StoreTopic::Members, [this](const StoreRead &Read) {
+    if (Read.Outcome == StoreOutcome::Done)
+      Used_.OnMembers(Read.Items);
+    else if (Context_.Fleet.Nodes.empty())
+      Context_.Loop.runAfter(nextPause(), [this] { loadMembers(); });
+  });
+}
+
+Milliseconds OperatorFeed::nextPause() {
+  Pause_ = Pause_ == Milliseconds(0) ? FirstPause
+                                     : std::min(LongestPause, Pause_ * 2);
+  std::uniform_int_distribution<std::int64_t> Jitter(Pause_.count() / 2,
+                                                     Pause_.count());
+  return Milliseconds(Jitter(Context_.Random));
+}
+
+void OperatorFeed::waitAndWatch(Milliseconds Pause) {
+  Context_.Loop.cancel(Timer_);
+  Timer_ = Context_.Loop.runAfter(Pause, [this] { watch(); });
+}
+
+void OperatorFeed::watch() {
+  const SteadyTime Now = Context_.now();
+  const std::size_t Rank = mesh::rankOf(Context_.Fleet, "store", Now);
+  const Milliseconds Age = Context_.ConfirmedAt == SteadyTime()
+                               ? Milliseconds::max()
+                               : elapsed(Context_.ConfirmedAt, Now);
+  if (Rank == 0 && elapsed(MembersAt_, Now) > MembersInterval)
+    loadMembers();
+  if (!mesh::shouldReadStore(Rank, Age)) {
+    waitAndWatch(WatchInterval);
+    return;
+  }
+  if (ReadOnce_)
+    poll();
+  else
+    reload();
+}
+
+void OperatorFeed::poll() {
+  if (Busy_)
+    return;
+  Busy_ = true;
+  Store_.read(StoreTopic::Operator, Context_.Records.Position, PollWait,
+              [this](const StoreRead &Read) {
+                Busy_ = false;
+                onPolled(Read);
+              });
+}
+
+void OperatorFeed::onPolled(const StoreRead &Read) {
+  if (Read.Outcome == StoreOutcome::Trimmed) {
+    reload();
+    return;
+  }
+  if (Read.Outcome != StoreOutcome::Done) {
+    waitAndWatch(nextPause());
+    return;
+  }
+  Pause_ = Milliseconds(0);
+  OperatorRecords New;
+  for (const StoreItem &Item : Read.Items) {
+    New.Items[Item.Key] = {Item.Value, Item.At};
+    New.Position = Item.At.next();
+  }
+  const Offset Before = Context_.Records.Position;
+  take(New, "store");
+  if (Context_.Records.Position >= Read.End)
+    Context_.ConfirmedAt = Context_.now();
+  if (Before != Context_.Records.Position)
+    Used_.OnRead();
+  waitAndWatch(Milliseconds(0));
+}
+
+void OperatorFeed::reload() {
+  if (Busy_)
+    return;
+  Busy_ = true;
+  Store_.readNewest(StoreTopic::Operator, [this](const StoreRead &Read) {
+    Busy_ = false;
+    if (Read.Outcome != StoreOutcome::Done) {
+      waitAndWatch(nextPause());
+      return;
+    }
+    Pause_ = Milliseconds(0);
+    ReadOnce_ = true;
+    OperatorRecords New;
+    New.Position = Read.End;
+    for (const StoreItem &Item : Read.Items)
+      New.Items[Item.Key] = {Item.Value, Item.At};
+    take(New, "store");
+    Context_.ConfirmedAt = Context_.now();
+    Used_.OnRead();
+    waitAndWatch(Milliseconds(0));
+  });
+}
+
+void OperatorFeed::take(const OperatorRecords &From, const char *Source) {
+  const std::size_t Before = Context_.Records.Items.size();
+  const Offset PositionBefore = Context_.Records.Position;
+  if (!mergeRecords(Context_.Records, From))
+    return;
+  Context_.Log.write(
+      LogClass::State, Context_.now(), "records-taken",
+      {{"source", Source},
+       {"from", std::to_string(PositionBefore.value())},
+       {"position", std::to_string(Context_.Records.Position.value())},
+       {"keys_before", std::to_string(Before)},
+       {"keys", std::to_string(Context_.Records.Items.size())}});
+  applyConfig();
+  Used_.OnRecords();
+}
+
+void OperatorFeed::applyConfig() {
+  const OperatorFormat &Format = Context_.Platform.Operator;
+  const auto Found = Context_.Records.Items.find(Format.ConfigKey);
+  if (Found == Context_.Records.Items.end())
+    return;
+  try {
+    auto Read =
+        std::make_shared<mesh::MeshConfig>(Format.Config(Found->second.Value));
+    if (Context_.Config && Read->Version <= Context_.Config->Version)
+      return;
+    Context_.Config = Read;
+    Context_.Log.write(
+        LogClass::State, Context_.now(), "config-in-force",
+        {{"version", std::to_string(Read->Version.value())},
+         {"offset", std::to_string(Found->second.At.value())},
+         {"hosts", std::to_string(Read->Hosts.size())},
+         {"services", std::to_string(Read->Services.size())}});
+  } catch (const std::exception &Error) {
+    Context_.Log.write(LogClass::State, Context_.now(), "config-unreadable",
+                       {{"offset", std::to_string(Found->second.At.value())},
+                        {"problem", Error.what()}});
+  }
+}
+
+void OperatorFeed::onNews() {
+  const SteadyTime Now = Context_.now();
+  bool Behind = false;
+  for (const auto &[Id, Known] : Context_.Fleet.Nodes) {
+    const mesh::NodeNews &News = Known.News;
+    if (!mesh::isAlive(Known, Now))
+      continue;
+    if (News.OperatorPosition > Context_.Records.Position)
+      Behind = true;
+    if (News.OperatorPosition != Context_.Records.Position ||
+        News.OperatorPosition == Offset())
+      continue;
+    const SteadyTime Confirmed(Known.HeardAt.value() -
+                               News.ConfirmedAge.count());
+    Context_.ConfirmedAt = std::max(Context_.ConfirmedAt, Confirmed);
+  }
+  if (Behind)
+    pull();
+}
+
+void OperatorFeed::pull() {
+  if (Pulling_)
+    return;
+  const mesh::NodeNews *Best = nullptr;
+  for (const auto &[Id, Known] : Context_.Fleet.Nodes) {
+    if (!mesh::isAlive(Known, Context_.now()) ||
+        Known.News.OperatorPosition <= Context_.Records.Position)
+      continue;
+    const auto Distance = [&](const mesh::NodeNews &News) {
+      return mesh::tierOf(Context_.Settings.At, Context_.Settings.Id, News);
+    };
+    const bool IsBetter =
+        Best == nullptr || Known.News.OperatorPosition > Best->OperatorPosition ||
+        (Known.News.OperatorPosition == Best->OperatorPosition &&
+         Distance(Known.News) < Distance(*Best));
+    if (IsBetter)
+      Best = &Known.News;
+  }
+  if (Best == nullptr)
+    return;
+  const Endpoint From = Best->Hop;
+  HTTPRequest Head(HTTPRequest::HTTP_GET,
+                   "/records?from=" +
+                       std::to_string(Context_.Records.Position.value()),
+                   HTTPMessage::HTTP_1_1);
+  Head.set(HTTPRequest::HOST, settings::toString(From));
+  Pulling_ = ClientConnection::open(Context_.Loop, From, ConnectTimeout);
+  const auto End = [this] {
+    Context_.Loop.cancel(PullTimer_);
+    const ClientConnectionPtr Used = std::move(Pulling_);
+    Pulling_ = nullptr;
+    if (!Used)
+      return;
+    Used->close();
+    // Kept until its own callback has returned.
+    Context_.Loop.defer([Used] {});
+  };
+  auto Body = std::make_shared<std::string>();
+  ClientCallbacks Callbacks;
+  Callbacks.OnAnswer = [Body](const ClientAnswer &Answer) {
+    *Body += Answer.Body->take();
+    Answer.Body->OnChange = [Body,
+                             Weak = std::weak_ptr<BodyPipe>(Answer.Body)] {
+      if (const auto More = Weak.lock())
+        *Body += More->take();
+    };
+  };
+  Callbacks.OnComplete = [this, Body, End] {
+    End();
+    const auto Records = decodeRecords(*Body);
+    if (Records)
+      take(*Records, "peer");
+    else
+      Context_.Log.write(LogClass::State, Context_.now(), "records-unreadable",
+                         {{"bytes", std::to_string(Body->size())}});
+  };
+  Callbacks.OnFailure = [End](ClientFailure) { End(); };
+  PullTimer_ = Context_.Loop.runAfter(PullTimeout, End);
+  ClientRequest Request;
+  Request.Method = HTTPRequest::HTTP_GET;
+  Request.Head = http::serialize(Head);
+  Pulling_->start(std::move(Request), std::move(Callbacks));
+}
+
+bool OperatorFeed::isCurrent() const {
+  if (!Context_.Config)
+    return false;
+  if (ReadOnce_ && StatusKnown_)
+    return true;
+  if (elapsed(StartedAt_, Context_.now()) < PatienceForStore)
+    return false;
+  // Without the store, what the peers hold is the newest that any caller can
+  // have been served by.
+  bool HasPeer = false;
+  for (const auto &[Id, Known] : Context_.Fleet.Nodes) {
+    if (!mesh::isAlive(Known, Context_.now()))
+      continue;
+    HasPeer = true;
+    if (Known.News.OperatorPosition > Context_.Records.Position)
+      return false;
+  }
+  return HasPeer || ReadOnce_;
+}
+
+} // namespace lycheethread::sidecar
--- /dev/null
+++ b/src/sidecar/internal/RemoteHop.cpp
@@ -0,0 +1,183 @@
+#include "sidecar/internal/RemoteHop.h"
+#include "sidecar/internal/HopHeaders.h"
+
+#include <algorithm>
+
+namespace lycheethread::sidecar {
+
+namespace {
+
+using Poco::Net::HTTPMessage;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+/// A few round trips between regions; an instance without power does not
+/// answer at all.
+constexpr Milliseconds ConnectTimeout{250};
+/// Nodes state the idle time that they keep; this only bounds the choice.
+constexpr Milliseconds MaxIdle{60000};
+/// A body above this waits for the slot before it crosses a link.
+constexpr std::int64_t MaxUnaskedBytes = 32 * 1024;
+/// The last hop's own verdict at the deadline is more precise.
+constexpr Milliseconds DeadlineGrace{200};
+
+} // namespace
+
+struct RemoteHop::Running {
+  mesh::JobId Id;
+  Endpoint To;
+  HopJob Job;
+  ClientConnectionPtr Connection;
+  bool Reported = false;
+  bool Ended = false;
+  reactor::TimerId Timer;
+};
+
+RemoteHop::RemoteHop(NodeContext &Context)
+    : Context_(Context), Pool_(Context.Loop) {}
+
+mesh::JobId RemoteHop::submit(const Endpoint &To, HopJob Job) {
+  const auto Item = std::make_shared<Running>();
+  Item->Id = LastJob_ = LastJob_.next();
+  Item->To = To;
+  Item->Job = std::move(Job);
+  Jobs_.emplace(Item->Id.value(), Item);
+  Item->Connection = Pool_.take(To, MaxIdle);
+  if (Item->Connection) {
+    send(Item);
+    return Item->Id;
+  }
+  Item->Connection = ClientConnection::open(Context_.Loop, To, ConnectTimeout);
+  const std::weak_ptr<Running> Weak = Item;
+  Item->Connection->OnConnected = [this, Weak] {
+    const auto Found = Weak.lock();
+    if (!Found || Found->Ended)
+      return;
+    Found->Connection->OnIdleEnd = nullptr;
+    send(Found);
+  };
+  Item->Connection->OnIdleEnd = [this, Weak] {
+    const auto Found = Weak.lock();
+    if (!Found || Found->Ended)
+      return;
+    HopOutcome Outcome;
+    Outcome.End = HopEnd::NotRun;
+    Outcome.Reason = RefusalReason::NoUpstream;
+    finish(Found, std::move(Outcome));
+  };
+  return Item->Id;
+}
+
+void RemoteHop::send(const RunningPtr &Item) {
+  const HopJob &Job = Item->Job;
+  HTTPRequest Head(Job.Head.getMethod(), Job.Head.getURI(),
+                   HTTPMessage::HTTP_1_1);
+  http::copyEndToEnd(Job.Head, Head);
+  Head.set(HopInfoName, encodeInfo(Job.Info, Context_.now()));
+  http::Framing Body = Job.Framing;
+  if (Body.Kind == http::FramingKind::Chunked && Job.Body->isEnded())
+    Body = {http::FramingKind::Fixed,
+            static_cast<std::int64_t>(Job.Body->size())};
+  http::setFraming(Head, Body);
+  ClientRequest Request;
+  Request.Method = Head.getMethod();
+  Request.Chunked = Body.Kind == http::FramingKind::Chunked;
+  Request.ExpectContinue =
+      Request.Chunked || (Body.Kind == http::FramingKind::Fixed &&
+                          Body.Length > MaxUnaskedBytes);
+  if (Request.ExpectContinue)
+    Head.set("Expect", "100-continue");
+  Request.Head = http::serialize(Head);
+  if (Body.Kind != http::FramingKind::None)
+    Request.Body = Job.Body;
+
+  const std::weak_ptr<Running> Weak = Item;
+  const Milliseconds Left =
+      elapsed(Context_.now(), Job.Info.DeadlineAt) + DeadlineGrace;
+  Item->Timer = Context_.Loop.runAfter(
+      std::max(Left, Milliseconds(0)), [this, Weak] {
+        const auto Found = Weak.lock();
+        if (!Found || Found->Ended)
+          return;
+        Found->Connection->close();
+        HopOutcome Outcome;
+        Outcome.End = HopEnd::Failed;
+        Outcome.Reason = RefusalReason::UpstreamTimeout;
+        finish(Found, std::move(Outcome));
+      });
+  ClientCallbacks Callbacks;
+  Callbacks.OnContinue = [Weak] {
+    const auto Found = Weak.lock();
+    if (Found && Found->Job.OnGranted)
+      Found->Job.OnGranted();
+  };
+  Callbacks.OnAnswer = [this, Weak](ClientAnswer Answer) {
+    const auto Found = Weak.lock();
+    if (!Found || Found->Reported)
+      return;
+    const auto Load = decodeLoad(Answer.Head.get(HopLoadName, ""));
+    HopOutcome Outcome;
+    if (Answer.Head.has(HopRefusalName)) {
+      Outcome.End = HopEnd::Failed;
+      Outcome.Reason = RefusalReason::UpstreamFailed;
+      if (const auto Refusal = decodeRefusal(Answer.Head.get(HopRefusalName)))
+        Outcome = *Refusal;
+    } else {
+      Outcome.End = HopEnd::Answered;
+      Outcome.Reached = true;
+      Answer.Head.erase(HopLoadName);
+      Outcome.Answer = std::move(Answer);
+    }
+    Outcome.Load = Load;
+    Found->Reported = true;
+    const auto Callback = std::move(Found->Job.OnEnd);
+    Callback(std::move(Outcome));
+  };
+  Callbacks.OnFailure = [this, Weak](ClientFailure) {
+    const auto Found = Weak.lock();
+    if (!Found)
+      return;
+    HopOutcome Outcome;
+    Outcome.End = HopEnd::Failed;
+    Outcome.Reason = RefusalReason::UpstreamFailed;
+    finish(Found, std::move(Outcome));
+  };
+  Callbacks.OnComplete = [this, Weak] {
+    if (const auto Found = Weak.lock())
+      release(Found);
+  };
+  Item->Connection->start(std::move(Request), std::move(Callbacks));
+}
+
+void RemoteHop::finish(const RunningPtr &Item, HopOutcome Outcome) {
+  const bool Report = !Item->Reported;
+  Item->Reported = true;
+  const auto Callback = std::move(Item->Job.OnEnd);
+  release(Item);
+  if (Report && Callback)
+    Callback(std::move(Outcome));
+}
+
+void RemoteHop::release(const RunningPtr &Item) {
+  if (Item->Ended)
+    return;
+  Item->Ended = true;
+  Context_.Loop.cancel(Item->Timer);
+  Jobs_.erase(Item->Id.value());
+  Item->Connection->OnConnected = nullptr;
+  Item->Connection->OnIdleEnd = nullptr;
+  Pool_.give(Item->Connection);
+}
+
+void RemoteHop::cancel(mesh::JobId Id) {
+  const auto Found = Jobs_.find(Id.value());
+  if (Found == Jobs_.end())
+    return;
+  const RunningPtr Item = Found->second;
+  Item->Reported = true;
+  Item->Job.OnEnd = nullptr;
+  Item->Connection->close();
+  release(Item);
+}
+
+} // namespace lycheethread::sidecar
