--- /dev/null
+++ b/src/sidecar/internal/Rollouts.cpp
@@ -0,0 +1,314 @@
+#include "sidecar/internal/Rollouts.h"
+#include "sidecar/internal/StoreClient.h"
+
+#include <algorithm>
+
+namespace lycheethread::sidecar {
+
+namespace {
+
+using mesh::Candidate;
+using mesh::RolloutState;
+
+constexpr Milliseconds TickInterval{100};
+/// Time after which the next node in order records a result that the one
+/// before it has not recorded.
+constexpr Milliseconds RecordDelayPerRank{800};
+constexpr Milliseconds RecordRetry{700};
+constexpr std::int64_t WholeShare = 1000;
+
+bool isEnd(RolloutState State) { return State != RolloutState::Running; }
+
+std::vector<Candidate> onlyVersion(const std::vector<Candidate> &From,
+                                   const VersionName &Version, bool Wanted) {
+  std::vector<Candidate> Kept;
+  std::copy_if(From.begin(), From.end(), std::back_inserter(Kept),
+               [&](const Candidate &Item) {
+                 return (Item.Version == Version) == Wanted;
+               });
+  return Kept;
+}
+
+const char *nameOf(RolloutState State) {
+  switch (State) {
+  case RolloutState::Completed:
+    return "completed";
+  case RolloutState::RolledBack:
+    return "rolled-back";
+  case RolloutState::Running:
+    break;
+  }
+  return "running";
+}
+
+} // namespace
+
+Rollouts::Rollouts(
+    NodeContext &Context, StoreClient &Store,
+    std::function<std::vector<mesh::RouteEvidence>()> OwnEvidence,
+    std::function<mesh::LoadNews()> OwnLoad)
+    : Context_(Context), Store_(Store), OwnEvidence_(std::move(OwnEvidence)),
+      OwnLoad_(std::move(OwnLoad)) {
+  tick();
+}
+
+Rollouts::~Rollouts() { Context_.Loop.cancel(Timer_); }
+
+void Rollouts::onRecordsChanged() {
+  for (const auto &[Key, Record] : Context_.Records.Items) {
+    std::optional<mesh::RolloutOrder> Order;
+    try {
+      Order =
+          Context_.Platform.Operator.Rollout({Key, Record.Value, Record.At});
+    } catch (const std::exception &Error) {
+      Context_.Log.write(LogClass::State, Context_.now(), "order-unreadable",
+                         {{"key", Key}, {"problem", Error.what()}});
+      continue;
+    }
+    if (!Order)
+      continue;
+    Item &Current = Items_[Order->Service];
+    if (Current.Order.At == Order->At && !Current.Order.Service.empty())
+      continue;
+    Current = {};
+    Current.Order = *Order;
+    Current.SeenAt = Context_.now();
+    Context_.Log.write(
+        LogClass::State, Context_.now(), "rollout-ordered",
+        {{"service", Order->Service.str()},
+         {"version", Order->Target.str()},
+         {"order", std::to_string(Order->At.value())},
+         {"duration_ms", std::to_string(Order->Duration.count())}});
+    const auto Known =
+        Status_.find(Context_.Platform.Operator.StatusKey(Order->Service));
+    if (Known == Status_.end())
+      continue;
+    const auto State =
+        Context_.Platform.Operator.StatusOf(*Order, Known->second);
+    Current.RunningRecorded = State.has_value();
+    if (State && isEnd(*State))
+      settle(Current, *State, "store");
+  }
+}
+
+void Rollouts::onStatus(const std::vector<StoreItem> &Items) {
+  for (const StoreItem &Read : Items) {
+    Status_[Read.Key] = Read.Value;
+    for (auto &[Service, Current] : Items_) {
+      if (Context_.Platform.Operator.StatusKey(Service) != Read.Key)
+        continue;
+      const auto State =
+          Context_.Platform.Operator.StatusOf(Current.Order, Read.Value);
+      Current.RunningRecorded = Current.RunningRecorded || State.has_value();
+      if (State && isEnd(*State))
+        settle(Current, *State, "store");
+    }
+  }
+}
+
+std::optional<Offset> Rollouts::activeOrder(const ServiceName &Service) const {
+  const auto Found = Items_.find(Service);
+  if (Found == Items_.end() || isEnd(Found->second.State))
+    return std::nullopt;
+  return Found->second.Order.At;
+}
+
+std::vector<Candidate> Rollouts::select(const ServiceName &Service,
+                                        RequestClass Class,
+                                        std::vector<Candidate> From) {
+  const auto Found = Items_.find(Service);
+  if (Found == Items_.end() || From.empty())
+    return From;
+  Item &Current = Found->second;
+  const VersionName &Target = Current.Order.Target;
+  std::vector<Candidate> Old = onlyVersion(From, Target, false);
+  if (Current.State == RolloutState::RolledBack || Current.Condemned)
+    return Old;
+  std::vector<Candidate> New = onlyVersion(From, Target, true);
+  if (Current.State == RolloutState::Completed)
+    return New.empty() ? Old : New;
+  if (New.empty())
+    return Old;
+  const bool Repeatable = Class == RequestClass::Repeatable;
+  const Permille Share =
+      Repeatable ? Current.Decision.Repeatable : Current.Decision.Guarded;
+  std::int64_t &Credit = Current.Credit[Repeatable ? 0 : 1];
+  Credit += Share.value();
+  const bool TakesNew = Credit >= WholeShare;
+  if (TakesNew)
+    Credit -= WholeShare;
+  if (!TakesNew)
+    return Old.empty() && Share.value() > 0 ? New : Old;
+  if (Current.Decision.Focus) {
+    const auto First = std::min_element(
+        New.begin(), New.end(), [](const Candidate &L, const Candidate &R) {
+          return L.Instance < R.Instance;
+        });
+    return {*First};
+  }
+  return New;
+}
+
+std::vector<mesh::RolloutNews> Rollouts::news() const {
+  std::vector<mesh::RolloutNews> All;
+  for (const auto &[Service, Current] : Items_)
+    All.push_back({Current.Order.At, elapsed(Current.SeenAt, Context_.now()),
+                   Current.Condemned, Current.State});
+  return All;
+}
+
+void Rollouts::tick() {
+  for (auto &[Service, Current] : Items_)
+    update(Current);
+  Timer_ = Context_.Loop.runAfter(TickInterval, [this] { tick(); });
+}
+
+void Rollouts::update(Item &Current) {
+  const SteadyTime Now = Context_.now();
+  for (const auto &[Id, Known] : Context_.Fleet.Nodes)
+    for (const mesh::RolloutNews &Told : Known.News.Rollouts) {
+      if (Told.Order != Current.Order.At)
+        continue;
+      // The order counts from when the first node saw it.
+      const SteadyTime FirstSeen(Known.HeardAt.value() - Told.Age.count());
+      Current.SeenAt = std::min(Current.SeenAt, FirstSeen);
+      Current.Condemned = Current.Condemned || Told.Condemned;
+      if (isEnd(Told.State) && !isEnd(Current.State))
+        settle(Current, Told.State, Id.str().c_str());
+    }
+  if (isEnd(Current.State))
+    return;
+  const mesh::RolloutDecision Decided = mesh::decideRollout(viewOf(Current));
+  const bool Changed =
+      Decided.Repeatable != Current.Decision.Repeatable ||
+      Decided.Condemned != Current.Decision.Condemned;
+  Current.Decision = Decided;
+  Current.Condemned = Current.Condemned || Decided.Condemned;
+  if (Changed)
+    Context_.Log.write(
+        LogClass::State, Now, "rollout-share",
+        {{"service", Current.Order.Service.str()},
+         {"version", Current.Order.Target.str()},
+         {"permille", std::to_string(Decided.Repeatable.value())},
+         {"condemned", Decided.Condemned ? "yes" : "no"},
+         {"reason", Decided.Reason},
+         {"age_ms", std::to_string(elapsed(Current.SeenAt, Now).count())}});
+  if (!Current.RunningRecorded || Decided.End)
+    record(Current);
+}
+
+void Rollouts::addNode(mesh::RolloutView &View, const Item &Current,
+                       const mesh::NodeNews &News) const {
+  if (News.Own.Service != Current.Order.Service)
+    return;
+  const bool IsNew = News.Own.Version == Current.Order.Target;
+  const bool IsReady =
+      News.Own.State == mesh::UpstreamState::Ready && !News.Stopping;
+  if (IsReady)
+    ++(IsNew ? View.ReadyNew : View.ReadyOld);
+  if (!IsNew)
+    View.OldBusy += News.Load.Running + News.Load.Waiting;
+  for (const mesh::RouteEvidence &Seen : News.Evidence) {
+    if (Seen.Order != Current.Order.At)
+      continue;
+    mesh::RouteTotals &Totals = View.Routes[Seen.Route];
+    mesh::VersionTotals &Into = IsNew ? Totals.New : Totals.Old;
+    Into.Good += Seen.Good;
+    Into.Bad += Seen.Bad;
+    Into.TotalTime += Seen.TotalTime;
+  }
+}
+
+mesh::RolloutView Rollouts::viewOf(const Item &Current) const {
+  mesh::RolloutView View;
+  View.Duration = Current.Order.Duration;
+  View.Age = elapsed(Current.SeenAt, Context_.now());
+  View.Condemned = Current.Condemned;
+  mesh::NodeNews Own;
+  Own.Own = Context_.Registered.Now;
+  Own.Load = OwnLoad_();
+  Own.Evidence = OwnEvidence_();
+  addNode(View, Current, Own);
+  for (const auto &[Id, Known] : Context_.Fleet.Nodes)
+    if (mesh::isAlive(Known, Context_.now()))
+      addNode(View, Current, Known.News);
+  return View;
+}
+
+// The store settles who records an end: the record is appended only when
+// nothing was added since its topic was read, and the first end counts.
+void Rollouts::record(Item &Current) {
+  const SteadyTime Now = Context_.now();
+  if (Current.Writing || Now < Current.NextWrite || Context_.Stopping)
+    return;
+  const std::size_t Rank =
+      mesh::rankOf(Context_.Fleet, Current.Order.Service.str(), Now);
+  if (Current.NextWrite == SteadyTime() && Rank > 0) {
+    Current.NextWrite =
+        after(Now, RecordDelayPerRank * static_cast<std::int64_t>(Rank));
+    return;
+  }
+  Current.Writing = true;
+  const ServiceName Service = Current.Order.Service;
+  const Offset Order = Current.Order.At;
+  Store_.readNewest(StoreTopic::Status, [this, Service,
+                                         Order](const StoreRead &Read) {
+    const auto Found = Items_.find(Service);
+    if (Found == Items_.end() || Found->second.Order.At != Order)
+      return;
+    Item &Same = Found->second;
+    Same.Writing = false;
+    Same.NextWrite = after(Context_.now(), RecordRetry);
+    if (Read.Outcome != StoreOutcome::Done)
+      return;
+    onStatus(Read.Items);
+    if (isEnd(Same.State))
+      return;
+    const RolloutState State = Same.Decision.End.value_or(RolloutState::Running);
+    if (!isEnd(State) && Same.RunningRecorded)
+      return;
+    Same.Writing = true;
+    append(Service, Order, State, Read.End);
+  });
+}
+
+void Rollouts::append(const ServiceName &Service, Offset Order,
+                      RolloutState State, Offset At) {
+  const OperatorFormat &Format = Context_.Platform.Operator;
+  const Item &Current = Items_[Service];
+  Store_.append(StoreTopic::Status, Format.StatusKey(Service),
+                Format.Status(Current.Order, State), At,
+                [this, Service, Order, State](const StoreAppend &Written) {
+                  const auto Found = Items_.find(Service);
+                  if (Found == Items_.end() || Found->second.Order.At != Order)
+                    return;
+                  Item &Same = Found->second;
+                  Same.Writing = false;
+                  Same.NextWrite = after(Context_.now(), RecordRetry);
+                  // After a conflict or a lost answer the topic is read again.
+                  if (Written.Outcome != StoreOutcome::Done)
+                    return;
+                  Same.RunningRecorded = true;
+                  if (isEnd(State))
+                    settle(Same, State, "own record");
+                });
+}
+
+void Rollouts::settle(Item &Current, RolloutState State, const char *Source) {
+  if (isEnd(Current.State))
+    return;
+  Current.State = State;
+  if (State == RolloutState::RolledBack)
+    Current.Condemned = true;
+  Context_.Log.write(
+      LogClass::State, Context_.now(), "rollout-ended",
+      {{"service", Current.Order.Service.str()},
+       {"version", Current.Order.Target.str()},
+       {"state", nameOf(State)},
+       {"source", Source},
+       {"reason", Current.Decision.Reason},
+       {"age_ms",
+        std::to_string(elapsed(Current.SeenAt, Context_.now()).count())}});
+}
+
+} // namespace lycheethread::sidecar
--- /dev/null
+++ b/src/sidecar/internal/Rollouts.h
@@ -0,0 +1,70 @@
+#ifndef LYCHEETHREAD_SIDECAR_INTERNAL_ROLLOUTS_H
+#define LYCHEETHREAD_SIDECAR_INTERNAL_ROLLOUTS_H
+
+#include "sidecar/internal/NodeContext.h"
+
+namespace lycheethread::sidecar {
+
+class StoreClient;
+
+/// Follows the operator's rollout orders: divides requests between versions
+/// and, on the node whose turn it is, records the progress in the store.
+class Rollouts {
+public:
+  Rollouts(NodeContext &Context, StoreClient &Store,
+           std::function<std::vector<mesh::RouteEvidence>()> OwnEvidence,
+           std::function<mesh::LoadNews()> OwnLoad);
+  ~Rollouts();
+
+  /// To be called after the operator's records have changed.
+  void onRecordsChanged();
+
+  /// Position of the running order of \p Service.
+  std::optional<Offset> activeOrder(const ServiceName &Service) const;
+
+  /// Keeps the candidates whose version may get the next request of \p Class.
+  std::vector<mesh::Candidate> select(const ServiceName &Service,
+                                      RequestClass Class,
+                                      std::vector<mesh::Candidate> From);
+
+  std::vector<mesh::RolloutNews> news() const;
+
+  /// Takes ends that the store has recorded, by status key.
+  void onStatus(const std::vector<StoreItem> &Items);
+
+private:
+  struct Item {
+    mesh::RolloutOrder Order;
+    SteadyTime SeenAt;
+    mesh::RolloutState State = mesh::RolloutState::Running;
+    mesh::RolloutDecision Decision;
+    bool Condemned = false;
+    /// Thousandths of a request that the new version is owed.
+    std::int64_t Credit[2] = {0, 0};
+    bool RunningRecorded = false;
+    bool Writing = false;
+    SteadyTime NextWrite;
+  };
+
+  void tick();
+  void update(Item &Current);
+  mesh::RolloutView viewOf(const Item &Current) const;
+  void addNode(mesh::RolloutView &View, const Item &Current,
+               const mesh::NodeNews &News) const;
+  void record(Item &Current);
+  void append(const ServiceName &Service, Offset Order,
+              mesh::RolloutState State, Offset At);
+  void settle(Item &Current, mesh::RolloutState State, const char *Source);
+
+  NodeContext &Context_;
+  StoreClient &Store_;
+  std::function<std::vector<mesh::RouteEvidence>()> OwnEvidence_;
+  std::function<mesh::LoadNews()> OwnLoad_;
+  std::map<ServiceName, Item> Items_;
+  std::map<std::string, std::string> Status_;
+  reactor::TimerId Timer_;
+};
+
+} // namespace lycheethread::sidecar
+
+#endif // LYCHEETHREAD_SIDECAR_INTERNAL_ROLLOUTS_H
--- /dev/null
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -0,0 +1,441 @@
+#include "sidecar/internal/SidecarNode.h"
+#include "sidecar/internal/CallerEntry.h"
+#include "sidecar/internal/Gossip.h"
+#include "sidecar/internal/HopServer.h"
+#include "sidecar/internal/OperatorFeed.h"
+#include "sidecar/internal/Signals.h"
+
+#include <boost/log/trivial.hpp>
+
+#include <fstream>
+#include <sstream>
+
+namespace lycheethread::sidecar {
+
+namespace {
+
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+/// Callers stop sending after two missed probes, one a second; until then the
+/// node serves on.
+constexpr Milliseconds CallersLeaveTime{2600};
+/// Kept free at the end of the grace time for closing down.
+constexpr Milliseconds ExitMargin{700};
+constexpr Milliseconds HousekeepingInterval{200};
+/// How often the settings file is looked at; it may change without a signal.
+constexpr Milliseconds SettingsInterval{1000};
+/// How often lines that the log left out are reported.
+constexpr Milliseconds DroppedInterval{5000};
+/// Limits for what other nodes and the platform send.
+constexpr std::size_t MaxInnerHeadBytes = 64 * 1024;
+constexpr std::int64_t MaxInnerBodyBytes = 1LL << 40;
+constexpr Milliseconds InnerHeadTimeout{3000};
+constexpr Milliseconds InnerIdleTimeout{20000};
+constexpr std::int64_t MaxCheckInBytes = 64 * 1024;
+
+std::string readText(const std::string &Path) {
+  std::ifstream In(Path);
+  if (!In)
+    throw std::runtime_error("cannot read " + Path);
+  std::ostringstream Text;
+  Text << In.rdbuf();
+  return Text.str();
+}
+
+settings::SidecarSettings parseOrThrow(const std::string &Path,
+                                       const std::string &Text) {
+  const settings::ParsedSidecarSettings Parsed =
+      settings::parseSidecarSettings(Path, Text);
+  std::string Problems;
+  for (const Finding &Item : Parsed.Problems)
+    Problems += "\n" + toString(Item);
+  if (!Problems.empty())
+    throw std::runtime_error("the settings have findings:" + Problems);
+  return Parsed.Settings;
+}
+
+mesh::CallerLimits innerLimits() {
+  return {MaxInnerHeadBytes, MaxInnerBodyBytes, InnerHeadTimeout,
+          InnerIdleTimeout};
+}
+
+mesh::CallerLimits checkInLimits() {
+  mesh::CallerLimits Limits = innerLimits();
+  Limits.MaxBodyBytes = MaxCheckInBytes;
+  return Limits;
+}
+
+} // namespace
+
+struct SidecarNode::Impl {
+  std::string SettingsPath;
+  std::string SettingsText;
+  NodeParts Parts;
+  reactor::EventLoop Loop;
+  NodeContext Context;
+
+  std::unique_ptr<StoreClient> Store;
+  std::unique_ptr<UpstreamHop> Hop;
+  std::unique_ptr<RemoteHop> Remote;
+  std::unique_ptr<UpstreamDirectory> Directory;
+  std::unique_ptr<Rollouts> Moves;
+  std::unique_ptr<CallerEntry> Entry;
+  std::unique_ptr<HopServer> Inbound;
+  std::unique_ptr<Gossip> News;
+  std::unique_ptr<OperatorFeed> Feed;
+  std::unique_ptr<HttpServer> OutboundServer;
+  std::unique_ptr<HttpServer> InboundServer;
+  std::unique_ptr<HttpServer> ReadinessServer;
+  std::unique_ptr<HttpServer> CheckInServer;
+  std::unique_ptr<HttpServer> MetricsServer;
+
+  SteadyTime StopAt;
+  SteadyTime SettingsAt;
+  SteadyTime DroppedAt;
+  bool MemberWritten = false;
+
+  Impl(std::string Path, NodeParts Used)
+      : SettingsPath(std::move(Path)), SettingsText(readText(SettingsPath)),
+        Parts(std::move(Used)),
+        Context{Loop, *Parts.Platform,
+                parseOrThrow(SettingsPath, SettingsText)} {
+    Context.Bounds = Context.Platform.Bounds(Context.Settings.PlatformBounds);
+    Context.Metrics = Parts.Recorder;
+    Context.Fleet.Self = Context.Settings.Id;
+  }
+
+  void build() {
+    Store = std::make_unique<StoreClient>(Context);
+    Hop = std::make_unique<UpstreamHop>(
+        Context, [this](const ServiceName &Service) {
+          return Moves->activeOrder(Service);
+        });
+    const auto OwnLoad = [this] { return Hop->load(); };
+    Moves = std::make_unique<Rollouts>(
+        Context, *Store, [this] { return Hop->evidence(); }, OwnLoad);
+    Remote = std::make_unique<RemoteHop>(Context);
+    Directory = std::make_unique<UpstreamDirectory>(Context, OwnLoad);
+    Entry = std::make_unique<CallerEntry>(Context, *Hop, *Remote, *Directory,
+                                          *Moves);
+    Inbound = std::make_unique<HopServer>(Context, *Hop);
+    News = std::make_unique<Gossip>(
+        Context, [this](mesh::NodeNews &Own) { describe(Own); },
+        [this] { Feed->onNews(); });
+    addSeeds();
+    Feed = std::make_unique<OperatorFeed>(
+        Context, *Store,
+        OperatorFeed::Callbacks{
+            [this] { onRecords(); }, [this] { News->tellAll(); },
+            [this](const auto &Items) { Moves->onStatus(Items); },
+            [this](const auto &Items) { onMembers(Items); }});
+    listen();
+    housekeep();
+  }
+
+  void listen() {
+    const settings::SidecarSettings &At = Context.Settings;
+    OutboundServer = std::make_unique<HttpServer>(
+        Loop, At.Outbound,
+        HttpServerOptions{[this] {
+                            return Context.Config ? Context.Config->Limits
+                                                  : mesh::CallerLimits();
+                          },
+                          [this](const auto &Request) {
+                            Entry->handle(Request);
+                          }});
+    InboundServer = std::make_unique<HttpServer>(
+        Loop, At.Inbound,
+        HttpServerOptions{innerLimits, [this](const auto &Request) {
+                            Inbound->handle(Request);
+                          }});
+    ReadinessServer = std::make_unique<HttpServer>(
+        Loop, At.Readiness,
+        HttpServerOptions{innerLimits, [this](const auto &Request) {
+                            answerReadiness(Request);
+                          }});
+    CheckInServer = std::make_unique<HttpServer>(
+        Loop, At.CheckIns,
+        HttpServerOptions{checkInLimits, [this](const auto &Request) {
+                            onUpstreamRequest(Request);
+                          }});
+    if (At.Metrics.Port != 0)
+      MetricsServer = std::make_unique<HttpServer>(
+          Loop, At.Metrics,
+          HttpServerOptions{innerLimits, [this](const auto &Request) {
+                              Request->answer(HTTPResponse::HTTP_OK,
+                                              Parts.Registry->Exposition());
+                            }});
+  }
+
+  void addSeeds() {
+    std::vector<Endpoint> Found;
+    for (const Endpoint &Seed : Context.Settings.Seeds)
+      Found.push_back({Seed.Address, Context.Settings.Gossip.Port});
+    News->addContacts(Found);
+  }
+
+  void describe(mesh::NodeNews &Own) {
+    Own.Ready = Context.Ready;
+    Own.Stopping = Context.Stopping;
+    Own.Own = Context.Registered.Now;
+    Own.Load = Hop->load();
+    Own.OperatorPosition = Context.Records.Position;
+    Own.ConfirmedAge = Context.ConfirmedAt == SteadyTime()
+                           ? Milliseconds(0)
+                           : elapsed(Context.ConfirmedAt, Context.now());
+    Own.Rollouts = Moves->news();
+    Own.Evidence = Hop->evidence();
+    Own.Crashes = Context.OwnCrashes;
+  }
+
+  void onRecords() {
+    Moves->onRecordsChanged();
+    Hop->onRegistrationChanged();
+    updateReadiness();
+  }
+
+  void onMembers(const std::vector<StoreItem> &Items) {
+    std::vector<Endpoint> Found;
+    bool IsListed = false;
+    const Endpoint &Own = Context.Settings.Gossip;
+    for (const StoreItem &Item : Items) {
+      const auto At = Context.Platform.Operator.MemberOf(Item.Value);
+      if (!At)
+        continue;
+      Found.push_back(*At);
+      IsListed = IsListed || *At == Own;
+    }
+    News->addContacts(Found);
+    if (IsListed || MemberWritten)
+      return;
+    Store->append(StoreTopic::Members, Context.Settings.Id.str(),
+                  Context.Platform.Operator.Member(Own), std::nullopt,
+                  [this](const StoreAppend &Written) {
+                    MemberWritten = Written.Outcome == StoreOutcome::Done;
+                  });
+  }
+
+  void updateReadiness() {
+    // A node that has served once holds a configuration that callers have met;
+    // it is kept up to date but never given up.
+    Context.Serving = Context.Serving || (Feed && Feed->isCurrent());
+    const bool Now = Context.Serving && !Context.Stopping;
+    if (Now == Context.Ready)
+      return;
+    Context.Ready = Now;
+    Context.Log.write(
+        LogClass::State, Context.now(), Now ? "ready" : "not-ready",
+        {{"config", Context.Config
+                        ? std::to_string(Context.Config->Version.value())
+                        : "none"},
+         {"nodes", std::to_string(Context.Fleet.Nodes.size())}});
+  }
+
+  void answerReadiness(const ServerRequestPtr &Request) const {
+    if (Request->head().getURI() != Context.Platform.ReadinessPath)
+      Request->answer(HTTPResponse::HTTP_NOT_FOUND, "");
+    else if (Context.Ready)
+      Request->answer(HTTPResponse::HTTP_OK, "ready");
+    else
+      Request->answer(HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "not ready");
+  }
+
+  void onUpstreamRequest(const ServerRequestPtr &Request) {
+    const BodyPipePtr Body = Request->body();
+    if (Body->isEnded()) {
+      onUpstreamMessage(Request);
+      return;
+    }
+    Body->OnChange = [this, Weak = std::weak_ptr<ServerRequest>(Request)] {
+      const auto Found = Weak.lock();
+      if (!Found || !Found->body()->isEnded())
+        return;
+      const BodyPipePtr Done = Found->body();
+      Done->OnChange = nullptr;
+      onUpstreamMessage(Found);
+    };
+  }
+
+  void onUpstreamMessage(const ServerRequestPtr &Request) {
+    const HTTPRequest &Head = Request->head();
+    const UpstreamMessage Message = Context.Platform.Upstream(
+        Head.getMethod(), Head.getURI(), Request->body()->take());
+    switch (Message.Is) {
+    case UpstreamMessage::Kind::Invalid:
+      Context.Log.write(LogClass::State, Context.now(), "check-in-invalid",
+                        {{"target", Head.getURI()},
+                         {"problem", Message.Problem}});
+      Request->answer(HTTPResponse::HTTP_BAD_REQUEST, Message.Problem);
+      return;
+    case UpstreamMessage::Kind::Leave:
+      onLeave(Message.Id);
+      break;
+    case UpstreamMessage::Kind::CheckIn:
+      onCheckIn(Message.From);
+      break;
+    }
+    Request->answer(HTTPResponse::HTTP_OK, Context.Platform.CheckInAnswer,
+                    Context.Platform.CheckInAnswerType);
+  }
+
+  void onLeave(const mesh::UpstreamId &Id) {
+    const bool Taken = mesh::applyLeave(Context.Registered, Id);
+    Context.Log.write(LogClass::State, Context.now(), "upstream-leaves",
+                      {{"upstream", Id.str()},
+                       {"registered", Context.Registered.Now.Id.str()},
+                       {"taken", Taken ? "yes" : "no"}});
+    if (Taken)
+      onRegistration();
+  }
+
+  void onCheckIn(const mesh::CheckIn &Item) {
+    const mesh::Upstream Before = Context.Registered.Now;
+    // Another service at this address belongs to another instance's settings.
+    const bool IsOurs = Item.From.Service == Context.Settings.Service;
+    if (!IsOurs || !mesh::applyCheckIn(Context.Registered, Item, Context.now())) {
+      Context.Log.write(LogClass::State, Context.now(), "check-in-ignored",
+                        {{"upstream", Item.From.Id.str()},
+                         {"service", Item.From.Service.str()},
+                         {"sequence", std::to_string(Item.Number.value())}});
+      return;
+    }
+    const mesh::Upstream &Now = Context.Registered.Now;
+    if (Before.Id == Now.Id && Before.Born == Now.Born &&
+        Before.State == Now.State && Before.Capacity == Now.Capacity)
+      return;
+    Context.Log.write(
+        LogClass::State, Context.now(), "upstream-registered",
+        {{"upstream", Now.Id.str()},
+         {"service", Now.Service.str()},
+         {"version", Now.Version.str()},
+         {"state", std::to_string(static_cast<int>(Now.State))},
+         {"capacity", std::to_string(Now.Capacity)},
+         {"address", settings::toString(Context.Registered.Address)},
+         {"sequence", std::to_string(Item.Number.value())}});
+    onRegistration();
+  }
+
+  void onRegistration() {
+    Hop->onRegistrationChanged();
+    News->tellAll();
+  }
+
+  void checkSilence() {
+    mesh::Registration &Known = Context.Registered;
+    if (Known.Now.State != mesh::UpstreamState::Ready ||
+        !mesh::isSilent(Known, Context.Settings.CheckInInterval, Context.now()))
+      return;
+    Known.Now.State = mesh::UpstreamState::Unknown;
+    Context.Log.write(LogClass::State, Context.now(), "upstream-silent",
+                      {{"upstream", Known.Now.Id.str()}});
+    onRegistration();
+  }
+
+  void housekeep() {
+    const SteadyTime Now = Context.now();
+    checkSilence();
+    updateReadiness();
+    if (elapsed(SettingsAt, Now) >= SettingsInterval)
+      reload(false);
+    if (elapsed(DroppedAt, Now) >= DroppedInterval) {
+      DroppedAt = Now;
+      Context.Log.reportDropped(Now);
+    }
+    if (Context.Stopping)
+      considerExit();
+    Loop.runAfter(HousekeepingInterval, [this] { housekeep(); });
+  }
+
+  void reload(bool Asked) {
+    SettingsAt = Context.now();
+    std::string Text;
+    try {
+      Text = readText(SettingsPath);
+      if (Text == SettingsText) {
+        if (Asked)
+          Context.Log.write(LogClass::State, Context.now(), "reload",
+                            {{"changed", "no"}});
+        return;
+      }
+      const settings::SidecarSettings Read = parseOrThrow(SettingsPath, Text);
+      SettingsText = Text;
+      Context.Settings.Seeds = Read.Seeds;
+      Context.Settings.Store = Read.Store;
+      Context.Settings.CheckInInterval = Read.CheckInInterval;
+      Context.Settings.PlatformBounds = Read.PlatformBounds;
+      Context.Settings.Service = Read.Service;
+      Context.Bounds = Context.Platform.Bounds(Read.PlatformBounds);
+      addSeeds();
+      Context.Log.write(LogClass::State, Context.now(), "reload",
+                        {{"changed", "yes"},
+                         {"seeds", std::to_string(Read.Seeds.size())}});
+    } catch (const std::exception &Error) {
+      // What is in force stays; the file is looked at again.
+      Context.Log.write(LogClass::State, Context.now(), "reload-failed",
+                        {{"problem", Error.what()}});
+    }
+  }
+
+  void beginStop() {
+    if (Context.Stopping)
+      return;
+    Context.Stopping = true;
+    StopAt = Context.now();
+    updateReadiness();
+    OutboundServer->announceClose();
+    InboundServer->announceClose();
+    News->tellAll();
+    Context.Log.write(LogClass::State, Context.now(), "stopping",
+                      {{"requests", std::to_string(Entry->inProgress())},
+                       {"grace_ms",
+                        std::to_string(Context.Bounds.GraceTime.count())}});
+  }
+
+  void considerExit() {
+    const Milliseconds Since = elapsed(StopAt, Context.now());
+    const bool Quiet = Since >= CallersLeaveTime &&
+                       OutboundServer->inProgress() == 0 &&
+                       InboundServer->inProgress() == 0 &&
+                       Hop->inProgress() == 0;
+    if (!Quiet && Since < Context.Bounds.GraceTime - ExitMargin)
+      return;
+    OutboundServer->closeIdle();
+    InboundServer->closeIdle();
+    Context.Log.write(
+        LogClass::State, Context.now(), "stopped",
+        {{"after_ms", std::to_string(Since.count())},
+         {"open", std::to_string(OutboundServer->inProgress())}});
+    Loop.stop();
+  }
+
+  void onRound() {
+    const PendingSignals Signals = takeSignals();
+    if (Signals.Stop)
+      beginStop();
+    if (Signals.Reload)
+      reload(true);
+  }
+};
+
+SidecarNode::SidecarNode(std::string SettingsPath, NodeParts Parts)
+    : Impl_(std::make_unique<Impl>(std::move(SettingsPath), std::move(Parts))) {
+}
+
+SidecarNode::~SidecarNode() = default;
+
+void SidecarNode::run() {
+  catchSignals();
+  Impl_->build();
+  NodeContext &Context = Impl_->Context;
+  Context.Log.write(
+      LogClass::State, Context.now(), "started",
+      {{"node", Context.Settings.Id.str()},
+       {"zone", Context.Settings.At.Zone.str()},
+       {"service", Context.Settings.Service.str()},
+       {"outbound", settings::toString(Context.Settings.Outbound)},
+       {"store", settings::toString(Context.Settings.Store)}});
+  Impl_->Loop.run([this] { Impl_->onRound(); });
+}
+
+} // namespace lycheethread::sidecar
--- /dev/null
+++ b/src/sidecar/internal/SidecarNode.h
@@ -0,0 +1,36 @@
+#ifndef LYCHEETHREAD_SIDECAR_INTERNAL_SIDECARNODE_H
+#define LYCHEETHREAD_SIDECAR_INTERNAL_SIDECARNODE_H
+
+#include "metrics/Metrics.h"
+#include "sidecar/types/PlatformPort.h"
+
+#include <memory>
+#include <string>
+
+namespace lycheethread::sidecar {
+
+/// The services of other modules that a node uses.
+struct NodeParts {
+  std::shared_ptr<PlatformPort> Platform;
+  std::shared_ptr<metrics::RequestRecorder> Recorder;
+  std::shared_ptr<metrics::MetricsRegistry> Registry;
+};
+
+/// Puts the parts of a node together and runs them.
+class SidecarNode {
+public:
+  /// Throws std::runtime_error for settings with findings.
+  SidecarNode(std::string SettingsPath, NodeParts Parts);
+  ~SidecarNode();
+
+  /// Returns after a stop that SIGTERM or SIGINT asked for.
+  void run();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace lycheethread::sidecar
+
+#endif // LYCHEETHREAD_SIDECAR_INTERNAL_SIDECARNODE_H
--- /dev/null
+++ b/src/sidecar/internal/UpstreamDirectory.cpp
@@ -0,0 +1,139 @@
+#include "sidecar/internal/UpstreamDirectory.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lycheethread::sidecar {
+
+namespace {
+
+constexpr int FirstServerError = 500;
+/// Weight of the newest outcome in the failure rate.
+constexpr double FailureWeight = 0.12;
+/// The failure rate halves in this time without outcomes, so that an upstream
+/// that was avoided is tried again.
+constexpr double FailureHalfLifeMs = 2000;
+/// A node that takes no connection is avoided this long, doubling up to the
+/// longest time.
+constexpr Milliseconds FirstAvoidance{500};
+constexpr Milliseconds LongestAvoidance{4000};
+constexpr std::int32_t MaxDoublings = 3;
+/// Used until an upstream's own service time is known.
+constexpr Milliseconds UnknownServiceTime{50};
+
+} // namespace
+
+UpstreamDirectory::UpstreamDirectory(NodeContext &Context,
+                                     std::function<mesh::LoadNews()> OwnLoad)
+    : Context_(Context), OwnLoad_(std::move(OwnLoad)) {}
+
+bool UpstreamDirectory::isUsable(const mesh::NodeNews &News,
+                                 const ServiceName &Service) const {
+  return News.Own.Service == Service &&
+         News.Own.State == mesh::UpstreamState::Ready && !News.Stopping;
+}
+
+double UpstreamDirectory::decayedFailureRate(Seen &Item) const {
+  const auto Age =
+      static_cast<double>(elapsed(Item.FailureAt, Context_.now()).count());
+  return Item.FailureRate * std::exp2(-Age / FailureHalfLifeMs);
+}
+
+mesh::Candidate UpstreamDirectory::describe(const mesh::NodeNews &News,
+                                            SteadyTime HeardAt) {
+  Seen &Item = Seen_[News.Id];
+  const bool StatedLater = Item.Load && Item.LoadAt > HeardAt;
+  const mesh::LoadNews Load = StatedLater ? *Item.Load : News.Load;
+  mesh::Candidate Found;
+  Found.Node = News.Id;
+  Found.Instance = News.Own.Id;
+  Found.Version = News.Own.Version;
+  Found.Distance =
+      mesh::tierOf(Context_.Settings.At, Context_.Settings.Id, News);
+  Found.Capacity = std::max(1, News.Own.Capacity);
+  Found.Held = std::max(Load.Running + Load.Waiting +
+                            (StatedLater ? Item.SentSince : 0),
+                        Item.Outstanding);
+  Found.ServiceTime = Load.ServiceTime > Milliseconds(0) ? Load.ServiceTime
+                                                         : UnknownServiceTime;
+  Found.FailureRate = decayedFailureRate(Item);
+  return Found;
+}
+
+std::vector<mesh::Candidate>
+UpstreamDirectory::candidates(const ServiceName &Service,
+                              const std::set<NodeId> &Excluded) {
+  std::vector<mesh::Candidate> Found;
+  std::vector<mesh::Candidate> Avoided;
+  const SteadyTime Now = Context_.now();
+  for (const auto &[Id, Known] : Context_.Fleet.Nodes) {
+    if (Excluded.count(Id) != 0 || !isUsable(Known.News, Service) ||
+        !mesh::isAlive(Known, Now))
+      continue;
+    auto &List = Seen_[Id].AvoidUntil > Now ? Avoided : Found;
+    List.push_back(describe(Known.News, Known.HeardAt));
+  }
+  const NodeId &Self = Context_.Settings.Id;
+  mesh::NodeNews Own;
+  Own.Id = Self;
+  Own.At = Context_.Settings.At;
+  Own.Own = Context_.Registered.Now;
+  if (Excluded.count(Self) == 0 && isUsable(Own, Service)) {
+    Own.Load = OwnLoad_();
+    mesh::Candidate Item = describe(Own, Now);
+    Item.Held = Own.Load.Running + Own.Load.Waiting;
+    Found.push_back(std::move(Item));
+  }
+  // Suspicion of all of them is worth less than a try.
+  return Found.empty() ? Avoided : Found;
+}
+
+Endpoint UpstreamDirectory::hopOf(const NodeId &Node) const {
+  const auto Found = Context_.Fleet.Nodes.find(Node);
+  return Found == Context_.Fleet.Nodes.end() ? Endpoint()
+                                             : Found->second.News.Hop;
+}
+
+void UpstreamDirectory::onSent(const NodeId &Node) {
+  Seen &Item = Seen_[Node];
+  ++Item.Outstanding;
+  ++Item.SentSince;
+}
+
+void UpstreamDirectory::onCancelled(const NodeId &Node) {
+  Seen &Item = Seen_[Node];
+  Item.Outstanding = std::max(0, Item.Outstanding - 1);
+}
+
+void UpstreamDirectory::onOutcome(const NodeId &Node,
+                                  const HopOutcome &Outcome) {
+  Seen &Item = Seen_[Node];
+  Item.Outstanding = std::max(0, Item.Outstanding - 1);
+  const SteadyTime Now = Context_.now();
+  if (Outcome.Load) {
+    Item.Load = Outcome.Load;
+    Item.LoadAt = Now;
+    Item.SentSince = 0;
+  }
+  const bool HopIsDown = Outcome.End == HopEnd::NotRun && !Outcome.Load;
+  if (HopIsDown) {
+    const std::int32_t Doublings = std::min(Item.ConnectFailures++, MaxDoublings);
+    Item.AvoidUntil = after(
+        Now, std::min(LongestAvoidance, FirstAvoidance * (1 << Doublings)));
+  } else {
+    Item.ConnectFailures = 0;
+  }
+  const bool Failed =
+      Outcome.End == HopEnd::Failed ||
+      (Outcome.End == HopEnd::NotRun && Outcome.Reached) ||
+      (Outcome.End == HopEnd::Answered &&
+       Outcome.Answer.Head.getStatus() >= FirstServerError);
+  // A refusal by the last hop itself says nothing about the upstream.
+  if (Outcome.End == HopEnd::NotRun && !Outcome.Reached)
+    return;
+  const double Rate = decayedFailureRate(Item);
+  Item.FailureRate = Rate + FailureWeight * ((Failed ? 1 : 0) - Rate);
+  Item.FailureAt = Now;
+}
+
+} // namespace lycheethread::sidecar
--- /dev/null
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -0,0 +1,532 @@
+#include "sidecar/internal/UpstreamHop.h"
+
+#include <algorithm>
+
+namespace lycheethread::sidecar {
+
+namespace {
+
+using mesh::QueueVerdict;
+using mesh::UpstreamState;
+using Poco::Net::HTTPMessage;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+/// The upstream is on the same instance.
+constexpr Milliseconds ConnectTimeout{500};
+/// How often waiting requests are checked for lost hope.
+constexpr Milliseconds SweepInterval{25};
+/// An upstream ends its work at the deadline it was given; its own answer
+/// tells more than a closed connection.
+constexpr Milliseconds DeadlineGrace{120};
+/// After a failed connection the upstream counts as down this long.
+constexpr Milliseconds DownTime{400};
+/// A request that may run only once is not sent on a connection that has idled
+/// longer: the upstream may just be closing it, and the outcome would not be
+/// known.
+constexpr Milliseconds MaxIdleForOnceOnly{300};
+constexpr Milliseconds MaxIdleForRepeatable{60000};
+/// Weight of the newest sample in the mean service time.
+constexpr double ServiceWeight = 0.08;
+constexpr int FirstServerError = 500;
+/// Connections that break within this time before a failed probe broke in the
+/// same crash.
+constexpr Milliseconds CrashWindow{1000};
+constexpr std::size_t MaxCrashesTold = 16;
+
+HopOutcome notRun(RefusalReason Reason, Milliseconds RoomIn = {}) {
+  HopOutcome Outcome;
+  Outcome.End = HopEnd::NotRun;
+  Outcome.Reason = Reason;
+  Outcome.RoomIn = RoomIn;
+  return Outcome;
+}
+
+HopOutcome failed(RefusalReason Reason) {
+  HopOutcome Outcome;
+  Outcome.End = HopEnd::Failed;
+  Outcome.Reason = Reason;
+  Outcome.Reached = true;
+  return Outcome;
+}
+
+} // namespace
+
+struct UpstreamHop::Running {
+  mesh::JobId Id;
+  HopJob Job;
+  bool HasSlot = false;
+  /// The request has been handed to a connection.
+  bool Sent = false;
+  /// The caller has left or has its answer; only the slot is still held.
+  bool Abandoned = false;
+  bool Ended = false;
+  SteadyTime SentAt;
+  ClientConnectionPtr Connection;
+  reactor::TimerId Timer;
+};
+
+UpstreamHop::UpstreamHop(
+    NodeContext &Context,
+    std::function<std::optional<Offset>(const ServiceName &)> ActiveOrder)
+    : Context_(Context), ActiveOrder_(std::move(ActiveOrder)),
+      Pool_(Context.Loop) {}
+
+UpstreamHop::~UpstreamHop() { Context_.Loop.cancel(Timer_); }
+
+std::optional<RefusalReason>
+UpstreamHop::checkTarget(const HopInfo &Info) const {
+  const mesh::Upstream &Now = Context_.Registered.Now;
+  if (Now.Service != Info.Service)
+    return RefusalReason::NoUpstream;
+  if (!Info.Version.empty() && Now.Version != Info.Version)
+    return RefusalReason::NoUpstream;
+  if (Now.State == UpstreamState::Draining || Now.State == UpstreamState::Gone)
+    return RefusalReason::Draining;
+  if (Now.State != UpstreamState::Ready || Context_.now() < DownUntil_)
+    return RefusalReason::NoUpstream;
+  return std::nullopt;
+}
+
+mesh::JobId UpstreamHop::submit(HopJob Job) {
+  const auto Item = std::make_shared<Running>();
+  Item->Id = LastJob_ = LastJob_.next();
+  Item->Job = std::move(Job);
+  const HopInfo &Info = Item->Job.Info;
+  if (const auto Reason = checkTarget(Info)) {
+    Item->Job.OnEnd(notRun(*Reason));
+    return Item->Id;
+  }
+  if (!Info.Print.empty() &&
+      requests::isQuarantined(Context_.Suspects, Info.Print, Context_.now())) {
+    Item->Job.OnEnd(notRun(RefusalReason::CrashSuspect));
+    return Item->Id;
+  }
+  const mesh::QueuedJob Queued{Item->Id,         Info.Rank,
+                               Context_.now(),   Info.ObjectiveAt,
+                               Info.DeadlineAt,  serviceTime(Info.Route)};
+  const QueueVerdict Verdict = mesh::admitJob(
+      Queue_, Queued,
+      Milliseconds(static_cast<std::int64_t>(MeanServiceMs_)), Context_.now());
+  if (Verdict.Do == QueueVerdict::Action::Refuse) {
+    Item->Job.OnEnd(notRun(RefusalReason::QueueFull, Verdict.RoomIn));
+    return Item->Id;
+  }
+  Jobs_.emplace(Item->Id.value(), Item);
+  if (Verdict.Do == QueueVerdict::Action::Run) {
+    ++Queue_.Running;
+    grant(Item);
+    return Item->Id;
+  }
+  Queue_.Waiting.push_back(Queued);
+  runWaiting();
+  if (Timer_ == reactor::TimerId())
+    Timer_ = Context_.Loop.runAfter(SweepInterval, [this] { sweep(); });
+  return Item->Id;
+}
+
+void UpstreamHop::grant(const RunningPtr &Job) {
+  Job->HasSlot = true;
+  if (elapsed(Context_.now(), Job->Job.Info.DeadlineAt) <= Milliseconds(0)) {
+    finish(Job, notRun(RefusalReason::Deadline));
+    return;
+  }
+  connect(Job);
+}
+
+void UpstreamHop::connect(const RunningPtr &Job) {
+  const bool Repeatable = Job->Job.Info.Class == RequestClass::Repeatable;
+  const Endpoint &To = Context_.Registered.Address;
+  Job->Connection = Pool_.take(To, Repeatable ? MaxIdleForRepeatable
+                                              : MaxIdleForOnceOnly);
+  if (Job->Connection) {
+    send(Job);
+    return;
+  }
+  // The request is sent once the connection stands, so that a refused
+  // connection leaves its body untouched for another upstream.
+  Job->Connection =
+      ClientConnection::open(Context_.Loop, To, ConnectTimeout);
+  const std::weak_ptr<Running> Weak = Job;
+  Job->Connection->OnConnected = [this, Weak] {
+    const auto Item = Weak.lock();
+    if (!Item || Item->Ended)
+      return;
+    Item->Connection->OnIdleEnd = nullptr;
+    send(Item);
+  };
+  Job->Connection->OnIdleEnd = [this, Weak] {
+    const auto Item = Weak.lock();
+    if (!Item || Item->Ended)
+      return;
+    DownUntil_ = after(Context_.now(), DownTime);
+    Context_.Log.write(LogClass::Failure, Context_.now(), "upstream-refused",
+                       {{"request", Item->Job.Id.str()},
+                        {"upstream", Context_.Registered.Now.Id.str()}});
+    onCrash();
+    finish(Item, notRun(RefusalReason::NoUpstream));
+  };
+}
+
+ClientRequest UpstreamHop::makeRequest(const RunningPtr &Job) const {
+  const HopJob &From = Job->Job;
+  const HeaderNames &Names = Context_.Platform.Headers;
+  HTTPRequest Head(From.Head.getMethod(), From.Head.getURI(),
+                   HTTPMessage::HTTP_1_1);
+  http::copyEndToEnd(From.Head, Head);
+  const Milliseconds Left =
+      elapsed(Context_.now(), From.Info.DeadlineAt);
+  Head.set(Names.Deadline,
+           std::to_string(std::max<std::int64_t>(1, Left.count())));
+  Head.set(Names.ExpectInstance, Context_.Registered.Now.Id.str());
+  Head.set(Names.CallerService, From.Info.Caller.str());
+  ClientRequest Request;
+  Request.Method = From.Head.getMethod();
+  http::Framing Body = From.Framing;
+  if (Body.Kind == http::FramingKind::Chunked && From.Body->isEnded())
+    Body = {http::FramingKind::Fixed,
+            static_cast<std::int64_t>(From.Body->size())};
+  http::setFraming(Head, Body);
+  Request.Chunked = Body.Kind == http::FramingKind::Chunked;
+  Request.Head = http::serialize(Head);
+  if (Body.Kind != http::FramingKind::None)
+    Request.Body = From.Body;
+  return Request;
+}
+
+void UpstreamHop::send(const RunningPtr &Job) {
+  const Milliseconds Left =
+      elapsed(Context_.now(), Job->Job.Info.DeadlineAt);
+  if (Left <= Milliseconds(0)) {
+    finish(Job, notRun(RefusalReason::Deadline));
+    return;
+  }
+  Job->Sent = true;
+  Job->SentAt = Context_.now();
+  if (Job->Job.OnGranted)
+    Job->Job.OnGranted();
+  const std::weak_ptr<Running> Weak = Job;
+  Job->Timer =
+      Context_.Loop.runAfter(Left + DeadlineGrace, [this, Weak] {
+        if (const auto Item = Weak.lock())
+          onDeadline(Item);
+      });
+  ClientCallbacks Callbacks;
+  Callbacks.Accept = [this, Weak](const HTTPResponse &Head) {
+    const auto Item = Weak.lock();
+    return !Item || belongsTo(*Item, Head);
+  };
+  Callbacks.OnAnswer = [this, Weak](ClientAnswer Answer) {
+    if (const auto Item = Weak.lock())
+      onAnswer(Item, std::move(Answer));
+  };
+  Callbacks.OnFailure = [this, Weak](ClientFailure Why) {
+    if (const auto Item = Weak.lock())
+      onFailure(Item, Why);
+  };
+  Callbacks.OnComplete = [this, Weak] {
+    if (const auto Item = Weak.lock())
+      release(Item);
+  };
+  Job->Connection->start(makeRequest(Job), std::move(Callbacks));
+}
+
+bool UpstreamHop::belongsTo(const Running &Job,
+                            const HTTPResponse &Head) const {
+  const HeaderNames &Names = Context_.Platform.Headers;
+  if (Job.Job.Id.empty())
+    return true;
+  if (Head.has(Names.RequestId))
+    return Head.get(Names.RequestId) == Job.Job.Id.str();
+  // A rejection may come before the upstream has looked at the id.
+  return Head.has(Names.NotExecuted) ||
+         Head.getStatus() == HTTPResponse::HTTP_MISDIRECTED_REQUEST;
+}
+
+void UpstreamHop::onAnswer(const RunningPtr &Job, ClientAnswer Answer) {
+  const HeaderNames &Names = Context_.Platform.Headers;
+  const int Status = Answer.Head.getStatus();
+  const Milliseconds Took = elapsed(Job->SentAt, Context_.now());
+  if (Answer.Head.has(Names.NotExecuted) ||
+      Status == HTTPResponse::HTTP_MISDIRECTED_REQUEST) {
+    HopOutcome Outcome = notRun(RefusalReason::Shed);
+    Outcome.Reached = true;
+    finish(Job, std::move(Outcome));
+    return;
+  }
+  const bool IsUpstreams =
+      Answer.Head.has(Names.Seal) && !Answer.Head.has("Content-Encoding");
+  if (!IsUpstreams) {
+    Context_.Log.write(LogClass::Failure, Context_.now(), "answer-unsealed",
+                       {{"request", Job->Job.Id.str()},
+                        {"status", std::to_string(Status)}});
+    noteEvidence(*Job, false, Took);
+    finish(Job, failed(RefusalReason::UpstreamFailed));
+    return;
+  }
+  const bool Good = Status < FirstServerError;
+  noteEvidence(*Job, Good, Took);
+  if (Good) {
+    noteServiceTime(Job->Job.Info.Route, Took);
+    if (!Job->Job.Info.Print.empty())
+      requests::noteAnswered(Answered_, Job->Job.Info.Print, Context_.now());
+  }
+  HopOutcome Outcome;
+  Outcome.End = HopEnd::Answered;
+  Outcome.Reached = true;
+  Outcome.Answer = std::move(Answer);
+  // The slot is held until the whole answer is here.
+  if (!Job->Abandoned) {
+    Job->Abandoned = true;
+    const auto Callback = std::move(Job->Job.OnEnd);
+    Outcome.Load = load();
+    Callback(std::move(Outcome));
+  }
+}
+
+void UpstreamHop::onFailure(const RunningPtr &Job, ClientFailure Why) {
+  if (Job->Ended)
+    return;
+  if (!Job->Abandoned)
+    noteEvidence(*Job, false, Milliseconds(0));
+  if (Why == ClientFailure::NoAnswer && !Job->Abandoned)
+    noteBroken(Job);
+  finish(Job, failed(RefusalReason::UpstreamFailed));
+}
+
+void UpstreamHop::onDeadline(const RunningPtr &Job) {
+  if (Job->Ended)
+    return;
+  noteEvidence(*Job, false, Milliseconds(0));
+  finish(Job, failed(RefusalReason::UpstreamTimeout));
+}
+
+void UpstreamHop::finish(const RunningPtr &Job, HopOutcome Outcome) {
+  const bool Report = !Job->Abandoned;
+  Job->Abandoned = true;
+  const auto Callback = std::move(Job->Job.OnEnd);
+  release(Job);
+  if (Report && Callback) {
+    Outcome.Load = load();
+    Callback(std::move(Outcome));
+  }
+}
+
+void UpstreamHop::release(const RunningPtr &Job) {
+  if (Job->Ended)
+    return;
+  Job->Ended = true;
+  Context_.Loop.cancel(Job->Timer);
+  Jobs_.erase(Job->Id.value());
+  if (Job->Connection) {
+    Job->Connection->OnConnected = nullptr;
+    Job->Connection->OnIdleEnd = nullptr;
+    Pool_.give(Job->Connection);
+    Job->Connection = nullptr;
+  }
+  if (!Job->HasSlot)
+    return;
+  --Queue_.Running;
+  Context_.Loop.defer([this] { runWaiting(); });
+}
+
+void UpstreamHop::runWaiting() {
+  if (checkTarget({Context_.Registered.Now.Service, {}, {}, {}, 0, {}, {}, {},
+                   {}}))
+    return;
+  while (const auto Next = mesh::takeNext(Queue_, Context_.now())) {
+    const auto Found = Jobs_.find(Next->value());
+    if (Found == Jobs_.end()) {
+      --Queue_.Running;
+      continue;
+    }
+    const RunningPtr Job = Found->second;
+    grant(Job);
+  }
+}
+
+void UpstreamHop::sweep() {
+  Timer_ = reactor::TimerId();
+  const auto Reason =
+      checkTarget({Context_.Registered.Now.Service, {}, {}, {}, 0, {}, {}, {},
+                   {}});
+  if (Reason)
+    refuseWaiting(*Reason);
+  for (const mesh::JobId Id : mesh::takeHopeless(Queue_, Context_.now())) {
+    const auto Found = Jobs_.find(Id.value());
+    if (Found == Jobs_.end())
+      continue;
+    const RunningPtr Job = Found->second;
+    finish(Job, notRun(RefusalReason::QueueFull,
+                       Milliseconds(static_cast<std::int64_t>(MeanServiceMs_))));
+  }
+  runWaiting();
+  if (!Queue_.Waiting.empty())
+    Timer_ = Context_.Loop.runAfter(SweepInterval, [this] { sweep(); });
+}
+
+void UpstreamHop::refuseWaiting(RefusalReason Reason) {
+  const std::vector<mesh::QueuedJob> Waiting = std::move(Queue_.Waiting);
+  Queue_.Waiting.clear();
+  for (const mesh::QueuedJob &Queued : Waiting) {
+    const auto Found = Jobs_.find(Queued.Id.value());
+    if (Found == Jobs_.end())
+      continue;
+    const RunningPtr Job = Found->second;
+    finish(Job, notRun(Reason));
+  }
+}
+
+void UpstreamHop::cancel(mesh::JobId Id) {
+  const auto Found = Jobs_.find(Id.value());
+  if (Found == Jobs_.end())
+    return;
+  const RunningPtr Job = Found->second;
+  Job->Abandoned = true;
+  Job->Job.OnEnd = nullptr;
+  Job->Job.OnGranted = nullptr;
+  const bool RunsToItsEnd =
+      Job->Sent && Job->Job.Info.Class != RequestClass::Repeatable;
+  if (RunsToItsEnd && !Job->Job.Body->hasFailed())
+    return;
+  mesh::removeWaiting(Queue_, Id);
+  if (Job->Connection)
+    Job->Connection->close();
+  release(Job);
+}
+
+void UpstreamHop::onRegistrationChanged() {
+  const mesh::Registration &Known = Context_.Registered;
+  if (Known.Now.Id != Current_) {
+    Current_ = Known.Now.Id;
+    DownUntil_ = SteadyTime();
+    MeanServiceMs_ = 0;
+    ServiceMs_.clear();
+    Answered_ = {};
+    Pool_.closeAll(Known.Address);
+  }
+  Queue_.Slots = Known.Now.Capacity;
+  // A slot takes a connection.
+  if (Context_.Config) {
+    const auto Service = Context_.Config->Services.find(Known.Now.Service);
+    if (Service != Context_.Config->Services.end() &&
+        Service->second.MaxConnections > 0)
+      Queue_.Slots = std::min(Queue_.Slots, Service->second.MaxConnections);
+  }
+  if (Known.Now.State == UpstreamState::Ready)
+    runWaiting();
+  else
+    refuseWaiting(RefusalReason::Draining);
+}
+
+mesh::LoadNews UpstreamHop::load() const {
+  return {Queue_.Running, static_cast<std::int32_t>(Queue_.Waiting.size()),
+          Milliseconds(static_cast<std::int64_t>(MeanServiceMs_))};
+}
+
+std::vector<mesh::RouteEvidence> UpstreamHop::evidence() const {
+  std::vector<mesh::RouteEvidence> All;
+  const auto Order = ActiveOrder_(Context_.Registered.Now.Service);
+  for (const auto &[Key, Item] : Evidence_)
+    if (Order && Key.first == *Order)
+      All.push_back(Item);
+  return All;
+}
+
+void UpstreamHop::noteEvidence(const Running &Job, bool Good,
+                               Milliseconds Took) {
+  const mesh::Upstream &Now = Context_.Registered.Now;
+  const auto Order = ActiveOrder_(Now.Service);
+  if (!Order) {
+    Evidence_.clear();
+    return;
+  }
+  // A cold upstream is slow whatever its version.
+  const bool IsCold =
+      elapsed(Context_.Registered.HeardAt, Context_.now()) < Now.ColdLeft;
+  if (Good && IsCold)
+    return;
+  const RouteName &Route = Job.Job.Info.Route;
+  mesh::RouteEvidence &Item = Evidence_[{*Order, Route}];
+  Item.Order = *Order;
+  Item.Route = Route;
+  if (Good) {
+    ++Item.Good;
+    Item.TotalTime += Took;
+  } else {
+    ++Item.Bad;
+  }
+}
+
+void UpstreamHop::noteServiceTime(const RouteName &Route, Milliseconds Took) {
+  const auto Sample = static_cast<double>(Took.count());
+  const auto Update = [Sample](double &Mean) {
+    Mean = Mean == 0 ? Sample : Mean + ServiceWeight * (Sample - Mean);
+  };
+  Update(MeanServiceMs_);
+  Update(ServiceMs_[Route]);
+}
+
+Milliseconds UpstreamHop::serviceTime(const RouteName &Route) const {
+  const auto Found = ServiceMs_.find(Route);
+  return Milliseconds(static_cast<std::int64_t>(
+      Found == ServiceMs_.end() ? MeanServiceMs_ : Found->second));
+}
+
+void UpstreamHop::noteBroken(const RunningPtr &Job) {
+  const HopInfo &Info = Job->Job.Info;
+  if (Info.Print.empty())
+    return;
+  Broken_.emplace_back(Info.Print, Context_.now());
+  if (Probe_)
+    return;
+  // A single connection may break for other reasons; whether the upstream has
+  // crashed shows when it takes no new one.
+  Probe_ = ClientConnection::open(Context_.Loop, Context_.Registered.Address,
+                                  ConnectTimeout);
+  Probe_->OnConnected = [this] {
+    const ClientConnectionPtr Kept = std::move(Probe_);
+    Probe_ = nullptr;
+    Broken_.clear();
+    Context_.Loop.defer([this, Kept] {
+      Kept->OnConnected = nullptr;
+      Kept->OnIdleEnd = nullptr;
+      Pool_.give(Kept);
+    });
+  };
+  Probe_->OnIdleEnd = [this] {
+    const ClientConnectionPtr Kept = std::move(Probe_);
+    Probe_ = nullptr;
+    Context_.Loop.defer([Kept] {});
+    DownUntil_ = after(Context_.now(), DownTime);
+    onCrash();
+  };
+}
+
+void UpstreamHop::onCrash() {
+  const SteadyTime Now = Context_.now();
+  if (Broken_.empty())
+    return;
+  const requests::CrashId Crash(Context_.Settings.Id.str() + "/" +
+                                Current_.str() + "/" +
+                                std::to_string(++Crashes_));
+  std::size_t Suspects = 0;
+  for (const auto &[Print, At] : Broken_) {
+    if (elapsed(At, Now) > CrashWindow)
+      continue;
+    const auto Weight = requests::weightOf(Answered_, Print, Now);
+    requests::noteSuspect(Context_.Suspects, Print, Crash, Weight, Now);
+    Context_.OwnCrashes.push_back({Print, Crash, Weight});
+    ++Suspects;
+  }
+  Broken_.clear();
+  std::vector<mesh::CrashNews> &Told = Context_.OwnCrashes;
+  if (Told.size() > MaxCrashesTold)
+    Told.erase(Told.begin(),
+               Told.end() - static_cast<std::ptrdiff_t>(MaxCrashesTold));
+  Context_.Log.write(LogClass::State, Now, "upstream-crashed",
+                     {{"upstream", Current_.str()},
+                      {"suspects", std::to_string(Suspects)}});
+}
+
+} // namespace lycheethread::sidecar
--- /dev/null
+++ b/src/sidecar/internal/UpstreamHop.h
@@ -0,0 +1,86 @@
+#ifndef LYCHEETHREAD_SIDECAR_INTERNAL_UPSTREAMHOP_H
+#define LYCHEETHREAD_SIDECAR_INTERNAL_UPSTREAMHOP_H
+
+#include "sidecar/internal/ConnectionPool.h"
+#include "sidecar/internal/HopJob.h"
+#include "sidecar/internal/NodeContext.h"
+
+#include <unordered_map>
+
+namespace lycheethread::sidecar {
+
+/// The last hop: hands requests to the upstream beside this node. It is the
+/// upstream's only sender, so it counts the slots exactly and stops at once
+/// when the upstream leaves.
+class UpstreamHop {
+public:
+  /// \p ActiveOrder gives the running rollout of a service, for which outcomes
+  /// are counted.
+  UpstreamHop(NodeContext &Context,
+              std::function<std::optional<Offset>(const ServiceName &)>
+                  ActiveOrder);
+  ~UpstreamHop();
+
+  /// OnEnd may be called before this returns.
+  mesh::JobId submit(HopJob Job);
+
+  /// The caller has left. A request that is not repeatable and has been handed
+  /// over runs to its end; its answer is dropped. No callback follows.
+  void cancel(mesh::JobId Id);
+
+  /// To be called after Registered has changed.
+  void onRegistrationChanged();
+
+  mesh::LoadNews load() const;
+  std::vector<mesh::RouteEvidence> evidence() const;
+  std::size_t inProgress() const { return Jobs_.size(); }
+
+private:
+  struct Running;
+  using RunningPtr = std::shared_ptr<Running>;
+
+  std::optional<RefusalReason> checkTarget(const HopInfo &Info) const;
+  void grant(const RunningPtr &Job);
+  void connect(const RunningPtr &Job);
+  void send(const RunningPtr &Job);
+  ClientRequest makeRequest(const RunningPtr &Job) const;
+  bool belongsTo(const Running &Job,
+                 const Poco::Net::HTTPResponse &Head) const;
+  void onAnswer(const RunningPtr &Job, ClientAnswer Answer);
+  void onFailure(const RunningPtr &Job, ClientFailure Why);
+  void onDeadline(const RunningPtr &Job);
+  void finish(const RunningPtr &Job, HopOutcome Outcome);
+  void release(const RunningPtr &Job);
+  void runWaiting();
+  void sweep();
+  void refuseWaiting(RefusalReason Reason);
+  void noteEvidence(const Running &Job, bool Good, Milliseconds Took);
+  void noteServiceTime(const RouteName &Route, Milliseconds Took);
+  Milliseconds serviceTime(const RouteName &Route) const;
+  void noteBroken(const RunningPtr &Job);
+  void onCrash();
+
+  NodeContext &Context_;
+  std::function<std::optional<Offset>(const ServiceName &)> ActiveOrder_;
+  ConnectionPool Pool_;
+  mesh::HopQueue Queue_;
+  std::unordered_map<std::int64_t, RunningPtr> Jobs_;
+  mesh::JobId LastJob_;
+  mesh::UpstreamId Current_;
+  /// No connection could be made; requests go elsewhere until then.
+  SteadyTime DownUntil_;
+  double MeanServiceMs_ = 0;
+  std::unordered_map<RouteName, double> ServiceMs_;
+  std::map<std::pair<Offset, RouteName>, mesh::RouteEvidence> Evidence_;
+  requests::AnsweredTable Answered_;
+  /// Requests whose connection broke a moment ago, while it is not known yet
+  /// whether the upstream crashed.
+  std::vector<std::pair<requests::Fingerprint, SteadyTime>> Broken_;
+  ClientConnectionPtr Probe_;
+  std::int64_t Crashes_ = 0;
+  reactor::TimerId Timer_;
+};
+
+} // namespace lycheethread::sidecar
+
+#endif // LYCHEETHREAD_SIDECAR_INTERNAL_UPSTREAMHOP_H
--- a/src/platform/internal/DeadlineSocket.cpp
+++ b/src/streamlog/internal/DeadlineSocket.cpp
@@ -1,10 +1,10 @@
-#include "platform/internal/DeadlineSocket.h"
+#include "streamlog/internal/DeadlineSocket.h"
 
 #include <Poco/Exception.h>
 
 #include <algorithm>
 
-namespace lycheethread::platform {
+namespace lycheethread::streamlog {
 
 namespace {
 
@@ -43,4 +43,4 @@
   return Poco::Timespan(Bounded.count());
 }
 
-} // namespace lycheethread::platform
+} // namespace lycheethread::streamlog
--- a/src/platform/internal/DeadlineSocket.h
+++ b/src/streamlog/internal/DeadlineSocket.h
@@ -1,11 +1,11 @@
-#ifndef LYCHEETHREAD_PLATFORM_INTERNAL_DEADLINESOCKET_H
-#define LYCHEETHREAD_PLATFORM_INTERNAL_DEADLINESOCKET_H
+#ifndef LYCHEETHREAD_STREAMLOG_INTERNAL_DEADLINESOCKET_H
+#define LYCHEETHREAD_STREAMLOG_INTERNAL_DEADLINESOCKET_H
 
 #include <Poco/Net/StreamSocketImpl.h>
 
 #include <chrono>
 
-namespace lycheethread::platform {
+namespace lycheethread::streamlog {
 
 using Deadline = std::chrono::steady_clock::time_point;
 
@@ -34,6 +34,6 @@
   Deadline Latest_ = Deadline::max();
 };
 
-} // namespace lycheethread::platform
+} // namespace lycheethread::streamlog
 
-#endif // LYCHEETHREAD_PLATFORM_INTERNAL_DEADLINESOCKET_H
+#endif // LYCHEETHREAD_STREAMLOG_INTERNAL_DEADLINESOCKET_H
--- a/src/platform/internal/HttpLog.cpp
+++ b/src/streamlog/internal/HttpLog.cpp
@@ -1,5 +1,5 @@
-#include "platform/Platform.h"
-#include "platform/internal/SessionPool.h"
+#include "streamlog/StreamLog.h"
+#include "streamlog/internal/SessionPool.h"
 
 #include <Poco/Base64Decoder.h>
 #include <Poco/JSON/Parser.h>
@@ -10,7 +10,7 @@
 
 #include <sstream>
 
-namespace lycheethread::platform {
+namespace lycheethread::streamlog {
 
 namespace {
 
@@ -276,4 +276,4 @@
   return Client;
 }
 
-} // namespace lycheethread::platform
+} // namespace lycheethread::streamlog
--- a/src/platform/internal/SessionPool.cpp
+++ b/src/streamlog/internal/SessionPool.cpp
@@ -1,4 +1,4 @@
-#include "platform/internal/SessionPool.h"
+#include "streamlog/internal/SessionPool.h"
 
 #include <Poco/Net/StreamSocket.h>
 
@@ -6,7 +6,7 @@
 #include <optional>
 #include <vector>
 
-namespace lycheethread::platform {
+namespace lycheethread::streamlog {
 
 namespace {
 
@@ -86,4 +86,4 @@
         {std::move(Session), std::chrono::steady_clock::now()});
 }
 
-} // namespace lycheethread::platform
+} // namespace lycheethread::streamlog
--- a/src/platform/internal/SessionPool.h
+++ b/src/streamlog/internal/SessionPool.h
@@ -1,14 +1,14 @@
-#ifndef LYCHEETHREAD_PLATFORM_INTERNAL_SESSIONPOOL_H
-#define LYCHEETHREAD_PLATFORM_INTERNAL_SESSIONPOOL_H
+#ifndef LYCHEETHREAD_STREAMLOG_INTERNAL_SESSIONPOOL_H
+#define LYCHEETHREAD_STREAMLOG_INTERNAL_SESSIONPOOL_H
 
-#include "platform/internal/DeadlineSocket.h"
+#include "streamlog/internal/DeadlineSocket.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/SocketAddress.h>
 
 #include <memory>
 
-namespace lycheethread::platform {
+namespace lycheethread::streamlog {
 
 /// A connection to the log and the socket below it.
 struct LogSession {
@@ -37,6 +37,6 @@
   std::unique_ptr<Impl> Impl_;
 };
 
-} // namespace lycheethread::platform
+} // namespace lycheethread::streamlog
 
-#endif // LYCHEETHREAD_PLATFORM_INTERNAL_SESSIONPOOL_H
+#endif // LYCHEETHREAD_STREAMLOG_INTERNAL_SESSIONPOOL_H
--- a/src/platform/internal/PlatformModule.cpp
+++ b/src/streamlog/internal/StreamLogModule.cpp
@@ -1,7 +1,7 @@
-#include "platform/Platform.h"
+#include "streamlog/StreamLog.h"
 #include "settings/Settings.h"
 
-namespace lycheethread::platform {
+namespace lycheethread::streamlog {
 
 namespace {
 
@@ -9,11 +9,11 @@
 
 } // namespace
 
-kernel::Module makePlatformModule() {
+kernel::Module makeStreamLogModule() {
   // The address is known in Init only; until then the functions are unset.
   const auto Client = std::make_shared<LogClient>();
   kernel::Module Made;
-  Made.Name = "platform";
+  Made.Name = "streamlog";
   Made.RegisterServices = [Client](kernel::ServiceRegistry &Registry) {
     Registry.add<LogClient>(kernel::service_names::Log, Client);
   };
@@ -25,4 +25,4 @@
   return Made;
 }
 
-} // namespace lycheethread::platform
+} // namespace lycheethread::streamlog
--- a/src/platform/types/LogClient.h
+++ b/src/streamlog/types/LogClient.h
@@ -1,5 +1,5 @@
-#ifndef LYCHEETHREAD_PLATFORM_TYPES_LOGCLIENT_H
-#define LYCHEETHREAD_PLATFORM_TYPES_LOGCLIENT_H
+#ifndef LYCHEETHREAD_STREAMLOG_TYPES_LOGCLIENT_H
+#define LYCHEETHREAD_STREAMLOG_TYPES_LOGCLIENT_H
 
 #include "model/Model.h"
 
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace lycheethread::platform {
+namespace lycheethread::streamlog {
 
 /// One record as the platform keeps it.
 struct LogRecord {
@@ -62,6 +62,6 @@
   std::function<StreamBounds(const StreamName &)> Bounds;
 };
 
-} // namespace lycheethread::platform
+} // namespace lycheethread::streamlog
 
-#endif // LYCHEETHREAD_PLATFORM_TYPES_LOGCLIENT_H
+#endif // LYCHEETHREAD_STREAMLOG_TYPES_LOGCLIENT_H
--- a/tests/convergence/Baseline.cpp
+++ b/tests/convergence/Baseline.cpp
@@ -26,12 +26,12 @@
 
 void follow(Reader &Self, peer::MemoryLog &Log,
             const std::atomic<bool> &Stopping) {
-  const platform::LogClient Client = Log.client();
+  const streamlog::LogClient Client = Log.client();
   while (!Stopping) {
     const auto Batch =
         Client.Read(StreamName("control"), Offset(Self.Position), 64, PollWait);
     std::int64_t Bytes = RequestBytes + ResponseBytes;
-    for (const platform::LogRecord &Item : Batch.Records)
+    for (const streamlog::LogRecord &Item : Batch.Records)
       Bytes += RecordEnvelope +
                static_cast<std::int64_t>((Item.Data.size() + 2) / 3 * 4);
     Self.Bytes += Bytes;
--- a/tests/failures/moves/Fleet.cpp
+++ b/tests/failures/moves/Fleet.cpp
@@ -169,7 +169,7 @@
 }
 
 config::ConfigState Fleet::folded() const {
-  return bootstrap::loadFromLog(platform::makeHttpLog(Log->url(), LogTimeout),
+  return bootstrap::loadFromLog(streamlog::makeHttpLog(Log->url(), LogTimeout),
                                 [](const std::string &) {});
 }
 
--- a/tests/failures/moves/OwnerTest.cpp
+++ b/tests/failures/moves/OwnerTest.cpp
@@ -28,11 +28,11 @@
 }
 
 /// Last record of the writer in the control stream.
-RecordHeader lastHeader(const platform::LogClient &Log, const NodeId &Writer) {
-  const platform::LogBatch Batch =
+RecordHeader lastHeader(const streamlog::LogClient &Log, const NodeId &Writer) {
+  const streamlog::LogBatch Batch =
       Log.Read(bootstrap::controlStream(), Offset(0), 10'000, Milliseconds(0));
   RecordHeader Found;
-  for (const platform::LogRecord &Each : Batch.Records) {
+  for (const streamlog::LogRecord &Each : Batch.Records) {
     const Record Item = records::decodeRecord(Each.Data);
     if (Item.Header.Writer == Writer)
       Found = Item.Header;
@@ -43,8 +43,8 @@
 /// Appends an end of the move as the holder of an old lease would write it.
 void appendStaleEnd(const Fleet &Tested, const std::string &Id,
                     const moves::Lease &Old) {
-  const platform::LogClient Log =
-      platform::makeHttpLog(Tested.Log->url(), Milliseconds(2000));
+  const streamlog::LogClient Log =
+      streamlog::makeHttpLog(Tested.Log->url(), Milliseconds(2000));
   Record Stale;
   Stale.Header = lastHeader(Log, Old.Holder);
   Stale.Header.Number = Stale.Header.Number.next();
--- a/tests/load/BenchNode.cpp
+++ b/tests/load/BenchNode.cpp
@@ -113,9 +113,9 @@
   Peers->OnRumour = [](const std::string &, peer::RumourHandler) {};
   Peers->Announce = [](MemberState) {};
   Registry.add(names::Peers, Peers);
-  auto Log = std::make_shared<platform::LogClient>();
+  auto Log = std::make_shared<streamlog::LogClient>();
   Log->Append = [](const StreamName &, const std::string &) -> Offset {
-    throw platform::LogUnavailable("no log");
+    throw streamlog::LogUnavailable("no log");
   };
   Registry.add(names::Log, Log);
 }
--- a/tests/robustness/BadAnswersTest.cpp
+++ b/tests/robustness/BadAnswersTest.cpp
@@ -1,11 +1,11 @@
 #include "BadServer.h"
 #include "Mutator.h"
-#include "platform/Platform.h"
+#include "streamlog/StreamLog.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace lycheethread;
-using platform::LogClient;
+using streamlog::LogClient;
 using robustness::BadServer;
 using robustness::Mutator;
 using Clock = std::chrono::steady_clock;
@@ -68,10 +68,10 @@
   }
 }
 
-void checkBatch(const platform::LogBatch &Batch) {
+void checkBatch(const streamlog::LogBatch &Batch) {
   BOOST_TEST(Batch.Bounds.First <= Batch.Bounds.Next);
   Offset Expected(0);
-  for (const platform::LogRecord &Item : Batch.Records) {
+  for (const streamlog::LogRecord &Item : Batch.Records) {
     BOOST_TEST(Item.At == Expected);
     Expected = Expected.next();
   }
@@ -89,9 +89,9 @@
     else
       checkBatch(Log.Read(Control, Offset(0), 10, Milliseconds(0)));
     return true;
-  } catch (const platform::LogUnavailable &) {
+  } catch (const streamlog::LogUnavailable &) {
     return false;
-  } catch (const platform::LogTrimmed &Error) {
+  } catch (const streamlog::LogTrimmed &Error) {
     BOOST_TEST(Error.kept().First > Offset(0));
     return false;
   }
@@ -104,7 +104,7 @@
 BOOST_AUTO_TEST_CASE(BadAnswersOfTheLogAreUnavailable) {
   constexpr int Inputs = 4'000;
   BadServer Server;
-  const LogClient Log = platform::makeHttpLog(Server.url(), Milliseconds(1000));
+  const LogClient Log = streamlog::makeHttpLog(Server.url(), Milliseconds(1000));
   Server.prepare({goodRead()});
   BOOST_TEST(Log.Read(Control, Offset(0), 10, Milliseconds(0)).Records.size() ==
              2);
@@ -125,7 +125,7 @@
   constexpr int Inputs = 20;
   constexpr Milliseconds Timeout{100};
   BadServer Server;
-  const LogClient Log = platform::makeHttpLog(Server.url(), Timeout);
+  const LogClient Log = streamlog::makeHttpLog(Server.url(), Timeout);
   Mutator Random(Seed + 1);
   for (int I = 0; I < Inputs; ++I) {
     Server.prepare({goodRead(), Milliseconds(1 + Random.below(20))});
@@ -139,13 +139,13 @@
 BOOST_AUTO_TEST_CASE(OversizedAnswersAreCutOff) {
   constexpr int Inputs = 5;
   BadServer Server;
-  const LogClient Log = platform::makeHttpLog(Server.url(), Milliseconds(5000));
+  const LogClient Log = streamlog::makeHttpLog(Server.url(), Milliseconds(5000));
   Server.prepare({answer("200 OK", std::string(24 * 1024 * 1024, ' '))});
   for (int I = 0; I < Inputs; ++I) {
     try {
       Log.Bounds(Control);
       BOOST_ERROR("an oversized answer was taken");
-    } catch (const platform::LogUnavailable &Error) {
+    } catch (const streamlog::LogUnavailable &Error) {
       const std::string Text = Error.what();
       BOOST_TEST(Text.find("more than") != std::string::npos, Text);
     }
--- a/tests/standins/log/tests/HttpLogTest.cpp
+++ b/tests/standins/log/tests/HttpLogTest.cpp
@@ -1,6 +1,6 @@
 #define BOOST_TEST_MODULE HttpLog
 #include "LogServer.h"
-#include "platform/Platform.h"
+#include "streamlog/StreamLog.h"
 #include "settings/Settings.h"
 
 #include <boost/test/unit_test.hpp>
@@ -9,10 +9,10 @@
 #include <thread>
 
 using namespace lycheethread;
-using platform::LogBatch;
-using platform::LogClient;
-using platform::LogTrimmed;
-using platform::LogUnavailable;
+using streamlog::LogBatch;
+using streamlog::LogClient;
+using streamlog::LogTrimmed;
+using streamlog::LogUnavailable;
 using Clock = std::chrono::steady_clock;
 
 namespace {
@@ -22,7 +22,7 @@
 
 struct Fixture {
   testlog::LogServer Server{"127.0.0.1:0", 1000};
-  LogClient Log = platform::makeHttpLog(url(), Timeout);
+  LogClient Log = streamlog::makeHttpLog(url(), Timeout);
 
   std::string url() const {
     return "http://127.0.0.1:" + std::to_string(Server.port());
@@ -130,14 +130,14 @@
     Made->LogUrl = url();
     Registry.add<settings::NodeSettings>(kernel::service_names::Settings, Made);
   };
-  Kernel.add(platform::makePlatformModule());
+  Kernel.add(streamlog::makeStreamLogModule());
   Kernel.add(Settings);
   Kernel.start();
   const auto Found =
       Kernel.registry().find<LogClient>(kernel::service_names::Log);
   BOOST_TEST(Found->Append(Control, "x") == Offset(0));
   Kernel.stop();
-  BOOST_CHECK_THROW(platform::makeHttpLog("localhost:1", Timeout),
+  BOOST_CHECK_THROW(streamlog::makeHttpLog("localhost:1", Timeout),
                     std::invalid_argument);
 }
 
