--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -84,6 +84,11 @@
 /// the age of the newest confirmation by any node.
 bool shouldReadStore(std::size_t Rank, Milliseconds ConfirmedAge);
 
+/// How long to wait for records that so far only nodes at distance \p Nearest
+/// hold, before they are fetched from there.
+Milliseconds fetchDelay(const Fleet &Known, const Place &At, Tier Nearest,
+                        SteadyTime Now);
+
 Tier tierOf(const Place &From, const NodeId &Self, const NodeNews &Of);
 
 /// False when the check-in is older than what is known, or its start has left.
--- a/src/mesh/internal/Fleet.cpp
+++ b/src/mesh/internal/Fleet.cpp
@@ -14,13 +14,17 @@
 /// life still rejects older news of it.
 constexpr Milliseconds ForgetAfter{60000};
 /// Nodes that read the store all the time: each of them may fail.
-constexpr std::size_t SteadyReaders = 3;
+constexpr std::size_t SteadyReaders = 2;
 /// The others start to read when nobody has confirmed the position for this
 /// long. A change must be in force well within the users' 2.5 s.
 constexpr Milliseconds ConfirmationTooOld{1500};
 constexpr Milliseconds DelayPerRank{20};
 constexpr Milliseconds MaxRankDelay{400};
 
+/// Time for the first node of a zone or region to fetch records over a link and
+/// to tell the others; after it they fetch for themselves.
+constexpr Milliseconds FetchPatience{350};
+
 std::uint64_t hashOf(const NodeId &Id) {
   // FNV-1a: std::hash differs between builds, and all nodes must agree.
   std::uint64_t Hash = 14695981039346656037ULL;
@@ -79,6 +83,24 @@
   return ConfirmedAge > ConfirmationTooOld + Delay;
 }
 
+Milliseconds fetchDelay(const Fleet &Known, const Place &At, Tier Nearest,
+                        SteadyTime Now) {
+  if (Nearest <= Tier::OwnZone)
+    return Milliseconds(0);
+  // Of those that lack the records as well, only the first in the zone, or in
+  // the region, fetches them over the link.
+  Fleet Near;
+  Near.Self = Known.Self;
+  for (const auto &[Id, Node] : Known.Nodes) {
+    const bool IsNear = Nearest == Tier::OtherRegion
+                            ? Node.News.At.In == At.In
+                            : Node.News.At.Zone == At.Zone;
+    if (IsNear)
+      Near.Nodes.emplace(Id, Node);
+  }
+  return rankOf(Near, "fetch", Now) == 0 ? Milliseconds(0) : FetchPatience;
+}
+
 Tier tierOf(const Place &From, const NodeId &Self, const NodeNews &Of) {
   if (Of.Id == Self)
     return Tier::OwnNode;
--- a/src/mesh/internal/Place.cpp
+++ b/src/mesh/internal/Place.cpp
@@ -13,7 +13,7 @@
 constexpr double RoundTripMs[] = {0, 0.5, 2, 62};
 /// Extra time charged for bytes that cross a zone or the region link, per
 /// KiB: both are billed by volume, and the region link is shared by all.
-constexpr double LinkMsPerKiB[] = {0, 0, 0.3, 2.5};
+constexpr double LinkMsPerKiB[] = {0, 0, 1, 4};
 /// Charged for leaving the region even with a small body.
 constexpr double LinkBaseMs[] = {0, 0, 3, 40};
 /// An upstream runs slower the fuller it is; part of the service time added
--- a/src/mesh/tests/FleetTest.cpp
+++ b/src/mesh/tests/FleetTest.cpp
@@ -69,4 +69,27 @@
   BOOST_TEST(shouldReadStore(50, Milliseconds(2000)));
 }
 
+// Guards against one copy of the operator's records for each node over a link
+// that is billed by volume.
+BOOST_AUTO_TEST_CASE(oneNodeOfARegionFetchesOverTheLink) {
+  int AtOnce = 0;
+  for (int Self = 0; Self < 6; ++Self) {
+    Fleet Known;
+    Known.Self = NodeId("n" + std::to_string(Self));
+    for (int At = 0; At < 6; ++At) {
+      NodeNews Item = news("n" + std::to_string(At), 1, 1);
+      Item.At = {Region("r"), AvailabilityZone(At % 2 == 0 ? "a" : "b")};
+      mergeNews(Known, Item, SteadyTime(1));
+    }
+    const Place At{Region("r"), AvailabilityZone(Self % 2 == 0 ? "a" : "b")};
+    const auto Delay =
+        fetchDelay(Known, At, Tier::OtherRegion, SteadyTime(1));
+    AtOnce += Delay == Milliseconds(0) ? 1 : 0;
+    BOOST_TEST(Delay <= Milliseconds(500));
+    BOOST_TEST(
+        fetchDelay(Known, At, Tier::OwnZone, SteadyTime(1)).count() == 0);
+  }
+  BOOST_TEST(AtOnce == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/sidecar/internal/Gossip.cpp
+++ b/src/sidecar/internal/Gossip.cpp
@@ -148,10 +148,21 @@
 }
 
 void Gossip::tellAll() {
+  tell([](const mesh::NodeNews &) { return true; });
+}
+
+void Gossip::tellRegion() {
+  tell([this](const mesh::NodeNews &News) {
+    return News.At.In == Context_.Settings.At.In;
+  });
+}
+
+void Gossip::tell(
+    const std::function<bool(const mesh::NodeNews &)> &IsMeant) {
   const std::string Data = datagram();
   std::vector<Endpoint> To;
   for (const auto &[Id, Known] : Context_.Fleet.Nodes)
-    if (mesh::isAlive(Known, Context_.now()))
+    if (mesh::isAlive(Known, Context_.now()) && IsMeant(Known.News))
       To.push_back(Known.News.Gossip);
   std::shuffle(To.begin(), To.end(), Context_.Random);
   To.resize(std::min(To.size(), MaxToldAtOnce));
--- a/src/sidecar/internal/Gossip.h
+++ b/src/sidecar/internal/Gossip.h
@@ -21,6 +21,7 @@
 
   /// Tells many nodes at once, for news that matter now.
   void tellAll();
+  void tellRegion();
 
 private:
   struct Contact {
@@ -29,6 +30,7 @@
   };
 
   void tick();
+  void tell(const std::function<bool(const mesh::NodeNews &)> &IsMeant);
   void onDatagram(std::string_view Data);
   mesh::NodeNews ownNews();
   std::string datagram();
--- a/src/sidecar/internal/NewsCodec.cpp
+++ b/src/sidecar/internal/NewsCodec.cpp
@@ -3,7 +3,14 @@
 
 #include <gossip_types.h>
 
+#include <Poco/DeflatingStream.h>
+#include <Poco/Exception.h>
+#include <Poco/InflatingStream.h>
+#include <Poco/MemoryStream.h>
+
 #include <algorithm>
+#include <array>
+#include <sstream>
 
 namespace lycheethread::sidecar {
 
@@ -12,6 +19,8 @@
 /// The operator's configuration may hold many routes.
 constexpr std::size_t MaxRecordsBytes = 16 * 1024 * 1024;
 constexpr std::int32_t MaxPort = 65'535;
+/// Fast; higher levels save little more.
+constexpr int DeflateLevel = 3;
 
 wire::EndpointMessage toWire(const Endpoint &From) {
   wire::EndpointMessage To;
@@ -159,6 +168,37 @@
   return To;
 }
 
+/// Configurations are long texts that repeat themselves, and cross links that
+/// are billed by volume.
+std::string deflate(const std::string &Text) {
+  std::ostringstream Out;
+  Poco::DeflatingOutputStream Deflater(
+      Out, Poco::DeflatingStreamBuf::STREAM_ZLIB, DeflateLevel);
+  Deflater << Text;
+  Deflater.close();
+  return Out.str();
+}
+
+/// Nothing for broken data, or more than MaxRecordsBytes.
+std::optional<std::string> inflate(std::string_view Data) {
+  Poco::MemoryInputStream In(Data.data(),
+                             static_cast<std::streamsize>(Data.size()));
+  Poco::InflatingInputStream Inflater(In);
+  std::string Text;
+  std::array<char, 16 * 1024> Part{};
+  try {
+    while (Inflater.good() && Text.size() <= MaxRecordsBytes) {
+      Inflater.read(Part.data(), Part.size());
+      Text.append(Part.data(), static_cast<std::size_t>(Inflater.gcount()));
+    }
+  } catch (const Poco::Exception &) {
+    return std::nullopt;
+  }
+  if (Inflater.bad() || Text.size() > MaxRecordsBytes)
+    return std::nullopt;
+  return Text;
+}
+
 } // namespace
 
 std::string encodeNews(const std::vector<mesh::NodeNews> &News) {
@@ -193,12 +233,15 @@
     Item.__set_offset(Record.At.value());
     Message.items.push_back(std::move(Item));
   }
-  return thriftcodec::encode(Message);
+  return deflate(thriftcodec::encode(Message));
 }
 
 std::optional<OperatorRecords> decodeRecords(std::string_view Data) {
-  const auto Message =
-      thriftcodec::decode<wire::OperatorItemsMessage>(Data, MaxRecordsBytes);
+  const auto Inflated = inflate(Data);
+  if (!Inflated)
+    return std::nullopt;
+  const auto Message = thriftcodec::decode<wire::OperatorItemsMessage>(
+      *Inflated, MaxRecordsBytes);
   if (!Message)
     return std::nullopt;
   OperatorRecords Records;
--- a/src/sidecar/internal/NodeContext.h
+++ b/src/sidecar/internal/NodeContext.h
@@ -9,11 +9,16 @@
 #include "sidecar/types/PlatformPort.h"
 
 #include <random>
+#include <utility>
 
 namespace lycheethread::sidecar {
 
 /// State that several parts of a node share. All of them run in one thread.
 struct NodeContext {
+  NodeContext(reactor::EventLoop &UsedLoop, const PlatformPort &UsedPlatform,
+              settings::SidecarSettings Checked)
+      : Loop(UsedLoop), Platform(UsedPlatform), Settings(std::move(Checked)) {}
+
   reactor::EventLoop &Loop;
   const PlatformPort &Platform;
   settings::SidecarSettings Settings;
--- a/src/sidecar/internal/OperatorFeed.cpp
+++ b/src/sidecar/internal/OperatorFeed.cpp
@@ -39,6 +39,7 @@
 OperatorFeed::~OperatorFeed() {
   Context_.Loop.cancel(Timer_);
   Context_.Loop.cancel(PullTimer_);
+  Context_.Loop.cancel(FetchTimer_);
 }
 
 void OperatorFeed::start() {
@@ -162,6 +163,7 @@
   const Offset PositionBefore = Context_.Records.Position;
   if (!mergeRecords(Context_.Records, From))
     return;
+  BehindSince_ = SteadyTime();
   Context_.Log.write(
       LogClass::State, Context_.now(), "records-taken",
       {{"source", Source},
@@ -237,6 +239,21 @@
   }
   if (Best == nullptr)
     return;
+  const SteadyTime Now = Context_.now();
+  if (BehindSince_ == SteadyTime())
+    BehindSince_ = Now;
+  const Milliseconds Delay = mesh::fetchDelay(
+      Context_.Fleet, Context_.Settings.At,
+      mesh::tierOf(Context_.Settings.At, Context_.Settings.Id, *Best), Now);
+  const Milliseconds Waited = elapsed(BehindSince_, Now);
+  if (Waited < Delay) {
+    if (FetchTimer_ == reactor::TimerId())
+      FetchTimer_ = Context_.Loop.runAfter(Delay - Waited, [this] {
+        FetchTimer_ = reactor::TimerId();
+        pull();
+      });
+    return;
+  }
   const Endpoint From = Best->Hop;
   HTTPRequest Head(HTTPRequest::HTTP_GET,
                    "/records?from=" +
@@ -267,11 +284,13 @@
   Callbacks.OnComplete = [this, Body, End] {
     End();
     const auto Records = decodeRecords(*Body);
-    if (Records)
+    if (Records) {
       take(*Records, "peer");
-    else
+      Used_.OnFetched();
+    } else {
       Context_.Log.write(LogClass::State, Context_.now(), "records-unreadable",
                          {{"bytes", std::to_string(Body->size())}});
+    }
   };
   Callbacks.OnFailure = [End](ClientFailure) { End(); };
   PullTimer_ = Context_.Loop.runAfter(PullTimeout, End);
--- a/src/sidecar/internal/OperatorFeed.h
+++ b/src/sidecar/internal/OperatorFeed.h
@@ -16,6 +16,8 @@
     std::function<void()> OnRecords;
     /// Read from the store itself; the others should hear of it at once.
     std::function<void()> OnRead;
+    /// Fetched from another node; those nearby may lack the records too.
+    std::function<void()> OnFetched;
     std::function<void(const std::vector<StoreItem> &)> OnStatus;
     std::function<void(const std::vector<StoreItem> &)> OnMembers;
   };
@@ -50,6 +52,9 @@
   ConnectionPool Pool_;
   ClientConnectionPtr Pulling_;
   reactor::TimerId PullTimer_;
+  reactor::TimerId FetchTimer_;
+  /// Since when another node is known to have newer records.
+  SteadyTime BehindSince_;
   reactor::TimerId Timer_;
   SteadyTime StartedAt_;
   SteadyTime MembersAt_;
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -98,8 +98,8 @@
   Impl(std::string Path, NodeParts Used)
       : SettingsPath(std::move(Path)), SettingsText(readText(SettingsPath)),
         Parts(std::move(Used)),
-        Context{Loop, *Parts.Platform,
-                parseOrThrow(SettingsPath, SettingsText)} {
+        Context(Loop, *Parts.Platform,
+                parseOrThrow(SettingsPath, SettingsText)) {
     Context.Bounds = Context.Platform.Bounds(Context.Settings.PlatformBounds);
     Context.Metrics = Parts.Recorder;
     Context.Fleet.Self = Context.Settings.Id;
@@ -127,6 +127,7 @@
         Context, *Store,
         OperatorFeed::Callbacks{
             [this] { onRecords(); }, [this] { News->tellAll(); },
+            [this] { News->tellRegion(); },
             [this](const auto &Items) { Moves->onStatus(Items); },
             [this](const auto &Items) { onMembers(Items); }});
     listen();
