--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -7,6 +7,7 @@
 
 #include "mesh/types/CheckIn.h"
 #include "mesh/types/HopQueue.h"
+#include "mesh/types/LinkBudget.h"
 #include "mesh/types/MeshConfig.h"
 #include "mesh/types/NodeNews.h"
 #include "mesh/types/Placement.h"
@@ -63,6 +64,15 @@
 /// False when the request does not wait.
 bool removeWaiting(HopQueue &Queue, JobId Id);
 
+/// Time until a long body may be sent; 0 for now.
+Milliseconds untilRoom(LinkBudget &Budget, SteadyTime Now);
+
+void spendBytes(LinkBudget &Budget, std::int64_t Bytes, SteadyTime Now);
+
+/// Learns from the time \p Took of a body that was sent over the link.
+void noteTransfer(LinkBudget &Budget, std::int64_t Bytes, Milliseconds Took,
+                  SteadyTime Now);
+
 /// Share and end of a rollout. Every node comes to the same result from the
 /// same view; a later view can only raise the share along the fixed steps.
 RolloutDecision decideRollout(const RolloutView &View);
--- a/src/mesh/tests/FleetTest.cpp
+++ b/src/mesh/tests/FleetTest.cpp
@@ -85,7 +85,7 @@
     const auto Delay =
         fetchDelay(Known, At, Tier::OtherRegion, SteadyTime(1));
     AtOnce += Delay == Milliseconds(0) ? 1 : 0;
-    BOOST_TEST(Delay <= Milliseconds(500));
+    BOOST_TEST(Delay.count() <= 500);
     BOOST_TEST(
         fetchDelay(Known, At, Tier::OwnZone, SteadyTime(1)).count() == 0);
   }
--- /dev/null
+++ b/src/mesh/tests/LinkBudgetTest.cpp
@@ -0,0 +1,94 @@
+#include "mesh/Mesh.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+#include <vector>
+
+using namespace lycheethread;
+using namespace lycheethread::mesh;
+
+namespace {
+
+constexpr std::int64_t BodyBytes = 280'000;
+
+/// Nodes that share a link of a given rate, with bodies waiting all the time.
+/// Returns the longest queue on the link, in ms, after \p SettleMs.
+struct LinkReplay {
+  double LongestQueueMs = 0;
+  std::int64_t Sent = 0;
+};
+
+LinkReplay replay(int Nodes, double LinkBytesPerMs, std::int64_t LengthMs,
+                  std::int64_t SettleMs) {
+  struct Transfer {
+    std::size_t Node;
+    std::int64_t Start;
+    double Left;
+  };
+  std::vector<LinkBudget> Budgets(static_cast<std::size_t>(Nodes));
+  std::vector<Transfer> Active;
+  LinkReplay Result;
+  for (std::int64_t Now = 1; Now < LengthMs; ++Now) {
+    for (std::size_t At = 0; At < Budgets.size(); ++At)
+      if (untilRoom(Budgets[At], SteadyTime(Now)).count() == 0) {
+        spendBytes(Budgets[At], BodyBytes, SteadyTime(Now));
+        Active.push_back({At, Now, static_cast<double>(BodyBytes)});
+      }
+    double Queue = 0;
+    for (Transfer &Item : Active) {
+      Queue += Item.Left;
+      // A window of 64 KiB for each round trip of 60 ms bounds one transfer.
+      const double Fair = LinkBytesPerMs / static_cast<double>(Active.size());
+      Item.Left -= std::min(Fair, 1090.0);
+    }
+    if (Now > SettleMs)
+      Result.LongestQueueMs =
+          std::max(Result.LongestQueueMs, Queue / LinkBytesPerMs);
+    for (auto It = Active.begin(); It != Active.end();) {
+      if (It->Left > 0) {
+        ++It;
+        continue;
+      }
+      noteTransfer(Budgets[It->Node], BodyBytes,
+                   Milliseconds(Now - It->Start), SteadyTime(Now));
+      Result.Sent += BodyBytes;
+      It = Active.erase(It);
+    }
+  }
+  return Result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Links)
+
+// Load pattern: a region without an upstream for uploads sends all of them over
+// a link of 44 Mbit/s that carries a third of them. Guards against a link so
+// full that calls of 250 ms fail on it.
+BOOST_AUTO_TEST_CASE(uploadsDoNotFillTheLink) {
+  const LinkReplay Busy = replay(7, 5500, 30'000, 8'000);
+  BOOST_TEST(Busy.LongestQueueMs < 700);
+  // Some use of the link must remain.
+  BOOST_TEST(static_cast<double>(Busy.Sent) > 0.25 * 5500 * 30'000);
+}
+
+BOOST_AUTO_TEST_CASE(aNarrowLinkLowersTheRate) {
+  LinkBudget Budget;
+  const double Before = Budget.BytesPerSecond;
+  noteTransfer(Budget, BodyBytes, Milliseconds(300), SteadyTime(1000));
+  BOOST_TEST(Budget.BytesPerSecond > Before);
+  noteTransfer(Budget, BodyBytes, Milliseconds(900), SteadyTime(2000));
+  BOOST_TEST(Budget.BytesPerSecond < Before);
+}
+
+BOOST_AUTO_TEST_CASE(aLongBodyIsPaidForByAPause) {
+  LinkBudget Budget;
+  BOOST_TEST(untilRoom(Budget, SteadyTime(1000)).count() == 0);
+  spendBytes(Budget, 3 * BodyBytes, SteadyTime(1000));
+  const Milliseconds Pause = untilRoom(Budget, SteadyTime(1000));
+  BOOST_TEST(Pause.count() > 2000);
+  BOOST_TEST(untilRoom(Budget, after(SteadyTime(1000), Pause)).count() <= 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/sidecar/internal/BodyPipe.cpp
+++ b/src/sidecar/internal/BodyPipe.cpp
@@ -33,6 +33,7 @@
 std::string BodyPipe::take() {
   std::string Taken;
   Taken.swap(Buffer_);
+  Taken_ = Taken_ || !Taken.empty();
   const auto Callback = OnRoom;
   if (!Taken.empty() && Callback)
     Callback();
--- a/src/sidecar/internal/BodyPipe.h
+++ b/src/sidecar/internal/BodyPipe.h
@@ -13,8 +13,7 @@
 /// it on, with a bounded buffer.
 class BodyPipe {
 public:
-  /// The producer should pause at this many bytes.
-  static constexpr std::size_t HighWater = 64 * 1024;
+  static constexpr std::size_t DefaultHighWater = 64 * 1024;
 
   static std::shared_ptr<BodyPipe> complete(std::string Body);
 
@@ -29,6 +28,11 @@
   /// Nothing more to take now or later.
   bool isDone() const { return Ended_ && Buffer_.empty(); }
   std::size_t size() const { return Buffer_.size(); }
+  /// Whether part of the body has been taken and cannot be taken again.
+  bool wasTaken() const { return Taken_; }
+  /// The producer should pause.
+  bool isFull() const { return Buffer_.size() >= HighWater_; }
+  void setHighWater(std::size_t Bytes) { HighWater_ = Bytes; }
   const std::string &peek() const { return Buffer_; }
   /// Takes everything that is buffered.
   std::string take();
@@ -42,6 +46,8 @@
   void notify();
 
   std::string Buffer_;
+  std::size_t HighWater_ = DefaultHighWater;
+  bool Taken_ = false;
   bool Ended_ = false;
   bool Failed_ = false;
 };
--- a/src/sidecar/internal/CallerEntry.cpp
+++ b/src/sidecar/internal/CallerEntry.cpp
@@ -207,6 +207,12 @@
   dispatch(Item);
 }
 
+bool CallerEntry::crossesLink(const CallPtr &Item,
+                              const mesh::Candidate &To) {
+  return To.Distance == mesh::Tier::OtherRegion && !Item->Kept &&
+         Item->Request->framing().Kind != http::FramingKind::None;
+}
+
 std::optional<mesh::Candidate> CallerEntry::choose(const CallPtr &Item) {
   const HopInfo &Info = Item->Info;
   const std::vector<mesh::Candidate> Candidates = Moves_.select(
@@ -224,6 +230,13 @@
     return std::nullopt;
   }
   const mesh::Candidate &Best = Candidates[Chosen->Index];
+  if (crossesLink(Item, Best)) {
+    const Milliseconds Room = mesh::untilRoom(RegionLink_, Context_.now());
+    if (Room > Milliseconds(0)) {
+      conclude(Item, RefusalReason::QueueFull, Room);
+      return std::nullopt;
+    }
+  }
   const Milliseconds Allowed = std::max(
       Milliseconds(0), Wanted.ObjectiveLeft - 2 * Best.ServiceTime);
   const Milliseconds Tolerated(static_cast<std::int64_t>(
@@ -278,6 +291,14 @@
       return;
     onOutcome(Found, std::move(Outcome));
   };
+  if (crossesLink(Item, To)) {
+    const std::int64_t Bytes =
+        std::max<std::int64_t>(MaxKeptBody, Item->Request->framing().Length);
+    mesh::spendBytes(RegionLink_, Bytes, Context_.now());
+    Job.OnBodySent = [this, Bytes](Milliseconds Took) {
+      mesh::noteTransfer(RegionLink_, Bytes, Took, Context_.now());
+    };
+  }
   Directory_.onSent(To.Node);
   // The own last hop may refuse before it returns; the next attempt then sets
   // its own job.
@@ -313,14 +334,12 @@
   if (Answered && Outcome.Answer.Head.getStatus() < FirstServerError)
     return false;
   const Milliseconds Left = elapsed(Context_.now(), Item->Info.DeadlineAt);
-  const bool BodyIsGone = !Item->Kept && Item->Request->framing().Kind !=
-                                             http::FramingKind::None;
+  const bool BodyIsGone = !Item->Kept && Item->Request->body()->wasTaken();
   if (Left < LeastTimeForRepeat)
     return false;
   mesh::MeshRetryBudget &Budget = Budgets_[Item->Info.Service];
   if (Outcome.End == HopEnd::NotRun) {
-    const bool BodyWasTaken = BodyIsGone && Outcome.Reached;
-    if (++Item->Refusals >= MaxRefusals || BodyWasTaken ||
+    if (++Item->Refusals >= MaxRefusals || BodyIsGone ||
         Outcome.Reason == RefusalReason::CrashSuspect)
       return false;
     // Only what an upstream rejected has arrived there.
--- a/src/sidecar/internal/CallerEntry.h
+++ b/src/sidecar/internal/CallerEntry.h
@@ -29,6 +29,7 @@
   void waitForBody(const CallPtr &Item);
   void prepare(const CallPtr &Item);
   void dispatch(const CallPtr &Item);
+  static bool crossesLink(const CallPtr &Item, const mesh::Candidate &To);
   std::optional<mesh::Candidate> choose(const CallPtr &Item);
   void send(const CallPtr &Item, const mesh::Candidate &To);
   void onOutcome(const CallPtr &Item, HopOutcome Outcome);
@@ -47,6 +48,8 @@
   Rollouts &Moves_;
   std::unordered_map<RouteName, mesh::SplitState> Splits_;
   std::map<ServiceName, mesh::MeshRetryBudget> Budgets_;
+  /// Long bodies to other regions.
+  mesh::LinkBudget RegionLink_;
   std::size_t InProgress_ = 0;
 };
 
--- a/src/sidecar/internal/ClientConnection.cpp
+++ b/src/sidecar/internal/ClientConnection.cpp
@@ -102,8 +102,12 @@
 }
 
 void ClientConnection::sendBody() {
-  if (!Busy_ || BodySent_ || !MaySendBody_ || !Stream_->isOpen())
+  if (!Busy_ || !MaySendBody_ || !Stream_->isOpen())
     return;
+  if (BodySent_) {
+    reportBodySent();
+    return;
+  }
   const BodyPipePtr Body = Request_.Body;
   while (Body->size() > 0 && Stream_->unsent() < MaxUnsentBytes) {
     const std::string Data = Body->take();
@@ -119,6 +123,16 @@
   if (Request_.Chunked)
     Stream_->write(http::LastChunk);
   BodySent_ = true;
+  reportBodySent();
+}
+
+void ClientConnection::reportBodySent() {
+  if (Stream_->unsent() > 0)
+    return;
+  const auto Callback = std::move(Callbacks_.OnBodySent);
+  Callbacks_.OnBodySent = nullptr;
+  if (Callback)
+    Callback();
 }
 
 void ClientConnection::onInput() {
--- a/src/sidecar/internal/ClientConnection.h
+++ b/src/sidecar/internal/ClientConnection.h
@@ -42,6 +42,8 @@
 struct ClientCallbacks {
   /// The peer wants the body.
   std::function<void()> OnContinue;
+  /// The system has taken the whole body.
+  std::function<void()> OnBodySent;
   /// False for an answer that belongs to another request; the next one on the
   /// connection is then awaited.
   std::function<bool(const Poco::Net::HTTPResponse &)> Accept;
@@ -89,6 +91,7 @@
   void complete();
   void fail(ClientFailure Why);
   void sendBody();
+  void reportBodySent();
 
   reactor::EventLoop &Loop_;
   Endpoint To_;
--- a/src/sidecar/internal/HopJob.h
+++ b/src/sidecar/internal/HopJob.h
@@ -56,6 +56,8 @@
   /// The upstream has a slot for it, and its body is wanted.
   std::function<void()> OnGranted;
   std::function<void(HopOutcome)> OnEnd;
+  /// The body has left for another node, in this time.
+  std::function<void(Milliseconds)> OnBodySent;
 };
 
 } // namespace lycheethread::sidecar
--- a/src/sidecar/internal/HttpServer.cpp
+++ b/src/sidecar/internal/HttpServer.cpp
@@ -254,7 +254,7 @@
   Pipe->append(Data);
   if (Decoder_.isComplete())
     Pipe->end();
-  if (Pipe->size() >= BodyPipe::HighWater)
+  if (Pipe->isFull())
     Stream_->pauseReading(true);
 }
 
--- a/src/sidecar/internal/RemoteHop.cpp
+++ b/src/sidecar/internal/RemoteHop.cpp
@@ -28,6 +28,7 @@
   Endpoint To;
   HopJob Job;
   ClientConnectionPtr Connection;
+  SteadyTime GrantedAt;
   bool Reported = false;
   bool Ended = false;
   reactor::TimerId Timer;
@@ -106,11 +107,19 @@
         finish(Found, std::move(Outcome));
       });
   ClientCallbacks Callbacks;
-  Callbacks.OnContinue = [Weak] {
+  Callbacks.OnContinue = [this, Weak] {
     const auto Found = Weak.lock();
-    if (Found && Found->Job.OnGranted)
+    if (!Found)
+      return;
+    Found->GrantedAt = Context_.now();
+    if (Found->Job.OnGranted)
       Found->Job.OnGranted();
   };
+  Callbacks.OnBodySent = [this, Weak] {
+    const auto Found = Weak.lock();
+    if (Found && Found->Job.OnBodySent && Found->GrantedAt != SteadyTime())
+      Found->Job.OnBodySent(elapsed(Found->GrantedAt, Context_.now()));
+  };
   Callbacks.OnAnswer = [this, Weak](ClientAnswer Answer) {
     const auto Found = Weak.lock();
     if (!Found || Found->Reported)
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -220,7 +220,8 @@
   void updateReadiness() {
     // A node that has served once holds a configuration that callers have met;
     // it is kept up to date but never given up.
-    Context.Serving = Context.Serving || (Feed && Feed->isCurrent());
+    if (!Context.Stopping)
+      Context.Serving = Context.Serving || (Feed && Feed->isCurrent());
     const bool Now = Context.Serving && !Context.Stopping;
     if (Now == Context.Ready)
       return;
@@ -395,6 +396,10 @@
 
   void considerExit() {
     const Milliseconds Since = elapsed(StopAt, Context.now());
+    // Callers without another node go on sending. What is taken now could not
+    // be finished, so it is refused as not run.
+    if (Since >= CallersLeaveTime)
+      Context.Serving = false;
     const bool Quiet = Since >= CallersLeaveTime &&
                        OutboundServer->inProgress() == 0 &&
                        InboundServer->inProgress() == 0 &&
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -33,6 +33,10 @@
 /// same crash.
 constexpr Milliseconds CrashWindow{1000};
 constexpr std::size_t MaxCrashesTold = 16;
+/// Part of a long body that is taken before it gets a slot, and how many such
+/// bodies are taken at once for each slot: together they bound the memory.
+constexpr std::size_t MaxHeldBody = 512 * 1024;
+constexpr std::int32_t ReceivingPerSlot = 2;
 
 HopOutcome notRun(RefusalReason Reason, Milliseconds RoomIn = {}) {
   HopOutcome Outcome;
@@ -55,6 +59,7 @@
 struct UpstreamHop::Running {
   mesh::JobId Id;
   HopJob Job;
+  bool Receiving = false;
   bool HasSlot = false;
   /// The request has been handed to a connection.
   bool Sent = false;
@@ -102,27 +107,76 @@
     Item->Job.OnEnd(notRun(RefusalReason::CrashSuspect));
     return Item->Id;
   }
-  const mesh::QueuedJob Queued{Item->Id,         Info.Rank,
-                               Context_.now(),   Info.ObjectiveAt,
-                               Info.DeadlineAt,  serviceTime(Info.Route)};
+  Jobs_.emplace(Item->Id.value(), Item);
+  const BodyPipePtr &Body = Item->Job.Body;
+  if (Info.Class == RequestClass::Upload && !Body->isEnded() &&
+      Receiving_ < Queue_.Slots * ReceivingPerSlot)
+    receive(Item);
+  else
+    admit(Item);
+  return Item->Id;
+}
+
+/// A slot would be idle while the body crosses a slow link, so the body comes
+/// first.
+void UpstreamHop::receive(const RunningPtr &Job) {
+  Job->Receiving = true;
+  ++Receiving_;
+  Job->Job.Body->setHighWater(MaxHeldBody);
+  Job->Job.Body->OnChange = [this, Weak = std::weak_ptr<Running>(Job)] {
+    if (const auto Item = Weak.lock())
+      onBody(Item);
+  };
+  Job->Timer = Context_.Loop.runAfter(
+      elapsed(Context_.now(), Job->Job.Info.DeadlineAt),
+      [this, Weak = std::weak_ptr<Running>(Job)] {
+        if (const auto Item = Weak.lock())
+          finish(Item, notRun(RefusalReason::Deadline));
+      });
+  const auto Granted = std::move(Job->Job.OnGranted);
+  Job->Job.OnGranted = nullptr;
+  if (Granted)
+    Granted();
+  onBody(Job);
+}
+
+void UpstreamHop::onBody(const RunningPtr &Job) {
+  const BodyPipePtr Body = Job->Job.Body;
+  if (!Job->Receiving || (!Body->isEnded() && !Body->isFull()))
+    return;
+  Body->OnChange = nullptr;
+  Context_.Loop.cancel(Job->Timer);
+  Job->Receiving = false;
+  --Receiving_;
+  if (const auto Reason = checkTarget(Job->Job.Info))
+    finish(Job, notRun(*Reason));
+  else
+    admit(Job);
+}
+
+void UpstreamHop::admit(const RunningPtr &Job) {
+  const HopInfo &Info = Job->Job.Info;
+  const mesh::QueuedJob Queued{Job->Id,         Info.Rank,
+                               Context_.now(),  Info.ObjectiveAt,
+                               Info.DeadlineAt, serviceTime(Info.Route)};
   const QueueVerdict Verdict = mesh::admitJob(
       Queue_, Queued,
       Milliseconds(static_cast<std::int64_t>(MeanServiceMs_)), Context_.now());
-  if (Verdict.Do == QueueVerdict::Action::Refuse) {
-    Item->Job.OnEnd(notRun(RefusalReason::QueueFull, Verdict.RoomIn));
-    return Item->Id;
-  }
-  Jobs_.emplace(Item->Id.value(), Item);
-  if (Verdict.Do == QueueVerdict::Action::Run) {
+  switch (Verdict.Do) {
+  case QueueVerdict::Action::Refuse:
+    finish(Job, notRun(RefusalReason::QueueFull, Verdict.RoomIn));
+    return;
+  case QueueVerdict::Action::Run:
     ++Queue_.Running;
-    grant(Item);
-    return Item->Id;
+    grant(Job);
+    return;
+  case QueueVerdict::Action::Wait:
+    break;
   }
   Queue_.Waiting.push_back(Queued);
   runWaiting();
   if (Timer_ == reactor::TimerId())
     Timer_ = Context_.Loop.runAfter(SweepInterval, [this] { sweep(); });
-  return Item->Id;
 }
 
 void UpstreamHop::grant(const RunningPtr &Job) {
@@ -203,8 +257,10 @@
   }
   Job->Sent = true;
   Job->SentAt = Context_.now();
-  if (Job->Job.OnGranted)
-    Job->Job.OnGranted();
+  const auto Granted = std::move(Job->Job.OnGranted);
+  Job->Job.OnGranted = nullptr;
+  if (Granted)
+    Granted();
   const std::weak_ptr<Running> Weak = Job;
   Job->Timer =
       Context_.Loop.runAfter(Left + DeadlineGrace, [this, Weak] {
@@ -318,6 +374,11 @@
   Job->Ended = true;
   Context_.Loop.cancel(Job->Timer);
   Jobs_.erase(Job->Id.value());
+  if (Job->Receiving) {
+    Job->Receiving = false;
+    --Receiving_;
+    Job->Job.Body->OnChange = nullptr;
+  }
   if (Job->Connection) {
     Job->Connection->OnConnected = nullptr;
     Job->Connection->OnIdleEnd = nullptr;
@@ -420,7 +481,8 @@
 }
 
 mesh::LoadNews UpstreamHop::load() const {
-  return {Queue_.Running, static_cast<std::int32_t>(Queue_.Waiting.size()),
+  return {Queue_.Running,
+          static_cast<std::int32_t>(Queue_.Waiting.size()) + Receiving_,
           Milliseconds(static_cast<std::int64_t>(MeanServiceMs_))};
 }
 
--- a/src/sidecar/internal/UpstreamHop.h
+++ b/src/sidecar/internal/UpstreamHop.h
@@ -39,6 +39,9 @@
   struct Running;
   using RunningPtr = std::shared_ptr<Running>;
 
+  void admit(const RunningPtr &Job);
+  void receive(const RunningPtr &Job);
+  void onBody(const RunningPtr &Job);
   std::optional<RefusalReason> checkTarget(const HopInfo &Info) const;
   void grant(const RunningPtr &Job);
   void connect(const RunningPtr &Job);
@@ -66,6 +69,8 @@
   mesh::HopQueue Queue_;
   std::unordered_map<std::int64_t, RunningPtr> Jobs_;
   mesh::JobId LastJob_;
+  /// Requests whose long body is still arriving; they hold no slot.
+  std::int32_t Receiving_ = 0;
   mesh::UpstreamId Current_;
   /// No connection could be made; requests go elsewhere until then.
   SteadyTime DownUntil_;
