Keep the queue short and serve callers that come back first

Cause: requests waited until the last moment at which they could be in time, so under load nearly every answer was late; a caller that was refused stood behind the new ones again. The entry also refused higher ranks by the length of a queue that they would have passed.

--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -26,6 +26,12 @@
 const MeshRoute *findRoute(const MeshConfig &Config, const std::string &Host,
                            const std::string &Target);
 
+/// Fills in LowestRank of all services from the routes.
+void noteRanks(MeshConfig &Config);
+
+/// The largest rank among the routes to \p Service; 0 without routes.
+std::int32_t lowestRank(const MeshConfig &Config, const ServiceName &Service);
+
 /// Where one node stands in dividing the requests of a route.
 struct SplitState {
   std::vector<std::int64_t> Credit;
--- a/src/mesh/internal/FindRoute.cpp
+++ b/src/mesh/internal/FindRoute.cpp
@@ -34,6 +34,22 @@
   }
 }
 
+void noteRanks(MeshConfig &Config) {
+  for (const auto &[Host, Routes] : Config.Hosts)
+    for (const auto &[Prefix, Route] : Routes)
+      for (const SplitPart &Part : Route.Parts) {
+        const auto Service = Config.Services.find(Part.Service);
+        if (Service != Config.Services.end())
+          Service->second.LowestRank =
+              std::max(Service->second.LowestRank, Route.Rank);
+      }
+}
+
+std::int32_t lowestRank(const MeshConfig &Config, const ServiceName &Service) {
+  const auto Found = Config.Services.find(Service);
+  return Found == Config.Services.end() ? 0 : Found->second.LowestRank;
+}
+
 const ServiceName *chooseService(const MeshRoute &Route, SplitState &State) {
   if (Route.Parts.empty())
     return nullptr;
--- a/src/mesh/internal/HopQueue.cpp
+++ b/src/mesh/internal/HopQueue.cpp
@@ -9,6 +9,10 @@
 /// Work times are spread widely: a request that is to be in time with some
 /// certainty needs this many mean service times.
 constexpr int ServiceTimesNeeded = 2;
+/// Longest wait of a request with time to spare, in percent of its objective.
+/// A queue of a few requests keeps all slots busy; a longer one only makes
+/// every answer late while the load lasts.
+constexpr int MaxWaitPercent = 20;
 /// A request that can no longer be in time is taken only when the wait is
 /// about as short as the scheduling of the node itself.
 constexpr Milliseconds LateRequestWait{30};
@@ -39,6 +43,10 @@
   const bool FirstInTime = canBeInTime(First, Now);
   if (FirstInTime != canBeInTime(Second, Now))
     return FirstInTime;
+  // The one that has been on its way longest: a caller that was refused and
+  // has come back keeps the place of its first try.
+  if (First.ObjectiveAt != Second.ObjectiveAt)
+    return First.ObjectiveAt < Second.ObjectiveAt;
   return First.Id < Second.Id;
 }
 
@@ -54,7 +62,9 @@
   const Milliseconds InTime = elapsed(Now, Job.ObjectiveAt) -
                               std::max(Job.Service, Milliseconds(1)) *
                                   ServiceTimesNeeded;
-  const Milliseconds Allowed = std::max(InTime, LateRequestWait);
+  const Milliseconds Longest = Job.Objective * MaxWaitPercent / 100;
+  const Milliseconds Allowed =
+      std::max(std::min(InTime, Longest), LateRequestWait);
   if (Wait <= Allowed)
     return {QueueVerdict::Action::Wait, Milliseconds(0)};
   return {QueueVerdict::Action::Refuse, Wait - Allowed};
--- a/src/mesh/internal/LinkBudget.cpp
+++ b/src/mesh/internal/LinkBudget.cpp
@@ -11,9 +11,9 @@
 constexpr double MinBytesPerSecond = 40'000;
 constexpr double MaxBytesPerSecond = 4'000'000;
 /// Growth for each quick transfer.
-constexpr double GrowthBytesPerSecond = 15'000;
+constexpr double GrowthBytesPerSecond = 20'000;
 /// A transfer this many times slower than the quickest ones has met a queue.
-constexpr double SlowFactor = 1.6;
+constexpr double SlowFactor = 1.8;
 constexpr double CutFactor = 0.7;
 /// All transfers of one queue count as one sign.
 constexpr Milliseconds CutInterval{500};
--- a/src/mesh/types/HopQueue.h
+++ b/src/mesh/types/HopQueue.h
@@ -16,6 +16,8 @@
   /// 0 is served first.
   std::int32_t Rank = 0;
   SteadyTime Arrived;
+  /// Time within which the caller wants an answer, from its first try on.
+  Milliseconds Objective{0};
   /// Answers after this are worth less to the caller, after DeadlineAt nothing.
   SteadyTime ObjectiveAt;
   SteadyTime DeadlineAt;
--- a/src/sidecar/internal/CallerEntry.cpp
+++ b/src/sidecar/internal/CallerEntry.cpp
@@ -23,10 +23,12 @@
 constexpr Milliseconds DeadlineGrace{60};
 /// A repeat with less time left is not worth its cost.
 constexpr Milliseconds LeastTimeForRepeat{30};
-/// The view of a full upstream is up to this old; it is asked all the same
-/// when its expected wait is only a little too long.
-constexpr double WaitTolerance = 1.5;
-constexpr Milliseconds WaitSlack{40};
+/// The view of an upstream is a little old; it is asked all the same when its
+/// expected wait is only a little too long.
+constexpr int WaitObjectiveParts = 4;
+constexpr Milliseconds WaitSlack{30};
+/// A caller that has been trying for longer has been refused before.
+constexpr Milliseconds ComeBackTime{30};
 /// Bounds of Retry-After. Callers honour up to a third of their time left.
 constexpr Milliseconds ShortestRetryAfter{60};
 constexpr int RetryAfterParts = 3;
@@ -71,6 +73,8 @@
   mesh::MeshConfigPtr Config;
   HopInfo Info;
   SteadyTime ArrivedAt;
+  /// Time since the caller's first try of the same request.
+  Milliseconds TryingFor{0};
   /// The whole body, when it was small enough to be kept.
   std::optional<std::string> Kept;
   std::set<NodeId> Excluded;
@@ -144,10 +148,17 @@
   if (Poco::NumberParser::tryParse64(Text, Stated) && Stated >= 0)
     Left = std::min(Left, Milliseconds(Stated));
   Item->Info.DeadlineAt = after(Item->ArrivedAt, Left);
-  const Milliseconds Objective = Item->Route->LatencyObjective;
-  Item->Info.ObjectiveAt =
-      after(Item->ArrivedAt,
-            Objective > Milliseconds(0) ? std::min(Objective, Left) : Left);
+  Milliseconds Objective = Item->Route->LatencyObjective;
+  if (Objective <= Milliseconds(0))
+    Objective = Item->Route->Timeout;
+  // Callers state what is left since their first try, so that the most that a
+  // route's callers ever stated tells how long this one has been trying.
+  Milliseconds &Longest = LongestStated_[Item->Info.Route];
+  Longest = std::max(Longest, Milliseconds(Stated));
+  Item->TryingFor = Stated > 0 ? Longest - Milliseconds(Stated)
+                               : Milliseconds(0);
+  Item->Info.Objective = Objective;
+  Item->Info.ObjectiveAt = after(Item->ArrivedAt, Objective - Item->TryingFor);
   Item->Timer = Context_.Loop.runAfter(
       Left + DeadlineGrace, [this, Weak = std::weak_ptr<Call>(Item)] {
         const auto Late = Weak.lock();
@@ -237,12 +248,17 @@
       return std::nullopt;
     }
   }
-  const Milliseconds Allowed = std::max(
-      Milliseconds(0), Wanted.ObjectiveLeft - 2 * Best.ServiceTime);
-  const Milliseconds Tolerated(static_cast<std::int64_t>(
-      static_cast<double>(Allowed.count()) * WaitTolerance));
-  if (Chosen->Wait > Tolerated + WaitSlack) {
-    conclude(Item, RefusalReason::QueueFull, Chosen->Wait - Allowed);
+  // The last hop decides by what is ahead of this request. Here only what has
+  // no chance is kept from crossing the mesh: a first try of the lowest rank,
+  // which everything held by the upstream is ahead of.
+  const Milliseconds Tolerated =
+      std::min(std::max(Milliseconds(0),
+                        Wanted.ObjectiveLeft - 2 * Best.ServiceTime),
+               Info.Objective / WaitObjectiveParts) +
+      WaitSlack;
+  const bool IsLast = Info.Rank >= mesh::lowestRank(*Item->Config, Info.Service);
+  if (IsLast && Item->TryingFor < ComeBackTime && Chosen->Wait > Tolerated) {
+    conclude(Item, RefusalReason::QueueFull, Chosen->Wait - Tolerated);
     return std::nullopt;
   }
   return Best;
--- a/src/sidecar/internal/CallerEntry.h
+++ b/src/sidecar/internal/CallerEntry.h
@@ -48,6 +48,7 @@
   Rollouts &Moves_;
   std::unordered_map<RouteName, mesh::SplitState> Splits_;
   std::map<ServiceName, mesh::MeshRetryBudget> Budgets_;
+  std::unordered_map<RouteName, Milliseconds> LongestStated_;
   /// Long bodies to other regions.
   mesh::LinkBudget RegionLink_;
   std::size_t InProgress_ = 0;
--- a/src/sidecar/internal/HopHeaders.cpp
+++ b/src/sidecar/internal/HopHeaders.cpp
@@ -9,7 +9,7 @@
 
 /// Not part of any name that the model allows.
 constexpr const char *Separator = ";";
-constexpr std::size_t InfoFields = 9;
+constexpr std::size_t InfoFields = 10;
 constexpr std::size_t LoadFields = 3;
 constexpr std::size_t RefusalFields = 4;
 
@@ -35,7 +35,8 @@
                std::string(toString(Info.Class)), std::to_string(Info.Rank),
                std::to_string(elapsed(Now, Info.ObjectiveAt).count()),
                std::to_string(elapsed(Now, Info.DeadlineAt).count()),
-               Info.Caller.str(), Info.Print.str()});
+               Info.Caller.str(), Info.Print.str(),
+               std::to_string(Info.Objective.count())});
 }
 
 std::optional<HopInfo> decodeInfo(const std::string &Text, SteadyTime Now) {
@@ -46,7 +47,8 @@
   const auto Rank = numberAt(Parts, 4);
   const auto Objective = numberAt(Parts, 5);
   const auto Deadline = numberAt(Parts, 6);
-  if (!Class || !Rank || !Objective || !Deadline)
+  const auto FromFirstTry = numberAt(Parts, 9);
+  if (!Class || !Rank || !Objective || !Deadline || !FromFirstTry)
     return std::nullopt;
   HopInfo Info;
   Info.Service = ServiceName(Parts[0]);
@@ -58,6 +60,7 @@
   Info.DeadlineAt = after(Now, Milliseconds(*Deadline));
   Info.Caller = ServiceName(Parts[7]);
   Info.Print = requests::Fingerprint(Parts[8]);
+  Info.Objective = Milliseconds(*FromFirstTry);
   return Info;
 }
 
--- a/src/sidecar/internal/HopJob.h
+++ b/src/sidecar/internal/HopJob.h
@@ -38,6 +38,7 @@
   RouteName Route;
   RequestClass Class = RequestClass::Repeatable;
   std::int32_t Rank = 0;
+  Milliseconds Objective{0};
   SteadyTime ObjectiveAt;
   SteadyTime DeadlineAt;
   /// Service on the instance where the request began.
--- a/src/sidecar/internal/OperatorFeed.cpp
+++ b/src/sidecar/internal/OperatorFeed.cpp
@@ -185,6 +185,7 @@
         std::make_shared<mesh::MeshConfig>(Format.Config(Found->second.Value));
     if (Context_.Config && Read->Version <= Context_.Config->Version)
       return;
+    mesh::noteRanks(*Read);
     Context_.Config = Read;
     Context_.Log.write(
         LogClass::State, Context_.now(), "config-in-force",
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -86,6 +86,11 @@
     return RefusalReason::NoUpstream;
   if (!Info.Version.empty() && Now.Version != Info.Version)
     return RefusalReason::NoUpstream;
+  return checkUpstream();
+}
+
+std::optional<RefusalReason> UpstreamHop::checkUpstream() const {
+  const mesh::Upstream &Now = Context_.Registered.Now;
   if (Now.State == UpstreamState::Draining || Now.State == UpstreamState::Gone)
     return RefusalReason::Draining;
   if (Now.State != UpstreamState::Ready || Context_.now() < DownUntil_)
@@ -156,9 +161,14 @@
 
 void UpstreamHop::admit(const RunningPtr &Job) {
   const HopInfo &Info = Job->Job.Info;
-  const mesh::QueuedJob Queued{Job->Id,         Info.Rank,
-                               Context_.now(),  Info.ObjectiveAt,
-                               Info.DeadlineAt, serviceTime(Info.Route)};
+  mesh::QueuedJob Queued;
+  Queued.Id = Job->Id;
+  Queued.Rank = Info.Rank;
+  Queued.Arrived = Context_.now();
+  Queued.Objective = Info.Objective;
+  Queued.ObjectiveAt = Info.ObjectiveAt;
+  Queued.DeadlineAt = Info.DeadlineAt;
+  Queued.Service = serviceTime(Info.Route);
   const QueueVerdict Verdict = mesh::admitJob(
       Queue_, Queued,
       Milliseconds(static_cast<std::int64_t>(MeanServiceMs_)), Context_.now());
@@ -392,8 +402,7 @@
 }
 
 void UpstreamHop::runWaiting() {
-  if (checkTarget({Context_.Registered.Now.Service, {}, {}, {}, 0, {}, {}, {},
-                   {}}))
+  if (checkUpstream())
     return;
   while (const auto Next = mesh::takeNext(Queue_, Context_.now())) {
     const auto Found = Jobs_.find(Next->value());
@@ -408,10 +417,7 @@
 
 void UpstreamHop::sweep() {
   Timer_ = reactor::TimerId();
-  const auto Reason =
-      checkTarget({Context_.Registered.Now.Service, {}, {}, {}, 0, {}, {}, {},
-                   {}});
-  if (Reason)
+  if (const auto Reason = checkUpstream())
     refuseWaiting(*Reason);
   for (const mesh::JobId Id : mesh::takeHopeless(Queue_, Context_.now())) {
     const auto Found = Jobs_.find(Id.value());
--- a/src/sidecar/internal/UpstreamHop.h
+++ b/src/sidecar/internal/UpstreamHop.h
@@ -43,6 +43,7 @@
   void receive(const RunningPtr &Job);
   void onBody(const RunningPtr &Job);
   std::optional<RefusalReason> checkTarget(const HopInfo &Info) const;
+  std::optional<RefusalReason> checkUpstream() const;
   void grant(const RunningPtr &Job);
   void connect(const RunningPtr &Job);
   void send(const RunningPtr &Job);
