--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 Packages=(g++ cmake ninja-build ccache clang-format clang-tidy
   libpoco-dev libthrift-dev libcxxopts-dev libboost-dev libboost-log-dev
-  libboost-test-dev python3 curl gnuplot-nox)
+  libboost-test-dev rapidjson-dev python3 curl gnuplot-nox)
 Missing=()
 for Package in "${Packages[@]}"; do
   dpkg-query -W -f='${Status}' "$Package" 2>/dev/null |
--- a/src/sidecar/internal/Gossip.cpp
+++ b/src/sidecar/internal/Gossip.cpp
@@ -48,9 +48,12 @@
 Gossip::~Gossip() { Context_.Loop.cancel(Timer_); }
 
 void Gossip::addContacts(const std::vector<Endpoint> &Found) {
+  bool Added = false;
   for (const Endpoint &At : Found)
     if (!(At == Context_.Settings.Gossip))
-      Contacts_.emplace(At, Contact{});
+      Added = Contacts_.emplace(At, Contact{}).second || Added;
+  if (Added)
+    tryContacts(datagram());
 }
 
 mesh::NodeNews Gossip::ownNews() {
@@ -178,6 +181,7 @@
     return;
   }
   bool Changed = false;
+  std::string Answer;
   for (const mesh::NodeNews &Item : *News) {
     if (Item.Id == Context_.Settings.Id) {
       const bool IsEarlierLife = Item.Life != Life_ || Item.Number > Number_;
@@ -189,11 +193,16 @@
     if (!mesh::mergeNews(Context_.Fleet, Item, Context_.now()))
       continue;
     Changed = true;
-    if (!WasKnown)
+    if (!WasKnown) {
       Context_.Log.write(LogClass::State, Context_.now(), "node-found",
                          {{"node", Item.Id.str()},
                           {"zone", Item.At.Zone.str()},
                           {"service", Item.Own.Service.str()}});
+      // After a start of many nodes, each should know the others at once.
+      if (Answer.empty())
+        Answer = datagram();
+      Socket_->send(Item.Gossip, Answer);
+    }
     for (const mesh::CrashNews &Crash : Item.Crashes)
       requests::noteSuspect(Context_.Suspects, Crash.Print, Crash.Crash,
                             Crash.Weight, Context_.now());
--- a/src/sidecar/internal/HopServer.cpp
+++ b/src/sidecar/internal/HopServer.cpp
@@ -56,13 +56,18 @@
   Poco::Int64 From = 0;
   Poco::NumberParser::tryParse64(
       Request->head().getURI().substr(RecordsPath.size()), From);
-  OperatorRecords Newer;
-  Newer.Position = Context_.Records.Position;
-  for (const auto &[Key, Record] : Context_.Records.Items)
-    if (Record.At >= Offset(From))
-      Newer.Items.emplace(Key, Record);
-  Request->answer(HTTPResponse::HTTP_OK, encodeRecords(Newer),
-                  "application/octet-stream");
+  const std::pair<Offset, Offset> Range{Offset(From),
+                                        Context_.Records.Position};
+  if (Range != EncodedRange_ || Encoded_.empty()) {
+    OperatorRecords Newer;
+    Newer.Position = Range.second;
+    for (const auto &[Key, Record] : Context_.Records.Items)
+      if (Record.At >= Range.first)
+        Newer.Items.emplace(Key, Record);
+    Encoded_ = encodeRecords(Newer);
+    EncodedRange_ = Range;
+  }
+  Request->answer(HTTPResponse::HTTP_OK, Encoded_, "application/octet-stream");
 }
 
 void HopServer::answerOutcome(const ServerRequestPtr &Request,
--- a/src/sidecar/internal/HopServer.h
+++ b/src/sidecar/internal/HopServer.h
@@ -20,6 +20,9 @@
 
   NodeContext &Context_;
   UpstreamHop &Hop_;
+  /// The last answer with records: after a change many nodes ask for the same.
+  std::pair<Offset, Offset> EncodedRange_;
+  std::string Encoded_;
 };
 
 } // namespace lycheethread::sidecar
--- a/src/sidecar/internal/OperatorFeed.cpp
+++ b/src/sidecar/internal/OperatorFeed.cpp
@@ -20,7 +20,7 @@
 /// Pause after a failed call, doubled each time, with jitter.
 constexpr Milliseconds FirstPause{100};
 constexpr Milliseconds LongestPause{1000};
-constexpr Milliseconds PullTimeout{700};
+constexpr Milliseconds PullTimeout{1000};
 constexpr Milliseconds ConnectTimeout{250};
 /// A node that has waited this long for the store takes what its peers hold.
 constexpr Milliseconds PatienceForStore{1200};
@@ -62,9 +62,10 @@
 void OperatorFeed::loadMembers() {
   MembersAt_ = Context_.now();
   Store_.readNewest(StoreTopic::Members, [this](const StoreRead &Read) {
-    if (Read.Outcome == StoreOutcome::Done)
+    if (Read.Outcome == StoreOutcome::Done) {
+      MembersKnown_ = true;
       Used_.OnMembers(Read.Items);
-    else if (Context_.Fleet.Nodes.empty())
+    } else if (Context_.Fleet.Nodes.empty())
       Context_.Loop.runAfter(nextPause(), [this] { loadMembers(); });
   });
 }
@@ -223,7 +224,10 @@
 void OperatorFeed::pull() {
   if (Pulling_)
     return;
+  // Any of the nearest nodes: with one choice for all, a single node would have
+  // to answer a whole region.
   const mesh::NodeNews *Best = nullptr;
+  std::uint64_t Equal = 0;
   for (const auto &[Id, Known] : Context_.Fleet.Nodes) {
     if (!mesh::isAlive(Known, Context_.now()) ||
         Known.News.OperatorPosition <= Context_.Records.Position)
@@ -231,11 +235,12 @@
     const auto Distance = [&](const mesh::NodeNews &News) {
       return mesh::tierOf(Context_.Settings.At, Context_.Settings.Id, News);
     };
-    const bool IsBetter =
-        Best == nullptr || Known.News.OperatorPosition > Best->OperatorPosition ||
-        (Known.News.OperatorPosition == Best->OperatorPosition &&
-         Distance(Known.News) < Distance(*Best));
-    if (IsBetter)
+    const bool IsNearer =
+        Best == nullptr || Distance(Known.News) < Distance(*Best);
+    const bool IsEqual =
+        Best != nullptr && Distance(Known.News) == Distance(*Best);
+    Equal = IsNearer ? 1 : Equal + (IsEqual ? 1 : 0);
+    if (IsNearer || (IsEqual && Context_.Random() % Equal == 0))
       Best = &Known.News;
   }
   if (Best == nullptr)
@@ -304,7 +309,7 @@
 bool OperatorFeed::isCurrent() const {
   if (!Context_.Config)
     return false;
-  if (ReadOnce_ && StatusKnown_)
+  if (ReadOnce_ && StatusKnown_ && MembersKnown_)
     return true;
   if (elapsed(StartedAt_, Context_.now()) < PatienceForStore)
     return false;
--- a/src/sidecar/internal/OperatorFeed.h
+++ b/src/sidecar/internal/OperatorFeed.h
@@ -60,6 +60,7 @@
   SteadyTime MembersAt_;
   bool ReadOnce_ = false;
   bool StatusKnown_ = false;
+  bool MembersKnown_ = false;
   bool Busy_ = false;
   Milliseconds Pause_{0};
 };
