Let long bodies take turns on the link of the upstream's instance

A new upstream without a service time looked like the fastest one to all nodes. Ruled out: processor time (0.03 of 0.1 cores).

--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -5,6 +5,7 @@
 /// configuration, members and rollouts come from the platform's store. All of
 /// it is pure: no socket, clock or thread.
 
+#include "mesh/types/BodyIntake.h"
 #include "mesh/types/CheckIn.h"
 #include "mesh/types/HopQueue.h"
 #include "mesh/types/LinkBudget.h"
@@ -70,6 +71,18 @@
 /// False when the request does not wait.
 bool removeWaiting(HopQueue &Queue, JobId Id);
 
+/// Long bodies that may be received together without holding up short requests
+/// on the link.
+std::int32_t maxReceiving(const BodyIntake &Intake);
+
+/// Time until everything pending has been received.
+Milliseconds intakeWait(const BodyIntake &Intake);
+
+/// Time until a body of \p Bytes could be received and served within
+/// \p ObjectiveLeft; 0 when it can now.
+Milliseconds untilIntake(const BodyIntake &Intake, std::int64_t Bytes,
+                         Milliseconds Service, Milliseconds ObjectiveLeft);
+
 /// Time until a long body may be sent; 0 for now.
 Milliseconds untilRoom(LinkBudget &Budget, SteadyTime Now);
 
--- a/src/mesh/internal/Place.cpp
+++ b/src/mesh/internal/Place.cpp
@@ -25,6 +25,8 @@
 /// all choose the same upstream.
 constexpr double JitterPart = 0.15;
 constexpr double BytesPerKiB = 1024;
+/// Longer bodies wait for their turn on the link of the upstream's instance.
+constexpr std::int64_t LongBodyBytes = 32 * 1024;
 
 } // namespace
 
@@ -53,8 +55,12 @@
         expectedWait(Item.Held, Item.Capacity, Item.ServiceTime);
     const double Expected = RoundTripMs[Distance] + Service +
                             static_cast<double>(Wait.count());
+    const double BodyWait =
+        Request.BodyBytes > LongBodyBytes
+            ? static_cast<double>(Item.BodyWait.count())
+            : 0;
     const double Cost =
-        Expected + LinkBaseMs[Distance] +
+        Expected + BodyWait + LinkBaseMs[Distance] +
         LinkMsPerKiB[Distance] * static_cast<double>(Request.BodyBytes) /
             BytesPerKiB +
         Service * (CrowdingFactor * Use * Use + FailureCost * Item.FailureRate +
--- a/src/mesh/tests/PlaceTest.cpp
+++ b/src/mesh/tests/PlaceTest.cpp
@@ -67,6 +67,16 @@
              "sound");
 }
 
+// Guards against uploads that all wait for one narrow link.
+BOOST_AUTO_TEST_CASE(uploadAvoidsABusyLink) {
+  Candidate Busy = candidate("busy", Tier::OwnZone);
+  Busy.BodyWait = Milliseconds(900);
+  const std::vector<Candidate> Both = {Busy,
+                                       candidate("idle", Tier::OwnZone, 2)};
+  BOOST_TEST(chosen(Both, Upload) == "idle");
+  BOOST_TEST(chosen(Both, Small) == "busy");
+}
+
 BOOST_AUTO_TEST_CASE(slowUpstreamIsAvoided) {
   Candidate Slow = candidate("slow", Tier::OwnZone);
   Slow.ServiceTime = Milliseconds(400);
--- /dev/null
+++ b/src/mesh/types/BodyIntake.h
@@ -0,0 +1,19 @@
+#ifndef LYCHEETHREAD_MESH_TYPES_BODYINTAKE_H
+#define LYCHEETHREAD_MESH_TYPES_BODYINTAKE_H
+
+#include "model/Model.h"
+
+namespace lycheethread::mesh {
+
+/// Long bodies that a last hop receives over its instance's link.
+struct BodyIntake {
+  /// What the link carries, in bytes per ms.
+  double BytesPerMs = 125'000;
+  std::int32_t Receiving = 0;
+  /// Bytes of the bodies that are being received or wait for it.
+  std::int64_t PendingBytes = 0;
+};
+
+} // namespace lycheethread::mesh
+
+#endif // LYCHEETHREAD_MESH_TYPES_BODYINTAKE_H
--- a/src/mesh/types/NodeNews.h
+++ b/src/mesh/types/NodeNews.h
@@ -40,6 +40,8 @@
   std::int32_t Waiting = 0;
   /// Mean time of the upstream for one request; 0 when not known.
   Milliseconds ServiceTime{0};
+  /// Time until the long bodies on their way have been received.
+  Milliseconds BodyWait{0};
 };
 
 /// Outcomes of one route at one upstream since a rollout was ordered.
--- a/src/mesh/types/Placement.h
+++ b/src/mesh/types/Placement.h
@@ -20,6 +20,10 @@
   /// Requests that it holds, running or waiting, as far as known here.
   std::int32_t Held = 0;
   Milliseconds ServiceTime{0};
+  /// Time until it has received the long bodies on their way to it.
+  Milliseconds BodyWait{0};
+  /// Still slow after its start.
+  bool IsCold = false;
   /// Part of the latest requests that failed or were rejected, 0 to 1.
   double FailureRate = 0;
 };
--- a/src/settings/internal/SettingsParser.cpp
+++ b/src/settings/internal/SettingsParser.cpp
@@ -14,6 +14,9 @@
 constexpr std::int64_t MaxPort = 65'535;
 constexpr double MinCheckInSeconds = 0.01;
 constexpr double MaxCheckInSeconds = 60;
+constexpr double MinLinkMbit = 0.1;
+constexpr double MaxLinkMbit = 1e6;
+constexpr double BytesPerMsOfMbit = 125;
 
 struct Parsing : SchemaText {
   NodeSettings Settings;
@@ -161,18 +164,28 @@
   readEndpoint(To, From, "metrics", Into.Metrics);
 }
 
-/// Seconds with a fraction, as platforms state them.
-void readCheckInInterval(SidecarParsing &To, const SchemaSection &From) {
-  const auto Text = textOf(To, From, "check_in_s");
+/// A number that may have a fraction, as platforms state them.
+std::optional<double> decimalOf(SchemaText &To, const SchemaSection &From,
+                                const std::string &Key, double Min,
+                                double Max) {
+  const auto Text = textOf(To, From, Key);
   if (!Text)
-    return;
-  double Seconds = 0;
-  if (!Poco::NumberParser::tryParseFloat(*Text, Seconds) ||
-      Seconds < MinCheckInSeconds || Seconds > MaxCheckInSeconds) {
-    reportValue(To, From, "check_in_s", quoted(*Text) + " is out of range");
-    return;
-  }
-  To.Settings.CheckInInterval = Milliseconds(std::llround(Seconds * 1000));
+    return std::nullopt;
+  double Value = 0;
+  if (Poco::NumberParser::tryParseFloat(*Text, Value) && Value >= Min &&
+      Value <= Max)
+    return Value;
+  reportValue(To, From, Key, quoted(*Text) + " is out of range");
+  return std::nullopt;
+}
+
+void readUpstreamOf(SidecarParsing &To, const SchemaSection &From) {
+  SidecarSettings &Into = To.Settings;
+  readEndpoint(To, From, "address", Into.Upstream);
+  Into.Service = ServiceName(nameOf(To, From, "service"));
+  if (const auto Seconds = decimalOf(To, From, "check_in_s", MinCheckInSeconds,
+                                     MaxCheckInSeconds))
+    Into.CheckInInterval = Milliseconds(std::llround(*Seconds * 1000));
 }
 
 void readSidecarSection(SidecarParsing &To, const SchemaSection &From) {
@@ -185,13 +198,15 @@
   } else if (Name == "listen") {
     readSidecarListen(To, From);
   } else if (Name == "upstream") {
-    readEndpoint(To, From, "address", Into.Upstream);
-    Into.Service = ServiceName(nameOf(To, From, "service"));
-    readCheckInInterval(To, From);
+    readUpstreamOf(To, From);
   } else if (Name == "store") {
     readEndpoint(To, From, "address", Into.Store);
   } else if (Name == "peers") {
     readPeers(To, From, Into.Seeds);
+  } else if (Name == "limits") {
+    if (const auto Link =
+            decimalOf(To, From, "link_mbit", MinLinkMbit, MaxLinkMbit))
+      Into.LinkBytesPerMs = *Link * BytesPerMsOfMbit;
   } else if (Name == "platform") {
     Into.PlatformBounds = textOf(To, From, "bounds").value_or("");
   } else {
--- a/src/settings/types/SidecarSettings.h
+++ b/src/settings/types/SidecarSettings.h
@@ -32,6 +32,9 @@
   /// Time between two check-ins of the upstream.
   Milliseconds CheckInInterval{1500};
 
+  /// What the instance's network link carries, in bytes per ms.
+  double LinkBytesPerMs = 125'000;
+
   Endpoint Store;
   /// Any endpoint of nodes to join through; only the address is used.
   std::vector<Endpoint> Seeds;
--- a/src/sidecar/gen/gossip_types.cpp
+++ b/src/sidecar/gen/gossip_types.cpp
@@ -873,6 +873,10 @@
   this->crashes = val;
 __isset.crashes = true;
 }
+
+void NewsMessage::__set_bodyWaitMs(const int64_t val) {
+  this->bodyWaitMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const NewsMessage& obj)
 {
   obj.printTo(out);
@@ -1081,6 +1085,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bodyWaitMs);
+          this->__isset.bodyWaitMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1198,6 +1210,10 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("bodyWaitMs", ::apache::thrift::protocol::T_I64, 19);
+  xfer += oprot->writeI64(this->bodyWaitMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1223,6 +1239,7 @@
   swap(a.rollouts, b.rollouts);
   swap(a.evidence, b.evidence);
   swap(a.crashes, b.crashes);
+  swap(a.bodyWaitMs, b.bodyWaitMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -1245,6 +1262,7 @@
   rollouts = other28.rollouts;
   evidence = other28.evidence;
   crashes = other28.crashes;
+  bodyWaitMs = other28.bodyWaitMs;
   __isset = other28.__isset;
 }
 NewsMessage& NewsMessage::operator=(const NewsMessage& other29) {
@@ -1266,6 +1284,7 @@
   rollouts = other29.rollouts;
   evidence = other29.evidence;
   crashes = other29.crashes;
+  bodyWaitMs = other29.bodyWaitMs;
   __isset = other29.__isset;
   return *this;
 }
@@ -1290,6 +1309,7 @@
   out << ", " << "rollouts="; (__isset.rollouts ? (out << to_string(rollouts)) : (out << "<null>"));
   out << ", " << "evidence="; (__isset.evidence ? (out << to_string(evidence)) : (out << "<null>"));
   out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
+  out << ", " << "bodyWaitMs=" << to_string(bodyWaitMs);
   out << ")";
 }
 
--- a/src/sidecar/gen/gossip_types.h
+++ b/src/sidecar/gen/gossip_types.h
@@ -367,7 +367,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashMessage& obj);
 
 typedef struct _NewsMessage__isset {
-  _NewsMessage__isset() : id(false), life(false), number(false), region(false), zone(false), hop(false), gossip(false), ready(false), stopping(false), own(false), running(false), waiting(false), serviceTimeMs(false), operatorPosition(false), confirmedAgeMs(false), rollouts(false), evidence(false), crashes(false) {}
+  _NewsMessage__isset() : id(false), life(false), number(false), region(false), zone(false), hop(false), gossip(false), ready(false), stopping(false), own(false), running(false), waiting(false), serviceTimeMs(false), operatorPosition(false), confirmedAgeMs(false), rollouts(false), evidence(false), crashes(false), bodyWaitMs(false) {}
   bool id :1;
   bool life :1;
   bool number :1;
@@ -386,6 +386,7 @@
   bool rollouts :1;
   bool evidence :1;
   bool crashes :1;
+  bool bodyWaitMs :1;
 } _NewsMessage__isset;
 
 class NewsMessage : public virtual ::apache::thrift::TBase {
@@ -405,7 +406,8 @@
                 waiting(0),
                 serviceTimeMs(0),
                 operatorPosition(0),
-                confirmedAgeMs(0) {
+                confirmedAgeMs(0),
+                bodyWaitMs(0) {
   }
 
   virtual ~NewsMessage() noexcept;
@@ -427,6 +429,7 @@
   std::vector<RolloutMessage>  rollouts;
   std::vector<EvidenceMessage>  evidence;
   std::vector<CrashMessage>  crashes;
+  int64_t bodyWaitMs;
 
   _NewsMessage__isset __isset;
 
@@ -466,6 +469,8 @@
 
   void __set_crashes(const std::vector<CrashMessage> & val);
 
+  void __set_bodyWaitMs(const int64_t val);
+
   bool operator == (const NewsMessage & rhs) const
   {
     if (!(id == rhs.id))
@@ -512,6 +517,8 @@
       return false;
     else if (__isset.crashes && !(crashes == rhs.crashes))
       return false;
+    if (!(bodyWaitMs == rhs.bodyWaitMs))
+      return false;
     return true;
   }
   bool operator != (const NewsMessage &rhs) const {
--- a/src/sidecar/gossip.thrift
+++ b/src/sidecar/gossip.thrift
@@ -57,6 +57,7 @@
   16: optional list<RolloutMessage> rollouts
   17: optional list<EvidenceMessage> evidence
   18: optional list<CrashMessage> crashes
+  19: i64 bodyWaitMs
 }
 
 // One datagram.
--- a/src/sidecar/internal/HopHeaders.cpp
+++ b/src/sidecar/internal/HopHeaders.cpp
@@ -10,7 +10,7 @@
 /// Not part of any name that the model allows.
 constexpr const char *Separator = ";";
 constexpr std::size_t InfoFields = 10;
-constexpr std::size_t LoadFields = 3;
+constexpr std::size_t LoadFields = 4;
 constexpr std::size_t RefusalFields = 4;
 
 std::string join(std::initializer_list<std::string> Parts) {
@@ -66,7 +66,8 @@
 
 std::string encodeLoad(const mesh::LoadNews &Load) {
   return join({std::to_string(Load.Running), std::to_string(Load.Waiting),
-               std::to_string(Load.ServiceTime.count())});
+               std::to_string(Load.ServiceTime.count()),
+               std::to_string(Load.BodyWait.count())});
 }
 
 std::optional<mesh::LoadNews> decodeLoad(const std::string &Text) {
@@ -76,11 +77,12 @@
   const auto Running = numberAt(Parts, 0);
   const auto Waiting = numberAt(Parts, 1);
   const auto Service = numberAt(Parts, 2);
-  if (!Running || !Waiting || !Service)
+  const auto BodyWait = numberAt(Parts, 3);
+  if (!Running || !Waiting || !Service || !BodyWait)
     return std::nullopt;
   return mesh::LoadNews{static_cast<std::int32_t>(*Running),
                         static_cast<std::int32_t>(*Waiting),
-                        Milliseconds(*Service)};
+                        Milliseconds(*Service), Milliseconds(*BodyWait)};
 }
 
 std::string encodeRefusal(const HopOutcome &Outcome) {
--- a/src/sidecar/internal/NewsCodec.cpp
+++ b/src/sidecar/internal/NewsCodec.cpp
@@ -115,6 +115,7 @@
   To.__set_running(From.Load.Running);
   To.__set_waiting(From.Load.Waiting);
   To.__set_serviceTimeMs(From.Load.ServiceTime.count());
+  To.__set_bodyWaitMs(From.Load.BodyWait.count());
   To.__set_operatorPosition(From.OperatorPosition.value());
   To.__set_confirmedAgeMs(From.ConfirmedAge.count());
   if (!From.Rollouts.empty())
@@ -149,7 +150,8 @@
   To.Stopping = From.stopping;
   if (From.__isset.own)
     To.Own = fromWire(From.own);
-  To.Load = {From.running, From.waiting, Milliseconds(From.serviceTimeMs)};
+  To.Load = {From.running, From.waiting, Milliseconds(From.serviceTimeMs),
+             Milliseconds(From.bodyWaitMs)};
   To.OperatorPosition = Offset(From.operatorPosition);
   To.ConfirmedAge = Milliseconds(From.confirmedAgeMs);
   for (const wire::RolloutMessage &Item : From.rollouts)
--- a/src/sidecar/internal/UpstreamDirectory.cpp
+++ b/src/sidecar/internal/UpstreamDirectory.cpp
@@ -18,8 +18,25 @@
 constexpr Milliseconds FirstAvoidance{500};
 constexpr Milliseconds LongestAvoidance{4000};
 constexpr std::int32_t MaxDoublings = 3;
-/// Used until an upstream's own service time is known.
+/// Used while no upstream's service time is known.
 constexpr Milliseconds UnknownServiceTime{50};
+/// A cold upstream takes about this many times as long as the others.
+constexpr int ColdFactor = 2;
+
+/// Without a service time a new upstream would look like the fastest one, and
+/// all nodes would send to it.
+void fillInServiceTimes(std::vector<mesh::Candidate> &Candidates) {
+  Milliseconds Sum{0};
+  std::int64_t Known = 0;
+  for (const mesh::Candidate &Item : Candidates) {
+    Sum += Item.ServiceTime;
+    Known += Item.ServiceTime > Milliseconds(0) ? 1 : 0;
+  }
+  const Milliseconds Assumed = Known == 0 ? UnknownServiceTime : Sum / Known;
+  for (mesh::Candidate &Item : Candidates)
+    if (Item.ServiceTime <= Milliseconds(0))
+      Item.ServiceTime = Item.IsCold ? Assumed * ColdFactor : Assumed;
+}
 
 } // namespace
 
@@ -54,8 +71,9 @@
   Found.Held = std::max(Load.Running + Load.Waiting +
                             (StatedLater ? Item.SentSince : 0),
                         Item.Outstanding);
-  Found.ServiceTime = Load.ServiceTime > Milliseconds(0) ? Load.ServiceTime
-                                                         : UnknownServiceTime;
+  Found.ServiceTime = Load.ServiceTime;
+  Found.BodyWait = Load.BodyWait;
+  Found.IsCold = News.Own.ColdLeft > Milliseconds(0);
   Found.FailureRate = decayedFailureRate(Item);
   return Found;
 }
@@ -85,7 +103,10 @@
     Found.push_back(std::move(Item));
   }
   // Suspicion of all of them is worth less than a try.
-  return Found.empty() ? Avoided : Found;
+  if (Found.empty())
+    Found = std::move(Avoided);
+  fillInServiceTimes(Found);
+  return Found;
 }
 
 Endpoint UpstreamDirectory::hopOf(const NodeId &Node) const {
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -33,10 +33,10 @@
 /// same crash.
 constexpr Milliseconds CrashWindow{1000};
 constexpr std::size_t MaxCrashesTold = 16;
-/// Part of a long body that is taken before it gets a slot, and how many such
-/// bodies are taken at once for each slot: together they bound the memory.
+/// Part of a long body that is taken before the request gets a slot.
 constexpr std::size_t MaxHeldBody = 512 * 1024;
-constexpr std::int32_t ReceivingPerSlot = 2;
+/// Assumed for a body without a stated length.
+constexpr std::int64_t UnknownBodyBytes = 64 * 1024;
 
 HopOutcome notRun(RefusalReason Reason, Milliseconds RoomIn = {}) {
   HopOutcome Outcome;
@@ -60,6 +60,8 @@
   mesh::JobId Id;
   HopJob Job;
   bool Receiving = false;
+  /// Bytes counted in the intake.
+  std::int64_t PendingBytes = 0;
   bool HasSlot = false;
   /// The request has been handed to a connection.
   bool Sent = false;
@@ -113,10 +115,8 @@
     return Item->Id;
   }
   Jobs_.emplace(Item->Id.value(), Item);
-  const BodyPipePtr &Body = Item->Job.Body;
-  if (Info.Class == RequestClass::Upload && !Body->isEnded() &&
-      Receiving_ < Queue_.Slots * ReceivingPerSlot)
-    receive(Item);
+  if (Info.Class == RequestClass::Upload && !Item->Job.Body->isEnded())
+    offerBody(Item);
   else
     admit(Item);
   return Item->Id;
@@ -124,20 +124,47 @@
 
 /// A slot would be idle while the body crosses a slow link, so the body comes
 /// first.
+void UpstreamHop::offerBody(const RunningPtr &Job) {
+  const HopInfo &Info = Job->Job.Info;
+  Job->PendingBytes = std::max(UnknownBodyBytes, Job->Job.Framing.Length);
+  Intake_.BytesPerMs = Context_.Settings.LinkBytesPerMs;
+  const Milliseconds RoomIn = mesh::untilIntake(
+      Intake_, Job->PendingBytes, serviceTime(Info.Route),
+      elapsed(Context_.now(), Info.ObjectiveAt));
+  if (RoomIn > Milliseconds(0)) {
+    Job->PendingBytes = 0;
+    finish(Job, notRun(RefusalReason::QueueFull, RoomIn));
+    return;
+  }
+  Intake_.PendingBytes += Job->PendingBytes;
+  Job->Timer = Context_.Loop.runAfter(
+      elapsed(Context_.now(), Info.DeadlineAt),
+      [this, Weak = std::weak_ptr<Running>(Job)] {
+        if (const auto Item = Weak.lock())
+          finish(Item, notRun(RefusalReason::Deadline));
+      });
+  BodiesWaiting_.push_back(Job);
+  receiveNext();
+}
+
+void UpstreamHop::receiveNext() {
+  while (!BodiesWaiting_.empty() &&
+         Intake_.Receiving < mesh::maxReceiving(Intake_)) {
+    const RunningPtr Job = BodiesWaiting_.front();
+    BodiesWaiting_.pop_front();
+    if (!Job->Ended)
+      receive(Job);
+  }
+}
+
 void UpstreamHop::receive(const RunningPtr &Job) {
   Job->Receiving = true;
-  ++Receiving_;
+  ++Intake_.Receiving;
   Job->Job.Body->setHighWater(MaxHeldBody);
   Job->Job.Body->OnChange = [this, Weak = std::weak_ptr<Running>(Job)] {
     if (const auto Item = Weak.lock())
       onBody(Item);
   };
-  Job->Timer = Context_.Loop.runAfter(
-      elapsed(Context_.now(), Job->Job.Info.DeadlineAt),
-      [this, Weak = std::weak_ptr<Running>(Job)] {
-        if (const auto Item = Weak.lock())
-          finish(Item, notRun(RefusalReason::Deadline));
-      });
   const auto Granted = std::move(Job->Job.OnGranted);
   Job->Job.OnGranted = nullptr;
   if (Granted)
@@ -149,16 +176,25 @@
   const BodyPipePtr Body = Job->Job.Body;
   if (!Job->Receiving || (!Body->isEnded() && !Body->isFull()))
     return;
-  Body->OnChange = nullptr;
   Context_.Loop.cancel(Job->Timer);
-  Job->Receiving = false;
-  --Receiving_;
+  endReceiving(Job);
   if (const auto Reason = checkTarget(Job->Job.Info))
     finish(Job, notRun(*Reason));
   else
     admit(Job);
 }
 
+void UpstreamHop::endReceiving(const RunningPtr &Job) {
+  Intake_.PendingBytes -= Job->PendingBytes;
+  Job->PendingBytes = 0;
+  if (!Job->Receiving)
+    return;
+  Job->Receiving = false;
+  --Intake_.Receiving;
+  Job->Job.Body->OnChange = nullptr;
+  Context_.Loop.defer([this] { receiveNext(); });
+}
+
 void UpstreamHop::admit(const RunningPtr &Job) {
   const HopInfo &Info = Job->Job.Info;
   mesh::QueuedJob Queued;
@@ -384,11 +420,7 @@
   Job->Ended = true;
   Context_.Loop.cancel(Job->Timer);
   Jobs_.erase(Job->Id.value());
-  if (Job->Receiving) {
-    Job->Receiving = false;
-    --Receiving_;
-    Job->Job.Body->OnChange = nullptr;
-  }
+  endReceiving(Job);
   if (Job->Connection) {
     Job->Connection->OnConnected = nullptr;
     Job->Connection->OnIdleEnd = nullptr;
@@ -488,8 +520,9 @@
 
 mesh::LoadNews UpstreamHop::load() const {
   return {Queue_.Running,
-          static_cast<std::int32_t>(Queue_.Waiting.size()) + Receiving_,
-          Milliseconds(static_cast<std::int64_t>(MeanServiceMs_))};
+          static_cast<std::int32_t>(Queue_.Waiting.size()) + Intake_.Receiving,
+          Milliseconds(static_cast<std::int64_t>(MeanServiceMs_)),
+          mesh::intakeWait(Intake_)};
 }
 
 std::vector<mesh::RouteEvidence> UpstreamHop::evidence() const {
--- a/src/sidecar/internal/UpstreamHop.h
+++ b/src/sidecar/internal/UpstreamHop.h
@@ -5,6 +5,7 @@
 #include "sidecar/internal/HopJob.h"
 #include "sidecar/internal/NodeContext.h"
 
+#include <deque>
 #include <unordered_map>
 
 namespace lycheethread::sidecar {
@@ -40,7 +41,10 @@
   using RunningPtr = std::shared_ptr<Running>;
 
   void admit(const RunningPtr &Job);
+  void offerBody(const RunningPtr &Job);
+  void receiveNext();
   void receive(const RunningPtr &Job);
+  void endReceiving(const RunningPtr &Job);
   void onBody(const RunningPtr &Job);
   std::optional<RefusalReason> checkTarget(const HopInfo &Info) const;
   std::optional<RefusalReason> checkUpstream() const;
@@ -70,8 +74,9 @@
   mesh::HopQueue Queue_;
   std::unordered_map<std::int64_t, RunningPtr> Jobs_;
   mesh::JobId LastJob_;
-  /// Requests whose long body is still arriving; they hold no slot.
-  std::int32_t Receiving_ = 0;
+  /// Requests whose long body is still to come; they hold no slot.
+  mesh::BodyIntake Intake_;
+  std::deque<RunningPtr> BodiesWaiting_;
   mesh::UpstreamId Current_;
   /// No connection could be made; requests go elsewhere until then.
   SteadyTime DownUntil_;
