--- /dev/null
+++ b/src/sidecar/tests/ConnectionTest.cpp
@@ -0,0 +1,134 @@
+#include "sidecar/internal/ConnectionPool.h"
+#include "sidecar/internal/HttpServer.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lycheethread;
+using namespace lycheethread::sidecar;
+using Poco::Net::HTTPResponse;
+
+namespace {
+
+constexpr std::uint16_t Port = 39'427;
+const Endpoint Here{"127.0.0.1", Port};
+
+/// A server whose handler a test chooses, and one client connection.
+struct Pair {
+  reactor::EventLoop Loop;
+  std::function<void(ServerRequestPtr)> Handle;
+  HttpServer Server;
+  ClientConnectionPtr Client;
+  std::string Body;
+  bool Complete = false;
+  bool Failed = false;
+
+  Pair()
+      : Server(Loop, Here,
+               {[] { return mesh::CallerLimits(); },
+                [this](const ServerRequestPtr &Request) { Handle(Request); }}),
+        Client(ClientConnection::open(Loop, Here, Milliseconds(500))) {}
+
+  void send(const std::string &Head, const BodyPipePtr &Sent = nullptr) {
+    ClientRequest Request;
+    Request.Method = Sent ? "POST" : "GET";
+    Request.Head = Head;
+    Request.Body = Sent;
+    ClientCallbacks Callbacks;
+    Callbacks.OnAnswer = [this](const ClientAnswer &Answer) {
+      Body += Answer.Body->take();
+      Answer.Body->OnChange = [this, Pipe = Answer.Body.get()] {
+        Body += Pipe->take();
+      };
+    };
+    Callbacks.OnComplete = [this] { Complete = true; };
+    Callbacks.OnFailure = [this](ClientFailure) { Failed = true; };
+    Client->start(std::move(Request), std::move(Callbacks));
+  }
+
+  void runFor(Milliseconds Length) {
+    Loop.runAfter(Length, [this] { Loop.stop(); });
+    Loop.run([] {});
+  }
+};
+
+const std::string Get = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Connections)
+
+BOOST_AUTO_TEST_CASE(answerArrivesAndTheConnectionCanBeReused) {
+  Pair Used;
+  Used.Handle = [](const ServerRequestPtr &Request) {
+    Request->answer(HTTPResponse::HTTP_OK, "hello");
+  };
+  Used.send(Get);
+  Used.runFor(Milliseconds(100));
+  BOOST_TEST(Used.Body == "hello");
+  BOOST_TEST(Used.Complete);
+  BOOST_TEST(Used.Client->isReusable());
+  BOOST_TEST(Used.Server.inProgress() == 0U);
+}
+
+// Guards against a streamed answer that ends early and looks complete.
+BOOST_AUTO_TEST_CASE(answerThatBreaksOffIsAFailure) {
+  Pair Used;
+  const auto Growing = std::make_shared<BodyPipe>();
+  Used.Handle = [&](const ServerRequestPtr &Request) {
+    HTTPResponse Head(HTTPResponse::HTTP_OK);
+    Growing->append("part");
+    Request->answer(Head, Growing);
+    Used.Loop.runAfter(Milliseconds(30), [&] { Growing->fail(); });
+  };
+  Used.send(Get);
+  Used.runFor(Milliseconds(150));
+  BOOST_TEST(Used.Failed);
+  BOOST_TEST(!Used.Complete);
+}
+
+// Guards against work for a caller that has left, and a request that is never
+// taken off the books.
+BOOST_AUTO_TEST_CASE(leavingCallerIsReported) {
+  Pair Used;
+  bool Gone = false;
+  Used.Handle = [&](const ServerRequestPtr &Request) {
+    Request->onGone([&] { Gone = true; });
+  };
+  Used.send(Get);
+  Used.Loop.runAfter(Milliseconds(50), [&] { Used.Client->close(); });
+  Used.runFor(Milliseconds(150));
+  BOOST_TEST(Gone);
+  BOOST_TEST(Used.Server.inProgress() == 0U);
+}
+
+// Guards against the rest of a body that is taken for the next request.
+BOOST_AUTO_TEST_CASE(answerBeforeTheBodyEndsTheConnection) {
+  Pair Used;
+  Used.Handle = [](const ServerRequestPtr &Request) {
+    Request->answer(HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "no");
+  };
+  const auto Sent = std::make_shared<BodyPipe>();
+  Sent->append(std::string(1000, 'b'));
+  Used.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 500000\r\n\r\n",
+            Sent);
+  Used.runFor(Milliseconds(150));
+  BOOST_TEST(Used.Complete);
+  BOOST_TEST(Used.Body == "no");
+  BOOST_TEST(!Used.Client->isReusable());
+}
+
+BOOST_AUTO_TEST_CASE(connectionThatIdledTooLongIsNotTaken) {
+  Pair Used;
+  Used.Handle = [](const ServerRequestPtr &Request) {
+    Request->answer(HTTPResponse::HTTP_OK, "x");
+  };
+  ConnectionPool Pool(Used.Loop);
+  Used.send(Get);
+  Used.Loop.runAfter(Milliseconds(50), [&] { Pool.give(Used.Client); });
+  Used.runFor(Milliseconds(150));
+  BOOST_TEST(Pool.idleCount(Here) == 1U);
+  BOOST_TEST((Pool.take(Here, Milliseconds(5)) == nullptr));
+  BOOST_TEST((Pool.take(Here, Milliseconds(5000)) == Used.Client));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
