--- a/src/mesh/internal/Place.cpp
+++ b/src/mesh/internal/Place.cpp
@@ -15,7 +15,7 @@
 /// KiB: both are billed by volume, and the region link is shared by all.
 constexpr double LinkMsPerKiB[] = {0, 0, 1, 4};
 /// Charged for leaving the region even with a small body.
-constexpr double LinkBaseMs[] = {0, 0, 3, 40};
+constexpr double LinkBaseMs[] = {0, 0, 10, 70};
 /// An upstream runs slower the fuller it is; part of the service time added
 /// at full use.
 constexpr double CrowdingFactor = 0.5;
--- a/src/mesh/internal/RetryBudget.cpp
+++ b/src/mesh/internal/RetryBudget.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-/// The users allow 0.2 repeats a request; half of it is left for what this
-/// node cannot count, such as requests that were lost on their way.
-constexpr double RejectedPerRequest = 0.08;
+/// The users allow 0.2 repeats a request. A part is left for what this node
+/// cannot count, such as requests that were lost on their way.
+constexpr double RejectedPerRequest = 0.14;
 /// A rerun repeats its calls too, which count against a service with fewer
 /// requests of its own.
 constexpr double RerunsPerRequest = 0.02;
--- a/src/sidecar/internal/CallerEntry.cpp
+++ b/src/sidecar/internal/CallerEntry.cpp
@@ -32,6 +32,11 @@
 /// Bounds of Retry-After. Callers honour up to a third of their time left.
 constexpr Milliseconds ShortestRetryAfter{60};
 constexpr int RetryAfterParts = 3;
+/// Requests that arrive before the first configuration wait for a part of
+/// their time, and not longer than a start takes.
+constexpr int HeldParts = 4;
+constexpr Milliseconds LongestHold{500};
+constexpr std::size_t MaxHeldAtStart = 200;
 constexpr int FirstServerError = 500;
 constexpr double MillisecondsPerSecond = 1000;
 
@@ -108,16 +113,55 @@
     cancelAttempt(Item);
     end(Item, 0, "caller-left");
   });
-  if (!Context_.Config || !Context_.Serving) {
+  if (Context_.Config && Context_.Serving)
+    begin(Item);
+  else if (Context_.Stopping || Starting_.size() >= MaxHeldAtStart)
     conclude(Item, RefusalReason::NotReady, Milliseconds(0));
-    return;
-  }
+  else
+    holdUntilServing(Item);
+}
+
+void CallerEntry::begin(const CallPtr &Item) {
   if (!findRoute(Item))
     return;
   readDeadline(Item);
   waitForBody(Item);
 }
 
+/// A node that has just started is about to know its configuration, which takes
+/// less time than a refused caller takes to come back.
+void CallerEntry::holdUntilServing(const CallPtr &Item) {
+  Milliseconds Stated{0};
+  Poco::Int64 Left = 0;
+  if (Poco::NumberParser::tryParse64(
+          Item->Request->head().get(Context_.Platform.Headers.Deadline, ""),
+          Left))
+    Stated = Milliseconds(std::max<Poco::Int64>(0, Left));
+  Starting_.push_back(Item);
+  Item->Timer = Context_.Loop.runAfter(
+      std::min(Stated / HeldParts, LongestHold),
+      [this, Weak = std::weak_ptr<Call>(Item)] {
+        const auto Found = Weak.lock();
+        if (!Found || Found->Ended)
+          return;
+        Starting_.erase(
+            std::remove(Starting_.begin(), Starting_.end(), Found),
+            Starting_.end());
+        conclude(Found, RefusalReason::NotReady, Milliseconds(0));
+      });
+}
+
+void CallerEntry::onServing() {
+  std::vector<CallPtr> Held;
+  Held.swap(Starting_);
+  for (const CallPtr &Item : Held) {
+    if (Item->Ended)
+      continue;
+    Context_.Loop.cancel(Item->Timer);
+    begin(Item);
+  }
+}
+
 bool CallerEntry::findRoute(const CallPtr &Item) {
   const HTTPRequest &Head = Item->Request->head();
   Item->Config = Context_.Config;
@@ -160,7 +204,7 @@
   Item->Info.Objective = Objective;
   Item->Info.ObjectiveAt = after(Item->ArrivedAt, Objective - Item->TryingFor);
   Item->Timer = Context_.Loop.runAfter(
-      Left + DeadlineGrace, [this, Weak = std::weak_ptr<Call>(Item)] {
+      elapsed(Context_.now(), Item->Info.DeadlineAt) + DeadlineGrace, [this, Weak = std::weak_ptr<Call>(Item)] {
         const auto Late = Weak.lock();
         if (!Late || Late->Ended)
           return;
--- a/src/sidecar/internal/CallerEntry.h
+++ b/src/sidecar/internal/CallerEntry.h
@@ -18,12 +18,17 @@
 
   void handle(const ServerRequestPtr &Request);
 
+  /// The first configuration is in force.
+  void onServing();
+
   std::size_t inProgress() const { return InProgress_; }
 
 private:
   struct Call;
   using CallPtr = std::shared_ptr<Call>;
 
+  void begin(const CallPtr &Item);
+  void holdUntilServing(const CallPtr &Item);
   bool findRoute(const CallPtr &Item);
   void readDeadline(const CallPtr &Item);
   void waitForBody(const CallPtr &Item);
@@ -51,6 +56,7 @@
   std::unordered_map<RouteName, Milliseconds> LongestStated_;
   /// Long bodies to other regions.
   mesh::LinkBudget RegionLink_;
+  std::vector<CallPtr> Starting_;
   std::size_t InProgress_ = 0;
 };
 
--- a/src/sidecar/internal/OperatorFeed.cpp
+++ b/src/sidecar/internal/OperatorFeed.cpp
@@ -20,6 +20,7 @@
 /// Pause after a failed call, doubled each time, with jitter.
 constexpr Milliseconds FirstPause{100};
 constexpr Milliseconds LongestPause{1000};
+constexpr Milliseconds LongestPauseOfOthers{3000};
 constexpr Milliseconds PullTimeout{1000};
 constexpr Milliseconds ConnectTimeout{250};
 /// A node that has waited this long for the store takes what its peers hold.
@@ -44,11 +45,20 @@
 
 void OperatorFeed::start() {
   loadMembers();
-  loadStatus();
   reload();
 }
 
+bool OperatorFeed::hasOrders() const {
+  return Context_.Records.Items.size() >
+         Context_.Records.Items.count(Context_.Platform.Operator.ConfigKey);
+}
+
 void OperatorFeed::loadStatus() {
+  // Ends are recorded for orders only; later ones are told by other nodes.
+  if (!hasOrders()) {
+    StatusKnown_ = true;
+    return;
+  }
   Store_.readNewest(StoreTopic::Status, [this](const StoreRead &Read) {
     if (Read.Outcome != StoreOutcome::Done) {
       Context_.Loop.runAfter(nextPause(), [this] { loadStatus(); });
@@ -71,8 +81,14 @@
 }
 
 Milliseconds OperatorFeed::nextPause() {
+  // While the store fails for all, only those that always read try often; the
+  // others hear from them when it is back.
+  const bool ReadsAlways = mesh::shouldReadStore(
+      mesh::rankOf(Context_.Fleet, "store", Context_.now()), Milliseconds(0));
+  const Milliseconds Longest =
+      ReadsAlways || !ReadOnce_ ? LongestPause : LongestPauseOfOthers;
   Pause_ = Pause_ == Milliseconds(0) ? FirstPause
-                                     : std::min(LongestPause, Pause_ * 2);
+                                     : std::min(Longest, Pause_ * 2);
   std::uniform_int_distribution<std::int64_t> Jitter(Pause_.count() / 2,
                                                      Pause_.count());
   return Milliseconds(Jitter(Context_.Random));
@@ -147,6 +163,7 @@
       return;
     }
     Pause_ = Milliseconds(0);
+    const bool IsFirst = !ReadOnce_;
     ReadOnce_ = true;
     OperatorRecords New;
     New.Position = Read.End;
@@ -154,6 +171,8 @@
       New.Items[Item.Key] = {Item.Value, Item.At};
     take(New, "store");
     Context_.ConfirmedAt = Context_.now();
+    if (IsFirst)
+      loadStatus();
     Used_.OnRead();
     waitAndWatch(Milliseconds(0));
   });
--- a/src/sidecar/internal/OperatorFeed.h
+++ b/src/sidecar/internal/OperatorFeed.h
@@ -34,6 +34,7 @@
 
 private:
   void start();
+  bool hasOrders() const;
   void loadStatus();
   void loadMembers();
   void watch();
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -220,8 +220,10 @@
   void updateReadiness() {
     // A node that has served once holds a configuration that callers have met;
     // it is kept up to date but never given up.
-    if (!Context.Stopping)
-      Context.Serving = Context.Serving || (Feed && Feed->isCurrent());
+    if (!Context.Stopping && !Context.Serving && Feed && Feed->isCurrent()) {
+      Context.Serving = true;
+      Entry->onServing();
+    }
     const bool Now = Context.Serving && !Context.Stopping;
     if (Now == Context.Ready)
       return;
