--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -57,6 +57,9 @@
 bool runsBefore(const QueuedJob &First, const QueuedJob &Second,
                 SteadyTime Now);
 
+/// Longest wait for a slot of a request with the objective \p Objective.
+Milliseconds longestWait(Milliseconds Objective);
+
 /// Whether a request that arrives now runs, waits or is refused. It waits only
 /// when it can be expected to be answered within its objective.
 QueueVerdict admitJob(const HopQueue &Queue, const QueuedJob &Job,
--- a/src/mesh/internal/HopQueue.cpp
+++ b/src/mesh/internal/HopQueue.cpp
@@ -50,6 +50,10 @@
   return First.Id < Second.Id;
 }
 
+Milliseconds longestWait(Milliseconds Objective) {
+  return Objective * MaxWaitPercent / 100;
+}
+
 QueueVerdict admitJob(const HopQueue &Queue, const QueuedJob &Job,
                       Milliseconds MeanService, SteadyTime Now) {
   if (elapsed(Now, Job.DeadlineAt) <= Milliseconds(0) || Queue.Slots <= 0)
@@ -62,9 +66,8 @@
   const Milliseconds InTime = elapsed(Now, Job.ObjectiveAt) -
                               std::max(Job.Service, Milliseconds(1)) *
                                   ServiceTimesNeeded;
-  const Milliseconds Longest = Job.Objective * MaxWaitPercent / 100;
   const Milliseconds Allowed =
-      std::max(std::min(InTime, Longest), LateRequestWait);
+      std::max(std::min(InTime, longestWait(Job.Objective)), LateRequestWait);
   if (Wait <= Allowed)
     return {QueueVerdict::Action::Wait, Milliseconds(0)};
   return {QueueVerdict::Action::Refuse, Wait - Allowed};
--- a/src/mesh/internal/Place.cpp
+++ b/src/mesh/internal/Place.cpp
@@ -19,6 +19,12 @@
 /// An upstream runs slower the fuller it is; part of the service time added
 /// at full use.
 constexpr double CrowdingFactor = 0.5;
+/// Above this use an upstream may be full by the time the request arrives; at
+/// full use the risk counts as one service time.
+constexpr double RiskyUse = 0.8;
+/// Added where the last hop is expected to refuse: it is asked only when there
+/// is no other.
+constexpr double RefusalMs = 3000;
 /// A failed request costs the caller about this many service times.
 constexpr double FailureCost = 6;
 /// Spread between equal candidates, so that nodes with the same view do not
@@ -64,7 +70,9 @@
         LinkMsPerKiB[Distance] * static_cast<double>(Request.BodyBytes) /
             BytesPerKiB +
         Service * (CrowdingFactor * Use * Use + FailureCost * Item.FailureRate +
-                   Jitter(Random));
+                   std::max(0.0, Use - RiskyUse) / (1 - RiskyUse) +
+                   Jitter(Random)) +
+        (Wait > Request.LongestWait ? RefusalMs : 0);
     if (Best && Cost >= BestCost)
       continue;
     BestCost = Cost;
--- a/src/mesh/tests/PlaceTest.cpp
+++ b/src/mesh/tests/PlaceTest.cpp
@@ -77,6 +77,19 @@
   BOOST_TEST(chosen(Both, Small) == "busy");
 }
 
+// Load pattern: upstreams of different speed at three quarters of their slots.
+// Guards against fast upstreams that refuse while slower ones are idle.
+BOOST_AUTO_TEST_CASE(fullFastUpstreamGivesWayToAnIdleSlowOne) {
+  Candidate Slow = candidate("slow", Tier::OwnZone);
+  Slow.ServiceTime = Milliseconds(400);
+  PlacementRequest Request{0, Milliseconds(800)};
+  Request.LongestWait = Milliseconds(160);
+  BOOST_TEST(chosen({candidate("fast", Tier::OwnZone, 5), Slow}, Request) ==
+             "fast");
+  BOOST_TEST(chosen({candidate("fast", Tier::OwnZone, 32), Slow}, Request) ==
+             "slow");
+}
+
 BOOST_AUTO_TEST_CASE(slowUpstreamIsAvoided) {
   Candidate Slow = candidate("slow", Tier::OwnZone);
   Slow.ServiceTime = Milliseconds(400);
--- a/src/sidecar/internal/CallerEntry.cpp
+++ b/src/sidecar/internal/CallerEntry.cpp
@@ -16,9 +16,12 @@
 /// A body up to this size is read whole first, so that the request can be
 /// offered to another upstream when the first one does not run it.
 constexpr std::int64_t MaxKeptBody = 32 * 1024;
-/// Last hops that may refuse one request before it is given up: each costs a
-/// round trip, during which the caller waits in vain.
-constexpr std::int32_t MaxRefusals = 3;
+/// Last hops that may refuse one request before it is given up. Each costs a
+/// round trip, during which the caller waits in vain, so that after a few of
+/// them only a small part of the objective may have passed.
+constexpr std::int32_t FreeRefusals = 3;
+constexpr std::int32_t MaxRefusals = 10;
+constexpr int RefusalObjectiveParts = 10;
 /// The last hop's own verdict at the deadline is more precise.
 constexpr Milliseconds DeadlineGrace{60};
 /// A repeat with less time left is not worth its cost.
@@ -279,6 +282,7 @@
              ? Item->Request->framing().Length
              : 0);
   Wanted.ObjectiveLeft = elapsed(Context_.now(), Info.ObjectiveAt);
+  Wanted.LongestWait = mesh::longestWait(Info.Objective);
   const auto Chosen = mesh::place(Candidates, Wanted, Context_.Random);
   if (!Chosen) {
     conclude(Item, RefusalReason::NoUpstream, Milliseconds(0));
@@ -399,7 +403,11 @@
     return false;
   mesh::MeshRetryBudget &Budget = Budgets_[Item->Info.Service];
   if (Outcome.End == HopEnd::NotRun) {
-    if (++Item->Refusals >= MaxRefusals || BodyIsGone ||
+    ++Item->Refusals;
+    const bool TookLong = elapsed(Item->ArrivedAt, Context_.now()) >
+                          Item->Info.Objective / RefusalObjectiveParts;
+    if (Item->Refusals >= MaxRefusals || BodyIsGone ||
+        (Item->Refusals >= FreeRefusals && TookLong) ||
         Outcome.Reason == RefusalReason::CrashSuspect)
       return false;
     // Only what an upstream rejected has arrived there.
