Try upstreams of which little is known; explain a request from the logs

Leaving the zone or the region costs more in placement.

lycheethread explain prints what nodes logged about one request; last hops log each refusal and failure with its inputs.

--- a/src/app/Main.cpp
+++ b/src/app/Main.cpp
@@ -22,6 +22,7 @@
     {"status", runStatus, "show what a node knows and does"},
     {"moves", runMoves, "list version moves with outcome and evidence"},
     {"refusals", runRefusals, "list which callers were refused, when and why"},
+    {"explain", runExplain, "show what nodes logged about one request"},
 };
 
 void printHelp(std::ostream &Out) {
--- a/src/app/internal/Commands.h
+++ b/src/app/internal/Commands.h
@@ -20,6 +20,7 @@
 int runStatus(int Argc, char **Argv);
 int runMoves(int Argc, char **Argv);
 int runRefusals(int Argc, char **Argv);
+int runExplain(int Argc, char **Argv);
 
 } // namespace lycheethread::app
 
--- a/src/mesh/internal/Place.cpp
+++ b/src/mesh/internal/Place.cpp
@@ -15,7 +15,7 @@
 /// KiB: both are billed by volume, and the region link is shared by all.
 constexpr double LinkMsPerKiB[] = {0, 0, 1, 4};
 /// Charged for leaving the region even with a small body.
-constexpr double LinkBaseMs[] = {0, 0, 10, 70};
+constexpr double LinkBaseMs[] = {0, 0, 15, 90};
 /// An upstream runs slower the fuller it is; part of the service time added
 /// at full use.
 constexpr double CrowdingFactor = 0.5;
@@ -31,6 +31,11 @@
 /// all choose the same upstream.
 constexpr double JitterPart = 0.15;
 constexpr double BytesPerKiB = 1024;
+/// Part of the requests that go to any upstream near enough with a free slot.
+/// Without them an upstream that was slow once, or is new, is never tried while
+/// the others have room.
+constexpr double TrialShare = 0.03;
+constexpr double MaxTrialFailureRate = 0.2;
 /// Longer bodies wait for their turn on the link of the upstream's instance.
 constexpr std::int64_t LongBodyBytes = 32 * 1024;
 
@@ -44,9 +49,34 @@
   return Milliseconds(ServiceTime.count() * Ahead / Capacity);
 }
 
+namespace {
+
+bool isFitForTrial(const Candidate &Item) {
+  return Item.Distance <= Tier::OwnRegion && Item.Held < Item.Capacity &&
+         Item.FailureRate < MaxTrialFailureRate;
+}
+
+/// Any fit candidate, in a small share of the calls.
+std::optional<std::size_t> chooseTrial(const std::vector<Candidate> &Candidates,
+                                       std::mt19937_64 &Random) {
+  if (std::uniform_real_distribution<double>(0, 1)(Random) >= TrialShare)
+    return std::nullopt;
+  std::optional<std::size_t> Chosen;
+  std::uint64_t Fit = 0;
+  for (std::size_t At = 0; At < Candidates.size(); ++At)
+    if (isFitForTrial(Candidates[At]) && Random() % ++Fit == 0)
+      Chosen = At;
+  return Chosen;
+}
+
+} // namespace
+
 std::optional<Placed> place(const std::vector<Candidate> &Candidates,
                             const PlacementRequest &Request,
                             std::mt19937_64 &Random) {
+  if (Request.MayTry)
+    if (const auto Trial = chooseTrial(Candidates, Random))
+      return Placed{*Trial, Candidates[*Trial].ServiceTime, Milliseconds(0)};
   std::optional<Placed> Best;
   double BestCost = 0;
   std::uniform_real_distribution<double> Jitter(0, JitterPart);
--- a/src/mesh/tests/PlaceTest.cpp
+++ b/src/mesh/tests/PlaceTest.cpp
@@ -90,6 +90,21 @@
              "slow");
 }
 
+// Guards against a new or once slow upstream that nobody ever tries again.
+BOOST_AUTO_TEST_CASE(slowUpstreamIsTriedNowAndThen) {
+  Candidate Slow = candidate("slow", Tier::OwnRegion);
+  Slow.ServiceTime = Milliseconds(400);
+  const std::vector<Candidate> Both = {candidate("fast", Tier::OwnZone), Slow};
+  std::mt19937_64 Random(1);
+  PlacementRequest Request = Small;
+  Request.MayTry = true;
+  int Tried = 0;
+  for (int Count = 0; Count < 1000; ++Count)
+    Tried += place(Both, Request, Random)->Index == 1 ? 1 : 0;
+  BOOST_TEST(Tried > 2);
+  BOOST_TEST(Tried < 40);
+}
+
 BOOST_AUTO_TEST_CASE(slowUpstreamIsAvoided) {
   Candidate Slow = candidate("slow", Tier::OwnZone);
   Slow.ServiceTime = Milliseconds(400);
--- a/src/mesh/types/Placement.h
+++ b/src/mesh/types/Placement.h
@@ -33,6 +33,8 @@
   std::int64_t BodyBytes = 0;
   /// Time within which the answer is worth most.
   Milliseconds ObjectiveLeft{0};
+  /// The request may go to an upstream of which little is known.
+  bool MayTry = false;
   /// Last hops refuse what would wait longer.
   Milliseconds LongestWait{1000};
 };
--- a/src/settings/tests/SettingsTest.cpp
+++ b/src/settings/tests/SettingsTest.cpp
@@ -55,14 +55,16 @@
     BOOST_TEST(Result.Problems[I].Line == Lines[I]);
 }
 
-// Guards against a page that no longer tells what the parser accepts.
-BOOST_AUTO_TEST_CASE(PageListsEachKeyWithItsRangeAndDefault) {
-  std::ifstream In(SETTINGS_PAGE);
+namespace {
+
+/// The rows of \p Path must be those of \p Schema, with range and default.
+void checkPage(const std::string &Path, const std::vector<SectionRule> &Schema) {
+  std::ifstream In(Path);
   std::stringstream Page;
   Page << In.rdbuf();
   const std::string Text = Page.str();
   std::size_t Keys = 0;
-  for (const SectionRule &Section : settingsSchema())
+  for (const SectionRule &Section : Schema)
     for (const KeyRule &Key : Section.Keys) {
       ++Keys;
       const std::string Default = Key.Required          ? "required"
@@ -79,3 +81,58 @@
     ++Rows;
   BOOST_TEST(Rows == Keys);
 }
+
+const char *const OnPlatform = R"([node]
+id = 10.0.0.7
+region = west
+zone = west-a
+[listen]
+outbound = 10.0.0.7:8141
+inbound = 10.0.0.7:8145
+readiness = 10.0.0.7:8140
+check_ins = 10.0.0.7:8146
+gossip = 10.0.0.7:7660
+[upstream]
+address = 10.0.0.7:8147
+service = desk
+check_in_s = 1.5
+[limits]
+link_mbit = 10.5
+[store]
+address = 10.0.0.1:8142
+[peers]
+seeds =
+[platform]
+bounds = grace_s=6,drain_s=2.5
+)";
+
+} // namespace
+
+// Guards against pages that no longer tell what the parsers accept.
+BOOST_AUTO_TEST_CASE(PagesListEachKeyWithItsRangeAndDefault) {
+  checkPage(SETTINGS_PAGE, settingsSchema());
+  checkPage(SIDECAR_SETTINGS_PAGE, sidecarSchema());
+}
+
+BOOST_AUTO_TEST_CASE(SettingsOnAPlatformAreRead) {
+  const ParsedSidecarSettings Result = parseSidecarSettings("p.ini", OnPlatform);
+  for (const Finding &Item : Result.Problems)
+    BOOST_ERROR(toString(Item));
+  BOOST_TEST(Result.Settings.CheckInInterval.count() == 1500);
+  BOOST_TEST(Result.Settings.LinkBytesPerMs == 1312.5);
+  BOOST_TEST(Result.Settings.PlatformBounds == "grace_s=6,drain_s=2.5");
+  BOOST_TEST(isForSidecar(OnPlatform));
+  BOOST_TEST(!isForSidecar(Good));
+}
+
+// Guards against a checker that stops at the first mistake.
+BOOST_AUTO_TEST_CASE(MistakesOnAPlatformAreReportedTogether) {
+  std::string Text = replaced(OnPlatform, "zone = west-a", "zone = West A");
+  Text = replaced(Text, "check_in_s = 1.5", "check_in_s = soon");
+  Text = replaced(Text, "link_mbit = 10.5", "link_mbit = 0");
+  Text = replaced(Text, "10.0.0.1:8142", "store.example:8142");
+  Text = replaced(Text, "inbound =", "inbond =");
+  const ParsedSidecarSettings Result = parseSidecarSettings("p.ini", Text);
+  // The unknown key leaves the known one missing, which is a finding too.
+  BOOST_TEST(Result.Problems.size() == 6U);
+}
--- a/src/sidecar/internal/CallerEntry.cpp
+++ b/src/sidecar/internal/CallerEntry.cpp
@@ -283,6 +283,8 @@
              : 0);
   Wanted.ObjectiveLeft = elapsed(Context_.now(), Info.ObjectiveAt);
   Wanted.LongestWait = mesh::longestWait(Info.Objective);
+  Wanted.MayTry =
+      Info.Class == RequestClass::Repeatable && Item->Attempt == 0;
   const auto Chosen = mesh::place(Candidates, Wanted, Context_.Random);
   if (!Chosen) {
     conclude(Item, RefusalReason::NoUpstream, Milliseconds(0));
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -407,6 +407,8 @@
   const bool Report = !Job->Abandoned;
   Job->Abandoned = true;
   const auto Callback = std::move(Job->Job.OnEnd);
+  if (Report)
+    logOutcome(*Job, Outcome);
   release(Job);
   if (Report && Callback) {
     Outcome.Load = load();
@@ -414,6 +416,30 @@
   }
 }
 
+void UpstreamHop::logOutcome(const Running &Job, const HopOutcome &Outcome) {
+  const SteadyTime Now = Context_.now();
+  const mesh::Upstream &Upstream = Context_.Registered.Now;
+  Context_.Log.write(
+      LogClass::Failure, Now,
+      Outcome.End == HopEnd::NotRun ? "hop-refused" : "hop-failed",
+      {{"request", Job.Job.Id.str()},
+       {"reason", std::string(toString(Outcome.Reason))},
+       {"reached", Outcome.Reached ? "yes" : "no"},
+       {"route", Job.Job.Info.Route.str()},
+       {"rank", std::to_string(Job.Job.Info.Rank)},
+       {"upstream", Upstream.Id.str()},
+       {"check_in_age_ms",
+        std::to_string(elapsed(Context_.Registered.HeardAt, Now).count())},
+       {"slots", std::to_string(Queue_.Slots)},
+       {"running", std::to_string(Queue_.Running)},
+       {"waiting", std::to_string(Queue_.Waiting.size())},
+       {"service_ms",
+        std::to_string(static_cast<std::int64_t>(MeanServiceMs_))},
+       {"room_in_ms", std::to_string(Outcome.RoomIn.count())},
+       {"left_ms",
+        std::to_string(elapsed(Now, Job.Job.Info.DeadlineAt).count())}});
+}
+
 void UpstreamHop::release(const RunningPtr &Job) {
   if (Job->Ended)
     return;
--- a/src/sidecar/internal/UpstreamHop.h
+++ b/src/sidecar/internal/UpstreamHop.h
@@ -58,6 +58,7 @@
   void onFailure(const RunningPtr &Job, ClientFailure Why);
   void onDeadline(const RunningPtr &Job);
   void finish(const RunningPtr &Job, HopOutcome Outcome);
+  void logOutcome(const Running &Job, const HopOutcome &Outcome);
   void release(const RunningPtr &Job);
   void runWaiting();
   void sweep();
