Be ready as soon as configuration, nodes and ends of rollouts are known

Cause: after a power loss of 87 machines each node read 135 KB from the store at once, over 60 Mbit/s for the far region, readiness was looked at every 200 ms, and ends of rollouts were read in a further call. Ruled out: the dynamic loader (0.8 million cycles) and decoding (10 ms).

A node that the store answers slowly waits 0.4 s for nearer ones, any confirmation after its own start counts, and ready nodes tell ends of rollouts.

--- a/src/sidecar/internal/OperatorFeed.cpp
+++ b/src/sidecar/internal/OperatorFeed.cpp
@@ -23,6 +23,11 @@
 constexpr Milliseconds LongestPauseOfOthers{3000};
 constexpr Milliseconds PullTimeout{1000};
 constexpr Milliseconds ConnectTimeout{250};
+/// The store answers within this time to a node of its own region, which may
+/// have a tenth of a core; the round trip to the other region is 60 ms, and
+/// connecting takes another.
+constexpr Milliseconds NearAnswer{80};
+constexpr Milliseconds PatienceForNearNodes{400};
 /// A node that has waited this long for the store takes what its peers hold.
 constexpr Milliseconds PatienceForStore{1200};
 /// How often the first reader looks for nodes that nobody knows yet.
@@ -45,7 +50,20 @@
 
 void OperatorFeed::start() {
   loadMembers();
-  reload();
+  waitAndReload(PatienceForNearNodes);
+}
+
+// After a start of all nodes at once the configuration would cross the region
+// link once for each node of the far region. A node that the store answers
+// slowly waits a little for nodes near the store to hand it on.
+void OperatorFeed::onListed() {
+  const bool IsNear = elapsed(StartedAt_, Context_.now()) < NearAnswer;
+  waitAndReload(IsNear ? Milliseconds(0) : PatienceForNearNodes);
+}
+
+void OperatorFeed::waitAndReload(Milliseconds Pause) {
+  Context_.Loop.cancel(Timer_);
+  Timer_ = Context_.Loop.runAfter(Pause, [this] { reload(); });
 }
 
 bool OperatorFeed::hasOrders() const {
@@ -66,6 +84,7 @@
     }
     StatusKnown_ = true;
     Used_.OnStatus(Read.Items);
+    Used_.OnProgress();
   });
 }
 
@@ -73,10 +92,15 @@
   MembersAt_ = Context_.now();
   Store_.readNewest(StoreTopic::Members, [this](const StoreRead &Read) {
     if (Read.Outcome == StoreOutcome::Done) {
+      const bool IsFirst = !MembersKnown_;
       MembersKnown_ = true;
       Used_.OnMembers(Read.Items);
-    } else if (Context_.Fleet.Nodes.empty())
+      if (IsFirst && Context_.Records.Position == Offset() && !Busy_)
+        onListed();
+      Used_.OnProgress();
+    } else if (Context_.Fleet.Nodes.empty()) {
       Context_.Loop.runAfter(nextPause(), [this] { loadMembers(); });
+    }
   });
 }
 
@@ -111,7 +135,8 @@
     waitAndWatch(WatchInterval);
     return;
   }
-  if (ReadOnce_)
+  // An empty topic is polled like any other.
+  if (ReadOnce_ || Context_.Records.Position > Offset())
     poll();
   else
     reload();
@@ -163,7 +188,6 @@
       return;
     }
     Pause_ = Milliseconds(0);
-    const bool IsFirst = !ReadOnce_;
     ReadOnce_ = true;
     OperatorRecords New;
     New.Position = Read.End;
@@ -171,8 +195,7 @@
       New.Items[Item.Key] = {Item.Value, Item.At};
     take(New, "store");
     Context_.ConfirmedAt = Context_.now();
-    if (IsFirst)
-      loadStatus();
+    Used_.OnProgress();
     Used_.OnRead();
     waitAndWatch(Milliseconds(0));
   });
@@ -184,6 +207,10 @@
   if (!mergeRecords(Context_.Records, From))
     return;
   BehindSince_ = SteadyTime();
+  if (!StatusAsked_) {
+    StatusAsked_ = true;
+    loadStatus();
+  }
   Context_.Log.write(
       LogClass::State, Context_.now(), "records-taken",
       {{"source", Source},
@@ -267,9 +294,14 @@
   const SteadyTime Now = Context_.now();
   if (BehindSince_ == SteadyTime())
     BehindSince_ = Now;
-  const Milliseconds Delay = mesh::fetchDelay(
-      Context_.Fleet, Context_.Settings.At,
-      mesh::tierOf(Context_.Settings.At, Context_.Settings.Id, *Best), Now);
+  // A node without any records serves nobody, and waits for none.
+  const Milliseconds Delay =
+      Context_.Records.Position == Offset()
+          ? Milliseconds(0)
+          : mesh::fetchDelay(Context_.Fleet, Context_.Settings.At,
+                             mesh::tierOf(Context_.Settings.At,
+                                          Context_.Settings.Id, *Best),
+                             Now);
   const Milliseconds Waited = elapsed(BehindSince_, Now);
   if (Waited < Delay) {
     if (FetchTimer_ == reactor::TimerId())
@@ -310,8 +342,14 @@
     End();
     const auto Records = decodeRecords(*Body);
     if (Records) {
+      const bool IsFirst = Context_.Records.Position == Offset();
       take(*Records, "peer");
       Used_.OnFetched();
+      // The news at hand confirm the position that has just been reached.
+      onNews();
+      Used_.OnProgress();
+      if (IsFirst && !Busy_)
+        waitAndWatch(WatchInterval);
     } else {
       Context_.Log.write(LogClass::State, Context_.now(), "records-unreadable",
                          {{"bytes", std::to_string(Body->size())}});
@@ -325,10 +363,36 @@
   Pulling_->start(std::move(Request), std::move(Callbacks));
 }
 
+/// Whether ready nodes tell how each order stands.
+bool OperatorFeed::peersKnowOrders() const {
+  const auto IsKnown = [this](Offset Order) {
+    return std::any_of(
+        Context_.Fleet.Nodes.begin(), Context_.Fleet.Nodes.end(),
+        [&](const auto &Item) {
+          const mesh::NodeNews &News = Item.second.News;
+          return News.Ready && mesh::isAlive(Item.second, Context_.now()) &&
+                 std::any_of(News.Rollouts.begin(), News.Rollouts.end(),
+                             [Order](const mesh::RolloutNews &Told) {
+                               return Told.Order == Order;
+                             });
+        });
+  };
+  return std::all_of(Context_.Records.Items.begin(),
+                     Context_.Records.Items.end(), [&](const auto &Item) {
+                       return Item.first ==
+                                  Context_.Platform.Operator.ConfigKey ||
+                              IsKnown(Item.second.At);
+                     });
+}
+
 bool OperatorFeed::isCurrent() const {
   if (!Context_.Config)
     return false;
-  if (ReadOnce_ && StatusKnown_ && MembersKnown_)
+  // What the store confirmed after this node had started is as new as anything
+  // that a caller was served by in an earlier life of it.
+  const bool IsConfirmed = Context_.ConfirmedAt >= StartedAt_;
+  const bool KnowsNodes = MembersKnown_ || !Context_.Fleet.Nodes.empty();
+  if (IsConfirmed && KnowsNodes && (StatusKnown_ || peersKnowOrders()))
     return true;
   if (elapsed(StartedAt_, Context_.now()) < PatienceForStore)
     return false;
--- a/src/sidecar/internal/OperatorFeed.h
+++ b/src/sidecar/internal/OperatorFeed.h
@@ -18,6 +18,8 @@
     std::function<void()> OnRead;
     /// Fetched from another node; those nearby may lack the records too.
     std::function<void()> OnFetched;
+    /// isCurrent() may have become true.
+    std::function<void()> OnProgress;
     std::function<void(const std::vector<StoreItem> &)> OnStatus;
     std::function<void(const std::vector<StoreItem> &)> OnMembers;
   };
@@ -37,6 +39,9 @@
   bool hasOrders() const;
   void loadStatus();
   void loadMembers();
+  void onListed();
+  bool peersKnowOrders() const;
+  void waitAndReload(Milliseconds Pause);
   void watch();
   void poll();
   void onPolled(const StoreRead &Read);
@@ -60,6 +65,7 @@
   SteadyTime StartedAt_;
   SteadyTime MembersAt_;
   bool ReadOnce_ = false;
+  bool StatusAsked_ = false;
   bool StatusKnown_ = false;
   bool MembersKnown_ = false;
   bool Busy_ = false;
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -121,13 +121,17 @@
     Inbound = std::make_unique<HopServer>(Context, *Hop);
     News = std::make_unique<Gossip>(
         Context, [this](mesh::NodeNews &Own) { describe(Own); },
-        [this] { Feed->onNews(); });
+        [this] {
+          Feed->onNews();
+          if (!Context.Ready)
+            updateReadiness();
+        });
     addSeeds();
     Feed = std::make_unique<OperatorFeed>(
         Context, *Store,
         OperatorFeed::Callbacks{
             [this] { onRecords(); }, [this] { News->tellAll(); },
-            [this] { News->tellRegion(); },
+            [this] { News->tellRegion(); }, [this] { updateReadiness(); },
             [this](const auto &Items) { Moves->onStatus(Items); },
             [this](const auto &Items) { onMembers(Items); }});
     listen();
