--- a/src/sidecar/internal/CallerEntry.cpp
+++ b/src/sidecar/internal/CallerEntry.cpp
@@ -90,6 +90,9 @@
   std::int32_t Refusals = 0;
   /// Upstreams on which the request may have run.
   std::int32_t Runs = 0;
+  /// A failure that an upstream answered, passed on when a repeat brings
+  /// nothing better.
+  std::optional<HopOutcome> Failure;
   bool Ended = false;
   bool Active = false;
   bool IsOwn = false;
@@ -108,7 +111,7 @@
 void CallerEntry::handle(const ServerRequestPtr &Request) {
   const auto Item = std::make_shared<Call>();
   Item->Request = Request;
-  Item->ArrivedAt = Context_.now();
+  Item->ArrivedAt = Context_.arrival();
   Item->Id =
       RequestId(Request->head().get(Context_.Platform.Headers.RequestId, ""));
   ++InProgress_;
@@ -382,6 +385,8 @@
     ++Item->Runs;
   if (mayRepeat(Item, Outcome)) {
     Item->Excluded.insert(Item->Node);
+    if (Outcome.End == HopEnd::Answered && Outcome.Answer.Body->isEnded())
+      Item->Failure = std::move(Outcome);
     Context_.Loop.defer([this, Weak = std::weak_ptr<Call>(Item)] {
       const auto Found = Weak.lock();
       if (Found && !Found->Ended)
@@ -437,6 +442,12 @@
 
 void CallerEntry::conclude(const CallPtr &Item, RefusalReason Reason,
                            Milliseconds RoomIn) {
+  if (Item->Failure && !Item->Ended) {
+    HopOutcome Kept = std::move(*Item->Failure);
+    Item->Failure.reset();
+    deliver(Item, std::move(Kept));
+    return;
+  }
   const bool MayHaveRun = Item->Runs > 0;
   answerRefusal(Item, statusOf(Reason, MayHaveRun), Reason, RoomIn);
 }
--- a/src/sidecar/internal/HopServer.cpp
+++ b/src/sidecar/internal/HopServer.cpp
@@ -27,7 +27,7 @@
       Request->answer(HTTPResponse::HTTP_NOT_FOUND, "not a request of a node");
     return;
   }
-  const auto Info = decodeInfo(Head.get(HopInfoName), Context_.now());
+  const auto Info = decodeInfo(Head.get(HopInfoName), Context_.arrival());
   if (!Info) {
     Context_.Log.write(LogClass::Failure, Context_.now(), "hop-unreadable",
                        {{"info", Head.get(HopInfoName)}});
--- a/src/sidecar/internal/NodeContext.h
+++ b/src/sidecar/internal/NodeContext.h
@@ -47,7 +47,21 @@
   EventLog Log;
   std::mt19937_64 Random{std::random_device{}()};
 
+  /// The process stood still for LastPause until ResumedAt.
+  SteadyTime ResumedAt;
+  Milliseconds LastPause{0};
+
   SteadyTime now() const { return Loop.now(); }
+
+  /// When a request that has just been read may have arrived. After a pause it
+  /// may have waited in the socket all the while.
+  SteadyTime arrival() const {
+    const bool JustResumed = elapsed(ResumedAt, now()) < AfterPause;
+    return JustResumed ? after(now(), -LastPause) : now();
+  }
+
+  /// Time in which everything that came during a pause is read.
+  static constexpr Milliseconds AfterPause{150};
 };
 
 } // namespace lycheethread::sidecar
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -27,6 +27,7 @@
 constexpr Milliseconds SettingsInterval{1000};
 /// How often lines that the log left out are reported.
 constexpr Milliseconds DroppedInterval{5000};
+constexpr Milliseconds ShortestPause{1200};
 /// Limits for what other nodes and the platform send.
 constexpr std::size_t MaxInnerHeadBytes = 64 * 1024;
 constexpr std::int64_t MaxInnerBodyBytes = 1LL << 40;
@@ -90,6 +91,7 @@
   std::unique_ptr<HttpServer> CheckInServer;
   std::unique_ptr<HttpServer> MetricsServer;
 
+  SteadyTime LastRound;
   SteadyTime StopAt;
   SteadyTime SettingsAt;
   SteadyTime DroppedAt;
@@ -421,7 +423,22 @@
     Loop.stop();
   }
 
+  /// A wait of the loop is far shorter than this, and so is any one task.
+  void notePause() {
+    const SteadyTime Now = Context.now();
+    const Milliseconds Gap = elapsed(LastRound, Now);
+    const bool IsFirst = LastRound == SteadyTime();
+    LastRound = Now;
+    if (IsFirst || Gap < ShortestPause)
+      return;
+    Context.LastPause = Gap;
+    Context.ResumedAt = Now;
+    Context.Log.write(LogClass::State, Now, "resumed",
+                      {{"paused_ms", std::to_string(Gap.count())}});
+  }
+
   void onRound() {
+    notePause();
     const PendingSignals Signals = takeSignals();
     if (Signals.Stop)
       beginStop();
--- a/src/sidecar/internal/UpstreamDirectory.cpp
+++ b/src/sidecar/internal/UpstreamDirectory.cpp
@@ -18,6 +18,10 @@
 constexpr Milliseconds FirstAvoidance{500};
 constexpr Milliseconds LongestAvoidance{4000};
 constexpr std::int32_t MaxDoublings = 3;
+/// News of a living node are mostly younger than this, and so is its newest
+/// answer to several requests.
+constexpr Milliseconds LateNews{1200};
+constexpr Milliseconds LateAnswer{500};
 /// Used while no upstream's service time is known.
 constexpr Milliseconds UnknownServiceTime{50};
 /// A cold upstream takes about this many times as long as the others.
@@ -78,6 +82,15 @@
   return Found;
 }
 
+/// Neither news nor answers: the instance may be frozen or cut off. Its
+/// connections stay open, so that requests sent there would wait in vain.
+bool UpstreamDirectory::seemsPaused(const Seen &Item,
+                                    SteadyTime HeardAt) const {
+  const SteadyTime Now = Context_.now();
+  return elapsed(HeardAt, Now) > LateNews && Item.Outstanding > 0 &&
+         elapsed(Item.WaitingSince, Now) > LateAnswer;
+}
+
 std::vector<mesh::Candidate>
 UpstreamDirectory::candidates(const ServiceName &Service,
                               const std::set<NodeId> &Excluded) {
@@ -88,7 +101,10 @@
     if (Excluded.count(Id) != 0 || !isUsable(Known.News, Service) ||
         !mesh::isAlive(Known, Now))
       continue;
-    auto &List = Seen_[Id].AvoidUntil > Now ? Avoided : Found;
+    const Seen &Item = Seen_[Id];
+    const bool IsAvoided =
+        Item.AvoidUntil > Now || seemsPaused(Item, Known.HeardAt);
+    auto &List = IsAvoided ? Avoided : Found;
     List.push_back(describe(Known.News, Known.HeardAt));
   }
   const NodeId &Self = Context_.Settings.Id;
@@ -117,7 +133,8 @@
 
 void UpstreamDirectory::onSent(const NodeId &Node) {
   Seen &Item = Seen_[Node];
-  ++Item.Outstanding;
+  if (Item.Outstanding++ == 0)
+    Item.WaitingSince = Context_.now();
   ++Item.SentSince;
 }
 
@@ -132,6 +149,7 @@
   Item.Outstanding = std::max(0, Item.Outstanding - 1);
   const SteadyTime Now = Context_.now();
   if (Outcome.Load) {
+    Item.WaitingSince = Now;
     Item.Load = Outcome.Load;
     Item.LoadAt = Now;
     Item.SentSince = 0;
--- a/src/sidecar/internal/UpstreamDirectory.h
+++ b/src/sidecar/internal/UpstreamDirectory.h
@@ -29,6 +29,8 @@
 private:
   struct Seen {
     std::int32_t Outstanding = 0;
+    /// When it answered last, or got the first request since then.
+    SteadyTime WaitingSince;
     /// Load as the last hop stated it last, and requests sent to it since.
     std::optional<mesh::LoadNews> Load;
     SteadyTime LoadAt;
@@ -42,6 +44,7 @@
   bool isUsable(const mesh::NodeNews &News, const ServiceName &Service) const;
   mesh::Candidate describe(const mesh::NodeNews &News, SteadyTime HeardAt);
   double decayedFailureRate(Seen &Item) const;
+  bool seemsPaused(const Seen &Item, SteadyTime HeardAt) const;
 
   NodeContext &Context_;
   std::function<mesh::LoadNews()> OwnLoad_;
--- a/tests/platform/LeavingTest.cpp
+++ b/tests/platform/LeavingTest.cpp
@@ -51,7 +51,24 @@
   BOOST_TEST((Code == std::optional<int>(0)));
 }
 
-// Guards against a node that waits for a reader of its log.
+// Guards against a request that is run after its caller was told that its time
+// is over: it waited in the socket of a node that stood still.
+BOOST_AUTO_TEST_CASE(pausedNodeDoesNotRunWhatIsTooLate) {
+  World Used({{"z1"}, {"z2", "store"}});
+  Used.at(0).node().pause();
+  auto Waiting = std::async(std::launch::async, [&] {
+    return Used.at(1).post("/write/late", "x", "late-1");
+  });
+  std::this_thread::sleep_for(milliseconds(2500));
+  Used.at(0).node().resume();
+  const int Status = Waiting.get().Status;
+  BOOST_TEST(Status != 200);
+  std::this_thread::sleep_for(milliseconds(500));
+  for (const SeenRequest &Seen : Used.at(0).upstream().seen())
+    BOOST_TEST(Seen.Headers.at("x-attempt-id") != "late-1");
+}
+
+// Guards against a killed node whose upstream stays unused.
 BOOST_AUTO_TEST_CASE(killedNodeIsBackAndServes) {
   World Used({{"v1"}, {"v2"}});
   Used.at(0).node().kill();
--- a/tests/platform/RequestTest.cpp
+++ b/tests/platform/RequestTest.cpp
@@ -72,6 +72,19 @@
              1);
 }
 
+// Guards against an answer of an upstream that is replaced by a failure of the
+// node's own, when the repeat of the request finds no upstream.
+BOOST_AUTO_TEST_CASE(failureOfTheUpstreamIsPassedOnWhenNoRepeatIsPossible) {
+  World Used({{"p1"}, {"p2", "store"}});
+  Used.at(0).upstream().setBehaviour([](const SeenRequest &Request) {
+    return goodAnswer(Request, "why it failed", 500);
+  });
+  const auto Answer = Used.at(1).get("/read/fails");
+  BOOST_TEST(Answer.Status == 500);
+  BOOST_TEST(Answer.Body == "why it failed");
+  BOOST_TEST(Answer.header("x-response-seal") == "s");
+}
+
 // Guards against an answer that reaches the caller of another request.
 BOOST_AUTO_TEST_CASE(extraAnswerIsNotTakenForTheNextOne) {
   World Used({{"e1"}});
