--- a/src/app/internal/ExplainCommand.cpp
+++ b/src/app/internal/ExplainCommand.cpp
@@ -32,10 +32,11 @@
       "lycheethread explain",
       "Prints the decisions that nodes logged about one request.");
   Options.positional_help("ID");
-  Options.add_options()("id", "id of the request", cxxopts::value<std::string>())(
+  Options.add_options()("id", "id of the request",
+                        cxxopts::value<std::string>())(
       "l,log", "log output of nodes; standard input if there is none",
-      cxxopts::value<std::vector<std::string>>())(
-      "json", "print JSON")("h,help", "print this help");
+      cxxopts::value<std::vector<std::string>>())("json", "print JSON")(
+      "h,help", "print this help");
   Options.parse_positional({"id"});
   const auto Parsed = Options.parse(Argc, Argv);
   if (Parsed.count("help") != 0) {
--- a/src/app/internal/Logging.cpp
+++ b/src/app/internal/Logging.cpp
@@ -37,8 +37,7 @@
 
 void startLogging(const std::string &Level) {
   setLevel(Level);
-  logging::add_console_log(std::cerr,
-                           logging::keywords::format = lineFormat(),
+  logging::add_console_log(std::cerr, logging::keywords::format = lineFormat(),
                            logging::keywords::auto_flush = true);
 }
 
--- a/src/app/internal/MovesCommand.cpp
+++ b/src/app/internal/MovesCommand.cpp
@@ -55,8 +55,8 @@
 }
 
 /// Goes on through outages of the log: the move ends without this command.
-void followPatiently(config::ConfigState &State, const streamlog::LogClient &Log,
-                     Milliseconds Left) {
+void followPatiently(config::ConfigState &State,
+                     const streamlog::LogClient &Log, Milliseconds Left) {
   try {
     follow(State, Log, Left);
   } catch (const streamlog::LogTrimmed &) {
--- a/src/app/internal/NodeCommand.cpp
+++ b/src/app/internal/NodeCommand.cpp
@@ -6,11 +6,11 @@
 #include "moveowner/MoveOwner.h"
 #include "peer/Peer.h"
 #include "platform/Platform.h"
-#include "streamlog/StreamLog.h"
 #include "proxy/Proxy.h"
 #include "refusallog/RefusalLog.h"
 #include "settings/Settings.h"
 #include "sidecar/Sidecar.h"
+#include "streamlog/StreamLog.h"
 
 #include <boost/log/trivial.hpp>
 #include <csignal>
--- a/src/app/internal/RefusalsCommand.cpp
+++ b/src/app/internal/RefusalsCommand.cpp
@@ -1,7 +1,7 @@
 #include "app/internal/Commands.h"
 #include "app/internal/RefusalsText.h"
-#include "streamlog/StreamLog.h"
 #include "refusallog/RefusalLog.h"
+#include "streamlog/StreamLog.h"
 
 #include <cxxopts.hpp>
 
--- a/src/bootstrap/Bootstrap.h
+++ b/src/bootstrap/Bootstrap.h
@@ -52,8 +52,8 @@
                const Notice &Report);
 
 /// Appends the parts of a checkpoint and returns the notice for the control
-/// stream, which the caller appends. Throws streamlog::LogUnavailable; the parts
-/// that were appended before it have no effect.
+/// stream, which the caller appends. Throws streamlog::LogUnavailable; the
+/// parts that were appended before it have no effect.
 CheckpointNotice storeCheckpoint(const streamlog::LogClient &Log,
                                  const config::ConfigState &State);
 
--- a/src/bootstrap/internal/LoadFromLog.cpp
+++ b/src/bootstrap/internal/LoadFromLog.cpp
@@ -21,13 +21,14 @@
 }
 
 streamlog::LogBatch readNext(const config::ConfigState &State,
-                            const streamlog::LogClient &Log) {
+                             const streamlog::LogClient &Log) {
   return Log.Read(controlStream(), State.Position, RecordsPerRead,
                   Milliseconds(0));
 }
 
 config::ConfigState restore(const streamlog::LogClient &Log,
-                            streamlog::StreamBounds Kept, const Notice &Report) {
+                            streamlog::StreamBounds Kept,
+                            const Notice &Report) {
   auto Found = findCheckpoint(Log, Kept.First, Kept.Next, Report);
   if (!Found)
     throw NoCheckpoint("the control stream starts at offset " +
@@ -64,7 +65,7 @@
     Batch = readNext(State, Log);
     if (Batch.Records.empty())
       throw streamlog::LogUnavailable("the control stream has no record at " +
-                                     std::to_string(State.Position.value()));
+                                      std::to_string(State.Position.value()));
     foldBatch(State, Batch, Report);
   }
 }
--- a/src/http/internal/BodyDecoder.cpp
+++ b/src/http/internal/BodyDecoder.cpp
@@ -68,8 +68,8 @@
       Output.append(Input);
       Input = {};
     } else if (Stage_ == Stage::Data || Stage_ == Stage::ChunkData) {
-      const auto Size = std::min<std::size_t>(Input.size(),
-                                              static_cast<std::size_t>(Left_));
+      const auto Size =
+          std::min<std::size_t>(Input.size(), static_cast<std::size_t>(Left_));
       Output.append(Input.substr(0, Size));
       Input.remove_prefix(Size);
       Left_ -= static_cast<std::int64_t>(Size);
--- a/src/http/tests/BodyDecoderTest.cpp
+++ b/src/http/tests/BodyDecoderTest.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-const std::string Chunked = "5\r\nhello\r\n6;x=1\r\n world\r\n0\r\nA: b\r\n\r\n";
+const std::string Chunked =
+    "5\r\nhello\r\n6;x=1\r\n world\r\n0\r\nA: b\r\n\r\n";
 
 std::string decodeInPieces(const std::string &Wire, std::size_t Piece,
                            BodyDecoder &Decoder) {
--- a/src/mesh/internal/BodyIntake.cpp
+++ b/src/mesh/internal/BodyIntake.cpp
@@ -37,7 +37,8 @@
   BodyIntake With = Intake;
   With.PendingBytes += Bytes;
   const Milliseconds Allowed =
-      std::max(ObjectiveLeft - Service, LeastWait + intakeWait({Intake.BytesPerMs, 0, Bytes}));
+      std::max(ObjectiveLeft - Service,
+               LeastWait + intakeWait({Intake.BytesPerMs, 0, Bytes}));
   return std::max(Milliseconds(0), intakeWait(With) - Allowed);
 }
 
--- a/src/mesh/internal/DecideRollout.cpp
+++ b/src/mesh/internal/DecideRollout.cpp
@@ -47,7 +47,8 @@
 
 double failureRate(const VersionTotals &Totals) {
   const auto All = Totals.Good + Totals.Bad;
-  return All == 0 ? 0 : static_cast<double>(Totals.Bad) / static_cast<double>(All);
+  return All == 0 ? 0
+                  : static_cast<double>(Totals.Bad) / static_cast<double>(All);
 }
 
 double meanTime(const VersionTotals &Totals) {
@@ -98,7 +99,7 @@
 const Step &stepAt(const RolloutView &View, std::int64_t Progress) {
   if (answersOfNew(View) < AnswersToGrow)
     return Steps.front();
-  const auto Found =
+  const auto *const Found =
       std::find_if(Steps.begin(), Steps.end(),
                    [&](const Step &Item) { return Progress < Item.Until; });
   return Found == Steps.end() ? Steps.back() : *Found;
@@ -109,7 +110,8 @@
 RolloutDecision decideRollout(const RolloutView &View) {
   RolloutDecision Decided;
   const std::int64_t Progress =
-      View.Age.count() * 1000 / std::max<std::int64_t>(1, View.Duration.count());
+      View.Age.count() * 1000 /
+      std::max<std::int64_t>(1, View.Duration.count());
   Decided.Reason = findFault(View);
   if (View.Condemned || !Decided.Reason.empty()) {
     if (Decided.Reason.empty())
--- a/src/mesh/internal/Fleet.cpp
+++ b/src/mesh/internal/Fleet.cpp
@@ -44,8 +44,8 @@
     return true;
   }
   const NodeNews &Old = Found->second.News;
-  const bool IsNewer = Old.Life != News.Life ? Old.Life < News.Life
-                                             : Old.Number < News.Number;
+  const bool IsNewer =
+      Old.Life != News.Life ? Old.Life < News.Life : Old.Number < News.Number;
   if (!IsNewer)
     return false;
   Found->second = {News, Now};
@@ -78,8 +78,8 @@
 bool shouldReadStore(std::size_t Rank, Milliseconds ConfirmedAge) {
   if (Rank < SteadyReaders)
     return true;
-  const auto Delay = std::min(
-      MaxRankDelay, DelayPerRank * static_cast<std::int64_t>(Rank));
+  const auto Delay =
+      std::min(MaxRankDelay, DelayPerRank * static_cast<std::int64_t>(Rank));
   return ConfirmedAge > ConfirmationTooOld + Delay;
 }
 
--- a/src/mesh/internal/HopQueue.cpp
+++ b/src/mesh/internal/HopQueue.cpp
@@ -27,11 +27,9 @@
 /// Waiting requests that are served before \p Job.
 std::size_t jobsAhead(const HopQueue &Queue, const QueuedJob &Job,
                       SteadyTime Now) {
-  return static_cast<std::size_t>(
-      std::count_if(Queue.Waiting.begin(), Queue.Waiting.end(),
-                    [&](const QueuedJob &Other) {
-                      return runsBefore(Other, Job, Now);
-                    }));
+  return static_cast<std::size_t>(std::count_if(
+      Queue.Waiting.begin(), Queue.Waiting.end(),
+      [&](const QueuedJob &Other) { return runsBefore(Other, Job, Now); }));
 }
 
 } // namespace
@@ -60,12 +58,11 @@
     return {QueueVerdict::Action::Refuse, Milliseconds(0)};
   if (Queue.Running < Queue.Slots && Queue.Waiting.empty())
     return {QueueVerdict::Action::Run, Milliseconds(0)};
-  const auto Ahead =
-      static_cast<std::int64_t>(jobsAhead(Queue, Job, Now)) + 1;
+  const auto Ahead = static_cast<std::int64_t>(jobsAhead(Queue, Job, Now)) + 1;
   const Milliseconds Wait(MeanService.count() * Ahead / Queue.Slots);
-  const Milliseconds InTime = elapsed(Now, Job.ObjectiveAt) -
-                              std::max(Job.Service, Milliseconds(1)) *
-                                  ServiceTimesNeeded;
+  const Milliseconds InTime =
+      elapsed(Now, Job.ObjectiveAt) -
+      std::max(Job.Service, Milliseconds(1)) * ServiceTimesNeeded;
   const Milliseconds Allowed =
       std::max(std::min(InTime, longestWait(Job.Objective)), LateRequestWait);
   if (Wait <= Allowed)
@@ -76,27 +73,27 @@
 std::vector<JobId> takeHopeless(HopQueue &Queue, SteadyTime Now) {
   std::vector<JobId> Given;
   const auto IsHopeless = [&](const QueuedJob &Job) {
-    const bool TooLate = !canBeInTime(Job, Now) &&
-                         elapsed(Job.Arrived, Now) > LateRequestWait;
+    const bool TooLate =
+        !canBeInTime(Job, Now) && elapsed(Job.Arrived, Now) > LateRequestWait;
     return TooLate || Job.DeadlineAt <= Now;
   };
   for (const QueuedJob &Job : Queue.Waiting)
     if (IsHopeless(Job))
       Given.push_back(Job.Id);
-  Queue.Waiting.erase(std::remove_if(Queue.Waiting.begin(), Queue.Waiting.end(),
-                                     IsHopeless),
-                      Queue.Waiting.end());
+  Queue.Waiting.erase(
+      std::remove_if(Queue.Waiting.begin(), Queue.Waiting.end(), IsHopeless),
+      Queue.Waiting.end());
   return Given;
 }
 
 std::optional<JobId> takeNext(HopQueue &Queue, SteadyTime Now) {
   if (Queue.Running >= Queue.Slots || Queue.Waiting.empty())
     return std::nullopt;
-  const auto Next = std::min_element(
-      Queue.Waiting.begin(), Queue.Waiting.end(),
-      [Now](const QueuedJob &L, const QueuedJob &R) {
-        return runsBefore(L, R, Now);
-      });
+  const auto Next =
+      std::min_element(Queue.Waiting.begin(), Queue.Waiting.end(),
+                       [Now](const QueuedJob &L, const QueuedJob &R) {
+                         return runsBefore(L, R, Now);
+                       });
   const JobId Id = Next->Id;
   Queue.Waiting.erase(Next);
   ++Queue.Running;
--- a/src/mesh/internal/LinkBudget.cpp
+++ b/src/mesh/internal/LinkBudget.cpp
@@ -55,9 +55,9 @@
                   SteadyTime Now) {
   if (Bytes <= 0)
     return;
-  const double MsPerKiB = static_cast<double>(std::max<std::int64_t>(
-                              1, Took.count())) *
-                          BytesPerKiB / static_cast<double>(Bytes);
+  const double MsPerKiB =
+      static_cast<double>(std::max<std::int64_t>(1, Took.count())) *
+      BytesPerKiB / static_cast<double>(Bytes);
   const double Best = Budget.BestMsPerKiB;
   const bool IsSlow = Best > 0 && MsPerKiB > Best * SlowFactor;
   Budget.BestMsPerKiB =
--- a/src/mesh/internal/Place.cpp
+++ b/src/mesh/internal/Place.cpp
@@ -85,23 +85,22 @@
     const auto Distance = static_cast<std::size_t>(Item.Distance);
     const auto Service = static_cast<double>(
         std::max(Item.ServiceTime, Milliseconds(1)).count());
-    const double Use = std::min(
-        1.0, static_cast<double>(Item.Held) / std::max(1, Item.Capacity));
+    const double Use = std::min(1.0, static_cast<double>(Item.Held) /
+                                         std::max(1, Item.Capacity));
     const Milliseconds Wait =
         expectedWait(Item.Held, Item.Capacity, Item.ServiceTime);
-    const double Expected = RoundTripMs[Distance] + Service +
-                            static_cast<double>(Wait.count());
-    const double BodyWait =
-        Request.BodyBytes > LongBodyBytes
-            ? static_cast<double>(Item.BodyWait.count())
-            : 0;
+    const double Expected =
+        RoundTripMs[Distance] + Service + static_cast<double>(Wait.count());
+    const double BodyWait = Request.BodyBytes > LongBodyBytes
+                                ? static_cast<double>(Item.BodyWait.count())
+                                : 0;
     const double Cost =
         Expected + BodyWait + LinkBaseMs[Distance] +
         LinkMsPerKiB[Distance] * static_cast<double>(Request.BodyBytes) /
             BytesPerKiB +
-        Service * (CrowdingFactor * Use * Use + FailureCost * Item.FailureRate +
-                   std::max(0.0, Use - RiskyUse) / (1 - RiskyUse) +
-                   Jitter(Random)) +
+        Service *
+            (CrowdingFactor * Use * Use + FailureCost * Item.FailureRate +
+             std::max(0.0, Use - RiskyUse) / (1 - RiskyUse) + Jitter(Random)) +
         (Wait > Request.LongestWait ? RefusalMs : 0);
     if (Best && Cost >= BestCost)
       continue;
--- a/src/mesh/tests/BodyIntakeTest.cpp
+++ b/src/mesh/tests/BodyIntakeTest.cpp
@@ -41,9 +41,9 @@
 BOOST_AUTO_TEST_CASE(anIdleLinkTakesAnyBody) {
   BodyIntake Narrow;
   Narrow.BytesPerMs = NarrowLink;
-  BOOST_TEST(untilIntake(Narrow, 10 * BodyBytes, Milliseconds(300),
-                         Milliseconds(500))
-                 .count() == 0);
+  BOOST_TEST(
+      untilIntake(Narrow, 10 * BodyBytes, Milliseconds(300), Milliseconds(500))
+          .count() == 0);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/mesh/tests/FleetTest.cpp
+++ b/src/mesh/tests/FleetTest.cpp
@@ -82,12 +82,11 @@
       mergeNews(Known, Item, SteadyTime(1));
     }
     const Place At{Region("r"), AvailabilityZone(Self % 2 == 0 ? "a" : "b")};
-    const auto Delay =
-        fetchDelay(Known, At, Tier::OtherRegion, SteadyTime(1));
+    const auto Delay = fetchDelay(Known, At, Tier::OtherRegion, SteadyTime(1));
     AtOnce += Delay == Milliseconds(0) ? 1 : 0;
     BOOST_TEST(Delay.count() <= 500);
-    BOOST_TEST(
-        fetchDelay(Known, At, Tier::OwnZone, SteadyTime(1)).count() == 0);
+    BOOST_TEST(fetchDelay(Known, At, Tier::OwnZone, SteadyTime(1)).count() ==
+               0);
   }
   BOOST_TEST(AtOnce == 1);
 }
--- a/src/mesh/tests/HopQueueTest.cpp
+++ b/src/mesh/tests/HopQueueTest.cpp
@@ -72,7 +72,8 @@
       Start(*Next, Now);
     if (!Arrives(Random))
       continue;
-    QueuedJob Item = job(++LastId, LastId % 4 == 0 ? 1 : 2, Now + 400);
+    ++LastId;
+    QueuedJob Item = job(LastId, LastId % 4 == 0 ? 1 : 2, Now + 400);
     Item.Arrived = SteadyTime(Now);
     Jobs[Item.Id] = Item;
     ++Result.Asked[Item.Rank];
--- a/src/mesh/tests/LinkBudgetTest.cpp
+++ b/src/mesh/tests/LinkBudgetTest.cpp
@@ -50,8 +50,8 @@
         ++It;
         continue;
       }
-      noteTransfer(Budgets[It->Node], BodyBytes,
-                   Milliseconds(Now - It->Start), SteadyTime(Now));
+      noteTransfer(Budgets[It->Node], BodyBytes, Milliseconds(Now - It->Start),
+                   SteadyTime(Now));
       Result.Sent += BodyBytes;
       It = Active.erase(It);
     }
--- a/src/mesh/tests/PlaceTest.cpp
+++ b/src/mesh/tests/PlaceTest.cpp
@@ -52,9 +52,8 @@
 
 // Guards against uploads that fill the shared region link.
 BOOST_AUTO_TEST_CASE(uploadWaitsForItsZoneRatherThanCrossTheLink) {
-  const std::vector<Candidate> Both = {
-      candidate("zone", Tier::OwnZone, 30),
-      candidate("far", Tier::OtherRegion)};
+  const std::vector<Candidate> Both = {candidate("zone", Tier::OwnZone, 30),
+                                       candidate("far", Tier::OtherRegion)};
   BOOST_TEST(chosen(Both, Small) == "far");
   BOOST_TEST(chosen(Both, Upload) == "zone");
 }
--- a/src/moveowner/types/MoveOwnerPorts.h
+++ b/src/moveowner/types/MoveOwnerPorts.h
@@ -6,8 +6,8 @@
 #include "model/Model.h"
 #include "moves/Moves.h"
 #include "peer/types/PeerControl.h"
-#include "streamlog/types/LogClient.h"
 #include "proxy/types/OutcomeLog.h"
+#include "streamlog/types/LogClient.h"
 
 #include <functional>
 #include <memory>
--- a/src/peer/internal/ControlFold.h
+++ b/src/peer/internal/ControlFold.h
@@ -3,8 +3,8 @@
 
 #include "config/Config.h"
 #include "model/Model.h"
-#include "streamlog/types/LogClient.h"
 #include "requests/Requests.h"
+#include "streamlog/types/LogClient.h"
 
 #include <functional>
 #include <optional>
--- a/src/peer/internal/PeerContext.h
+++ b/src/peer/internal/PeerContext.h
@@ -8,8 +8,8 @@
 #include "peer/internal/PeerClients.h"
 #include "peer/internal/PeerOptions.h"
 #include "peer/internal/RecordBuffer.h"
-#include "streamlog/types/LogClient.h"
 #include "settings/types/NodeSettings.h"
+#include "streamlog/types/LogClient.h"
 
 #include <atomic>
 #include <condition_variable>
--- a/src/peer/tests/MemoryLog.cpp
+++ b/src/peer/tests/MemoryLog.cpp
@@ -33,7 +33,7 @@
 }
 
 streamlog::LogBatch MemoryLog::read(const StreamName &Stream, Offset From,
-                                   std::size_t MaxRecords, Milliseconds Wait) {
+                                    std::size_t MaxRecords, Milliseconds Wait) {
   ++Reads;
   checkUp(Stream.str());
   std::unique_lock<std::mutex> Guard(Lock_);
--- a/src/peer/tests/MemoryLog.h
+++ b/src/peer/tests/MemoryLog.h
@@ -40,7 +40,7 @@
 
   void checkUp(const std::string &Stream) const;
   streamlog::LogBatch read(const StreamName &Stream, Offset From,
-                          std::size_t MaxRecords, Milliseconds Wait);
+                           std::size_t MaxRecords, Milliseconds Wait);
 
   std::mutex Lock_;
   std::condition_variable Appended_;
--- a/src/peer/tests/PeerCluster.cpp
+++ b/src/peer/tests/PeerCluster.cpp
@@ -54,8 +54,8 @@
   return Newest;
 }
 
-void storeFake(const streamlog::LogClient &Log, const config::ConfigState &State,
-               const RecordHeader &) {
+void storeFake(const streamlog::LogClient &Log,
+               const config::ConfigState &State, const RecordHeader &) {
   const std::string Position = std::to_string(State.Position.value());
   Log.Append(StreamName("checkpoints"),
              Position + '\n' + State.Documents.at(lastService()).Text);
@@ -117,7 +117,8 @@
   auto &Registry = Kernel_.registry();
   Registry.add(names::Settings,
                std::make_shared<settings::NodeSettings>(Settings_));
-  Registry.add(names::Log, std::make_shared<streamlog::LogClient>(Log.client()));
+  Registry.add(names::Log,
+               std::make_shared<streamlog::LogClient>(Log.client()));
   auto Recorder = std::make_shared<metrics::TrafficRecorder>();
   Recorder->Record = [Sums = Sums_](const metrics::TrafficSample &Sample) {
     const std::lock_guard<std::mutex> Guard(Sums->Lock);
--- a/src/proxy/internal/BodyReader.h
+++ b/src/proxy/internal/BodyReader.h
@@ -1,7 +1,6 @@
 #ifndef LYCHEETHREAD_PROXY_INTERNAL_BODYREADER_H
 #define LYCHEETHREAD_PROXY_INTERNAL_BODYREADER_H
 
-#include "proxy/internal/HttpConnection.h"
 #include "proxy/internal/HttpConnection.h"
 
 #include <cstddef>
--- a/src/proxy/internal/ClaimKeeper.h
+++ b/src/proxy/internal/ClaimKeeper.h
@@ -1,8 +1,8 @@
 #ifndef LYCHEETHREAD_PROXY_INTERNAL_CLAIMKEEPER_H
 #define LYCHEETHREAD_PROXY_INTERNAL_CLAIMKEEPER_H
 
-#include "streamlog/StreamLog.h"
 #include "requests/Requests.h"
+#include "streamlog/StreamLog.h"
 
 #include <cstdint>
 #include <memory>
--- a/src/proxy/internal/Entry.h
+++ b/src/proxy/internal/Entry.h
@@ -1,7 +1,6 @@
 #ifndef LYCHEETHREAD_PROXY_INTERNAL_ENTRY_H
 #define LYCHEETHREAD_PROXY_INTERNAL_ENTRY_H
 
-#include "proxy/internal/HttpConnection.h"
 #include "proxy/internal/HttpConnection.h"
 #include "proxy/internal/LastHop.h"
 #include "proxy/internal/NodeServices.h"
--- a/src/proxy/internal/HttpServer.h
+++ b/src/proxy/internal/HttpServer.h
@@ -1,7 +1,6 @@
 #ifndef LYCHEETHREAD_PROXY_INTERNAL_HTTPSERVER_H
 #define LYCHEETHREAD_PROXY_INTERNAL_HTTPSERVER_H
 
-#include "proxy/internal/HttpConnection.h"
 #include "proxy/internal/HttpConnection.h"
 
 #include <cstdint>
--- a/src/proxy/internal/NodeServices.h
+++ b/src/proxy/internal/NodeServices.h
@@ -4,11 +4,11 @@
 #include "kernel/Kernel.h"
 #include "metrics/types/RequestSample.h"
 #include "peer/types/PeerControl.h"
-#include "streamlog/StreamLog.h"
 #include "proxy/types/OutcomeLog.h"
 #include "refusals/types/RefusalSink.h"
 #include "requests/Requests.h"
 #include "settings/Settings.h"
+#include "streamlog/StreamLog.h"
 
 #include <memory>
 
--- a/src/reactor/internal/EventLoop.cpp
+++ b/src/reactor/internal/EventLoop.cpp
@@ -168,9 +168,9 @@
 void EventLoop::run(const std::function<void()> &OnRound) {
   std::array<epoll_event, EventsPerWait> Events{};
   while (!Impl_->Stopping) {
-    const int Count = epoll_wait(
-        Impl_->Epoll, Events.data(), static_cast<int>(Events.size()),
-        static_cast<int>(Impl_->nextWait().count()));
+    const int Count =
+        epoll_wait(Impl_->Epoll, Events.data(), static_cast<int>(Events.size()),
+                   static_cast<int>(Impl_->nextWait().count()));
     if (Count < 0 && errno != EINTR)
       throw std::system_error(errno, std::generic_category(), "epoll_wait");
     Impl_->Now = kernel::steadyNow();
--- a/src/reactor/internal/TcpStream.cpp
+++ b/src/reactor/internal/TcpStream.cpp
@@ -323,8 +323,8 @@
   // The loop's callback holds only a weak reference; the timer keeps the
   // object until the connection has ended.
   const auto Self = shared_from_this();
-  Impl_->Timer = Impl_->Loop.runAfter(GentleCloseTime,
-                                      [Self] { Self->Impl_->close(); });
+  Impl_->Timer =
+      Impl_->Loop.runAfter(GentleCloseTime, [Self] { Self->Impl_->close(); });
   if (Impl_->Output.empty())
     Impl_->shutDownSending();
   Impl_->updateInterest();
--- a/src/reactor/internal/UdpSocket.cpp
+++ b/src/reactor/internal/UdpSocket.cpp
@@ -51,8 +51,8 @@
 bool UdpSocket::send(const Endpoint &To, std::string_view Data) {
   const Poco::Net::SocketAddress Address(To.Address, To.Port);
   return ::sendto(Impl_->descriptor(), Data.data(), Data.size(), MSG_DONTWAIT,
-                  Address.addr(), Address.length()) ==
-         static_cast<ssize_t>(Data.size());
+                  Address.addr(),
+                  Address.length()) == static_cast<ssize_t>(Data.size());
 }
 
 } // namespace lycheethread::reactor
--- a/src/refusallog/RefusalLog.h
+++ b/src/refusallog/RefusalLog.h
@@ -4,9 +4,9 @@
 /// Public header of the refusallog library: ships refusals to the log.
 
 #include "kernel/Kernel.h"
-#include "streamlog/types/LogClient.h"
 #include "refusallog/types/RefusalStatus.h"
 #include "refusallog/types/ZoneRecord.h"
+#include "streamlog/types/LogClient.h"
 
 namespace lycheethread::refusallog {
 
--- a/src/refusallog/internal/Collector.cpp
+++ b/src/refusallog/internal/Collector.cpp
@@ -11,10 +11,10 @@
 
 namespace {
 
-using streamlog::LogBatch;
-using streamlog::LogClient;
 using refusals::BatchId;
 using refusals::RefusalBatch;
+using streamlog::LogBatch;
+using streamlog::LogClient;
 
 /// Batches held while the log is away; a zone of 125 nodes with 64 KiB each.
 constexpr std::size_t MaxHeldBytes = 8 * 1024 * 1024;
--- a/src/refusallog/internal/Collector.h
+++ b/src/refusallog/internal/Collector.h
@@ -1,8 +1,8 @@
 #ifndef LYCHEETHREAD_REFUSALLOG_INTERNAL_COLLECTOR_H
 #define LYCHEETHREAD_REFUSALLOG_INTERNAL_COLLECTOR_H
 
-#include "streamlog/types/LogClient.h"
 #include "refusallog/internal/ShipMessages.h"
+#include "streamlog/types/LogClient.h"
 
 #include <memory>
 
--- a/src/settings/tests/SettingsTest.cpp
+++ b/src/settings/tests/SettingsTest.cpp
@@ -58,7 +58,8 @@
 namespace {
 
 /// The rows of \p Path must be those of \p Schema, with range and default.
-void checkPage(const std::string &Path, const std::vector<SectionRule> &Schema) {
+void checkPage(const std::string &Path,
+               const std::vector<SectionRule> &Schema) {
   std::ifstream In(Path);
   std::stringstream Page;
   Page << In.rdbuf();
@@ -115,7 +116,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(SettingsOnAPlatformAreRead) {
-  const ParsedSidecarSettings Result = parseSidecarSettings("p.ini", OnPlatform);
+  const ParsedSidecarSettings Result =
+      parseSidecarSettings("p.ini", OnPlatform);
   for (const Finding &Item : Result.Problems)
     BOOST_ERROR(toString(Item));
   BOOST_TEST(Result.Settings.CheckInInterval.count() == 1500);
--- a/src/sidecar/internal/CallerEntry.cpp
+++ b/src/sidecar/internal/CallerEntry.cpp
@@ -150,9 +150,8 @@
         const auto Found = Weak.lock();
         if (!Found || Found->Ended)
           return;
-        Starting_.erase(
-            std::remove(Starting_.begin(), Starting_.end(), Found),
-            Starting_.end());
+        Starting_.erase(std::remove(Starting_.begin(), Starting_.end(), Found),
+                        Starting_.end());
         conclude(Found, RefusalReason::NotReady, Milliseconds(0));
       });
 }
@@ -205,12 +204,13 @@
   // route's callers ever stated tells how long this one has been trying.
   Milliseconds &Longest = LongestStated_[Item->Info.Route];
   Longest = std::max(Longest, Milliseconds(Stated));
-  Item->TryingFor = Stated > 0 ? Longest - Milliseconds(Stated)
-                               : Milliseconds(0);
+  Item->TryingFor =
+      Stated > 0 ? Longest - Milliseconds(Stated) : Milliseconds(0);
   Item->Info.Objective = Objective;
   Item->Info.ObjectiveAt = after(Item->ArrivedAt, Objective - Item->TryingFor);
   Item->Timer = Context_.Loop.runAfter(
-      elapsed(Context_.now(), Item->Info.DeadlineAt) + DeadlineGrace, [this, Weak = std::weak_ptr<Call>(Item)] {
+      elapsed(Context_.now(), Item->Info.DeadlineAt) + DeadlineGrace,
+      [this, Weak = std::weak_ptr<Call>(Item)] {
         const auto Late = Weak.lock();
         if (!Late || Late->Ended)
           return;
@@ -227,8 +227,7 @@
   const http::Framing &Framing = Item->Request->framing();
   const bool IsLong =
       Framing.Kind == http::FramingKind::Fixed && Framing.Length > MaxKeptBody;
-  if (Body->isEnded() || IsLong ||
-      Item->Info.Class == RequestClass::Upload) {
+  if (Body->isEnded() || IsLong || Item->Info.Class == RequestClass::Upload) {
     prepare(Item);
     return;
   }
@@ -253,7 +252,8 @@
   Hasher Print;
   Print.add(Head.getMethod()).add(Head.get(HTTPRequest::HOST, ""));
   Print.add(Head.getURI()).add(Item->Info.Caller.str());
-  if (Body->isEnded() && Body->size() <= static_cast<std::size_t>(MaxKeptBody)) {
+  if (Body->isEnded() &&
+      Body->size() <= static_cast<std::size_t>(MaxKeptBody)) {
     Item->Kept = Body->take();
     Print.add(*Item->Kept);
   } else {
@@ -268,17 +268,16 @@
   dispatch(Item);
 }
 
-bool CallerEntry::crossesLink(const CallPtr &Item,
-                              const mesh::Candidate &To) {
+bool CallerEntry::crossesLink(const CallPtr &Item, const mesh::Candidate &To) {
   return To.Distance == mesh::Tier::OtherRegion && !Item->Kept &&
          Item->Request->framing().Kind != http::FramingKind::None;
 }
 
 std::optional<mesh::Candidate> CallerEntry::choose(const CallPtr &Item) {
   const HopInfo &Info = Item->Info;
-  const std::vector<mesh::Candidate> Candidates = Moves_.select(
-      Info.Service, Info.Class,
-      Directory_.candidates(Info.Service, Item->Excluded));
+  const std::vector<mesh::Candidate> Candidates =
+      Moves_.select(Info.Service, Info.Class,
+                    Directory_.candidates(Info.Service, Item->Excluded));
   mesh::PlacementRequest Wanted;
   Wanted.BodyBytes = std::max<std::int64_t>(
       0, Item->Request->framing().Kind == http::FramingKind::Fixed
@@ -286,8 +285,7 @@
              : 0);
   Wanted.ObjectiveLeft = elapsed(Context_.now(), Info.ObjectiveAt);
   Wanted.LongestWait = mesh::longestWait(Info.Objective);
-  Wanted.MayTry =
-      Info.Class == RequestClass::Repeatable && Item->Attempt == 0;
+  Wanted.MayTry = Info.Class == RequestClass::Repeatable && Item->Attempt == 0;
   const auto Chosen = mesh::place(Candidates, Wanted, Context_.Random);
   if (!Chosen) {
     conclude(Item, RefusalReason::NoUpstream, Milliseconds(0));
@@ -309,7 +307,8 @@
                         Wanted.ObjectiveLeft - 2 * Best.ServiceTime),
                Info.Objective / WaitObjectiveParts) +
       WaitSlack;
-  const bool IsLast = Info.Rank >= mesh::lowestRank(*Item->Config, Info.Service);
+  const bool IsLast =
+      Info.Rank >= mesh::lowestRank(*Item->Config, Info.Service);
   if (IsLast && Item->TryingFor < ComeBackTime && Chosen->Wait > Tolerated) {
     conclude(Item, RefusalReason::QueueFull, Chosen->Wait - Tolerated);
     return std::nullopt;
@@ -472,11 +471,10 @@
     // Spread, so that what was refused together does not come back together.
     std::uniform_int_distribution<std::int64_t> Spread(
         Wanted, std::max(Wanted, std::min(2 * Wanted, Longest)));
-    Head.set("Retry-After",
-             Poco::NumberFormatter::format(
-                 static_cast<double>(Spread(Context_.Random)) /
-                     MillisecondsPerSecond,
-                 3));
+    Head.set("Retry-After", Poco::NumberFormatter::format(
+                                static_cast<double>(Spread(Context_.Random)) /
+                                    MillisecondsPerSecond,
+                                3));
   }
   Item->Request->answer(Head, BodyPipe::complete(""));
 }
@@ -507,7 +505,8 @@
   Sample.Class = Item->Info.Class;
   Sample.Latency = Took;
   Context_.Metrics->Record(Sample);
-  const bool Good = Status >= HTTPResponse::HTTP_OK && Status < FirstServerError;
+  const bool Good =
+      Status >= HTTPResponse::HTTP_OK && Status < FirstServerError;
   const LogClass Class = Good ? LogClass::Success : LogClass::Failure;
   Context_.Log.write(
       Class, Now, "request",
@@ -516,8 +515,8 @@
        {"status", std::to_string(Status)},
        {"route", Item->Info.Route.str()},
        {"service", Item->Info.Service.str()},
-       {"config", Item->Config ? std::to_string(Item->Config->Version.value())
-                               : "none"},
+       {"config",
+        Item->Config ? std::to_string(Item->Config->Version.value()) : "none"},
        {"path", Item->Trace},
        {"runs", std::to_string(Item->Runs)},
        {"ms", std::to_string(Took.count())},
--- a/src/sidecar/internal/ClientConnection.cpp
+++ b/src/sidecar/internal/ClientConnection.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-using Poco::Net::HTTPMessage;
 using Poco::Net::HTTPResponse;
 using reactor::StreamEnd;
 using reactor::TcpStream;
@@ -49,13 +48,13 @@
 
 } // namespace
 
-ClientConnection::ClientConnection(reactor::EventLoop &Loop, Endpoint To)
-    : Loop_(Loop), To_(std::move(To)), IdleLimit_(IdleWithoutStatement) {}
+ClientConnection::ClientConnection(Endpoint To)
+    : To_(std::move(To)), IdleLimit_(IdleWithoutStatement) {}
 
 ClientConnectionPtr ClientConnection::open(reactor::EventLoop &Loop,
                                            const Endpoint &To,
                                            Milliseconds Timeout) {
-  ClientConnectionPtr Made(new ClientConnection(Loop, To));
+  ClientConnectionPtr Made(new ClientConnection(To));
   Made->Stream_ = TcpStream::connect(Loop, To, Timeout);
   const std::weak_ptr<ClientConnection> Weak = Made;
   Made->Stream_->setCallbacks({[Weak] {
@@ -176,8 +175,8 @@
     }
     onAnswerHead(std::move(Head));
   } catch (const http::BadMessage &Error) {
-    BOOST_LOG_TRIVIAL(info) << "http: broken answer from " << To_.Address << ": "
-                            << Error.what();
+    BOOST_LOG_TRIVIAL(info)
+        << "http: broken answer from " << To_.Address << ": " << Error.what();
     fail(ClientFailure::BrokenAnswer);
     return false;
   }
--- a/src/sidecar/internal/ClientConnection.h
+++ b/src/sidecar/internal/ClientConnection.h
@@ -81,7 +81,7 @@
   void close();
 
 private:
-  ClientConnection(reactor::EventLoop &Loop, Endpoint To);
+  explicit ClientConnection(Endpoint To);
   void onInput();
   void onEnd(reactor::StreamEnd How);
   bool readHead();
@@ -93,7 +93,6 @@
   void sendBody();
   void reportBodySent();
 
-  reactor::EventLoop &Loop_;
   Endpoint To_;
   std::shared_ptr<reactor::TcpStream> Stream_;
   bool Busy_ = false;
--- a/src/sidecar/internal/ConnectionPool.cpp
+++ b/src/sidecar/internal/ConnectionPool.cpp
@@ -72,10 +72,10 @@
   if (Found == Idle_.end())
     return;
   std::vector<Idle> &List = Found->second;
-  List.erase(std::remove_if(
-                 List.begin(), List.end(),
-                 [&](const Idle &Entry) { return Entry.Item == Item; }),
-             List.end());
+  List.erase(
+      std::remove_if(List.begin(), List.end(),
+                     [&](const Idle &Entry) { return Entry.Item == Item; }),
+      List.end());
 }
 
 void ConnectionPool::sweep() {
--- a/src/sidecar/internal/EventLog.cpp
+++ b/src/sidecar/internal/EventLog.cpp
@@ -20,7 +20,8 @@
 std::size_t indexOf(LogClass Class) { return static_cast<std::size_t>(Class); }
 
 bool needsQuotes(const std::string &Value) {
-  return Value.empty() || Value.find_first_of(" =\"\n\r\t") != std::string::npos;
+  return Value.empty() ||
+         Value.find_first_of(" =\"\n\r\t") != std::string::npos;
 }
 
 void appendValue(std::string &Line, const std::string &Value) {
@@ -43,9 +44,8 @@
   else
     Item.Tokens = std::min(
         Allowed.Burst,
-        Item.Tokens +
-            static_cast<double>(elapsed(Item.FilledAt, Now).count()) *
-                Allowed.PerSecond / MillisecondsPerSecond);
+        Item.Tokens + static_cast<double>(elapsed(Item.FilledAt, Now).count()) *
+                          Allowed.PerSecond / MillisecondsPerSecond);
   Item.FilledAt = Now;
 }
 
--- a/src/sidecar/internal/Gossip.cpp
+++ b/src/sidecar/internal/Gossip.cpp
@@ -115,7 +115,8 @@
   std::shuffle(Near.begin(), Near.end(), Context_.Random);
   std::shuffle(Far.begin(), Far.end(), Context_.Random);
   Near.resize(std::min(Near.size(), PeersInRegion));
-  if (!Far.empty() && (Near.empty() || Context_.Random() % TicksPerFarPeer == 0))
+  if (!Far.empty() &&
+      (Near.empty() || Context_.Random() % TicksPerFarPeer == 0))
     Near.push_back(Far.front());
   return Near;
 }
@@ -160,8 +161,7 @@
   });
 }
 
-void Gossip::tell(
-    const std::function<bool(const mesh::NodeNews &)> &IsMeant) {
+void Gossip::tell(const std::function<bool(const mesh::NodeNews &)> &IsMeant) {
   const std::string Data = datagram();
   std::vector<Endpoint> To;
   for (const auto &[Id, Known] : Context_.Fleet.Nodes)
--- a/src/sidecar/internal/HopHeaders.cpp
+++ b/src/sidecar/internal/HopHeaders.cpp
@@ -86,12 +86,11 @@
 }
 
 std::string encodeRefusal(const HopOutcome &Outcome) {
-  return join({std::string(toString(Outcome.Reason)),
-               std::string(toString(Outcome.End == HopEnd::NotRun
-                                        ? Executed::No
-                                        : Executed::Unknown)),
-               Outcome.Reached ? "1" : "0",
-               std::to_string(Outcome.RoomIn.count())});
+  return join(
+      {std::string(toString(Outcome.Reason)),
+       std::string(toString(Outcome.End == HopEnd::NotRun ? Executed::No
+                                                          : Executed::Unknown)),
+       Outcome.Reached ? "1" : "0", std::to_string(Outcome.RoomIn.count())});
 }
 
 std::optional<HopOutcome> decodeRefusal(const std::string &Text) {
--- a/src/sidecar/internal/HopServer.cpp
+++ b/src/sidecar/internal/HopServer.cpp
@@ -31,7 +31,8 @@
   if (!Info) {
     Context_.Log.write(LogClass::Failure, Context_.now(), "hop-unreadable",
                        {{"info", Head.get(HopInfoName)}});
-    Request->answer(HTTPResponse::HTTP_BAD_REQUEST, "unreadable " + HopInfoName);
+    Request->answer(HTTPResponse::HTTP_BAD_REQUEST,
+                    "unreadable " + HopInfoName);
     return;
   }
   HopJob Job;
--- a/src/sidecar/internal/HttpServer.cpp
+++ b/src/sidecar/internal/HttpServer.cpp
@@ -28,7 +28,7 @@
 
 } // namespace
 
-struct ServerRequest::Impl {
+struct ServerRequest::State {
   std::weak_ptr<Connection> From;
   HTTPRequest Head;
   http::Framing Body;
@@ -89,8 +89,7 @@
   reactor::TimerId Timer_;
 };
 
-Connection::Connection(ServerState &Server,
-                       std::shared_ptr<TcpStream> Stream)
+Connection::Connection(ServerState &Server, std::shared_ptr<TcpStream> Stream)
     : Server_(Server), Stream_(std::move(Stream)) {}
 
 void Connection::start() {
@@ -139,13 +138,13 @@
   --Server_.InProgress;
   if (Answer_)
     Answer_->OnChange = nullptr;
-  Lost->Impl_->Gone = true;
-  Lost->Impl_->Pipe->OnRoom = nullptr;
+  Lost->Shared->Gone = true;
+  Lost->Shared->Pipe->OnRoom = nullptr;
   // Whoever works on the request learns the reason before its body ends.
-  const auto Callback = std::move(Lost->Impl_->OnGone);
+  const auto Callback = std::move(Lost->Shared->OnGone);
   if (Callback)
     Callback();
-  Lost->Impl_->Pipe->fail();
+  Lost->Shared->Pipe->fail();
 }
 
 void Connection::onEnd() { close(); }
@@ -204,25 +203,25 @@
 bool Connection::openRequest(std::string_view Text) {
   auto Made = std::make_shared<ServerRequest>();
   try {
-    http::parseRequest(Text, Made->Impl_->Head);
-    Made->Impl_->Body = http::framingOf(Made->Impl_->Head);
+    http::parseRequest(Text, Made->Shared->Head);
+    Made->Shared->Body = http::framingOf(Made->Shared->Head);
   } catch (const http::BadMessage &Error) {
     refuse(HTTPResponse::HTTP_BAD_REQUEST, Error.what());
     return false;
   }
-  if (Made->Impl_->Body.Kind == http::FramingKind::Fixed &&
-      Made->Impl_->Body.Length > Server_.Options.Limits().MaxBodyBytes) {
+  if (Made->Shared->Body.Kind == http::FramingKind::Fixed &&
+      Made->Shared->Body.Length > Server_.Options.Limits().MaxBodyBytes) {
     refuse(HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE,
            "the body is too large");
     return false;
   }
-  Made->Impl_->From = weak_from_this();
+  Made->Shared->From = weak_from_this();
   Request_ = Made;
   ++Server_.InProgress;
-  Decoder_ = http::BodyDecoder(Made->Impl_->Body);
+  Decoder_ = http::BodyDecoder(Made->Shared->Body);
   BodyBytes_ = 0;
-  KeepAlive_ = Made->Impl_->Head.getKeepAlive();
-  Made->Impl_->Pipe->OnRoom = [Weak = weak_from_this()] {
+  KeepAlive_ = Made->Shared->Head.getKeepAlive();
+  Made->Shared->Pipe->OnRoom = [Weak = weak_from_this()] {
     if (const auto Self = Weak.lock()) {
       Self->Stream_->pauseReading(false);
       Self->onInput();
@@ -280,8 +279,8 @@
     Head.setContentLength64(static_cast<std::int64_t>(Body->size()));
   } else if (HasBody && KnownLength >= 0) {
     Head.setContentLength64(KnownLength);
-  } else if (HasBody && Request_->head().getVersion() ==
-                            HTTPMessage::HTTP_1_0) {
+  } else if (HasBody &&
+             Request_->head().getVersion() == HTTPMessage::HTTP_1_0) {
     KeepAlive_ = false;
   } else if (HasBody) {
     Head.setChunkedTransferEncoding(true);
@@ -380,36 +379,36 @@
   std::unique_ptr<reactor::TcpListener> Listener;
 };
 
-ServerRequest::ServerRequest() : Impl_(std::make_unique<Impl>()) {}
+ServerRequest::ServerRequest() : Shared(std::make_unique<State>()) {}
 
 ServerRequest::~ServerRequest() = default;
 
-const HTTPRequest &ServerRequest::head() const { return Impl_->Head; }
+const HTTPRequest &ServerRequest::head() const { return Shared->Head; }
 
-const http::Framing &ServerRequest::framing() const { return Impl_->Body; }
+const http::Framing &ServerRequest::framing() const { return Shared->Body; }
 
-const BodyPipePtr &ServerRequest::body() const { return Impl_->Pipe; }
+const BodyPipePtr &ServerRequest::body() const { return Shared->Pipe; }
 
-bool ServerRequest::isGone() const { return Impl_->Gone; }
+bool ServerRequest::isGone() const { return Shared->Gone; }
 
-bool ServerRequest::isAnswered() const { return Impl_->Answered; }
+bool ServerRequest::isAnswered() const { return Shared->Answered; }
 
 void ServerRequest::onGone(std::function<void()> Callback) {
-  Impl_->OnGone = std::move(Callback);
+  Shared->OnGone = std::move(Callback);
 }
 
 void ServerRequest::sendContinue() {
-  const auto From = Impl_->From.lock();
-  if (From && !Impl_->Gone && !Impl_->Answered)
+  const auto From = Shared->From.lock();
+  if (From && !Shared->Gone && !Shared->Answered)
     From->sendContinue();
 }
 
 void ServerRequest::answer(HTTPResponse &Head, const BodyPipePtr &Body,
                            std::int64_t KnownLength) {
-  const auto From = Impl_->From.lock();
-  if (!From || Impl_->Gone || Impl_->Answered)
+  const auto From = Shared->From.lock();
+  if (!From || Shared->Gone || Shared->Answered)
     return;
-  Impl_->Answered = true;
+  Shared->Answered = true;
   From->answer(Head, Body, KnownLength);
 }
 
@@ -421,8 +420,8 @@
 }
 
 void ServerRequest::abort() {
-  const auto From = Impl_->From.lock();
-  if (From && !Impl_->Gone)
+  const auto From = Shared->From.lock();
+  if (From && !Shared->Gone)
     From->abort();
 }
 
--- a/src/sidecar/internal/HttpServer.h
+++ b/src/sidecar/internal/HttpServer.h
@@ -41,8 +41,9 @@
   /// Closes the connection without an answer.
   void abort();
 
-  struct Impl;
-  std::unique_ptr<Impl> Impl_;
+  /// What the connection and this handle share.
+  struct State;
+  std::unique_ptr<State> Shared;
 };
 
 using ServerRequestPtr = std::shared_ptr<ServerRequest>;
--- a/src/sidecar/internal/NewsCodec.cpp
+++ b/src/sidecar/internal/NewsCodec.cpp
@@ -158,15 +158,13 @@
     To.Rollouts.push_back({Offset(Item.order), Milliseconds(Item.ageMs),
                            Item.condemned, rolloutStateFrom(Item.state)});
   for (const wire::EvidenceMessage &Item : From.evidence)
-    To.Evidence.push_back({Offset(Item.order), RouteName(Item.route),
-                           Item.good, Item.bad,
-                           Milliseconds(Item.totalTimeMs)});
+    To.Evidence.push_back({Offset(Item.order), RouteName(Item.route), Item.good,
+                           Item.bad, Milliseconds(Item.totalTimeMs)});
   for (const wire::CrashMessage &Item : From.crashes)
-    To.Crashes.push_back({requests::Fingerprint(Item.fingerprint),
-                          requests::CrashId(Item.crash),
-                          Item.weight == 1
-                              ? requests::SuspectWeight::Answered
-                              : requests::SuspectWeight::NeverAnswered});
+    To.Crashes.push_back(
+        {requests::Fingerprint(Item.fingerprint), requests::CrashId(Item.crash),
+         Item.weight == 1 ? requests::SuspectWeight::Answered
+                          : requests::SuspectWeight::NeverAnswered});
   return To;
 }
 
--- a/src/sidecar/internal/OperatorFeed.cpp
+++ b/src/sidecar/internal/OperatorFeed.cpp
@@ -111,8 +111,8 @@
       mesh::rankOf(Context_.Fleet, "store", Context_.now()), Milliseconds(0));
   const Milliseconds Longest =
       ReadsAlways || !ReadOnce_ ? LongestPause : LongestPauseOfOthers;
-  Pause_ = Pause_ == Milliseconds(0) ? FirstPause
-                                     : std::min(Longest, Pause_ * 2);
+  Pause_ =
+      Pause_ == Milliseconds(0) ? FirstPause : std::min(Longest, Pause_ * 2);
   std::uniform_int_distribution<std::int64_t> Jitter(Pause_.count() / 2,
                                                      Pause_.count());
   return Milliseconds(Jitter(Context_.Random));
@@ -234,12 +234,11 @@
       return;
     mesh::noteRanks(*Read);
     Context_.Config = Read;
-    Context_.Log.write(
-        LogClass::State, Context_.now(), "config-in-force",
-        {{"version", std::to_string(Read->Version.value())},
-         {"offset", std::to_string(Found->second.At.value())},
-         {"hosts", std::to_string(Read->Hosts.size())},
-         {"services", std::to_string(Read->Services.size())}});
+    Context_.Log.write(LogClass::State, Context_.now(), "config-in-force",
+                       {{"version", std::to_string(Read->Version.value())},
+                        {"offset", std::to_string(Found->second.At.value())},
+                        {"hosts", std::to_string(Read->Hosts.size())},
+                        {"services", std::to_string(Read->Services.size())}});
   } catch (const std::exception &Error) {
     Context_.Log.write(LogClass::State, Context_.now(), "config-unreadable",
                        {{"offset", std::to_string(Found->second.At.value())},
@@ -298,10 +297,10 @@
   const Milliseconds Delay =
       Context_.Records.Position == Offset()
           ? Milliseconds(0)
-          : mesh::fetchDelay(Context_.Fleet, Context_.Settings.At,
-                             mesh::tierOf(Context_.Settings.At,
-                                          Context_.Settings.Id, *Best),
-                             Now);
+          : mesh::fetchDelay(
+                Context_.Fleet, Context_.Settings.At,
+                mesh::tierOf(Context_.Settings.At, Context_.Settings.Id, *Best),
+                Now);
   const Milliseconds Waited = elapsed(BehindSince_, Now);
   if (Waited < Delay) {
     if (FetchTimer_ == reactor::TimerId())
--- a/src/sidecar/internal/RemoteHop.cpp
+++ b/src/sidecar/internal/RemoteHop.cpp
@@ -9,7 +9,6 @@
 
 using Poco::Net::HTTPMessage;
 using Poco::Net::HTTPRequest;
-using Poco::Net::HTTPResponse;
 
 /// A few round trips between regions; an instance without power does not
 /// answer at all.
@@ -84,8 +83,8 @@
   Request.Method = Head.getMethod();
   Request.Chunked = Body.Kind == http::FramingKind::Chunked;
   Request.ExpectContinue =
-      Request.Chunked || (Body.Kind == http::FramingKind::Fixed &&
-                          Body.Length > MaxUnaskedBytes);
+      Request.Chunked ||
+      (Body.Kind == http::FramingKind::Fixed && Body.Length > MaxUnaskedBytes);
   if (Request.ExpectContinue)
     Head.set("Expect", "100-continue");
   Request.Head = http::serialize(Head);
@@ -95,8 +94,8 @@
   const std::weak_ptr<Running> Weak = Item;
   const Milliseconds Left =
       elapsed(Context_.now(), Job.Info.DeadlineAt) + DeadlineGrace;
-  Item->Timer = Context_.Loop.runAfter(
-      std::max(Left, Milliseconds(0)), [this, Weak] {
+  Item->Timer =
+      Context_.Loop.runAfter(std::max(Left, Milliseconds(0)), [this, Weak] {
         const auto Found = Weak.lock();
         if (!Found || Found->Ended)
           return;
@@ -120,7 +119,7 @@
     if (Found && Found->Job.OnBodySent && Found->GrantedAt != SteadyTime())
       Found->Job.OnBodySent(elapsed(Found->GrantedAt, Context_.now()));
   };
-  Callbacks.OnAnswer = [this, Weak](ClientAnswer Answer) {
+  Callbacks.OnAnswer = [Weak](ClientAnswer Answer) {
     const auto Found = Weak.lock();
     if (!Found || Found->Reported)
       return;
--- a/src/sidecar/internal/Rollouts.cpp
+++ b/src/sidecar/internal/Rollouts.cpp
@@ -179,9 +179,8 @@
   if (isEnd(Current.State))
     return;
   const mesh::RolloutDecision Decided = mesh::decideRollout(viewOf(Current));
-  const bool Changed =
-      Decided.Repeatable != Current.Decision.Repeatable ||
-      Decided.Condemned != Current.Decision.Condemned;
+  const bool Changed = Decided.Repeatable != Current.Decision.Repeatable ||
+                       Decided.Condemned != Current.Decision.Condemned;
   Current.Decision = Decided;
   Current.Condemned = Current.Condemned || Decided.Condemned;
   if (Changed)
@@ -251,25 +250,26 @@
   Current.Writing = true;
   const ServiceName Service = Current.Order.Service;
   const Offset Order = Current.Order.At;
-  Store_.readNewest(StoreTopic::Status, [this, Service,
-                                         Order](const StoreRead &Read) {
-    const auto Found = Items_.find(Service);
-    if (Found == Items_.end() || Found->second.Order.At != Order)
-      return;
-    Item &Same = Found->second;
-    Same.Writing = false;
-    Same.NextWrite = after(Context_.now(), RecordRetry);
-    if (Read.Outcome != StoreOutcome::Done)
-      return;
-    onStatus(Read.Items);
-    if (isEnd(Same.State))
-      return;
-    const RolloutState State = Same.Decision.End.value_or(RolloutState::Running);
-    if (!isEnd(State) && Same.RunningRecorded)
-      return;
-    Same.Writing = true;
-    append(Service, Order, State, Read.End);
-  });
+  Store_.readNewest(
+      StoreTopic::Status, [this, Service, Order](const StoreRead &Read) {
+        const auto Found = Items_.find(Service);
+        if (Found == Items_.end() || Found->second.Order.At != Order)
+          return;
+        Item &Same = Found->second;
+        Same.Writing = false;
+        Same.NextWrite = after(Context_.now(), RecordRetry);
+        if (Read.Outcome != StoreOutcome::Done)
+          return;
+        onStatus(Read.Items);
+        if (isEnd(Same.State))
+          return;
+        const RolloutState State =
+            Same.Decision.End.value_or(RolloutState::Running);
+        if (!isEnd(State) && Same.RunningRecorded)
+          return;
+        Same.Writing = true;
+        append(Service, Order, State, Read.End);
+      });
 }
 
 void Rollouts::append(const ServiceName &Service, Offset Order,
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -109,10 +109,10 @@
 
   void build() {
     Store = std::make_unique<StoreClient>(Context);
-    Hop = std::make_unique<UpstreamHop>(
-        Context, [this](const ServiceName &Service) {
-          return Moves->activeOrder(Service);
-        });
+    Hop = std::make_unique<UpstreamHop>(Context,
+                                        [this](const ServiceName &Service) {
+                                          return Moves->activeOrder(Service);
+                                        });
     const auto OwnLoad = [this] { return Hop->load(); };
     Moves = std::make_unique<Rollouts>(
         Context, *Store, [this] { return Hop->evidence(); }, OwnLoad);
@@ -144,13 +144,12 @@
     const settings::SidecarSettings &At = Context.Settings;
     OutboundServer = std::make_unique<HttpServer>(
         Loop, At.Outbound,
-        HttpServerOptions{[this] {
-                            return Context.Config ? Context.Config->Limits
-                                                  : mesh::CallerLimits();
-                          },
-                          [this](const auto &Request) {
-                            Entry->handle(Request);
-                          }});
+        HttpServerOptions{
+            [this] {
+              return Context.Config ? Context.Config->Limits
+                                    : mesh::CallerLimits();
+            },
+            [this](const auto &Request) { Entry->handle(Request); }});
     InboundServer = std::make_unique<HttpServer>(
         Loop, At.Inbound,
         HttpServerOptions{innerLimits, [this](const auto &Request) {
@@ -273,9 +272,9 @@
         Head.getMethod(), Head.getURI(), Request->body()->take());
     switch (Message.Is) {
     case UpstreamMessage::Kind::Invalid:
-      Context.Log.write(LogClass::State, Context.now(), "check-in-invalid",
-                        {{"target", Head.getURI()},
-                         {"problem", Message.Problem}});
+      Context.Log.write(
+          LogClass::State, Context.now(), "check-in-invalid",
+          {{"target", Head.getURI()}, {"problem", Message.Problem}});
       Request->answer(HTTPResponse::HTTP_BAD_REQUEST, Message.Problem);
       return;
     case UpstreamMessage::Kind::Leave:
@@ -303,7 +302,8 @@
     const mesh::Upstream Before = Context.Registered.Now;
     // Another service at this address belongs to another instance's settings.
     const bool IsOurs = Item.From.Service == Context.Settings.Service;
-    if (!IsOurs || !mesh::applyCheckIn(Context.Registered, Item, Context.now())) {
+    if (!IsOurs ||
+        !mesh::applyCheckIn(Context.Registered, Item, Context.now())) {
       Context.Log.write(LogClass::State, Context.now(), "check-in-ignored",
                         {{"upstream", Item.From.Id.str()},
                          {"service", Item.From.Service.str()},
@@ -377,9 +377,9 @@
       Context.Settings.Service = Read.Service;
       Context.Bounds = Context.Platform.Bounds(Read.PlatformBounds);
       addSeeds();
-      Context.Log.write(LogClass::State, Context.now(), "reload",
-                        {{"changed", "yes"},
-                         {"seeds", std::to_string(Read.Seeds.size())}});
+      Context.Log.write(
+          LogClass::State, Context.now(), "reload",
+          {{"changed", "yes"}, {"seeds", std::to_string(Read.Seeds.size())}});
     } catch (const std::exception &Error) {
       // What is in force stays; the file is looked at again.
       Context.Log.write(LogClass::State, Context.now(), "reload-failed",
@@ -396,10 +396,10 @@
     OutboundServer->announceClose();
     InboundServer->announceClose();
     News->tellAll();
-    Context.Log.write(LogClass::State, Context.now(), "stopping",
-                      {{"requests", std::to_string(Entry->inProgress())},
-                       {"grace_ms",
-                        std::to_string(Context.Bounds.GraceTime.count())}});
+    Context.Log.write(
+        LogClass::State, Context.now(), "stopping",
+        {{"requests", std::to_string(Entry->inProgress())},
+         {"grace_ms", std::to_string(Context.Bounds.GraceTime.count())}});
   }
 
   void considerExit() {
@@ -408,18 +408,16 @@
     // be finished, so it is refused as not run.
     if (Since >= CallersLeaveTime)
       Context.Serving = false;
-    const bool Quiet = Since >= CallersLeaveTime &&
-                       OutboundServer->inProgress() == 0 &&
-                       InboundServer->inProgress() == 0 &&
-                       Hop->inProgress() == 0;
+    const bool Quiet =
+        Since >= CallersLeaveTime && OutboundServer->inProgress() == 0 &&
+        InboundServer->inProgress() == 0 && Hop->inProgress() == 0;
     if (!Quiet && Since < Context.Bounds.GraceTime - ExitMargin)
       return;
     OutboundServer->closeIdle();
     InboundServer->closeIdle();
-    Context.Log.write(
-        LogClass::State, Context.now(), "stopped",
-        {{"after_ms", std::to_string(Since.count())},
-         {"open", std::to_string(OutboundServer->inProgress())}});
+    Context.Log.write(LogClass::State, Context.now(), "stopped",
+                      {{"after_ms", std::to_string(Since.count())},
+                       {"open", std::to_string(OutboundServer->inProgress())}});
     Loop.stop();
   }
 
--- a/src/sidecar/internal/StoreClient.cpp
+++ b/src/sidecar/internal/StoreClient.cpp
@@ -47,8 +47,8 @@
   Item->Done = std::move(Done);
   Item->Connection = Pool_.take(To, MaxIdle);
   if (!Item->Connection)
-    Item->Connection = ClientConnection::open(Context_.Loop, To,
-                                              ConnectTimeout);
+    Item->Connection =
+        ClientConnection::open(Context_.Loop, To, ConnectTimeout);
   HTTPRequest Head(Call.Method, Call.Target, HTTPMessage::HTTP_1_1);
   Head.set(HTTPRequest::HOST, settings::toString(To));
   ClientRequest Request;
@@ -111,8 +111,8 @@
                            std::shared_ptr<StoreRead> Sum,
                            std::function<void(StoreRead)> Done) {
   call(Context_.Platform.Store.Newest(Topic, After), CallTimeout,
-       [this, Topic, After, Sum, Done = std::move(Done)](
-           int Status, const std::string &Body) {
+       [this, Topic, After, Sum,
+        Done = std::move(Done)](int Status, const std::string &Body) {
          const StoreRead Page =
              Context_.Platform.Store.NewestAnswer(Status, Body);
          Sum->Outcome = Page.Outcome;
--- a/src/sidecar/internal/UpstreamDirectory.cpp
+++ b/src/sidecar/internal/UpstreamDirectory.cpp
@@ -72,9 +72,9 @@
   Found.Distance =
       mesh::tierOf(Context_.Settings.At, Context_.Settings.Id, News);
   Found.Capacity = std::max(1, News.Own.Capacity);
-  Found.Held = std::max(Load.Running + Load.Waiting +
-                            (StatedLater ? Item.SentSince : 0),
-                        Item.Outstanding);
+  Found.Held =
+      std::max(Load.Running + Load.Waiting + (StatedLater ? Item.SentSince : 0),
+               Item.Outstanding);
   Found.ServiceTime = Load.ServiceTime;
   Found.BodyWait = Load.BodyWait;
   Found.IsCold = News.Own.ColdLeft > Milliseconds(0);
@@ -156,17 +156,17 @@
   }
   const bool HopIsDown = Outcome.End == HopEnd::NotRun && !Outcome.Load;
   if (HopIsDown) {
-    const std::int32_t Doublings = std::min(Item.ConnectFailures++, MaxDoublings);
+    const std::int32_t Doublings =
+        std::min(Item.ConnectFailures++, MaxDoublings);
     Item.AvoidUntil = after(
         Now, std::min(LongestAvoidance, FirstAvoidance * (1 << Doublings)));
   } else {
     Item.ConnectFailures = 0;
   }
-  const bool Failed =
-      Outcome.End == HopEnd::Failed ||
-      (Outcome.End == HopEnd::NotRun && Outcome.Reached) ||
-      (Outcome.End == HopEnd::Answered &&
-       Outcome.Answer.Head.getStatus() >= FirstServerError);
+  const bool Failed = Outcome.End == HopEnd::Failed ||
+                      (Outcome.End == HopEnd::NotRun && Outcome.Reached) ||
+                      (Outcome.End == HopEnd::Answered &&
+                       Outcome.Answer.Head.getStatus() >= FirstServerError);
   // A refusal by the last hop itself says nothing about the upstream.
   if (Outcome.End == HopEnd::NotRun && !Outcome.Reached)
     return;
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -128,21 +128,21 @@
   const HopInfo &Info = Job->Job.Info;
   Job->PendingBytes = std::max(UnknownBodyBytes, Job->Job.Framing.Length);
   Intake_.BytesPerMs = Context_.Settings.LinkBytesPerMs;
-  const Milliseconds RoomIn = mesh::untilIntake(
-      Intake_, Job->PendingBytes, serviceTime(Info.Route),
-      elapsed(Context_.now(), Info.ObjectiveAt));
+  const Milliseconds RoomIn =
+      mesh::untilIntake(Intake_, Job->PendingBytes, serviceTime(Info.Route),
+                        elapsed(Context_.now(), Info.ObjectiveAt));
   if (RoomIn > Milliseconds(0)) {
     Job->PendingBytes = 0;
     finish(Job, notRun(RefusalReason::QueueFull, RoomIn));
     return;
   }
   Intake_.PendingBytes += Job->PendingBytes;
-  Job->Timer = Context_.Loop.runAfter(
-      elapsed(Context_.now(), Info.DeadlineAt),
-      [this, Weak = std::weak_ptr<Running>(Job)] {
-        if (const auto Item = Weak.lock())
-          finish(Item, notRun(RefusalReason::Deadline));
-      });
+  Job->Timer =
+      Context_.Loop.runAfter(elapsed(Context_.now(), Info.DeadlineAt),
+                             [this, Weak = std::weak_ptr<Running>(Job)] {
+                               if (const auto Item = Weak.lock())
+                                 finish(Item, notRun(RefusalReason::Deadline));
+                             });
   BodiesWaiting_.push_back(Job);
   receiveNext();
 }
@@ -206,8 +206,8 @@
   Queued.DeadlineAt = Info.DeadlineAt;
   Queued.Service = serviceTime(Info.Route);
   const QueueVerdict Verdict = mesh::admitJob(
-      Queue_, Queued,
-      Milliseconds(static_cast<std::int64_t>(MeanServiceMs_)), Context_.now());
+      Queue_, Queued, Milliseconds(static_cast<std::int64_t>(MeanServiceMs_)),
+      Context_.now());
   switch (Verdict.Do) {
   case QueueVerdict::Action::Refuse:
     finish(Job, notRun(RefusalReason::QueueFull, Verdict.RoomIn));
@@ -237,16 +237,15 @@
 void UpstreamHop::connect(const RunningPtr &Job) {
   const bool Repeatable = Job->Job.Info.Class == RequestClass::Repeatable;
   const Endpoint &To = Context_.Registered.Address;
-  Job->Connection = Pool_.take(To, Repeatable ? MaxIdleForRepeatable
-                                              : MaxIdleForOnceOnly);
+  Job->Connection =
+      Pool_.take(To, Repeatable ? MaxIdleForRepeatable : MaxIdleForOnceOnly);
   if (Job->Connection) {
     send(Job);
     return;
   }
   // The request is sent once the connection stands, so that a refused
   // connection leaves its body untouched for another upstream.
-  Job->Connection =
-      ClientConnection::open(Context_.Loop, To, ConnectTimeout);
+  Job->Connection = ClientConnection::open(Context_.Loop, To, ConnectTimeout);
   const std::weak_ptr<Running> Weak = Job;
   Job->Connection->OnConnected = [this, Weak] {
     const auto Item = Weak.lock();
@@ -274,8 +273,7 @@
   HTTPRequest Head(From.Head.getMethod(), From.Head.getURI(),
                    HTTPMessage::HTTP_1_1);
   http::copyEndToEnd(From.Head, Head);
-  const Milliseconds Left =
-      elapsed(Context_.now(), From.Info.DeadlineAt);
+  const Milliseconds Left = elapsed(Context_.now(), From.Info.DeadlineAt);
   Head.set(Names.Deadline,
            std::to_string(std::max<std::int64_t>(1, Left.count())));
   Head.set(Names.ExpectInstance, Context_.Registered.Now.Id.str());
@@ -295,8 +293,7 @@
 }
 
 void UpstreamHop::send(const RunningPtr &Job) {
-  const Milliseconds Left =
-      elapsed(Context_.now(), Job->Job.Info.DeadlineAt);
+  const Milliseconds Left = elapsed(Context_.now(), Job->Job.Info.DeadlineAt);
   if (Left <= Milliseconds(0)) {
     finish(Job, notRun(RefusalReason::Deadline));
     return;
@@ -308,11 +305,10 @@
   if (Granted)
     Granted();
   const std::weak_ptr<Running> Weak = Job;
-  Job->Timer =
-      Context_.Loop.runAfter(Left + DeadlineGrace, [this, Weak] {
-        if (const auto Item = Weak.lock())
-          onDeadline(Item);
-      });
+  Job->Timer = Context_.Loop.runAfter(Left + DeadlineGrace, [this, Weak] {
+    if (const auto Item = Weak.lock())
+      onDeadline(Item);
+  });
   ClientCallbacks Callbacks;
   Callbacks.Accept = [this, Weak](const HTTPResponse &Head) {
     const auto Item = Weak.lock();
@@ -359,9 +355,9 @@
   const bool IsUpstreams =
       Answer.Head.has(Names.Seal) && !Answer.Head.has("Content-Encoding");
   if (!IsUpstreams) {
-    Context_.Log.write(LogClass::Failure, Context_.now(), "answer-unsealed",
-                       {{"request", Job->Job.Id.str()},
-                        {"status", std::to_string(Status)}});
+    Context_.Log.write(
+        LogClass::Failure, Context_.now(), "answer-unsealed",
+        {{"request", Job->Job.Id.str()}, {"status", std::to_string(Status)}});
     noteEvidence(*Job, false, Took);
     finish(Job, failed(RefusalReason::UpstreamFailed));
     return;
@@ -482,8 +478,9 @@
     if (Found == Jobs_.end())
       continue;
     const RunningPtr Job = Found->second;
-    finish(Job, notRun(RefusalReason::QueueFull,
-                       Milliseconds(static_cast<std::int64_t>(MeanServiceMs_))));
+    finish(Job,
+           notRun(RefusalReason::QueueFull,
+                  Milliseconds(static_cast<std::int64_t>(MeanServiceMs_))));
   }
   runWaiting();
   if (!Queue_.Waiting.empty())
@@ -651,9 +648,9 @@
   if (Told.size() > MaxCrashesTold)
     Told.erase(Told.begin(),
                Told.end() - static_cast<std::ptrdiff_t>(MaxCrashesTold));
-  Context_.Log.write(LogClass::State, Now, "upstream-crashed",
-                     {{"upstream", Current_.str()},
-                      {"suspects", std::to_string(Suspects)}});
+  Context_.Log.write(
+      LogClass::State, Now, "upstream-crashed",
+      {{"upstream", Current_.str()}, {"suspects", std::to_string(Suspects)}});
 }
 
 } // namespace lycheethread::sidecar
--- a/src/sidecar/internal/UpstreamHop.h
+++ b/src/sidecar/internal/UpstreamHop.h
@@ -17,9 +17,9 @@
 public:
   /// \p ActiveOrder gives the running rollout of a service, for which outcomes
   /// are counted.
-  UpstreamHop(NodeContext &Context,
-              std::function<std::optional<Offset>(const ServiceName &)>
-                  ActiveOrder);
+  UpstreamHop(
+      NodeContext &Context,
+      std::function<std::optional<Offset>(const ServiceName &)> ActiveOrder);
   ~UpstreamHop();
 
   /// OnEnd may be called before this returns.
@@ -52,8 +52,7 @@
   void connect(const RunningPtr &Job);
   void send(const RunningPtr &Job);
   ClientRequest makeRequest(const RunningPtr &Job) const;
-  bool belongsTo(const Running &Job,
-                 const Poco::Net::HTTPResponse &Head) const;
+  bool belongsTo(const Running &Job, const Poco::Net::HTTPResponse &Head) const;
   void onAnswer(const RunningPtr &Job, ClientAnswer Answer);
   void onFailure(const RunningPtr &Job, ClientFailure Why);
   void onDeadline(const RunningPtr &Job);
--- a/src/sidecar/tests/CodecTest.cpp
+++ b/src/sidecar/tests/CodecTest.cpp
@@ -27,8 +27,8 @@
   News.Load = {3, 4, Milliseconds(80), Milliseconds(120)};
   News.OperatorPosition = Offset(44);
   News.ConfirmedAge = Milliseconds(300);
-  News.Rollouts.push_back({Offset(40), Milliseconds(700), true,
-                           mesh::RolloutState::RolledBack});
+  News.Rollouts.push_back(
+      {Offset(40), Milliseconds(700), true, mesh::RolloutState::RolledBack});
   News.Evidence.push_back(
       {Offset(40), RouteName("r"), 20, 3, Milliseconds(1600)});
   News.Crashes.push_back({requests::Fingerprint("ab"),
@@ -51,8 +51,7 @@
   BOOST_TEST(News.Load.BodyWait.count() == 120);
   BOOST_TEST((News.Rollouts.at(0).State == mesh::RolloutState::RolledBack));
   BOOST_TEST(News.Evidence.at(0).Bad == 3);
-  BOOST_TEST(
-      (News.Crashes.at(0).Weight == requests::SuspectWeight::Answered));
+  BOOST_TEST((News.Crashes.at(0).Weight == requests::SuspectWeight::Answered));
 }
 
 // Guards against a datagram of another sender that ends the process.
@@ -79,8 +78,8 @@
   const auto Read = decodeRecords(Wire);
   BOOST_REQUIRE(Read.has_value());
   BOOST_TEST(Read->Position.value() == 7);
-  BOOST_TEST((Read->Items.at("config").Value ==
-              Records.Items.at("config").Value));
+  BOOST_TEST(
+      (Read->Items.at("config").Value == Records.Items.at("config").Value));
   BOOST_TEST(!decodeRecords(Wire.substr(0, Wire.size() / 2)).has_value());
 }
 
--- a/src/streamlog/internal/StreamLogModule.cpp
+++ b/src/streamlog/internal/StreamLogModule.cpp
@@ -1,5 +1,5 @@
-#include "streamlog/StreamLog.h"
 #include "settings/Settings.h"
+#include "streamlog/StreamLog.h"
 
 namespace lycheethread::streamlog {
 
--- a/tests/platform/ConfigurationTest.cpp
+++ b/tests/platform/ConfigurationTest.cpp
@@ -23,8 +23,8 @@
   World Used({{"a1"}, {"a2"}, {"a3"}, {"a4"}, {"a5"}});
   Used.Store.put("keyed.op", "config", configuration(4, NewRule));
   for (auto &Item : Used.Instances)
-    BOOST_TEST(becomes([&] { return Item->get("/new/x").Status == 200; },
-                       ApplyLimit));
+    BOOST_TEST(
+        becomes([&] { return Item->get("/new/x").Status == 200; }, ApplyLimit));
 }
 
 // Guards against a node that returns to an older configuration, or takes a
@@ -58,8 +58,8 @@
   World Used({{"w1"}, {"w2"}});
   Used.Store.put("keyed.op", "config", configuration(8, NewRule));
   for (auto &Item : Used.Instances)
-    BOOST_REQUIRE(becomes([&] { return Item->get("/new/x").Status == 200; },
-                          ApplyLimit));
+    BOOST_REQUIRE(
+        becomes([&] { return Item->get("/new/x").Status == 200; }, ApplyLimit));
   Used.Store.setDown(true);
   Used.at(0).node().kill();
   Used.at(0).startNode();
--- a/tests/platform/LeavingTest.cpp
+++ b/tests/platform/LeavingTest.cpp
@@ -42,8 +42,7 @@
   });
   std::this_thread::sleep_for(milliseconds(300));
   Used.at(0).node().terminate();
-  BOOST_TEST(
-      becomes([&] { return !Used.at(0).isReady(); }, milliseconds(500)));
+  BOOST_TEST(becomes([&] { return !Used.at(0).isReady(); }, milliseconds(500)));
   // Callers that have not noticed yet are still served.
   BOOST_TEST(Used.at(0).get("/read/x").Status == 200);
   BOOST_TEST(Running.get().Status == 200);
--- a/tests/platform/StoreStandIn.cpp
+++ b/tests/platform/StoreStandIn.cpp
@@ -118,8 +118,9 @@
       Items += (Items.empty() ? "" : ",") + std::string("{\"key\":\"") + Key +
                "\",\"value\":\"" + base64(Item.second) +
                "\",\"offset\":" + std::to_string(Item.first) + "}";
-    return "{\"items\":[" + Items + "],\"has_more\":false,\"end_offset\":" +
-           std::to_string(Used.end()) + "}";
+    return "{\"items\":[" + Items +
+           "],\"has_more\":false,\"end_offset\":" + std::to_string(Used.end()) +
+           "}";
   }
 
   std::string append(Topic &Used, Query &Given, const std::string &Body,
@@ -171,8 +172,7 @@
 class Factory : public Poco::Net::HTTPRequestHandlerFactory {
 public:
   explicit Factory(State &Used) : State_(Used) {}
-  HTTPRequestHandler *
-  createRequestHandler(const HTTPServerRequest &) override {
+  HTTPRequestHandler *createRequestHandler(const HTTPServerRequest &) override {
     return new Handler(State_);
   }
 
--- a/tests/platform/UpstreamStandIn.cpp
+++ b/tests/platform/UpstreamStandIn.cpp
@@ -160,12 +160,11 @@
                      int Status) {
   const auto Id = Request.Headers.find("x-attempt-id");
   RawAnswer Answer;
-  Answer.Bytes =
-      "HTTP/1.1 " + std::to_string(Status) +
-      " Text\r\nX-Response-Seal: s\r\nX-Attempt-Id: " +
-      (Id == Request.Headers.end() ? "" : Id->second) +
-      "\r\nKeep-Alive: timeout=10\r\nContent-Length: " +
-      std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  Answer.Bytes = "HTTP/1.1 " + std::to_string(Status) +
+                 " Text\r\nX-Response-Seal: s\r\nX-Attempt-Id: " +
+                 (Id == Request.Headers.end() ? "" : Id->second) +
+                 "\r\nKeep-Alive: timeout=10\r\nContent-Length: " +
+                 std::to_string(Body.size()) + "\r\n\r\n" + Body;
   return Answer;
 }
 
--- a/tests/platform/World.cpp
+++ b/tests/platform/World.cpp
@@ -38,17 +38,19 @@
   Settings_ = Folder + "/" + Plan.Name + ".ini";
   LogFile_ = Folder + "/" + Plan.Name + ".log";
   std::ofstream(LogFile_).close();
-  std::ofstream(Settings_)
-      << "[node]\nid = " << Plan.Name << "\nregion = east\nzone = " << Plan.Zone
-      << "\n[listen]\noutbound = " << endpoint(Outbound_)
-      << "\ninbound = " << endpoint(Inbound_)
-      << "\nreadiness = " << endpoint(Readiness_)
-      << "\ncheck_ins = " << endpoint(CheckIns_)
-      << "\ngossip = " << endpoint(Gossip_)
-      << "\n[upstream]\naddress = " << endpoint(Upstream_->port())
-      << "\nservice = " << Plan.Service << "\ncheck_in_s = 1\n[store]\n"
-      << "address = " << endpoint(StorePort_)
-      << "\n[platform]\nbounds = grace_s=6,drain_s=2.5\n";
+  std::ofstream(Settings_) << "[node]\nid = " << Plan.Name
+                           << "\nregion = east\nzone = " << Plan.Zone
+                           << "\n[listen]\noutbound = " << endpoint(Outbound_)
+                           << "\ninbound = " << endpoint(Inbound_)
+                           << "\nreadiness = " << endpoint(Readiness_)
+                           << "\ncheck_ins = " << endpoint(CheckIns_)
+                           << "\ngossip = " << endpoint(Gossip_)
+                           << "\n[upstream]\naddress = "
+                           << endpoint(Upstream_->port())
+                           << "\nservice = " << Plan.Service
+                           << "\ncheck_in_s = 1\n[store]\n"
+                           << "address = " << endpoint(StorePort_)
+                           << "\n[platform]\nbounds = grace_s=6,drain_s=2.5\n";
   startNode();
   Checker_ = std::thread([this] { checkInAll(); });
 }
@@ -60,8 +62,8 @@
 
 void Instance::startNode() {
   Node_ = std::make_unique<harness::ChildProcess>(
-      LYCHEE_BINARY,
-      std::vector<std::string>{"node", "--settings", Settings_}, LogFile_);
+      LYCHEE_BINARY, std::vector<std::string>{"node", "--settings", Settings_},
+      LogFile_);
 }
 
 HttpCall Instance::call(const std::string &Path, const std::string &Id) const {
@@ -99,13 +101,12 @@
   Made.Method = "PUT";
   Made.Path = "/instances/i-" + Plan_.Name;
   Made.Headers = {{"Content-Type", "application/json"}};
-  Made.Body = R"({"backend_service":")" + Plan_.Service + R"(","address":")" +
-              endpoint(Upstream_->port()) + R"(","zone":")" + Plan_.Zone +
-              R"(","version":")" + Plan_.Version +
-              R"(","capacity":4,"state":")" + State +
-              R"(","cold_remaining_s":0,"sequence":)" +
-              std::to_string(++Sequence_) + R"(,"born":)" +
-              std::to_string(Born_) + "}";
+  Made.Body =
+      R"({"backend_service":")" + Plan_.Service + R"(","address":")" +
+      endpoint(Upstream_->port()) + R"(","zone":")" + Plan_.Zone +
+      R"(","version":")" + Plan_.Version + R"(","capacity":4,"state":")" +
+      State + R"(","cold_remaining_s":0,"sequence":)" +
+      std::to_string(++Sequence_) + R"(,"born":)" + std::to_string(Born_) + "}";
   return harness::send(Made).Status;
 }
 
--- a/tests/robustness/BadAnswersTest.cpp
+++ b/tests/robustness/BadAnswersTest.cpp
@@ -5,9 +5,9 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace lycheethread;
-using streamlog::LogClient;
 using robustness::BadServer;
 using robustness::Mutator;
+using streamlog::LogClient;
 using Clock = std::chrono::steady_clock;
 
 namespace {
@@ -104,7 +104,8 @@
 BOOST_AUTO_TEST_CASE(BadAnswersOfTheLogAreUnavailable) {
   constexpr int Inputs = 4'000;
   BadServer Server;
-  const LogClient Log = streamlog::makeHttpLog(Server.url(), Milliseconds(1000));
+  const LogClient Log =
+      streamlog::makeHttpLog(Server.url(), Milliseconds(1000));
   Server.prepare({goodRead()});
   BOOST_TEST(Log.Read(Control, Offset(0), 10, Milliseconds(0)).Records.size() ==
              2);
@@ -139,7 +140,8 @@
 BOOST_AUTO_TEST_CASE(OversizedAnswersAreCutOff) {
   constexpr int Inputs = 5;
   BadServer Server;
-  const LogClient Log = streamlog::makeHttpLog(Server.url(), Milliseconds(5000));
+  const LogClient Log =
+      streamlog::makeHttpLog(Server.url(), Milliseconds(5000));
   Server.prepare({answer("200 OK", std::string(24 * 1024 * 1024, ' '))});
   for (int I = 0; I < Inputs; ++I) {
     try {
--- a/tests/standins/log/tests/HttpLogTest.cpp
+++ b/tests/standins/log/tests/HttpLogTest.cpp
@@ -1,7 +1,7 @@
 #define BOOST_TEST_MODULE HttpLog
 #include "LogServer.h"
-#include "streamlog/StreamLog.h"
 #include "settings/Settings.h"
+#include "streamlog/StreamLog.h"
 
 #include <boost/test/unit_test.hpp>
 
