--- /dev/null
+++ b/src/sidecar/internal/CrashProbe.cpp
@@ -0,0 +1,88 @@
+#include "sidecar/internal/CrashProbe.h"
+
+namespace lycheethread::sidecar {
+
+namespace {
+
+/// The upstream is on the same instance.
+constexpr Milliseconds ConnectTimeout{500};
+/// Connections that break within this time before a failed probe broke in the
+/// same crash.
+constexpr Milliseconds CrashWindow{1000};
+constexpr std::size_t MaxCrashesTold = 16;
+
+} // namespace
+
+CrashProbe::CrashProbe(NodeContext &Context, ConnectionPool &Pool,
+                       std::function<void()> OnDown)
+    : Context_(Context), Pool_(Pool), OnDown_(std::move(OnDown)) {}
+
+void CrashProbe::noteAnswered(const requests::Fingerprint &Print) {
+  if (!Print.empty())
+    requests::noteAnswered(Answered_, Print, Context_.now());
+}
+
+void CrashProbe::noteBroken(const requests::Fingerprint &Print) {
+  if (Print.empty())
+    return;
+  Broken_.emplace_back(Print, Context_.now());
+  if (Probe_)
+    return;
+  // A single connection may break for other reasons; whether the upstream has
+  // crashed shows when it takes no new one.
+  Probe_ = ClientConnection::open(Context_.Loop, Context_.Registered.Address,
+                                  ConnectTimeout);
+  Probe_->OnConnected = [this] { onConnected(); };
+  Probe_->OnIdleEnd = [this] { onNotConnected(); };
+}
+
+void CrashProbe::onConnected() {
+  const ClientConnectionPtr Kept = std::move(Probe_);
+  Probe_ = nullptr;
+  Broken_.clear();
+  Context_.Loop.defer([this, Kept] {
+    Kept->OnConnected = nullptr;
+    Kept->OnIdleEnd = nullptr;
+    Pool_.give(Kept);
+  });
+}
+
+void CrashProbe::onNotConnected() {
+  const ClientConnectionPtr Kept = std::move(Probe_);
+  Probe_ = nullptr;
+  // Kept until its own callback has returned.
+  Context_.Loop.defer([Kept] {});
+  OnDown_();
+  noteNoConnection();
+}
+
+void CrashProbe::noteNoConnection() {
+  if (Broken_.empty())
+    return;
+  const SteadyTime Now = Context_.now();
+  const mesh::UpstreamId &Upstream = Context_.Registered.Now.Id;
+  const requests::CrashId Crash(Context_.Settings.Id.str() + "/" +
+                                Upstream.str() + "/" +
+                                std::to_string(++Crashes_));
+  std::size_t Suspects = 0;
+  for (const auto &[Print, At] : Broken_) {
+    if (elapsed(At, Now) > CrashWindow)
+      continue;
+    const auto Weight = requests::weightOf(Answered_, Print, Now);
+    requests::noteSuspect(Context_.Suspects, Print, Crash, Weight, Now);
+    Context_.OwnCrashes.push_back({Print, Crash, Weight});
+    ++Suspects;
+  }
+  Broken_.clear();
+  std::vector<mesh::CrashNews> &Told = Context_.OwnCrashes;
+  if (Told.size() > MaxCrashesTold)
+    Told.erase(Told.begin(),
+               Told.end() - static_cast<std::ptrdiff_t>(MaxCrashesTold));
+  Context_.Log.write(
+      LogClass::State, Now, "upstream-crashed",
+      {{"upstream", Upstream.str()}, {"suspects", std::to_string(Suspects)}});
+}
+
+void CrashProbe::reset() { Answered_ = {}; }
+
+} // namespace lycheethread::sidecar
--- a/src/sidecar/internal/Rollouts.cpp
+++ b/src/sidecar/internal/Rollouts.cpp
@@ -250,26 +250,30 @@
   Current.Writing = true;
   const ServiceName Service = Current.Order.Service;
   const Offset Order = Current.Order.At;
-  Store_.readNewest(
-      StoreTopic::Status, [this, Service, Order](const StoreRead &Read) {
-        const auto Found = Items_.find(Service);
-        if (Found == Items_.end() || Found->second.Order.At != Order)
-          return;
-        Item &Same = Found->second;
-        Same.Writing = false;
-        Same.NextWrite = after(Context_.now(), RecordRetry);
-        if (Read.Outcome != StoreOutcome::Done)
-          return;
-        onStatus(Read.Items);
-        if (isEnd(Same.State))
-          return;
-        const RolloutState State =
-            Same.Decision.End.value_or(RolloutState::Running);
-        if (!isEnd(State) && Same.RunningRecorded)
-          return;
-        Same.Writing = true;
-        append(Service, Order, State, Read.End);
-      });
+  Store_.readNewest(StoreTopic::Status,
+                    [this, Service, Order](const StoreRead &Read) {
+                      Item *const Same = endCall(Service, Order);
+                      if (Same == nullptr || Read.Outcome != StoreOutcome::Done)
+                        return;
+                      onStatus(Read.Items);
+                      if (isEnd(Same->State))
+                        return;
+                      const RolloutState State =
+                          Same->Decision.End.value_or(RolloutState::Running);
+                      if (!isEnd(State) && Same->RunningRecorded)
+                        return;
+                      Same->Writing = true;
+                      append(Service, Order, State, Read.End);
+                    });
+}
+
+Rollouts::Item *Rollouts::endCall(const ServiceName &Service, Offset Order) {
+  const auto Found = Items_.find(Service);
+  if (Found == Items_.end() || Found->second.Order.At != Order)
+    return nullptr;
+  Found->second.Writing = false;
+  Found->second.NextWrite = after(Context_.now(), RecordRetry);
+  return &Found->second;
 }
 
 void Rollouts::append(const ServiceName &Service, Offset Order,
@@ -279,18 +283,13 @@
   Store_.append(StoreTopic::Status, Format.StatusKey(Service),
                 Format.Status(Current.Order, State), At,
                 [this, Service, Order, State](const StoreAppend &Written) {
-                  const auto Found = Items_.find(Service);
-                  if (Found == Items_.end() || Found->second.Order.At != Order)
-                    return;
-                  Item &Same = Found->second;
-                  Same.Writing = false;
-                  Same.NextWrite = after(Context_.now(), RecordRetry);
+                  Item *const Same = endCall(Service, Order);
                   // After a conflict or a lost answer the topic is read again.
-                  if (Written.Outcome != StoreOutcome::Done)
+                  if (Same == nullptr || Written.Outcome != StoreOutcome::Done)
                     return;
-                  Same.RunningRecorded = true;
+                  Same->RunningRecorded = true;
                   if (isEnd(State))
-                    settle(Same, State, "own record");
+                    settle(*Same, State, "own record");
                 });
 }
 
--- a/src/sidecar/internal/Rollouts.h
+++ b/src/sidecar/internal/Rollouts.h
@@ -52,6 +52,9 @@
   void addNode(mesh::RolloutView &View, const Item &Current,
                const mesh::NodeNews &News) const;
   void record(Item &Current);
+  /// The item of a call to the store that has ended, or null when another order
+  /// has replaced it meanwhile.
+  Item *endCall(const ServiceName &Service, Offset Order);
   void append(const ServiceName &Service, Offset Order,
               mesh::RolloutState State, Offset At);
   void settle(Item &Current, mesh::RolloutState State, const char *Source);
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -29,10 +29,6 @@
 /// Weight of the newest sample in the mean service time.
 constexpr double ServiceWeight = 0.08;
 constexpr int FirstServerError = 500;
-/// Connections that break within this time before a failed probe broke in the
-/// same crash.
-constexpr Milliseconds CrashWindow{1000};
-constexpr std::size_t MaxCrashesTold = 16;
 /// Part of a long body that is taken before the request gets a slot.
 constexpr std::size_t MaxHeldBody = 512 * 1024;
 /// Assumed for a body without a stated length.
@@ -77,7 +73,9 @@
     NodeContext &Context,
     std::function<std::optional<Offset>(const ServiceName &)> ActiveOrder)
     : Context_(Context), ActiveOrder_(std::move(ActiveOrder)),
-      Pool_(Context.Loop) {}
+      Pool_(Context.Loop), Crashes_(Context, Pool_, [this] {
+        DownUntil_ = after(Context_.now(), DownTime);
+      }) {}
 
 UpstreamHop::~UpstreamHop() { Context_.Loop.cancel(Timer_); }
 
@@ -262,7 +260,7 @@
     Context_.Log.write(LogClass::Failure, Context_.now(), "upstream-refused",
                        {{"request", Item->Job.Id.str()},
                         {"upstream", Context_.Registered.Now.Id.str()}});
-    onCrash();
+    Crashes_.noteNoConnection();
     finish(Item, notRun(RefusalReason::NoUpstream));
   };
 }
@@ -366,8 +364,7 @@
   noteEvidence(*Job, Good, Took);
   if (Good) {
     noteServiceTime(Job->Job.Info.Route, Took);
-    if (!Job->Job.Info.Print.empty())
-      requests::noteAnswered(Answered_, Job->Job.Info.Print, Context_.now());
+    Crashes_.noteAnswered(Job->Job.Info.Print);
   }
   HopOutcome Outcome;
   Outcome.End = HopEnd::Answered;
@@ -388,7 +385,7 @@
   if (!Job->Abandoned)
     noteEvidence(*Job, false, Milliseconds(0));
   if (Why == ClientFailure::NoAnswer && !Job->Abandoned)
-    noteBroken(Job);
+    Crashes_.noteBroken(Job->Job.Info.Print);
   finish(Job, failed(RefusalReason::UpstreamFailed));
 }
 
@@ -524,7 +521,7 @@
     DownUntil_ = SteadyTime();
     MeanServiceMs_ = 0;
     ServiceMs_.clear();
-    Answered_ = {};
+    Crashes_.reset();
     Pool_.closeAll(Known.Address);
   }
   Queue_.Slots = Known.Now.Capacity;
@@ -597,60 +594,4 @@
       Found == ServiceMs_.end() ? MeanServiceMs_ : Found->second));
 }
 
-void UpstreamHop::noteBroken(const RunningPtr &Job) {
-  const HopInfo &Info = Job->Job.Info;
-  if (Info.Print.empty())
-    return;
-  Broken_.emplace_back(Info.Print, Context_.now());
-  if (Probe_)
-    return;
-  // A single connection may break for other reasons; whether the upstream has
-  // crashed shows when it takes no new one.
-  Probe_ = ClientConnection::open(Context_.Loop, Context_.Registered.Address,
-                                  ConnectTimeout);
-  Probe_->OnConnected = [this] {
-    const ClientConnectionPtr Kept = std::move(Probe_);
-    Probe_ = nullptr;
-    Broken_.clear();
-    Context_.Loop.defer([this, Kept] {
-      Kept->OnConnected = nullptr;
-      Kept->OnIdleEnd = nullptr;
-      Pool_.give(Kept);
-    });
-  };
-  Probe_->OnIdleEnd = [this] {
-    const ClientConnectionPtr Kept = std::move(Probe_);
-    Probe_ = nullptr;
-    Context_.Loop.defer([Kept] {});
-    DownUntil_ = after(Context_.now(), DownTime);
-    onCrash();
-  };
-}
-
-void UpstreamHop::onCrash() {
-  const SteadyTime Now = Context_.now();
-  if (Broken_.empty())
-    return;
-  const requests::CrashId Crash(Context_.Settings.Id.str() + "/" +
-                                Current_.str() + "/" +
-                                std::to_string(++Crashes_));
-  std::size_t Suspects = 0;
-  for (const auto &[Print, At] : Broken_) {
-    if (elapsed(At, Now) > CrashWindow)
-      continue;
-    const auto Weight = requests::weightOf(Answered_, Print, Now);
-    requests::noteSuspect(Context_.Suspects, Print, Crash, Weight, Now);
-    Context_.OwnCrashes.push_back({Print, Crash, Weight});
-    ++Suspects;
-  }
-  Broken_.clear();
-  std::vector<mesh::CrashNews> &Told = Context_.OwnCrashes;
-  if (Told.size() > MaxCrashesTold)
-    Told.erase(Told.begin(),
-               Told.end() - static_cast<std::ptrdiff_t>(MaxCrashesTold));
-  Context_.Log.write(
-      LogClass::State, Now, "upstream-crashed",
-      {{"upstream", Current_.str()}, {"suspects", std::to_string(Suspects)}});
-}
-
 } // namespace lycheethread::sidecar
--- a/src/sidecar/internal/UpstreamHop.h
+++ b/src/sidecar/internal/UpstreamHop.h
@@ -2,6 +2,7 @@
 #define LYCHEETHREAD_SIDECAR_INTERNAL_UPSTREAMHOP_H
 
 #include "sidecar/internal/ConnectionPool.h"
+#include "sidecar/internal/CrashProbe.h"
 #include "sidecar/internal/HopJob.h"
 #include "sidecar/internal/NodeContext.h"
 
@@ -65,12 +66,11 @@
   void noteEvidence(const Running &Job, bool Good, Milliseconds Took);
   void noteServiceTime(const RouteName &Route, Milliseconds Took);
   Milliseconds serviceTime(const RouteName &Route) const;
-  void noteBroken(const RunningPtr &Job);
-  void onCrash();
 
   NodeContext &Context_;
   std::function<std::optional<Offset>(const ServiceName &)> ActiveOrder_;
   ConnectionPool Pool_;
+  CrashProbe Crashes_;
   mesh::HopQueue Queue_;
   std::unordered_map<std::int64_t, RunningPtr> Jobs_;
   mesh::JobId LastJob_;
@@ -83,12 +83,6 @@
   double MeanServiceMs_ = 0;
   std::unordered_map<RouteName, double> ServiceMs_;
   std::map<std::pair<Offset, RouteName>, mesh::RouteEvidence> Evidence_;
-  requests::AnsweredTable Answered_;
-  /// Requests whose connection broke a moment ago, while it is not known yet
-  /// whether the upstream crashed.
-  std::vector<std::pair<requests::Fingerprint, SteadyTime>> Broken_;
-  ClientConnectionPtr Probe_;
-  std::int64_t Crashes_ = 0;
   reactor::TimerId Timer_;
 };
 
