--- a/src/reactor/tests/ReactorTest.cpp
+++ b/src/reactor/tests/ReactorTest.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE Reactor
 #include "reactor/Reactor.h"
+#include "FreePorts.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -10,8 +11,7 @@
 
 namespace {
 
-constexpr std::uint16_t TestPort = 39'417;
-const Endpoint Here{"127.0.0.1", TestPort};
+const Endpoint Here{"127.0.0.1", harness::freePort()};
 
 void runFor(EventLoop &Loop, Milliseconds Length) {
   Loop.runAfter(Length, [&] { Loop.stop(); });
--- a/src/sidecar/tests/ConnectionTest.cpp
+++ b/src/sidecar/tests/ConnectionTest.cpp
@@ -1,3 +1,4 @@
+#include "FreePorts.h"
 #include "sidecar/internal/ConnectionPool.h"
 #include "sidecar/internal/HttpServer.h"
 
@@ -9,8 +10,7 @@
 
 namespace {
 
-constexpr std::uint16_t Port = 39'427;
-const Endpoint Here{"127.0.0.1", Port};
+const Endpoint Here{"127.0.0.1", harness::freePort()};
 
 /// A server whose handler a test chooses, and one client connection.
 struct Pair {
