--- a/src/mesh/internal/DecideRollout.cpp
+++ b/src/mesh/internal/DecideRollout.cpp
@@ -40,7 +40,7 @@
 /// upstream takes twice as long.
 constexpr double SlowFactor = 2.4;
 constexpr double SlowMarginMs = 20;
-/// The last step lasts this long before the old version is let go.
+/// The old version is let go from this part of the duration on.
 constexpr std::int32_t CompletePermille = 740;
 /// Undecided at this part of the duration counts as not finished in time.
 constexpr std::int32_t GiveUpPermille = 930;
--- a/src/sidecar/internal/BodyPipe.h
+++ b/src/sidecar/internal/BodyPipe.h
@@ -33,7 +33,6 @@
   /// The producer should pause.
   bool isFull() const { return Buffer_.size() >= HighWater_; }
   void setHighWater(std::size_t Bytes) { HighWater_ = Bytes; }
-  const std::string &peek() const { return Buffer_; }
   /// Takes everything that is buffered.
   std::string take();
 
--- a/src/sidecar/internal/CallerEntry.cpp
+++ b/src/sidecar/internal/CallerEntry.cpp
@@ -59,7 +59,7 @@
   Poco::UInt64 Hash_ = 14695981039346656037ULL;
 };
 
-/// What stands between two reasons of the same request and its refusal.
+/// 503 promises that the request has not run; 502 and 504 promise nothing.
 int statusOf(RefusalReason Reason, bool MayHaveRun) {
   if (Reason == RefusalReason::NoRoute)
     return HTTPResponse::HTTP_NOT_FOUND;
--- a/src/sidecar/internal/Gossip.cpp
+++ b/src/sidecar/internal/Gossip.cpp
@@ -9,10 +9,10 @@
 namespace {
 
 constexpr Milliseconds TickInterval{250};
-/// Nodes told in each tick: in the own region, and as many in others. A
-/// datagram to the other region is billed.
+/// Nodes of the own region told in each tick.
 constexpr std::size_t PeersInRegion = 2;
-/// One tick in this many also tells a node of another region.
+/// One tick in this many also tells a node of another region, since bytes to it
+/// are billed.
 constexpr std::uint64_t TicksPerFarPeer = 2;
 constexpr std::size_t MaxToldAtOnce = 40;
 /// A contact that does not answer is tried again, less and less often.
--- a/src/sidecar/internal/HttpServer.cpp
+++ b/src/sidecar/internal/HttpServer.cpp
@@ -59,7 +59,6 @@
   void sendContinue();
   void answer(HTTPResponse &Head, const BodyPipePtr &Body,
               std::int64_t KnownLength);
-  void abort();
 
 private:
   void onInput();
@@ -149,8 +148,6 @@
 
 void Connection::onEnd() { close(); }
 
-void Connection::abort() { close(); }
-
 void Connection::onInput() {
   if (Reading_)
     return;
@@ -419,12 +416,6 @@
   answer(Head, BodyPipe::complete(Body));
 }
 
-void ServerRequest::abort() {
-  const auto From = Shared->From.lock();
-  if (From && !Shared->Gone)
-    From->abort();
-}
-
 HttpServer::HttpServer(EventLoop &Loop, const Endpoint &At,
                        HttpServerOptions Options)
     : Impl_(new Impl{{Loop, std::move(Options), {}, 0, false}, nullptr}) {
--- a/src/sidecar/internal/HttpServer.h
+++ b/src/sidecar/internal/HttpServer.h
@@ -38,9 +38,6 @@
   void answer(int Status, const std::string &Body,
               const std::string &ContentType = "text/plain");
 
-  /// Closes the connection without an answer.
-  void abort();
-
   /// What the connection and this handle share.
   struct State;
   std::unique_ptr<State> Shared;
