Send the own news alone to many nodes, and spread confirmations of an empty topic

Before the first configuration no node counted the store's answer as a confirmation, so that 1.5 s after a start of all nodes each of them read the store, over the region link too. Test: missingConfirmationIsReadBack.

--- a/src/mesh/types/NodeNews.h
+++ b/src/mesh/types/NodeNews.h
@@ -5,6 +5,7 @@
 #include "requests/Requests.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace lycheethread::mesh {
@@ -90,9 +91,10 @@
   Upstream Own;
   LoadNews Load;
   /// Position up to which the operator's records are known, and how long ago
-  /// the store confirmed to any node that there was nothing beyond.
+  /// the store confirmed to any node that there was nothing beyond; nothing
+  /// before the first confirmation.
   Offset OperatorPosition;
-  Milliseconds ConfirmedAge{0};
+  std::optional<Milliseconds> ConfirmedAge;
   std::vector<RolloutNews> Rollouts;
   std::vector<RouteEvidence> Evidence;
   std::vector<CrashNews> Crashes;
--- a/src/sidecar/gen/gossip_types.cpp
+++ b/src/sidecar/gen/gossip_types.cpp
@@ -857,6 +857,7 @@
 
 void NewsMessage::__set_confirmedAgeMs(const int64_t val) {
   this->confirmedAgeMs = val;
+__isset.confirmedAgeMs = true;
 }
 
 void NewsMessage::__set_rollouts(const std::vector<RolloutMessage> & val) {
@@ -1167,10 +1168,11 @@
   xfer += oprot->writeI64(this->operatorPosition);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("confirmedAgeMs", ::apache::thrift::protocol::T_I64, 15);
-  xfer += oprot->writeI64(this->confirmedAgeMs);
-  xfer += oprot->writeFieldEnd();
-
+  if (this->__isset.confirmedAgeMs) {
+    xfer += oprot->writeFieldBegin("confirmedAgeMs", ::apache::thrift::protocol::T_I64, 15);
+    xfer += oprot->writeI64(this->confirmedAgeMs);
+    xfer += oprot->writeFieldEnd();
+  }
   if (this->__isset.rollouts) {
     xfer += oprot->writeFieldBegin("rollouts", ::apache::thrift::protocol::T_LIST, 16);
     {
@@ -1305,7 +1307,7 @@
   out << ", " << "waiting=" << to_string(waiting);
   out << ", " << "serviceTimeMs=" << to_string(serviceTimeMs);
   out << ", " << "operatorPosition=" << to_string(operatorPosition);
-  out << ", " << "confirmedAgeMs=" << to_string(confirmedAgeMs);
+  out << ", " << "confirmedAgeMs="; (__isset.confirmedAgeMs ? (out << to_string(confirmedAgeMs)) : (out << "<null>"));
   out << ", " << "rollouts="; (__isset.rollouts ? (out << to_string(rollouts)) : (out << "<null>"));
   out << ", " << "evidence="; (__isset.evidence ? (out << to_string(evidence)) : (out << "<null>"));
   out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
--- a/src/sidecar/gen/gossip_types.h
+++ b/src/sidecar/gen/gossip_types.h
@@ -503,7 +503,9 @@
       return false;
     if (!(operatorPosition == rhs.operatorPosition))
       return false;
-    if (!(confirmedAgeMs == rhs.confirmedAgeMs))
+    if (__isset.confirmedAgeMs != rhs.__isset.confirmedAgeMs)
+      return false;
+    else if (__isset.confirmedAgeMs && !(confirmedAgeMs == rhs.confirmedAgeMs))
       return false;
     if (__isset.rollouts != rhs.__isset.rollouts)
       return false;
--- a/src/sidecar/gossip.thrift
+++ b/src/sidecar/gossip.thrift
@@ -53,7 +53,7 @@
   12: i32 waiting
   13: i64 serviceTimeMs
   14: i64 operatorPosition
-  15: i64 confirmedAgeMs
+  15: optional i64 confirmedAgeMs // absent before the first confirmation
   16: optional list<RolloutMessage> rollouts
   17: optional list<EvidenceMessage> evidence
   18: optional list<CrashMessage> crashes
--- a/src/sidecar/internal/Gossip.cpp
+++ b/src/sidecar/internal/Gossip.cpp
@@ -48,7 +48,7 @@
     if (!(At == Context_.Settings.Gossip))
       Added = Contacts_.emplace(At, Contact{}).second || Added;
   if (Added)
-    tryContacts(datagram());
+    tryContacts();
 }
 
 mesh::NodeNews Gossip::ownNews() {
@@ -63,6 +63,11 @@
   return News;
 }
 
+/// The own news alone, for datagrams to many nodes at once: with the news of
+/// others in each of them, starts and changes of the configuration were most of
+/// the bytes between zones on a calm day. Those go out with the ticks.
+std::string Gossip::ownDatagram() { return encodeNews({ownNews()}); }
+
 std::string Gossip::datagram() {
   std::vector<mesh::NodeNews> News{ownNews()};
   std::size_t Size = encodedSize(News.front());
@@ -86,7 +91,8 @@
     mesh::NodeNews Item = Known->News;
     // Ages count from the moment of sending.
     const Milliseconds Held = elapsed(Known->HeardAt, Now);
-    Item.ConfirmedAge += Held;
+    if (Item.ConfirmedAge)
+      *Item.ConfirmedAge += Held;
     for (mesh::RolloutNews &Rollout : Item.Rollouts)
       Rollout.Age += Held;
     Size += encodedSize(Item);
@@ -105,16 +111,17 @@
        mesh::choosePeers(Context_.Fleet, Context_.Settings.At, TickInterval,
                          Context_.now(), Context_.Random))
     Socket_->send(To, Data);
-  tryContacts(Data);
+  tryContacts();
   Timer_ = Context_.Loop.runAfter(TickInterval, [this] { tick(); });
 }
 
-void Gossip::tryContacts(const std::string &Data) {
+void Gossip::tryContacts() {
   const SteadyTime Now = Context_.now();
   std::set<Endpoint> Known;
   for (const auto &[Id, Node] : Context_.Fleet.Nodes)
     if (mesh::isAlive(Node, Now))
       Known.insert(Node.News.Gossip);
+  std::string Data;
   for (auto &[At, Item] : Contacts_) {
     if (Known.count(At) != 0) {
       Item = {};
@@ -122,6 +129,8 @@
     }
     if (Now < Item.NextTry)
       continue;
+    if (Data.empty())
+      Data = ownDatagram();
     Item.Pause = Item.Pause == Milliseconds(0)
                      ? FirstContactPause
                      : std::min(LongestContactPause, Item.Pause * 2);
@@ -141,10 +150,7 @@
 }
 
 void Gossip::tell(const std::function<bool(const mesh::NodeNews &)> &IsMeant) {
-  // The own news alone: those of others go out with the ticks, and a datagram
-  // to forty nodes at each change of the configuration was most of the bytes
-  // between zones on a calm day.
-  const std::string Data = encodeNews({ownNews()});
+  const std::string Data = ownDatagram();
   std::vector<Endpoint> To;
   for (const auto &[Id, Known] : Context_.Fleet.Nodes)
     if (mesh::isAlive(Known, Context_.now()) && IsMeant(Known.News))
@@ -182,7 +188,7 @@
                           {"service", Item.Own.Service.str()}});
       // After a start of many nodes, each should know the others at once.
       if (Answer.empty())
-        Answer = datagram();
+        Answer = ownDatagram();
       Socket_->send(Item.Gossip, Answer);
     }
     for (const mesh::CrashNews &Crash : Item.Crashes)
--- a/src/sidecar/internal/Gossip.h
+++ b/src/sidecar/internal/Gossip.h
@@ -33,8 +33,9 @@
   void tell(const std::function<bool(const mesh::NodeNews &)> &IsMeant);
   void onDatagram(std::string_view Data);
   mesh::NodeNews ownNews();
+  std::string ownDatagram();
   std::string datagram();
-  void tryContacts(const std::string &Data);
+  void tryContacts();
 
   NodeContext &Context_;
   std::function<void(mesh::NodeNews &)> Describe_;
--- a/src/sidecar/internal/NewsCodec.cpp
+++ b/src/sidecar/internal/NewsCodec.cpp
@@ -117,7 +117,8 @@
   To.__set_serviceTimeMs(From.Load.ServiceTime.count());
   To.__set_bodyWaitMs(From.Load.BodyWait.count());
   To.__set_operatorPosition(From.OperatorPosition.value());
-  To.__set_confirmedAgeMs(From.ConfirmedAge.count());
+  if (From.ConfirmedAge)
+    To.__set_confirmedAgeMs(From.ConfirmedAge->count());
   if (!From.Rollouts.empty())
     To.__set_rollouts(listToWire<wire::RolloutMessage>(From.Rollouts));
   if (!From.Evidence.empty())
@@ -153,7 +154,8 @@
   To.Load = {From.running, From.waiting, Milliseconds(From.serviceTimeMs),
              Milliseconds(From.bodyWaitMs)};
   To.OperatorPosition = Offset(From.operatorPosition);
-  To.ConfirmedAge = Milliseconds(From.confirmedAgeMs);
+  if (From.__isset.confirmedAgeMs)
+    To.ConfirmedAge = Milliseconds(From.confirmedAgeMs);
   for (const wire::RolloutMessage &Item : From.rollouts)
     To.Rollouts.push_back({Offset(Item.order), Milliseconds(Item.ageMs),
                            Item.condemned, rolloutStateFrom(Item.state)});
--- a/src/sidecar/internal/OperatorFeed.cpp
+++ b/src/sidecar/internal/OperatorFeed.cpp
@@ -256,10 +256,10 @@
     if (News.OperatorPosition > Context_.Records.Position)
       Behind = true;
     if (News.OperatorPosition != Context_.Records.Position ||
-        News.OperatorPosition == Offset())
+        !News.ConfirmedAge)
       continue;
     const SteadyTime Confirmed(Known.HeardAt.value() -
-                               News.ConfirmedAge.count());
+                               News.ConfirmedAge->count());
     Context_.ConfirmedAt = std::max(Context_.ConfirmedAt, Confirmed);
   }
   if (Behind)
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -187,9 +187,8 @@
     Own.Own = Context.Registered.Now;
     Own.Load = Hop->load();
     Own.OperatorPosition = Context.Records.Position;
-    Own.ConfirmedAge = Context.ConfirmedAt == SteadyTime()
-                           ? Milliseconds(0)
-                           : elapsed(Context.ConfirmedAt, Context.now());
+    if (Context.ConfirmedAt != SteadyTime())
+      Own.ConfirmedAge = elapsed(Context.ConfirmedAt, Context.now());
     Own.Rollouts = Moves->news();
     Own.Evidence = Hop->evidence();
     Own.Crashes = Context.OwnCrashes;
--- a/src/sidecar/tests/CodecTest.cpp
+++ b/src/sidecar/tests/CodecTest.cpp
@@ -51,9 +51,20 @@
   BOOST_TEST(News.Load.BodyWait.count() == 120);
   BOOST_TEST((News.Rollouts.at(0).State == mesh::RolloutState::RolledBack));
   BOOST_TEST(News.Evidence.at(0).Bad == 3);
+  BOOST_TEST(News.ConfirmedAge.value().count() == 300);
   BOOST_TEST((News.Crashes.at(0).Weight == requests::SuspectWeight::Answered));
 }
 
+// Guards against a node that has not read the store yet and counts as having
+// confirmed its position just now.
+BOOST_AUTO_TEST_CASE(missingConfirmationIsReadBack) {
+  mesh::NodeNews News = fullNews();
+  News.ConfirmedAge.reset();
+  const auto Read = decodeNews(encodeNews({News}));
+  BOOST_REQUIRE((Read && Read->size() == 1U));
+  BOOST_TEST(!Read->front().ConfirmedAge.has_value());
+}
+
 // Guards against a datagram of another sender that ends the process.
 BOOST_AUTO_TEST_CASE(brokenDatagramsAreRejected) {
   const std::string Whole = encodeNews({fullNews()});
