Assume the service time of an upstream from the objective until it has answered

Cause: after a power loss of all instances the first answers of cold upstreams come from their shortest requests. Ruled out: missing nodes (all were ready 0.6 s after power), the region link. Test: queueOfAColdUpstreamStaysShort replays the pattern.

--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -14,6 +14,7 @@
 #include "mesh/types/Placement.h"
 #include "mesh/types/RetryBudget.h"
 #include "mesh/types/Rollout.h"
+#include "mesh/types/ServiceTime.h"
 
 #include <optional>
 #include <random>
@@ -42,6 +43,15 @@
 /// also over few requests. Null for a route without parts.
 const ServiceName *chooseService(const MeshRoute &Route, SplitState &State);
 
+/// Sets the time of an upstream that has answered nothing yet from the
+/// objective of a request; does nothing when the time is known.
+void assumeService(ServiceTime &Time, Milliseconds Objective, bool IsCold);
+
+void noteService(ServiceTime &Time, Milliseconds Took);
+
+/// 0 while nothing is known.
+Milliseconds meanService(const ServiceTime &Time);
+
 /// Time until a slot is free for one more request.
 Milliseconds expectedWait(std::int32_t Held, std::int32_t Capacity,
                           Milliseconds ServiceTime);
--- /dev/null
+++ b/src/mesh/internal/ServiceTime.cpp
@@ -0,0 +1,38 @@
+#include "mesh/Mesh.h"
+
+namespace lycheethread::mesh {
+
+namespace {
+
+/// The users' objectives are three to five times the time that an upstream
+/// works on a request.
+constexpr int ObjectiveParts = 3;
+/// A cold upstream takes about this many times as long.
+constexpr int ColdFactor = 2;
+/// Weight of the newest sample in the mean.
+constexpr double SampleWeight = 0.08;
+
+} // namespace
+
+void assumeService(ServiceTime &Time, Milliseconds Objective, bool IsCold) {
+  if (Time.IsKnown)
+    return;
+  const Milliseconds Assumed =
+      Objective * (IsCold ? ColdFactor : 1) / ObjectiveParts;
+  Time = {static_cast<double>(Assumed.count()), true};
+}
+
+void noteService(ServiceTime &Time, Milliseconds Took) {
+  const auto Sample = static_cast<double>(Took.count());
+  if (!Time.IsKnown)
+    Time = {Sample, true};
+  // The first answers of an upstream are those of its shortest requests, so
+  // that they count no more than later ones.
+  Time.MeanMs += SampleWeight * (Sample - Time.MeanMs);
+}
+
+Milliseconds meanService(const ServiceTime &Time) {
+  return Milliseconds(static_cast<std::int64_t>(Time.MeanMs));
+}
+
+} // namespace lycheethread::mesh
--- /dev/null
+++ b/src/mesh/tests/ServiceTimeTest.cpp
@@ -0,0 +1,82 @@
+#include "mesh/Mesh.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <queue>
+
+using namespace lycheethread;
+using namespace lycheethread::mesh;
+
+BOOST_AUTO_TEST_SUITE(ServiceTimes)
+
+BOOST_AUTO_TEST_CASE(measuredTimesReplaceTheAssumption) {
+  ServiceTime Time;
+  assumeService(Time, Milliseconds(800), true);
+  BOOST_TEST(meanService(Time).count() == 533);
+  assumeService(Time, Milliseconds(2000), true);
+  BOOST_TEST(meanService(Time).count() == 533);
+  for (int Count = 0; Count < 60; ++Count)
+    noteService(Time, Milliseconds(100));
+  BOOST_TEST(meanService(Time).count() < 110);
+}
+
+// Load pattern: all upstreams have just started cold, and callers press. The
+// first answers come from the shortest requests; a mean of 29 ms from them let
+// 31 requests wait for 13 slots that took 700 ms each, and most were late.
+BOOST_AUTO_TEST_CASE(queueOfAColdUpstreamStaysShort) {
+  constexpr Milliseconds Objective{800};
+  constexpr std::int64_t ShortWork = 30;
+  constexpr std::int64_t Work = 600;
+  constexpr std::int64_t ArrivalEveryMs = 10;
+  constexpr std::int64_t Until = 1500;
+  HopQueue Queue;
+  Queue.Slots = 13;
+  ServiceTime Time;
+  using End = std::pair<std::int64_t, std::int64_t>;
+  std::priority_queue<End, std::vector<End>, std::greater<>> Ends;
+  std::map<std::int64_t, std::int64_t> ArrivedAt;
+  std::int64_t Id = 0;
+  std::size_t Late = 0;
+  std::size_t Served = 0;
+  const auto start = [&](std::int64_t Job, std::int64_t Now) {
+    const std::int64_t Needs = Job % 13 == 0 ? ShortWork : Work;
+    Ends.emplace(Now + Needs, Job);
+  };
+  for (std::int64_t Now = 1; Now < Until; ++Now) {
+    while (!Ends.empty() && Ends.top().first <= Now) {
+      const std::int64_t Job = Ends.top().second;
+      Ends.pop();
+      noteService(Time, Milliseconds(Job % 13 == 0 ? ShortWork : Work));
+      --Queue.Running;
+      ++Served;
+      Late += Now - ArrivedAt[Job] > Objective.count() ? 1 : 0;
+    }
+    takeHopeless(Queue, SteadyTime(Now));
+    while (const auto Next = takeNext(Queue, SteadyTime(Now)))
+      start(Next->value(), Now);
+    if (Now % ArrivalEveryMs != 0)
+      continue;
+    QueuedJob Job;
+    Job.Id = JobId(++Id);
+    Job.Arrived = SteadyTime(Now);
+    Job.Objective = Objective;
+    Job.ObjectiveAt = SteadyTime(Now + Objective.count());
+    Job.DeadlineAt = SteadyTime(Now + 1500);
+    ArrivedAt[Id] = Now;
+    assumeService(Time, Objective, true);
+    Job.Service = meanService(Time);
+    const QueueVerdict Verdict =
+        admitJob(Queue, Job, meanService(Time), SteadyTime(Now));
+    if (Verdict.Do == QueueVerdict::Action::Run) {
+      ++Queue.Running;
+      start(Id, Now);
+    } else if (Verdict.Do == QueueVerdict::Action::Wait) {
+      Queue.Waiting.push_back(Job);
+    }
+    BOOST_TEST(Queue.Waiting.size() <= 5U);
+  }
+  BOOST_TEST(Served > 25U);
+  BOOST_TEST(Late * 10 <= Served);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/mesh/types/ServiceTime.h
@@ -0,0 +1,17 @@
+#ifndef LYCHEETHREAD_MESH_TYPES_SERVICETIME_H
+#define LYCHEETHREAD_MESH_TYPES_SERVICETIME_H
+
+#include "model/Model.h"
+
+namespace lycheethread::mesh {
+
+/// Mean time of one upstream for one request.
+struct ServiceTime {
+  double MeanMs = 0;
+  /// Assumed or measured.
+  bool IsKnown = false;
+};
+
+} // namespace lycheethread::mesh
+
+#endif // LYCHEETHREAD_MESH_TYPES_SERVICETIME_H
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -26,8 +26,6 @@
 /// known.
 constexpr Milliseconds MaxIdleForOnceOnly{300};
 constexpr Milliseconds MaxIdleForRepeatable{60000};
-/// Weight of the newest sample in the mean service time.
-constexpr double ServiceWeight = 0.08;
 constexpr int FirstServerError = 500;
 /// Part of a long body that is taken before the request gets a slot.
 constexpr std::size_t MaxHeldBody = 512 * 1024;
@@ -127,7 +125,7 @@
   Job->PendingBytes = std::max(UnknownBodyBytes, Job->Job.Framing.Length);
   Intake_.BytesPerMs = Context_.Settings.LinkBytesPerMs;
   const Milliseconds RoomIn =
-      mesh::untilIntake(Intake_, Job->PendingBytes, serviceTime(Info.Route),
+      mesh::untilIntake(Intake_, Job->PendingBytes, expectedService(Info),
                         elapsed(Context_.now(), Info.ObjectiveAt));
   if (RoomIn > Milliseconds(0)) {
     Job->PendingBytes = 0;
@@ -202,9 +200,9 @@
   Queued.Objective = Info.Objective;
   Queued.ObjectiveAt = Info.ObjectiveAt;
   Queued.DeadlineAt = Info.DeadlineAt;
-  Queued.Service = serviceTime(Info.Route);
+  Queued.Service = expectedService(Info);
   const QueueVerdict Verdict = mesh::admitJob(
-      Queue_, Queued, Milliseconds(static_cast<std::int64_t>(MeanServiceMs_)),
+      Queue_, Queued, mesh::meanService(Service_),
       Context_.now());
   switch (Verdict.Do) {
   case QueueVerdict::Action::Refuse:
@@ -363,7 +361,8 @@
   const bool Good = Status < FirstServerError;
   noteEvidence(*Job, Good, Took);
   if (Good) {
-    noteServiceTime(Job->Job.Info.Route, Took);
+    mesh::noteService(Service_, Took);
+    mesh::noteService(ServiceByRoute_[Job->Job.Info.Route], Took);
     Crashes_.noteAnswered(Job->Job.Info.Print);
   }
   HopOutcome Outcome;
@@ -427,7 +426,7 @@
        {"running", std::to_string(Queue_.Running)},
        {"waiting", std::to_string(Queue_.Waiting.size())},
        {"service_ms",
-        std::to_string(static_cast<std::int64_t>(MeanServiceMs_))},
+        std::to_string(mesh::meanService(Service_).count())},
        {"room_in_ms", std::to_string(Outcome.RoomIn.count())},
        {"left_ms",
         std::to_string(elapsed(Now, Job.Job.Info.DeadlineAt).count())}});
@@ -477,7 +476,7 @@
     const RunningPtr Job = Found->second;
     finish(Job,
            notRun(RefusalReason::QueueFull,
-                  Milliseconds(static_cast<std::int64_t>(MeanServiceMs_))));
+                  mesh::meanService(Service_)));
   }
   runWaiting();
   if (!Queue_.Waiting.empty())
@@ -519,8 +518,8 @@
   if (Known.Now.Id != Current_) {
     Current_ = Known.Now.Id;
     DownUntil_ = SteadyTime();
-    MeanServiceMs_ = 0;
-    ServiceMs_.clear();
+    Service_ = {};
+    ServiceByRoute_.clear();
     Crashes_.reset();
     Pool_.closeAll(Known.Address);
   }
@@ -541,7 +540,7 @@
 mesh::LoadNews UpstreamHop::load() const {
   return {Queue_.Running,
           static_cast<std::int32_t>(Queue_.Waiting.size()) + Intake_.Receiving,
-          Milliseconds(static_cast<std::int64_t>(MeanServiceMs_)),
+          mesh::meanService(Service_),
           mesh::intakeWait(Intake_)};
 }
 
@@ -563,9 +562,7 @@
     return;
   }
   // A cold upstream is slow whatever its version.
-  const bool IsCold =
-      elapsed(Context_.Registered.HeardAt, Context_.now()) < Now.ColdLeft;
-  if (Good && IsCold)
+  if (Good && isCold())
     return;
   const RouteName &Route = Job.Job.Info.Route;
   mesh::RouteEvidence &Item = Evidence_[{*Order, Route}];
@@ -579,19 +576,16 @@
   }
 }
 
-void UpstreamHop::noteServiceTime(const RouteName &Route, Milliseconds Took) {
-  const auto Sample = static_cast<double>(Took.count());
-  const auto Update = [Sample](double &Mean) {
-    Mean = Mean == 0 ? Sample : Mean + ServiceWeight * (Sample - Mean);
-  };
-  Update(MeanServiceMs_);
-  Update(ServiceMs_[Route]);
+bool UpstreamHop::isCold() const {
+  const mesh::Registration &Known = Context_.Registered;
+  return elapsed(Known.HeardAt, Context_.now()) < Known.Now.ColdLeft;
 }
 
-Milliseconds UpstreamHop::serviceTime(const RouteName &Route) const {
-  const auto Found = ServiceMs_.find(Route);
-  return Milliseconds(static_cast<std::int64_t>(
-      Found == ServiceMs_.end() ? MeanServiceMs_ : Found->second));
+Milliseconds UpstreamHop::expectedService(const HopInfo &Info) {
+  mesh::assumeService(Service_, Info.Objective, isCold());
+  mesh::ServiceTime &OfRoute = ServiceByRoute_[Info.Route];
+  mesh::assumeService(OfRoute, Info.Objective, isCold());
+  return mesh::meanService(OfRoute);
 }
 
 } // namespace lycheethread::sidecar
--- a/src/sidecar/internal/UpstreamHop.h
+++ b/src/sidecar/internal/UpstreamHop.h
@@ -64,8 +64,9 @@
   void sweep();
   void refuseWaiting(RefusalReason Reason);
   void noteEvidence(const Running &Job, bool Good, Milliseconds Took);
-  void noteServiceTime(const RouteName &Route, Milliseconds Took);
-  Milliseconds serviceTime(const RouteName &Route) const;
+  bool isCold() const;
+  /// Expected time of a request, assumed from its objective at first.
+  Milliseconds expectedService(const HopInfo &Info);
 
   NodeContext &Context_;
   std::function<std::optional<Offset>(const ServiceName &)> ActiveOrder_;
@@ -80,8 +81,8 @@
   mesh::UpstreamId Current_;
   /// No connection could be made; requests go elsewhere until then.
   SteadyTime DownUntil_;
-  double MeanServiceMs_ = 0;
-  std::unordered_map<RouteName, double> ServiceMs_;
+  mesh::ServiceTime Service_;
+  std::unordered_map<RouteName, mesh::ServiceTime> ServiceByRoute_;
   std::map<std::pair<Offset, RouteName>, mesh::RouteEvidence> Evidence_;
   reactor::TimerId Timer_;
 };
