--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -132,6 +132,12 @@
 /// the age of the newest confirmation by any node.
 bool shouldReadStore(std::size_t Rank, Milliseconds ConfirmedAge);
 
+/// Longest pause of a node between two calls to a store that fails.
+/// \p ReadsAlways is for a node that reads the store all the time, \p Serves for
+/// one that holds the operator's records.
+Milliseconds longestStorePause(bool ReadsAlways, bool Serves,
+                               std::size_t Nodes);
+
 /// How long to wait for records that so far only nodes at distance \p Nearest
 /// hold, before they are fetched from there.
 Milliseconds fetchDelay(const Fleet &Known, const Place &At, Tier Nearest,
--- a/src/mesh/internal/Fleet.cpp
+++ b/src/mesh/internal/Fleet.cpp
@@ -21,6 +21,13 @@
 constexpr Milliseconds DelayPerRank{20};
 constexpr Milliseconds MaxRankDelay{400};
 
+/// While the store fails, the nodes that serve try it in turn: all of them
+/// together about ten times a second on average, since calls are billed and the store may
+/// serve some of them only.
+constexpr Milliseconds PauseOfReaders{1000};
+constexpr Milliseconds ShortestPauseOfOthers{3000};
+constexpr Milliseconds PausePerNode{200};
+
 /// Time for the first node of a zone or region to fetch records over a link and
 /// to tell the others; after it they fetch for themselves.
 constexpr Milliseconds FetchPatience{350};
@@ -83,6 +90,14 @@
   return ConfirmedAge > ConfirmationTooOld + Delay;
 }
 
+Milliseconds longestStorePause(bool ReadsAlways, bool Serves,
+                               std::size_t Nodes) {
+  if (ReadsAlways || !Serves)
+    return PauseOfReaders;
+  return std::max(ShortestPauseOfOthers,
+                  PausePerNode * static_cast<std::int64_t>(Nodes));
+}
+
 Milliseconds fetchDelay(const Fleet &Known, const Place &At, Tier Nearest,
                         SteadyTime Now) {
   if (Nearest <= Tier::OwnZone)
--- a/src/mesh/tests/FleetTest.cpp
+++ b/src/mesh/tests/FleetTest.cpp
@@ -69,6 +69,21 @@
   BOOST_TEST(shouldReadStore(50, Milliseconds(2000)));
 }
 
+// Guards against calls to a failing store that grow with the nodes, and against
+// a node without records that waits as long as the others.
+BOOST_AUTO_TEST_CASE(nodesTryAFailingStoreInTurn) {
+  for (const std::size_t Nodes : {11U, 87U, 1000U}) {
+    const Milliseconds Pause = longestStorePause(false, true, Nodes);
+    // A pause is half of the longest on average.
+    BOOST_TEST(static_cast<double>(Nodes) * 2000 /
+                   static_cast<double>(Pause.count()) <=
+               10);
+    BOOST_TEST(Pause.count() >= 3000);
+  }
+  BOOST_TEST(longestStorePause(true, true, 1000).count() == 1000);
+  BOOST_TEST(longestStorePause(false, false, 1000).count() == 1000);
+}
+
 // Guards against one copy of the operator's records for each node over a link
 // that is billed by volume.
 BOOST_AUTO_TEST_CASE(oneNodeOfARegionFetchesOverTheLink) {
--- a/src/sidecar/internal/OperatorFeed.cpp
+++ b/src/sidecar/internal/OperatorFeed.cpp
@@ -19,8 +19,8 @@
 constexpr Milliseconds WatchInterval{100};
 /// Pause after a failed call, doubled each time, with jitter.
 constexpr Milliseconds FirstPause{100};
-constexpr Milliseconds LongestPause{1000};
-constexpr Milliseconds LongestPauseOfOthers{3000};
+/// Longest pause of a start that waits for the store.
+constexpr Milliseconds StartPause{1000};
 constexpr Milliseconds PullTimeout{1000};
 constexpr Milliseconds ConnectTimeout{250};
 /// The store answers within this time to a node of its own region, which may
@@ -79,7 +79,8 @@
   }
   Store_.readNewest(StoreTopic::Status, [this](const StoreRead &Read) {
     if (Read.Outcome != StoreOutcome::Done) {
-      Context_.Loop.runAfter(nextPause(), [this] { loadStatus(); });
+      Context_.Loop.runAfter(between(FirstPause, StartPause),
+                             [this] { loadStatus(); });
       return;
     }
     StatusKnown_ = true;
@@ -99,23 +100,29 @@
         onListed();
       Used_.OnProgress();
     } else if (Context_.Fleet.Nodes.empty()) {
-      Context_.Loop.runAfter(nextPause(), [this] { loadMembers(); });
+      Context_.Loop.runAfter(between(FirstPause, StartPause),
+                             [this] { loadMembers(); });
     }
   });
 }
 
+Milliseconds OperatorFeed::between(Milliseconds Least, Milliseconds Most) {
+  std::uniform_int_distribution<std::int64_t> Spread(Least.count(),
+                                                     Most.count());
+  return Milliseconds(Spread(Context_.Random));
+}
+
 Milliseconds OperatorFeed::nextPause() {
-  // While the store fails for all, only those that always read try often; the
-  // others hear from them when it is back.
   const bool ReadsAlways = mesh::shouldReadStore(
       mesh::rankOf(Context_.Fleet, "store", Context_.now()), Milliseconds(0));
-  const Milliseconds Longest =
-      ReadsAlways || !ReadOnce_ ? LongestPause : LongestPauseOfOthers;
+  const bool Serves = Context_.Records.Position > Offset();
+  const Milliseconds Longest = mesh::longestStorePause(
+      ReadsAlways, Serves, Context_.Fleet.Nodes.size());
+  if (Serves && !ReadsAlways)
+    return between(FirstPause, Longest);
   Pause_ =
       Pause_ == Milliseconds(0) ? FirstPause : std::min(Longest, Pause_ * 2);
-  std::uniform_int_distribution<std::int64_t> Jitter(Pause_.count() / 2,
-                                                     Pause_.count());
-  return Milliseconds(Jitter(Context_.Random));
+  return between(Pause_ / 2, Pause_);
 }
 
 void OperatorFeed::waitAndWatch(Milliseconds Pause) {
--- a/src/sidecar/internal/OperatorFeed.h
+++ b/src/sidecar/internal/OperatorFeed.h
@@ -53,6 +53,7 @@
   void take(const OperatorRecords &From, const char *Source);
   void applyConfig();
   void pull();
+  Milliseconds between(Milliseconds Least, Milliseconds Most);
   Milliseconds nextPause();
 
   NodeContext &Context_;
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -28,6 +28,8 @@
 /// How often lines that the log left out are reported.
 constexpr Milliseconds DroppedInterval{5000};
 constexpr Milliseconds ShortestPause{1200};
+/// Nodes that are listed greet each other within this time.
+constexpr Milliseconds SecondLookDelay{500};
 /// Limits for what other nodes and the platform send.
 constexpr std::size_t MaxInnerHeadBytes = 64 * 1024;
 constexpr std::int64_t MaxInnerBodyBytes = 1LL << 40;
@@ -214,17 +216,25 @@
     News->addContacts(Found);
     if (IsListed || MemberWritten)
       return;
+    const Milliseconds Delay =
+        Found.empty() ? Milliseconds(0) : SecondLookDelay;
     Store->append(StoreTopic::Members, Context.Settings.Id.str(),
                   Context.Platform.Operator.Member(Own), std::nullopt,
-                  [this](const StoreAppend &Written) {
+                  [this, Delay](const StoreAppend &Written) {
                     MemberWritten = Written.Outcome == StoreOutcome::Done;
-                    // Of two nodes that start together, the one that is
-                    // listed later sees the other in this second look.
                     if (MemberWritten)
-                      Feed->lookForMembers();
+                      Loop.runAfter(Delay, [this] { lookAgain(); });
                   });
   }
 
+  /// Of two nodes that start together and see nobody listed, the one that is
+  /// listed later sees the other in a second look. A node that has heard of any
+  /// other needs none: news spread who is there.
+  void lookAgain() {
+    if (Context.Fleet.Nodes.empty())
+      Feed->lookForMembers();
+  }
+
   void updateReadiness() {
     // A node that has served once holds a configuration that callers have met;
     // it is kept up to date but never given up.
