--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -133,8 +133,8 @@
 bool shouldReadStore(std::size_t Rank, Milliseconds ConfirmedAge);
 
 /// Longest pause of a node between two calls to a store that fails.
-/// \p ReadsAlways is for a node that reads the store all the time, \p Serves for
-/// one that holds the operator's records.
+/// \p ReadsAlways is for a node that reads the store all the time, \p Serves
+/// for one that holds the operator's records.
 Milliseconds longestStorePause(bool ReadsAlways, bool Serves,
                                std::size_t Nodes);
 
--- a/src/mesh/internal/ChoosePeers.cpp
+++ b/src/mesh/internal/ChoosePeers.cpp
@@ -36,7 +36,7 @@
   }
   const double Rounds =
       MillisecondsPerSecond / static_cast<double>(Interval.count());
-  const auto addOne = [&](const std::vector<Endpoint> &From, double Rate,
+  const auto AddOne = [&](const std::vector<Endpoint> &From, double Rate,
                           std::size_t Senders, std::vector<Endpoint> &To) {
     std::uniform_real_distribution<double> Part(0, 1);
     const double Share = Rate / (Rounds * static_cast<double>(Senders));
@@ -47,8 +47,8 @@
   std::vector<Endpoint> Peers = InZone;
   std::shuffle(Peers.begin(), Peers.end(), Random);
   Peers.resize(std::min(Peers.size(), PeersInZone));
-  addOne(InRegion, ZoneDatagramsPerSecond, ZoneNodes, Peers);
-  addOne(Far, RegionDatagramsPerSecond, ZoneNodes + InRegion.size(), Peers);
+  AddOne(InRegion, ZoneDatagramsPerSecond, ZoneNodes, Peers);
+  AddOne(Far, RegionDatagramsPerSecond, ZoneNodes + InRegion.size(), Peers);
   return Peers;
 }
 
--- a/src/mesh/internal/Fleet.cpp
+++ b/src/mesh/internal/Fleet.cpp
@@ -22,8 +22,8 @@
 constexpr Milliseconds MaxRankDelay{400};
 
 /// While the store fails, the nodes that serve try it in turn: all of them
-/// together about ten times a second on average, since calls are billed and the store may
-/// serve some of them only.
+/// together about ten times a second on average, since calls are billed and the
+/// store may serve some of them only.
 constexpr Milliseconds PauseOfReaders{1000};
 constexpr Milliseconds ShortestPauseOfOthers{3000};
 constexpr Milliseconds PausePerNode{200};
--- a/src/mesh/tests/ServiceTimeTest.cpp
+++ b/src/mesh/tests/ServiceTimeTest.cpp
@@ -38,7 +38,7 @@
   std::int64_t Id = 0;
   std::size_t Late = 0;
   std::size_t Served = 0;
-  const auto start = [&](std::int64_t Job, std::int64_t Now) {
+  const auto Start = [&](std::int64_t Job, std::int64_t Now) {
     const std::int64_t Needs = Job % 13 == 0 ? ShortWork : Work;
     Ends.emplace(Now + Needs, Job);
   };
@@ -53,7 +53,7 @@
     }
     takeHopeless(Queue, SteadyTime(Now));
     while (const auto Next = takeNext(Queue, SteadyTime(Now)))
-      start(Next->value(), Now);
+      Start(Next->value(), Now);
     if (Now % ArrivalEveryMs != 0)
       continue;
     QueuedJob Job;
@@ -69,7 +69,7 @@
         admitJob(Queue, Job, meanService(Time), SteadyTime(Now));
     if (Verdict.Do == QueueVerdict::Action::Run) {
       ++Queue.Running;
-      start(Id, Now);
+      Start(Id, Now);
     } else if (Verdict.Do == QueueVerdict::Action::Wait) {
       Queue.Waiting.push_back(Job);
     }
--- a/src/sidecar/internal/OperatorFeed.cpp
+++ b/src/sidecar/internal/OperatorFeed.cpp
@@ -116,8 +116,8 @@
   const bool ReadsAlways = mesh::shouldReadStore(
       mesh::rankOf(Context_.Fleet, "store", Context_.now()), Milliseconds(0));
   const bool Serves = Context_.Records.Position > Offset();
-  const Milliseconds Longest = mesh::longestStorePause(
-      ReadsAlways, Serves, Context_.Fleet.Nodes.size());
+  const Milliseconds Longest =
+      mesh::longestStorePause(ReadsAlways, Serves, Context_.Fleet.Nodes.size());
   if (Serves && !ReadsAlways)
     return between(FirstPause, Longest);
   Pause_ =
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -202,8 +202,7 @@
   Queued.DeadlineAt = Info.DeadlineAt;
   Queued.Service = expectedService(Info);
   const QueueVerdict Verdict = mesh::admitJob(
-      Queue_, Queued, mesh::meanService(Service_),
-      Context_.now());
+      Queue_, Queued, mesh::meanService(Service_), Context_.now());
   switch (Verdict.Do) {
   case QueueVerdict::Action::Refuse:
     finish(Job, notRun(RefusalReason::QueueFull, Verdict.RoomIn));
@@ -425,8 +424,7 @@
        {"slots", std::to_string(Queue_.Slots)},
        {"running", std::to_string(Queue_.Running)},
        {"waiting", std::to_string(Queue_.Waiting.size())},
-       {"service_ms",
-        std::to_string(mesh::meanService(Service_).count())},
+       {"service_ms", std::to_string(mesh::meanService(Service_).count())},
        {"room_in_ms", std::to_string(Outcome.RoomIn.count())},
        {"left_ms",
         std::to_string(elapsed(Now, Job.Job.Info.DeadlineAt).count())}});
@@ -474,9 +472,7 @@
     if (Found == Jobs_.end())
       continue;
     const RunningPtr Job = Found->second;
-    finish(Job,
-           notRun(RefusalReason::QueueFull,
-                  mesh::meanService(Service_)));
+    finish(Job, notRun(RefusalReason::QueueFull, mesh::meanService(Service_)));
   }
   runWaiting();
   if (!Queue_.Waiting.empty())
@@ -540,8 +536,7 @@
 mesh::LoadNews UpstreamHop::load() const {
   return {Queue_.Running,
           static_cast<std::int32_t>(Queue_.Waiting.size()) + Intake_.Receiving,
-          mesh::meanService(Service_),
-          mesh::intakeWait(Intake_)};
+          mesh::meanService(Service_), mesh::intakeWait(Intake_)};
 }
 
 std::vector<mesh::RouteEvidence> UpstreamHop::evidence() const {
