Remember the leaving of an upstream that has not checked in yet

Cause: a node that had just been restarted acknowledged the leaving of its upstream before the first check-in. Nothing was registered, so nothing was kept, and a check-in that arrived 3.2 s later registered the upstream as ready: it was handed requests 3.3 s after the acknowledgement (bound 3 s). Ruled out: stale news of other nodes (the sender is the upstream's own node). Test: leavingBeforeTheFirstCheckInIsFinal; with the line that keeps the leaving taken out it fails (2 checks), with it MeshTests pass.

--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -148,8 +148,11 @@
 /// False when the check-in is older than what is known, or its start has left.
 bool applyCheckIn(Registration &Known, const CheckIn &Item, SteadyTime Now);
 
-/// False when another upstream is registered.
-bool applyLeave(Registration &Known, const UpstreamId &Id);
+/// False when another upstream is registered, or none; the leaving is kept all
+/// the same. \p UnixMs is the time of day, by which later starts of the same id
+/// are told apart.
+bool applyLeave(Registration &Known, const UpstreamId &Id, std::int64_t UnixMs,
+                SteadyTime Now);
 
 /// Whether the upstream has missed several check-ins.
 bool isSilent(const Registration &Known, Milliseconds Interval, SteadyTime Now);
--- a/src/mesh/internal/Place.cpp
+++ b/src/mesh/internal/Place.cpp
@@ -33,9 +33,8 @@
 constexpr double JitterPart = 0.15;
 constexpr double BytesPerKiB = 1024;
 /// Part of the requests that go to any upstream of the own zone with a free
-/// slot.
-/// Without them an upstream that was slow once, or is new, is never tried while
-/// the others have room.
+/// slot. Without them an upstream that was slow once, or is new, is never tried
+/// while the others have room.
 constexpr double TrialShare = 0.03;
 constexpr double MaxTrialFailureRate = 0.2;
 /// Longer bodies wait for their turn on the link of the upstream's instance.
--- a/src/mesh/internal/Registration.cpp
+++ b/src/mesh/internal/Registration.cpp
@@ -7,6 +7,10 @@
 /// Check-ins missed before an upstream counts as silent.
 constexpr int MissedCheckIns = 3;
 constexpr std::size_t MaxLeftKept = 64;
+/// Check-ins arrive seconds late. A start whose time of birth is not known
+/// counts as left for this long only, since clocks differ by seconds and a new
+/// start may have the same id.
+constexpr Milliseconds UnknownLeftKept{30000};
 
 bool isNewer(const Registration &Known, const CheckIn &Item) {
   if (Known.Now.Id.empty())
@@ -20,7 +24,8 @@
 
 bool applyCheckIn(Registration &Known, const CheckIn &Item, SteadyTime Now) {
   const auto Left = Known.Left.find(Item.From.Id);
-  if (Left != Known.Left.end() && Item.From.Born <= Left->second)
+  if (Left != Known.Left.end() && Item.From.Born <= Left->second.BornUpTo &&
+      (!Left->second.Until || Now < *Left->second.Until))
     return false;
   if (!isNewer(Known, Item))
     return false;
@@ -38,12 +43,18 @@
   return true;
 }
 
-bool applyLeave(Registration &Known, const UpstreamId &Id) {
-  if (Known.Now.Id != Id)
-    return false;
+bool applyLeave(Registration &Known, const UpstreamId &Id, std::int64_t UnixMs,
+                SteadyTime Now) {
   if (Known.Left.size() >= MaxLeftKept)
     Known.Left.clear();
-  Known.Left[Id] = Known.Now.Born;
+  if (Known.Now.Id != Id) {
+    // A node that has just started may hear of the leaving first, and of an
+    // earlier check-in after it.
+    if (Known.Left.count(Id) == 0)
+      Known.Left[Id] = {UnixMs, after(Now, UnknownLeftKept)};
+    return false;
+  }
+  Known.Left[Id] = {Known.Now.Born, std::nullopt};
   Known.Now.State = UpstreamState::Gone;
   return true;
 }
--- a/src/mesh/tests/RegistrationTest.cpp
+++ b/src/mesh/tests/RegistrationTest.cpp
@@ -44,17 +44,32 @@
                SteadyTime(1));
   applyCheckIn(Known, checkIn("a", 100, 2), SteadyTime(2));
   BOOST_TEST((Known.Now.State == UpstreamState::Draining));
-  BOOST_TEST(applyLeave(Known, UpstreamId("a")));
+  BOOST_TEST(applyLeave(Known, UpstreamId("a"), 500, SteadyTime(2)));
   BOOST_TEST((Known.Now.State == UpstreamState::Gone));
   BOOST_TEST(!applyCheckIn(Known, checkIn("a", 100, 3), SteadyTime(3)));
   BOOST_TEST(applyCheckIn(Known, checkIn("b", 300, 1), SteadyTime(4)));
   BOOST_TEST(!applyCheckIn(Known, checkIn("a", 100, 4), SteadyTime(5)));
 }
 
+// Guards against new work for an upstream whose leaving a node acknowledged
+// just after its own start, before any check-in: a late one registered it
+// again.
+BOOST_AUTO_TEST_CASE(leavingBeforeTheFirstCheckInIsFinal) {
+  Registration Known;
+  BOOST_TEST(!applyLeave(Known, UpstreamId("a"), 500, SteadyTime(1000)));
+  BOOST_TEST(!applyCheckIn(Known, checkIn("a", 100, 19), SteadyTime(4200)));
+  BOOST_TEST(Known.Now.Id.empty());
+  // A new start under the same id, also with a clock that is behind.
+  BOOST_TEST(applyCheckIn(Known, checkIn("a", 100, 30), SteadyTime(32'000)));
+  Registration Other;
+  applyLeave(Other, UpstreamId("a"), 500, SteadyTime(1000));
+  BOOST_TEST(applyCheckIn(Other, checkIn("a", 600, 1), SteadyTime(1500)));
+}
+
 BOOST_AUTO_TEST_CASE(leaveOfAnotherUpstreamIsIgnored) {
   Registration Known;
   applyCheckIn(Known, checkIn("b", 200, 1), SteadyTime(1));
-  BOOST_TEST(!applyLeave(Known, UpstreamId("a")));
+  BOOST_TEST(!applyLeave(Known, UpstreamId("a"), 500, SteadyTime(2)));
   BOOST_TEST((Known.Now.State == UpstreamState::Ready));
 }
 
--- a/src/mesh/types/CheckIn.h
+++ b/src/mesh/types/CheckIn.h
@@ -4,6 +4,7 @@
 #include "mesh/types/NodeNews.h"
 
 #include <map>
+#include <optional>
 
 namespace lycheethread::mesh {
 
@@ -15,6 +16,15 @@
   Sequence Number;
 };
 
+/// A start that has left.
+struct LeftStart {
+  /// Starts of its id that were born up to then have left, Unix ms.
+  std::int64_t BornUpTo = 0;
+  /// Later check-ins are taken again; nothing for a start that was registered
+  /// here, since its time of birth is known.
+  std::optional<SteadyTime> Until;
+};
+
 /// The upstream beside this node.
 struct Registration {
   Upstream Now;
@@ -23,7 +33,7 @@
   SteadyTime HeardAt;
   /// Starts that have left, by id, so that a late check-in of theirs does not
   /// bring them back.
-  std::map<UpstreamId, std::int64_t> Left;
+  std::map<UpstreamId, LeftStart> Left;
 };
 
 } // namespace lycheethread::mesh
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -1,4 +1,5 @@
 #include "sidecar/internal/SidecarNode.h"
+#include "kernel/Clock.h"
 #include "sidecar/internal/CallerEntry.h"
 #include "sidecar/internal/Gossip.h"
 #include "sidecar/internal/HopServer.h"
@@ -302,7 +303,8 @@
   }
 
   void onLeave(const mesh::UpstreamId &Id) {
-    const bool Taken = mesh::applyLeave(Context.Registered, Id);
+    const bool Taken = mesh::applyLeave(
+        Context.Registered, Id, kernel::wallNow().value(), Context.now());
     Context.Log.write(LogClass::State, Context.now(), "upstream-leaves",
                       {{"upstream", Id.str()},
                        {"registered", Context.Registered.Now.Id.str()},
