Use one server-error check, cold factor and body collector

Cause: the read-through of the change found the status check five times, the test of a failed upstream twice in the proxy, the factor of a cold upstream twice, and the callbacks that collect an answer's body twice. The last hop also worked out twice for each request whether its upstream is cold. Ruled out: joining the two queue replays of the tests; one has fixed times and ranks, the other learns its times. No behaviour changes.

--- a/src/http/types/Head.h
+++ b/src/http/types/Head.h
@@ -29,6 +29,9 @@
   std::int64_t Length = 0;
 };
 
+/// Whether the status says that the server failed.
+inline bool isServerError(int Status) { return Status >= 500; }
+
 /// Parse a head up to and including its empty line. Throw BadMessage.
 void parseRequest(std::string_view Head, Poco::Net::HTTPRequest &Request);
 void parseResponse(std::string_view Head, Poco::Net::HTTPResponse &Response);
--- a/src/mesh/internal/ServiceTime.cpp
+++ b/src/mesh/internal/ServiceTime.cpp
@@ -7,8 +7,6 @@
 /// The users' objectives are three to five times the time that an upstream
 /// works on a request.
 constexpr int ObjectiveParts = 3;
-/// A cold upstream takes about this many times as long.
-constexpr int ColdFactor = 2;
 /// Weight of the newest sample in the mean.
 constexpr double SampleWeight = 0.08;
 
--- a/src/mesh/types/ServiceTime.h
+++ b/src/mesh/types/ServiceTime.h
@@ -5,6 +5,9 @@
 
 namespace lycheethread::mesh {
 
+/// A cold upstream takes about this many times as long as the others.
+inline constexpr int ColdFactor = 2;
+
 /// Mean time of one upstream for one request.
 struct ServiceTime {
   double MeanMs = 0;
--- a/src/proxy/internal/Attempt.cpp
+++ b/src/proxy/internal/Attempt.cpp
@@ -1,4 +1,5 @@
 #include "proxy/internal/Attempt.h"
+#include "http/Http.h"
 
 #include <Poco/Net/HTTPResponse.h>
 
@@ -21,6 +22,13 @@
   return Result;
 }
 
+bool isUpstreamFailure(const AttemptResult &Result) {
+  if (Result.End == AttemptEnd::Delivered)
+    return http::isServerError(Result.Status);
+  return Result.Reason == RefusalReason::UpstreamFailed ||
+         Result.Reason == RefusalReason::UpstreamTimeout;
+}
+
 int statusOf(RefusalReason Reason) {
   using Poco::Net::HTTPResponse;
   switch (Reason) {
--- a/src/proxy/internal/Attempt.h
+++ b/src/proxy/internal/Attempt.h
@@ -41,6 +41,9 @@
 
 AttemptResult refused(RefusalReason Reason, Executed Ran, std::string Detail);
 
+/// Whether the upstream itself failed.
+bool isUpstreamFailure(const AttemptResult &Result);
+
 /// HTTP status of a refusal.
 int statusOf(RefusalReason Reason);
 
--- a/src/proxy/internal/Entry.cpp
+++ b/src/proxy/internal/Entry.cpp
@@ -25,7 +25,6 @@
 /// How long the entry waits beyond the deadline for the last hop's own
 /// refusal, which says more precisely whether the request ran.
 constexpr Milliseconds RefusalGrace{20};
-constexpr int FirstServerError = 500;
 constexpr std::size_t MaxRefusalId = 128;
 
 bool wantsContinue(const HTTPRequest &Request) {
@@ -77,13 +76,6 @@
   return Result;
 }
 
-bool isUpstreamFailure(const AttemptResult &Result) {
-  if (Result.End == AttemptEnd::Delivered)
-    return Result.Status >= FirstServerError;
-  return Result.Reason == RefusalReason::UpstreamFailed ||
-         Result.Reason == RefusalReason::UpstreamTimeout;
-}
-
 std::chrono::microseconds since(Clock::time_point Start) {
   return std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() -
                                                                Start);
--- a/src/proxy/internal/LastHop.cpp
+++ b/src/proxy/internal/LastHop.cpp
@@ -20,7 +20,6 @@
 using Poco::Net::HTTPRequest;
 using Poco::Net::HTTPResponse;
 
-constexpr int FirstServerError = 500;
 constexpr std::size_t MaxContentType = 256;
 
 std::chrono::microseconds since(Clock::time_point Start) {
@@ -53,13 +52,6 @@
   Out.finish();
 }
 
-bool isUpstreamFailure(const AttemptResult &Result) {
-  if (Result.End == AttemptEnd::Delivered)
-    return Result.Status >= FirstServerError;
-  return Result.Reason == RefusalReason::UpstreamFailed ||
-         Result.Reason == RefusalReason::UpstreamTimeout;
-}
-
 bool saysSomethingOfUpstream(const AttemptResult &Result) {
   return Result.End == AttemptEnd::Delivered ||
          (Result.End != AttemptEnd::CallerLost && isUpstreamFailure(Result));
--- a/src/sidecar/internal/CallerEntry.cpp
+++ b/src/sidecar/internal/CallerEntry.cpp
@@ -40,7 +40,6 @@
 constexpr int HeldParts = 4;
 constexpr Milliseconds LongestHold{500};
 constexpr std::size_t MaxHeldAtStart = 200;
-constexpr int FirstServerError = 500;
 constexpr double MillisecondsPerSecond = 1000;
 
 /// FNV-1a over the parts that make a request the same as an earlier one.
@@ -402,7 +401,7 @@
 
 bool CallerEntry::mayRepeat(const CallPtr &Item, const HopOutcome &Outcome) {
   const bool Answered = Outcome.End == HopEnd::Answered;
-  if (Answered && Outcome.Answer.Head.getStatus() < FirstServerError)
+  if (Answered && !http::isServerError(Outcome.Answer.Head.getStatus()))
     return false;
   const Milliseconds Left = elapsed(Context_.now(), Item->Info.DeadlineAt);
   const bool BodyIsGone = !Item->Kept && Item->Request->body()->wasTaken();
@@ -507,7 +506,7 @@
   Sample.Latency = Took;
   Context_.Metrics->Record(Sample);
   const bool Good =
-      Status >= HTTPResponse::HTTP_OK && Status < FirstServerError;
+      Status >= HTTPResponse::HTTP_OK && !http::isServerError(Status);
   const LogClass Class = Good ? LogClass::Success : LogClass::Failure;
   Context_.Log.write(
       Class, Now, "request",
--- a/src/sidecar/internal/ClientConnection.cpp
+++ b/src/sidecar/internal/ClientConnection.cpp
@@ -325,4 +325,13 @@
   Answer_.Body->fail();
 }
 
+void collectBody(const ClientAnswer &Answer,
+                 const std::shared_ptr<std::string> &Into) {
+  *Into += Answer.Body->take();
+  Answer.Body->OnChange = [Into, Weak = std::weak_ptr<BodyPipe>(Answer.Body)] {
+    if (const auto More = Weak.lock())
+      *Into += More->take();
+  };
+}
+
 } // namespace lycheethread::sidecar
--- a/src/sidecar/internal/ClientConnection.h
+++ b/src/sidecar/internal/ClientConnection.h
@@ -28,6 +28,10 @@
   std::int64_t KnownLength = -1;
 };
 
+/// Appends the body of \p Answer to \p Into as it arrives.
+void collectBody(const ClientAnswer &Answer,
+                 const std::shared_ptr<std::string> &Into);
+
 struct ClientRequest {
   /// The head with its framing, as it goes onto the wire.
   std::string Head;
--- a/src/sidecar/internal/OperatorFeed.cpp
+++ b/src/sidecar/internal/OperatorFeed.cpp
@@ -337,12 +337,7 @@
   auto Body = std::make_shared<std::string>();
   ClientCallbacks Callbacks;
   Callbacks.OnAnswer = [Body](const ClientAnswer &Answer) {
-    *Body += Answer.Body->take();
-    Answer.Body->OnChange = [Body,
-                             Weak = std::weak_ptr<BodyPipe>(Answer.Body)] {
-      if (const auto More = Weak.lock())
-        *Body += More->take();
-    };
+    collectBody(Answer, Body);
   };
   Callbacks.OnComplete = [this, Body, End] {
     End();
--- a/src/sidecar/internal/StoreClient.cpp
+++ b/src/sidecar/internal/StoreClient.cpp
@@ -80,12 +80,7 @@
   // The body of a large configuration arrives in parts.
   Callbacks.OnAnswer = [Body, Status](const ClientAnswer &Answer) {
     *Status = Answer.Head.getStatus();
-    *Body += Answer.Body->take();
-    const BodyPipePtr Pipe = Answer.Body;
-    Pipe->OnChange = [Body, Weak = std::weak_ptr<BodyPipe>(Pipe)] {
-      if (const auto More = Weak.lock())
-        *Body += More->take();
-    };
+    collectBody(Answer, Body);
   };
   Callbacks.OnComplete = [End, Body, Status] { End(*Status, *Body); };
   Callbacks.OnFailure = [End](ClientFailure) { End(0, ""); };
--- a/src/sidecar/internal/UpstreamDirectory.cpp
+++ b/src/sidecar/internal/UpstreamDirectory.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr int FirstServerError = 500;
 /// Weight of the newest outcome in the failure rate.
 constexpr double FailureWeight = 0.12;
 /// The failure rate halves in this time without outcomes, so that an upstream
@@ -24,8 +23,6 @@
 constexpr Milliseconds LateAnswer{500};
 /// Used while no upstream's service time is known.
 constexpr Milliseconds UnknownServiceTime{50};
-/// A cold upstream takes about this many times as long as the others.
-constexpr int ColdFactor = 2;
 
 /// Without a service time a new upstream would look like the fastest one, and
 /// all nodes would send to it.
@@ -39,7 +36,7 @@
   const Milliseconds Assumed = Known == 0 ? UnknownServiceTime : Sum / Known;
   for (mesh::Candidate &Item : Candidates)
     if (Item.ServiceTime <= Milliseconds(0))
-      Item.ServiceTime = Item.IsCold ? Assumed * ColdFactor : Assumed;
+      Item.ServiceTime = Item.IsCold ? Assumed * mesh::ColdFactor : Assumed;
 }
 
 } // namespace
@@ -166,7 +163,7 @@
   const bool Failed = Outcome.End == HopEnd::Failed ||
                       (Outcome.End == HopEnd::NotRun && Outcome.Reached) ||
                       (Outcome.End == HopEnd::Answered &&
-                       Outcome.Answer.Head.getStatus() >= FirstServerError);
+                       http::isServerError(Outcome.Answer.Head.getStatus()));
   // A refusal by the last hop itself says nothing about the upstream.
   if (Outcome.End == HopEnd::NotRun && !Outcome.Reached)
     return;
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -26,7 +26,6 @@
 /// known.
 constexpr Milliseconds MaxIdleForOnceOnly{300};
 constexpr Milliseconds MaxIdleForRepeatable{60000};
-constexpr int FirstServerError = 500;
 /// Part of a long body that is taken before the request gets a slot.
 constexpr std::size_t MaxHeldBody = 512 * 1024;
 /// Assumed for a body without a stated length.
@@ -357,7 +356,7 @@
     finish(Job, failed(RefusalReason::UpstreamFailed));
     return;
   }
-  const bool Good = Status < FirstServerError;
+  const bool Good = !http::isServerError(Status);
   noteEvidence(*Job, Good, Took);
   if (Good) {
     mesh::noteService(Service_, Took);
@@ -577,9 +576,10 @@
 }
 
 Milliseconds UpstreamHop::expectedService(const HopInfo &Info) {
-  mesh::assumeService(Service_, Info.Objective, isCold());
+  const bool IsCold = isCold();
+  mesh::assumeService(Service_, Info.Objective, IsCold);
   mesh::ServiceTime &OfRoute = ServiceByRoute_[Info.Route];
-  mesh::assumeService(OfRoute, Info.Objective, isCold());
+  mesh::assumeService(OfRoute, Info.Objective, IsCold);
   return mesh::meanService(OfRoute);
 }
 
