Know a caller's close with its bytes, and end only when all is sent

A stop counted requests, not bytes: an answer that was handed to a connection but not yet sent, and a request that waited in a socket, were cut off at the exit. A graceful close cut an answer after 1.5 s although the reader was still taking it. Change: the stream tells that the peer has closed with the last bytes; entry and last hop leave such requests alone. HttpServer::isQuiet() looks at unsent and unread bytes. The linger time starts anew while the reader takes data. Before: closeThatCameWithTheBytesIsKnownWithThem reported the end one round later.

--- a/src/reactor/internal/EventLoop.cpp
+++ b/src/reactor/internal/EventLoop.cpp
@@ -181,6 +181,7 @@
     Impl_->runTimers();
     Impl_->runDeferred();
   }
+  Impl_->Stopping = false;
 }
 
 void EventLoop::stop() { Impl_->Stopping = true; }
--- a/src/reactor/internal/TcpStream.cpp
+++ b/src/reactor/internal/TcpStream.cpp
@@ -18,7 +18,8 @@
 constexpr std::size_t ReadBufferBytes = 16 * 1024;
 /// Bytes read from one connection before other events are handled.
 constexpr std::size_t MaxReadBytesPerEvent = 64 * 1024;
-/// Limits a graceful close when the peer keeps sending after the last answer.
+/// Limits a graceful close when the peer keeps sending after the last answer,
+/// or has taken nothing of it for this long.
 constexpr Milliseconds LingerTimeout{1500};
 /// Ends a connection whose data has not been acknowledged for this time.
 constexpr int UnackedTimeoutMs = 4000;
@@ -60,10 +61,15 @@
   std::string Output;
   bool Open = true;
   bool Connected = true;
+  /// The peer has closed its side and all its data has been read.
   bool PeerClosed = false;
+  /// The peer has closed its side; some of its data may be unread.
+  bool PeerClosing = false;
   bool Paused = false;
   bool Draining = false;
   bool ShutDown = false;
+  /// All written data was sent when the linger time last ended.
+  bool Lingered = false;
   Interest Watched;
   TimerId Timer;
 
@@ -119,6 +125,7 @@
       onConnectFinished();
       return;
     }
+    PeerClosing = PeerClosing || Found.PeerClosed;
     if (Found.Writable && !Output.empty() && !flush())
       return;
     if (Found.Readable && !PeerClosed && (!Paused || Draining))
@@ -196,7 +203,9 @@
         if (!Draining)
           Input.append(Buffer.data(), static_cast<std::size_t>(Count));
         Taken += static_cast<std::size_t>(Count);
-        if (static_cast<std::size_t>(Count) < Buffer.size())
+        // After a short read the kernel has no more data, but it may still
+        // have to report the end.
+        if (static_cast<std::size_t>(Count) < Buffer.size() && !PeerClosing)
           break;
         continue;
       }
@@ -226,6 +235,20 @@
       Callback();
   }
 
+  /// Keeps \p Owner open while its peer still takes written data.
+  void linger(const std::shared_ptr<TcpStream> &Owner) {
+    Timer = Loop.runAfter(LingerTimeout, [this, Owner, Unsent = Output.size()] {
+      if (!Output.empty() && Output.size() < Unsent)
+        linger(Owner);
+      else if (!Output.empty() || Lingered)
+        close();
+      else {
+        Lingered = true;
+        linger(Owner);
+      }
+    });
+  }
+
   void onPeerClosed() {
     PeerClosed = true;
     if (Draining) {
@@ -287,6 +310,17 @@
 
 bool TcpStream::isConnected() const { return Impl_->Connected; }
 
+bool TcpStream::hasPeerClosed() const {
+  return Impl_->PeerClosing || Impl_->PeerClosed;
+}
+
+bool TcpStream::hasUnreadData() const {
+  char Byte = 0;
+  return Impl_->Open && Impl_->Connected &&
+         ::recv(Impl_->Descriptor, &Byte, sizeof(Byte),
+                MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 std::string &TcpStream::input() { return Impl_->Input; }
 
 void TcpStream::write(std::string_view Data) {
@@ -325,9 +359,8 @@
   Impl_->Draining = true;
   // The callback of the loop holds only a weak reference; the timer keeps the
   // object alive until the connection has ended.
-  const auto Self = shared_from_this();
-  Impl_->Timer =
-      Impl_->Loop.runAfter(LingerTimeout, [Self] { Self->Impl_->close(); });
+  Impl_->Lingered = Impl_->Output.empty();
+  Impl_->linger(shared_from_this());
   if (Impl_->Output.empty())
     Impl_->shutDownSending();
   Impl_->updateInterest();
--- a/src/reactor/tests/ReactorTest.cpp
+++ b/src/reactor/tests/ReactorTest.cpp
@@ -2,6 +2,8 @@
 #include "reactor/Reactor.h"
 #include "FreePorts.h"
 
+#include <Poco/Net/SocketAddress.h>
+
 #include <boost/test/unit_test.hpp>
 
 #include <vector>
@@ -69,6 +71,68 @@
   BOOST_TEST(Ended);
 }
 
+// Guards against starting work for a caller that closed its connection before
+// its bytes were read.
+BOOST_AUTO_TEST_CASE(closeThatCameWithTheBytesIsKnownWithThem) {
+  EventLoop Loop;
+  std::shared_ptr<TcpStream> Server;
+  int Round = 0;
+  int InputRound = 0;
+  int EndRound = 0;
+  bool WasClosedAtInput = false;
+  const TcpListener Listener(Loop, Here, [&](auto Stream) {
+    Server = Stream;
+    Server->setCallbacks({{},
+                          [&] {
+                            InputRound = Round;
+                            WasClosedAtInput = Server->hasPeerClosed();
+                          },
+                          {},
+                          [&](StreamEnd) { EndRound = Round; }});
+  });
+  Poco::Net::StreamSocket Client(
+      Poco::Net::SocketAddress(Here.Address, Here.Port));
+  Client.sendBytes("hello", 5);
+  Client.close();
+  Loop.runAfter(Milliseconds(100), [&] { Loop.stop(); });
+  Loop.run([&] { ++Round; });
+  BOOST_TEST(Server->input() == "hello");
+  BOOST_TEST(WasClosedAtInput);
+  BOOST_TEST(EndRound == InputRound);
+}
+
+// Guards against an answer that is cut off at the end of the linger time while
+// a slow reader still takes it.
+BOOST_AUTO_TEST_CASE(gracefulCloseWaitsForASlowReader) {
+  EventLoop Loop;
+  const std::string Answer(8'000'000, 'a');
+  std::shared_ptr<TcpStream> Server;
+  const TcpListener Listener(Loop, Here, [&](auto Stream) {
+    Server = Stream;
+    Server->write(Answer);
+    Server->closeGracefully();
+  });
+  const auto Client = TcpStream::connect(Loop, Here, Milliseconds(500));
+  std::size_t Received = 0;
+  StreamEnd Seen = StreamEnd::Failed;
+  const std::function<void()> Resume = [&] { Client->setReadingPaused(false); };
+  Client->setCallbacks({{},
+                        [&] {
+                          Received += Client->input().size();
+                          Client->input().clear();
+                          Client->setReadingPaused(true);
+                          Loop.runAfter(Milliseconds(30), Resume);
+                        },
+                        {},
+                        [&](StreamEnd How) {
+                          Seen = How;
+                          Loop.stop();
+                        }});
+  runFor(Loop, Milliseconds(20'000));
+  BOOST_TEST(Received == Answer.size());
+  BOOST_TEST((Seen == StreamEnd::Closed));
+}
+
 BOOST_AUTO_TEST_CASE(refusedConnectionIsReported) {
   EventLoop Loop;
   StreamEnd Seen = StreamEnd::Closed;
--- a/src/reactor/types/TcpStream.h
+++ b/src/reactor/types/TcpStream.h
@@ -50,6 +50,11 @@
   void setCallbacks(Callbacks NewCallbacks);
   bool isOpen() const;
   bool isConnected() const;
+  /// Whether the peer has closed its side; data received before may still be
+  /// in input() or unread.
+  bool hasPeerClosed() const;
+  /// Whether received data waits in the kernel.
+  bool hasUnreadData() const;
   /// Received data; the owner erases what it has consumed.
   std::string &input();
   void write(std::string_view Data);
--- a/src/sidecar/internal/HopServer.cpp
+++ b/src/sidecar/internal/HopServer.cpp
@@ -28,6 +28,9 @@
                       "the request does not come from a node");
     return;
   }
+  // The entry has given the request up; its connection ends next.
+  if (Request->hasPeerClosed())
+    return;
   const auto Info = decodeInfo(Head.get(HopInfoName), Context_.arrival());
   if (!Info) {
     Context_.Log.write(LogClass::Failure, Context_.now(), "hop-unreadable",
--- a/src/sidecar/internal/HttpServer.cpp
+++ b/src/sidecar/internal/HttpServer.cpp
@@ -36,6 +36,8 @@
   BodyPipePtr Pipe = std::make_shared<BodyPipe>();
   std::function<void()> OnGone;
   bool Gone = false;
+  /// The caller had closed its connection before the request was read.
+  bool ClosedBefore = false;
   bool Answered = false;
 };
 
@@ -46,6 +48,8 @@
   EventLoop &Loop;
   HttpServerOptions Options;
   std::unordered_set<std::shared_ptr<Connection>> Connections;
+  /// Connections that end after their last answer has been sent.
+  std::vector<std::weak_ptr<TcpStream>> Ending;
   std::size_t InProgress = 0;
   bool Closing = false;
 };
@@ -56,7 +60,10 @@
 
   void start();
   void close();
-  bool isIdle() const { return !Request_ && Stream_->input().empty(); }
+  bool isIdle() const {
+    return !Request_ && Stream_->input().empty() &&
+           Stream_->unsentBytes() == 0 && !Stream_->hasUnreadData();
+  }
   void sendContinue();
   void answer(HTTPResponse &Head, const BodyPipePtr &Body,
               std::int64_t KnownLength);
@@ -73,6 +80,7 @@
   void setTimer(Milliseconds Length);
   void onTimer();
   void refuse(int Status, const std::string &Text);
+  void endGracefully();
   bool keepsAlive() const;
 
   ServerState &Server_;
@@ -216,6 +224,7 @@
     return false;
   }
   Opened->Shared->From = weak_from_this();
+  Opened->Shared->ClosedBefore = Stream_->hasPeerClosed();
   Request_ = Opened;
   ++Server_.InProgress;
   Decoder_ = http::BodyDecoder(Opened->Shared->Body);
@@ -343,14 +352,24 @@
   Request_ = nullptr;
   --Server_.InProgress;
   if (!KeepAlive_ || !Decoder_.isComplete()) {
-    Server_.Loop.cancel(Timer_);
-    Stream_->closeGracefully();
-    Server_.Connections.erase(shared_from_this());
+    endGracefully();
     return;
   }
   nextRequest();
 }
 
+void Connection::endGracefully() {
+  Server_.Loop.cancel(Timer_);
+  Stream_->closeGracefully();
+  std::vector<std::weak_ptr<TcpStream>> &Ending = Server_.Ending;
+  Ending.erase(
+      std::remove_if(Ending.begin(), Ending.end(),
+                     [](const auto &Stream) { return Stream.expired(); }),
+      Ending.end());
+  Ending.push_back(Stream_);
+  Server_.Connections.erase(shared_from_this());
+}
+
 void Connection::nextRequest() {
   setTimer(AnnouncedIdle_ + IdleMargin);
   Stream_->setReadingPaused(false);
@@ -371,9 +390,7 @@
   Head.setVersion(HTTPMessage::HTTP_1_1);
   Head.set(HTTPMessage::CONNECTION, HTTPMessage::CONNECTION_CLOSE);
   Stream_->write(http::serialize(Head) + Text);
-  Server_.Loop.cancel(Timer_);
-  Stream_->closeGracefully();
-  Server_.Connections.erase(shared_from_this());
+  endGracefully();
 }
 
 } // namespace
@@ -393,7 +410,9 @@
 
 const BodyPipePtr &ServerRequest::body() const { return Shared->Pipe; }
 
-bool ServerRequest::hasPeerClosed() const { return Shared->Gone; }
+bool ServerRequest::hasPeerClosed() const {
+  return Shared->Gone || Shared->ClosedBefore;
+}
 
 bool ServerRequest::isAnswered() const { return Shared->Answered; }
 
@@ -425,7 +444,7 @@
 
 HttpServer::HttpServer(EventLoop &Loop, const Endpoint &At,
                        HttpServerOptions Options)
-    : Impl_(new Impl{{Loop, std::move(Options), {}, 0, false}, nullptr}) {
+    : Impl_(new Impl{{Loop, std::move(Options), {}, {}, 0, false}, nullptr}) {
   Impl_->Listener = std::make_unique<reactor::TcpListener>(
       Loop, At, [Used = &Impl_->State](std::shared_ptr<TcpStream> Stream) {
         const auto Accepted =
@@ -443,6 +462,17 @@
 
 std::size_t HttpServer::inProgress() const { return Impl_->State.InProgress; }
 
+bool HttpServer::isQuiet() const {
+  const ServerState &State = Impl_->State;
+  return std::all_of(State.Connections.begin(), State.Connections.end(),
+                     [](const auto &Item) { return Item->isIdle(); }) &&
+         std::all_of(State.Ending.begin(), State.Ending.end(),
+                     [](const auto &Item) {
+                       const auto Stream = Item.lock();
+                       return !Stream || Stream->unsentBytes() == 0;
+                     });
+}
+
 void HttpServer::announceClose() { Impl_->State.Closing = true; }
 
 void HttpServer::closeIdle() {
--- a/src/sidecar/internal/HttpServer.h
+++ b/src/sidecar/internal/HttpServer.h
@@ -21,7 +21,7 @@
   const http::Framing &framing() const;
   const BodyPipePtr &body() const;
   /// Whether the caller has closed its connection, so that no answer can be
-  /// delivered.
+  /// delivered. May already be set when the request is handed over.
   bool hasPeerClosed() const;
   bool isAnswered() const;
 
@@ -62,6 +62,9 @@
 
   /// Returns the number of requests that have been read but not fully answered.
   std::size_t inProgress() const;
+  /// Whether the server can end without cutting anything off: no request is in
+  /// progress or waits to be read, and every answer has been sent.
+  bool isQuiet() const;
   /// From now on each answer announces that its connection will be closed.
   void announceClose();
   /// Closes connections that have no request in progress.
--- a/src/sidecar/tests/ConnectionTest.cpp
+++ b/src/sidecar/tests/ConnectionTest.cpp
@@ -2,6 +2,9 @@
 #include "sidecar/internal/ConnectionPool.h"
 #include "sidecar/internal/HttpServer.h"
 
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
 #include <boost/test/unit_test.hpp>
 
 using namespace lycheethread;
@@ -101,6 +104,55 @@
   BOOST_TEST(Used.Server.inProgress() == 0U);
 }
 
+// Guards against a request that is sent on although its caller closed its
+// connection together with sending it.
+BOOST_AUTO_TEST_CASE(requestOfACallerThatHasLeftIsMarked) {
+  ServerAndClient Used;
+  bool Handled = false;
+  bool WasClosed = false;
+  Used.Handle = [&](const ServerRequestPtr &Request) {
+    Handled = true;
+    WasClosed = Request->hasPeerClosed();
+  };
+  Poco::Net::StreamSocket Caller(
+      Poco::Net::SocketAddress(Here.Address, Here.Port));
+  Caller.sendBytes(Get.data(), static_cast<int>(Get.size()));
+  Caller.close();
+  Used.runFor(Milliseconds(100));
+  BOOST_TEST(Handled);
+  BOOST_TEST(WasClosed);
+}
+
+// Guards against a stop that cuts off an answer which the caller is still
+// reading, or a request that waits to be read.
+BOOST_AUTO_TEST_CASE(serverIsNotQuietBeforeItsAnswerIsSent) {
+  ServerAndClient Used;
+  Used.Handle = [](const ServerRequestPtr &Request) {
+    Request->answer(HTTPResponse::HTTP_OK, std::string(8'000'000, 'a'));
+  };
+  Poco::Net::StreamSocket Caller(
+      Poco::Net::SocketAddress(Here.Address, Here.Port));
+  Caller.sendBytes(Get.data(), static_cast<int>(Get.size()));
+  Used.runFor(Milliseconds(100));
+  BOOST_TEST(Used.Server.inProgress() == 0U);
+  BOOST_TEST(!Used.Server.isQuiet());
+  Used.Server.closeIdle();
+  std::vector<char> Buffer(1'000'000);
+  std::size_t Received = 0;
+  for (int Count = 0; Count < 1000 && Received < 8'000'000; ++Count) {
+    while (Caller.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+      const int Read =
+          Caller.receiveBytes(Buffer.data(), static_cast<int>(Buffer.size()));
+      if (Read <= 0)
+        break;
+      Received += static_cast<std::size_t>(Read);
+    }
+    Used.Loop.runAfter(Milliseconds(1), [&] { Used.Loop.stop(); });
+    Used.Loop.run([] {});
+  }
+  BOOST_TEST(Received >= 8'000'000U);
+}
+
 // Guards against the rest of a body that is taken for the next request.
 BOOST_AUTO_TEST_CASE(answerBeforeTheBodyPreventsReuse) {
   ServerAndClient Used;
