--- a/src/app/internal/NodeCommand.cpp
+++ b/src/app/internal/NodeCommand.cpp
@@ -173,6 +173,22 @@
   return ExitOk;
 }
 
+/// Prints the bounds that the node would use; returns the findings.
+Findings checkBounds(const std::string &Path,
+                     const settings::SidecarSettings &Settings) {
+  mesh::ParsedMeshBounds Parsed =
+      platform::makePlatformProtocol().Bounds(Settings.PlatformBounds);
+  const mesh::MeshBounds &Used = Parsed.Bounds;
+  std::cout << "bounds in use: grace " << Used.GraceTime.count()
+            << " ms, configuration in force within "
+            << Used.ConfigApplyTime.count() << " ms, retry ratio "
+            << Used.RetryRatio << ", retry slack " << Used.RetrySlack
+            << ", exposure of a bad version " << Used.ExposureShare << "\n";
+  for (Finding &Item : Parsed.Problems)
+    Item.File = Path;
+  return Parsed.Problems;
+}
+
 bool printFindingsIfAny(const Findings &Problems) {
   for (const Finding &Item : Problems)
     std::cerr << toString(Item) << "\n";
@@ -203,7 +219,10 @@
         settings::parseSidecarSettings(Path, Text);
     if (printFindingsIfAny(Result.Problems))
       return ExitRefused;
-    return CheckOnly ? ExitOk : runSidecar(Path, Result.Settings.LogLevel);
+    if (!CheckOnly)
+      return runSidecar(Path, Result.Settings.LogLevel);
+    return printFindingsIfAny(checkBounds(Path, Result.Settings)) ? ExitRefused
+                                                                  : ExitOk;
   }
   const settings::ParsedSettings Result =
       settings::parseNodeSettings(Path, Text);
--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -7,7 +7,9 @@
 
 #include "mesh/types/CheckIn.h"
 #include "mesh/types/HopQueue.h"
+#include "mesh/types/JoinState.h"
 #include "mesh/types/LinkBudget.h"
+#include "mesh/types/MeshBounds.h"
 #include "mesh/types/MeshConfig.h"
 #include "mesh/types/NodeReport.h"
 #include "mesh/types/Placement.h"
@@ -35,15 +37,18 @@
 std::int32_t leastUrgentRank(const MeshConfig &Config,
                              const ServiceName &Service);
 
-/// State of one node's weighted round robin over the parts of a route.
+/// Position of one node in the sequence by which it spreads the requests of a
+/// route over the parts.
 struct SplitState {
-  std::vector<std::int64_t> Credit;
+  /// From 0 to 1; empty before the first request.
+  std::optional<double> Position;
 };
 
-/// Returns the service for the next request. Smooth weighted round robin meets
-/// the weights closely even over a few requests. Null for a route without
-/// parts.
-const ServiceName *chooseService(const MeshRoute &Route, SplitState &State);
+/// Returns the service for the next request, or null for a route without parts.
+/// The weights are met closely over a few requests of one node, and also over
+/// the first requests of many nodes.
+const ServiceName *chooseService(const MeshRoute &Route, SplitState &State,
+                                 std::mt19937_64 &Random);
 
 /// Initialises the mean service time of an upstream that has not answered yet
 /// from the latency objective of a request. Does nothing when the mean is
@@ -117,8 +122,15 @@
 RolloutDecision decideRollout(const RolloutView &View);
 
 /// Stores \p Report if it is newer than the known one; otherwise returns false.
+/// An upstream process that has left does not become ready again.
 bool mergeReport(NodeTable &Known, const NodeReport &Report, SteadyTime Now);
 
+/// Whether the process will get no more requests.
+bool isLeaving(const Upstream &Item);
+
+/// Whether both describe the same start of an upstream.
+bool isSameProcess(const Upstream &First, const Upstream &Second);
+
 /// Returns the gossip endpoints to which a node at \p At sends its report in
 /// this round. Rounds are \p Interval apart.
 std::vector<Endpoint> choosePeers(const NodeTable &Known, const Location &At,
@@ -131,6 +143,14 @@
 
 void expireNodes(NodeTable &Known, SteadyTime Now);
 
+/// Whether a node that has heard of \p Heard others knows enough of the nodes
+/// on the list.
+bool knowsListedNodes(const JoinState &State, std::size_t Heard);
+
+/// Whether a node may serve that has started \p Waited ago: it must not refuse
+/// requests for want of upstreams that the list would have shown.
+bool hasJoined(const JoinState &State, std::size_t Heard, Milliseconds Waited);
+
 /// Returns the position of this node, from 0, in a rendezvous hash order of the
 /// living nodes. The order depends on \p Subject only.
 std::size_t rendezvousRank(const NodeTable &Known, const std::string &Subject,
@@ -138,7 +158,12 @@
 
 /// Whether a node of rank \p Rank reads the store itself. \p ConfirmedAge is
 /// the age of the newest confirmation by any node.
-bool shouldReadStore(std::size_t Rank, Milliseconds ConfirmedAge);
+bool shouldReadStore(std::size_t Rank, Milliseconds ConfirmedAge,
+                     const MeshBounds &Bounds);
+
+/// Returns how long one read of the store waits for a new record. Its end
+/// confirms that nothing was added.
+Milliseconds storeReadWait(const MeshBounds &Bounds);
 
 /// Returns the longest backoff between two calls to a failing store.
 /// \p ReadsAlways is set for a node that reads the store all the time,
@@ -163,11 +188,19 @@
 bool applyLeave(Registration &Known, const UpstreamId &Id, std::int64_t UnixMs,
                 SteadyTime Now);
 
+/// Records what another node remembers of this node's earlier incarnation: the
+/// process \p Past is leaving or has left. Returns true if the registered
+/// upstream has changed.
+bool restoreLeave(Registration &Known, const Upstream &Past, SteadyTime Now);
+
 /// Whether the upstream has missed several check-ins.
 bool isSilent(const Registration &Known, Milliseconds Interval, SteadyTime Now);
 
+/// Returns this node's part of the retries that \p Nodes nodes may make.
+RetryLimits retryLimits(const MeshBounds &Bounds, std::size_t Nodes);
+
 /// Adds the retry tokens that one more request of a service earns.
-void addRetryTokens(MeshRetryBudget &Budget);
+void addRetryTokens(MeshRetryBudget &Budget, const RetryLimits &Limits);
 
 /// Takes one retry token; returns false when none is left.
 bool takeRetryToken(MeshRetryBudget &Budget, RetryKind Kind);
--- a/src/mesh/internal/DecideRollout.cpp
+++ b/src/mesh/internal/DecideRollout.cpp
@@ -18,13 +18,20 @@
   bool UseSingleUpstream;
 };
 
-constexpr std::array<Step, 5> Steps{{
+constexpr Permille ComparisonShare(950);
+constexpr std::array<Step, 6> Steps{{
     {420, Permille(40), Permille(0), false},
     {520, Permille(150), Permille(100), true},
     {590, Permille(300), Permille(300), false},
     {660, Permille(500), Permille(500), false},
+    // The rest keeps a comparison possible: a disturbance that hits either
+    // version must not be taken for a fault of the new one.
+    {760, ComparisonShare, ComparisonShare, false},
     {1000, Permille(1000), Permille(1000), false},
 }};
+/// The part of the requests that the shares before the last two steps are made
+/// for.
+constexpr double PlannedExposure = 0.1;
 
 /// Answers that the new version must have given before its share grows beyond
 /// the first step.
@@ -38,19 +45,28 @@
 constexpr double FailureFactor = 2;
 /// Answers of each version on a route before their latencies are compared.
 constexpr std::int64_t MinAnswersToCompare = 10;
+/// Answers of the old version that a comparison of failures needs, unless the
+/// new one has fewer.
+constexpr std::int64_t MinOldAnswers = 5;
+/// Answers of the old version after which a comparison has told enough.
+constexpr std::int64_t OldAnswersToDecide = 20;
 /// A slow version takes several times as long by the users' definition; a cold
 /// upstream of a good version takes only twice as long.
 constexpr double SlowFactor = 2.4;
 constexpr double SlowMarginMs = 20;
 /// A rollout may complete, and release the old version, from this part of its
 /// duration on.
-constexpr std::int32_t CompletePermille = 740;
+constexpr std::int32_t CompletePermille = 780;
 /// A rollout that is still undecided at this part of its duration is rolled
 /// back.
 constexpr std::int32_t GiveUpPermille = 930;
 
+std::int64_t answers(const VersionTotals &Totals) {
+  return Totals.Good + Totals.Bad;
+}
+
 double failureRate(const VersionTotals &Totals) {
-  const auto All = Totals.Good + Totals.Bad;
+  const auto All = answers(Totals);
   return All == 0 ? 0
                   : static_cast<double>(Totals.Bad) / static_cast<double>(All);
 }
@@ -61,17 +77,53 @@
                                 static_cast<double>(Totals.Good);
 }
 
-bool fails(const RouteTotals &Totals) {
+/// Whether the old version has answered enough under the same share.
+bool isComparable(const RouteTotals &Totals) {
+  return answers(Totals.Old) >= std::min(MinOldAnswers, answers(Totals.New));
+}
+
+/// The outcomes of the new version beside those that the old one would have
+/// had. Each share is compared by itself: with sums over all shares, the long
+/// calm time of the old version would stand against a disturbance that falls on
+/// a time in which the new version has most of the requests.
+struct Comparison {
+  VersionTotals New;
+  double ExpectedBad = 0;
+  double ExpectedMs = 0;
+  std::int64_t TimedNew = 0;
+  std::int64_t TimedOld = 0;
+  double TimedMs = 0;
+};
+
+void add(Comparison &To, const RouteTotals &Totals) {
+  if (!isComparable(Totals))
+    return;
+  To.New.Good += Totals.New.Good;
+  To.New.Bad += Totals.New.Bad;
+  To.ExpectedBad +=
+      static_cast<double>(answers(Totals.New)) * failureRate(Totals.Old);
+  if (Totals.Old.Good == 0)
+    return;
+  To.ExpectedMs += static_cast<double>(Totals.New.Good) * meanTime(Totals.Old);
+  To.TimedMs += static_cast<double>(Totals.New.TotalTime.count());
+  To.TimedNew += Totals.New.Good;
+  To.TimedOld += Totals.Old.Good;
+}
+
+bool fails(const Comparison &Totals) {
+  const auto All =
+      static_cast<double>(std::max<std::int64_t>(1, answers(Totals.New)));
   return Totals.New.Bad >= MinFailuresToJudge &&
-         failureRate(Totals.New) >
-             failureRate(Totals.Old) * FailureFactor + FailureMargin;
+         static_cast<double>(Totals.New.Bad) / All >
+             Totals.ExpectedBad / All * FailureFactor + FailureMargin;
 }
 
-bool isSlow(const RouteTotals &Totals) {
-  return Totals.New.Good >= MinAnswersToCompare &&
-         Totals.Old.Good >= MinAnswersToCompare &&
-         meanTime(Totals.New) >
-             meanTime(Totals.Old) * SlowFactor + SlowMarginMs;
+bool isSlow(const Comparison &Totals) {
+  const auto Count = static_cast<double>(Totals.TimedNew);
+  return Totals.TimedNew >= MinAnswersToCompare &&
+         Totals.TimedOld >= MinAnswersToCompare &&
+         Totals.TimedMs / Count >
+             Totals.ExpectedMs / Count * SlowFactor + SlowMarginMs;
 }
 
 void add(VersionTotals &To, const VersionTotals &From) {
@@ -80,23 +132,56 @@
   To.TotalTime += From.TotalTime;
 }
 
-std::string findDefect(const RolloutView &View) {
-  RouteTotals All;
-  for (const auto &[Route, Totals] : View.Routes) {
+RouteTotals sumOf(const TotalsByRoute &Routes) {
+  RouteTotals Sum;
+  for (const auto &[Route, Totals] : Routes) {
+    add(Sum.Old, Totals.Old);
+    add(Sum.New, Totals.New);
+  }
+  return Sum;
+}
+
+std::string findDefect(const std::vector<TotalsByRoute> &Shares) {
+  std::map<RouteName, Comparison> ByRoute;
+  Comparison All;
+  for (const TotalsByRoute &Routes : Shares) {
+    for (const auto &[Route, Totals] : Routes)
+      add(ByRoute[Route], Totals);
+    add(All, sumOf(Routes));
+  }
+  for (const auto &[Route, Totals] : ByRoute) {
     if (fails(Totals))
       return "failures on route " + Route.str();
     if (isSlow(Totals))
       return "slow answers on route " + Route.str();
-    add(All.Old, Totals.Old);
-    add(All.New, Totals.New);
   }
   return fails(All) ? "failures on all routes together" : "";
 }
 
+/// Looks at all shares together, which finds a defect by the fewest requests,
+/// and at the present one by itself, which finds one that began late.
+std::string findDefect(const RolloutView &View) {
+  std::vector<TotalsByRoute> Shares = View.Earlier;
+  Shares.push_back(View.Routes);
+  const std::string Defect = findDefect(Shares);
+  return Defect.empty() ? findDefect({View.Routes}) : Defect;
+}
+
+/// Whether the new version fails where the old one has too few answers to tell
+/// whether it would fail, too.
+bool isSuspicious(const RolloutView &View) {
+  return std::any_of(
+      View.Routes.begin(), View.Routes.end(), [](const auto &Item) {
+        const RouteTotals &Totals = Item.second;
+        return Totals.New.Bad >= MinFailuresToJudge &&
+               failureRate(Totals.New) > FailureMargin && !isComparable(Totals);
+      });
+}
+
 std::int64_t countNewAnswers(const RolloutView &View) {
-  std::int64_t Sum = 0;
-  for (const auto &[Route, Totals] : View.Routes)
-    Sum += Totals.New.Good + Totals.New.Bad;
+  std::int64_t Sum = answers(sumOf(View.Routes).New);
+  for (const TotalsByRoute &Routes : View.Earlier)
+    Sum += answers(sumOf(Routes).New);
   return Sum;
 }
 
@@ -109,6 +194,21 @@
   return Found == Steps.end() ? Steps.back() : *Found;
 }
 
+/// Reduces the share of a step where a bad version may get less in total than
+/// the steps are made for.
+Permille scaled(Permille Share, const RolloutView &View) {
+  const double Factor = std::min(1.0, View.ExposureShare / PlannedExposure);
+  return Permille(static_cast<std::int32_t>(Share.value() * Factor));
+}
+
+bool mustCompare(const RolloutView &View, std::int64_t Progress) {
+  if (View.ReadyOld == 0 || Progress >= GiveUpPermille)
+    return false;
+  const bool Undecided =
+      View.IsComparing && answers(sumOf(View.Routes).Old) < OldAnswersToDecide;
+  return Undecided || isSuspicious(View);
+}
+
 } // namespace
 
 RolloutDecision decideRollout(const RolloutView &View) {
@@ -132,15 +232,22 @@
     return Decided;
   }
   const Step &Now = stepAt(View, Progress);
-  Decided.Repeatable = Now.Repeatable;
-  Decided.NonRepeatable = Now.NonRepeatable;
+  Decided.IsLastStep = Now.Repeatable >= ComparisonShare;
   Decided.UseSingleUpstream = Now.UseSingleUpstream;
-  const bool IsLast = Now.Repeatable == Steps.back().Repeatable;
-  if (IsLast && Progress >= CompletePermille &&
+  if (!Decided.IsLastStep) {
+    Decided.Repeatable = scaled(Now.Repeatable, View);
+    Decided.NonRepeatable = scaled(Now.NonRepeatable, View);
+  } else {
+    Decided.IsComparing = mustCompare(View, Progress);
+    Decided.Repeatable = Decided.IsComparing ? ComparisonShare : Now.Repeatable;
+    Decided.NonRepeatable = Decided.Repeatable;
+  }
+  if (Decided.IsLastStep && !Decided.IsComparing &&
+      Progress >= CompletePermille &&
       (View.OldInProgress == 0 || Progress >= GiveUpPermille)) {
     Decided.End = RolloutState::Completed;
     Decided.Reason = "all steps passed";
-  } else if (!IsLast && Progress >= GiveUpPermille) {
+  } else if (!Decided.IsLastStep && Progress >= GiveUpPermille) {
     Decided.End = RolloutState::RolledBack;
     Decided.Reason = "not enough answers to judge by";
   }
--- a/src/mesh/internal/FindRoute.cpp
+++ b/src/mesh/internal/FindRoute.cpp
@@ -1,11 +1,16 @@
 #include "mesh/Mesh.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lycheethread::mesh {
 
 namespace {
 
+/// Fractional part of the golden ratio, whose multiples modulo 1 are spread
+/// most evenly.
+constexpr double GoldenRatioStep = 0.6180339887498949;
+
 std::string hostKey(const std::string &Host) {
   std::string Key = Host.substr(0, Host.find(':'));
   std::transform(Key.begin(), Key.end(), Key.begin(), [](unsigned char Byte) {
@@ -51,20 +56,28 @@
   return Found == Config.Services.end() ? 0 : Found->second.LeastUrgentRank;
 }
 
-const ServiceName *chooseService(const MeshRoute &Route, SplitState &State) {
+// A golden ratio sequence from a random start: any run of its positions covers
+// the interval evenly, and the starts of many nodes do so too. A round robin
+// that starts in the same state on every node would send the first request of
+// each to the same part.
+const ServiceName *chooseService(const MeshRoute &Route, SplitState &State,
+                                 std::mt19937_64 &Random) {
   if (Route.Parts.empty())
     return nullptr;
-  State.Credit.resize(Route.Parts.size(), 0);
-  std::int64_t Total = 0;
-  std::size_t Best = 0;
-  for (std::size_t At = 0; At < Route.Parts.size(); ++At) {
-    State.Credit[At] += Route.Parts[At].Weight;
-    Total += Route.Parts[At].Weight;
-    if (State.Credit[At] > State.Credit[Best])
-      Best = At;
+  double Total = 0;
+  for (const SplitPart &Part : Route.Parts)
+    Total += Part.Weight;
+  if (State.Position)
+    State.Position = std::fmod(*State.Position + GoldenRatioStep, 1.0);
+  else
+    State.Position = std::uniform_real_distribution<double>(0, 1)(Random);
+  double Rest = *State.Position * Total;
+  for (const SplitPart &Part : Route.Parts) {
+    Rest -= Part.Weight;
+    if (Rest < 0)
+      return &Part.Service;
   }
-  State.Credit[Best] -= Total;
-  return &Route.Parts[Best].Service;
+  return &Route.Parts.back().Service;
 }
 
 } // namespace lycheethread::mesh
--- a/src/mesh/internal/NodeTable.cpp
+++ b/src/mesh/internal/NodeTable.cpp
@@ -16,11 +16,14 @@
 /// Nodes that read the store all the time; more than one, since each may fail.
 constexpr std::size_t PermanentReaders = 2;
 /// The other nodes start to read when the known position has not been confirmed
-/// for this long. A change must be in force well within the users' limit of
-/// 2.5 s.
+/// for this long. A change must be in force well within the users' limit, of
+/// which MaxAgePercent is the most that may pass before.
 constexpr Milliseconds MaxConfirmationAge{1500};
+constexpr int MaxAgePercent = 60;
 constexpr Milliseconds DelayPerRank{20};
-constexpr Milliseconds MaxRankDelay{400};
+constexpr int MaxRankDelayPercent = 16;
+constexpr Milliseconds MaxReadWait{1000};
+constexpr int MaxReadWaitPercent = 40;
 
 /// While the store fails, the serving nodes share the attempts: together they
 /// call it about ten times per second on average, since calls are billed and
@@ -50,7 +53,7 @@
     return false;
   const auto Found = Known.Nodes.find(Report.Id);
   if (Found == Known.Nodes.end()) {
-    Known.Nodes.emplace(Report.Id, KnownNode{Report, Now});
+    Known.Nodes.emplace(Report.Id, KnownNode{Report, Now, std::nullopt});
     return true;
   }
   const NodeReport &Old = Found->second.LastReport;
@@ -59,10 +62,27 @@
                            : Old.Number < Report.Number;
   if (!IsNewer)
     return false;
-  Found->second = {Report, Now};
+  std::optional<Upstream> Left = std::move(Found->second.Left);
+  if (isLeaving(Old.LocalUpstream) && Old.LocalUpstream.StartedAtUnixMs > 0)
+    Left = Old.LocalUpstream;
+  Found->second = {Report, Now, std::move(Left)};
+  Upstream &Current = Found->second.LastReport.LocalUpstream;
+  const std::optional<Upstream> &Past = Found->second.Left;
+  if (Past && isSameProcess(*Past, Current) && !isLeaving(Current))
+    Current.State = Past->State;
   return true;
 }
 
+bool isLeaving(const Upstream &Item) {
+  return !Item.Id.empty() && (Item.State == UpstreamState::Draining ||
+                              Item.State == UpstreamState::Gone);
+}
+
+bool isSameProcess(const Upstream &First, const Upstream &Second) {
+  return First.Id == Second.Id &&
+         First.StartedAtUnixMs == Second.StartedAtUnixMs;
+}
+
 bool isAlive(const KnownNode &Node, SteadyTime Now) {
   return elapsed(Node.HeardAt, Now) < AliveTimeout;
 }
@@ -87,12 +107,21 @@
       }));
 }
 
-bool shouldReadStore(std::size_t Rank, Milliseconds ConfirmedAge) {
+bool shouldReadStore(std::size_t Rank, Milliseconds ConfirmedAge,
+                     const MeshBounds &Bounds) {
   if (Rank < PermanentReaders)
     return true;
   const auto Delay =
-      std::min(MaxRankDelay, DelayPerRank * static_cast<std::int64_t>(Rank));
-  return ConfirmedAge > MaxConfirmationAge + Delay;
+      std::min(Bounds.ConfigApplyTime * MaxRankDelayPercent / 100,
+               DelayPerRank * static_cast<std::int64_t>(Rank));
+  const auto MaxAge = std::min(MaxConfirmationAge,
+                               Bounds.ConfigApplyTime * MaxAgePercent / 100);
+  return ConfirmedAge > MaxAge + Delay;
+}
+
+Milliseconds storeReadWait(const MeshBounds &Bounds) {
+  return std::min(MaxReadWait,
+                  Bounds.ConfigApplyTime * MaxReadWaitPercent / 100);
 }
 
 Milliseconds maxStoreBackoff(bool ReadsAlways, bool Serves, std::size_t Nodes) {
--- a/src/mesh/internal/Registration.cpp
+++ b/src/mesh/internal/Registration.cpp
@@ -30,9 +30,7 @@
     return false;
   if (!isNewer(Known, Item))
     return false;
-  const bool SameProcess =
-      Item.From.Id == Known.Current.Id &&
-      Item.From.StartedAtUnixMs == Known.Current.StartedAtUnixMs;
+  const bool SameProcess = isSameProcess(Item.From, Known.Current);
   // A process that is draining does not become ready again.
   const bool StaysDraining =
       SameProcess && Known.Current.State == UpstreamState::Draining;
@@ -61,6 +59,22 @@
   return true;
 }
 
+bool restoreLeave(Registration &Known, const Upstream &Past, SteadyTime Now) {
+  const bool IsRegistered = isSameProcess(Known.Current, Past);
+  if (!isLeaving(Past) || (IsRegistered && isLeaving(Known.Current)))
+    return false;
+  // A process without a stated start time cannot be told from its successor.
+  const auto Until = Past.StartedAtUnixMs > 0
+                         ? std::nullopt
+                         : std::optional(after(Now, UnknownStartRetention));
+  DepartedUpstream &Left = Known.Left[Past.Id];
+  if (Left.StartedUpTo <= Past.StartedAtUnixMs)
+    Left = {Past.StartedAtUnixMs, Until};
+  if (IsRegistered)
+    Known.Current.State = Past.State;
+  return IsRegistered;
+}
+
 bool isSilent(const Registration &Known, Milliseconds Interval,
               SteadyTime Now) {
   return !Known.Current.Id.empty() &&
--- /dev/null
+++ b/src/mesh/types/JoinState.h
@@ -0,0 +1,22 @@
+#ifndef LYCHEETHREAD_MESH_TYPES_JOINSTATE_H
+#define LYCHEETHREAD_MESH_TYPES_JOINSTATE_H
+
+#include "model/Model.h"
+
+#include <cstddef>
+
+namespace lycheethread::mesh {
+
+/// What a starting node knows of the list of nodes.
+struct JoinState {
+  /// The list has been read and holds this node.
+  bool IsListed = false;
+  /// The node was added to the list by this process.
+  bool IsNew = false;
+  /// Other nodes on the list, including those that have ended since.
+  std::size_t Others = 0;
+};
+
+} // namespace lycheethread::mesh
+
+#endif // LYCHEETHREAD_MESH_TYPES_JOINSTATE_H
--- a/src/mesh/types/NodeReport.h
+++ b/src/mesh/types/NodeReport.h
@@ -107,6 +107,10 @@
   /// When its newest report was received, from the node itself or forwarded by
   /// another one.
   SteadyTime HeardAt;
+  /// The newest upstream process beside the node that is known to leave or to
+  /// have left; only for processes with a stated start. A node that was
+  /// restarted does not remember it.
+  std::optional<Upstream> Left;
 };
 
 /// All other nodes; this node's own state is kept elsewhere.
--- a/src/mesh/types/RetryBudget.h
+++ b/src/mesh/types/RetryBudget.h
@@ -11,11 +11,18 @@
   Rerun
 };
 
-/// This node's part of the retries that all nodes together may make.
+/// How one node earns retry tokens for a service, by kind.
+struct RetryLimits {
+  double RejectedPerRequest = 0;
+  double RerunsPerRequest = 0;
+  /// Tokens of a kind that a node can save up.
+  double MaxTokens = 1;
+};
+
+/// Retry tokens of one node for one service; a node starts with one of a kind.
 struct MeshRetryBudget {
-  /// Retry tokens; each request of the service adds a fraction of one.
-  double Rejected = 2;
-  double Reruns = 2;
+  double Rejected = 1;
+  double Reruns = 1;
 };
 
 } // namespace lycheethread::mesh
--- a/src/mesh/types/Rollout.h
+++ b/src/mesh/types/Rollout.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace lycheethread::mesh {
 
@@ -30,12 +31,21 @@
   VersionTotals New;
 };
 
+using TotalsByRoute = std::map<RouteName, RouteTotals>;
+
 /// State of a rollout, combined from the reports of all nodes.
 struct RolloutView {
   Milliseconds Duration{0};
   /// Time since the first node saw the order.
   Milliseconds Age{0};
-  std::map<RouteName, RouteTotals> Routes;
+  /// Outcomes since the share of the new version last changed.
+  TotalsByRoute Routes;
+  /// Outcomes under each earlier share.
+  std::vector<TotalsByRoute> Earlier;
+  /// The last decision was to compare the versions before the rollout ends.
+  bool IsComparing = false;
+  /// Part of the requests that a bad version may get in total.
+  double ExposureShare = 0.1;
   std::int32_t ReadyNew = 0;
   std::int32_t ReadyOld = 0;
   /// Requests in progress at upstreams of the old version.
@@ -53,6 +63,12 @@
   /// only under load is detected while its share is small.
   bool UseSingleUpstream = false;
   bool IsNewVersionBad = false;
+  /// The new version fails while the old one gets too few requests to compare
+  /// with. A disturbance may be the cause, so the old version gets a small
+  /// share again before the rollout ends.
+  bool IsComparing = false;
+  /// The new version has all requests, but for those that serve to compare.
+  bool IsLastStep = false;
   std::optional<RolloutState> End;
   std::string Reason;
 };
--- a/src/sidecar/internal/NodeContext.h
+++ b/src/sidecar/internal/NodeContext.h
@@ -23,7 +23,7 @@
   reactor::EventLoop &Loop;
   const PlatformProtocol &Platform;
   settings::SidecarSettings Settings;
-  MeshBounds Bounds;
+  mesh::MeshBounds Bounds;
 
   /// Null until a configuration is known.
   mesh::MeshConfigPtr Config;
@@ -33,6 +33,7 @@
   SteadyTime ConfirmedAt;
 
   mesh::NodeTable KnownNodes;
+  mesh::JoinState Join;
   mesh::Registration Registered;
   requests::SuspectTable Suspects;
   /// Crashes of the upstream beside this node, newest last.
--- a/src/sidecar/internal/OperatorFeed.cpp
+++ b/src/sidecar/internal/OperatorFeed.cpp
@@ -12,9 +12,6 @@
 using Poco::Net::HTTPMessage;
 using Poco::Net::HTTPRequest;
 
-/// How long a read waits for a record. A read that ends without a record
-/// confirms that nothing was added.
-constexpr Milliseconds PollWait{1000};
 /// How often a node that does not read the store checks whether it should.
 constexpr Milliseconds ReaderCheckInterval{100};
 /// First backoff after a failed call; doubles with each further failure, with
@@ -100,7 +97,7 @@
     if (Read.Outcome == StoreOutcome::Done) {
       const bool IsFirst = !MembersKnown_;
       MembersKnown_ = true;
-      Callbacks_.OnMembers(Read.Items);
+      Callbacks_.OnMembers(Read);
       if (IsFirst && Context_.Records.Position == Offset() && !Busy_)
         onFirstMembers();
       Callbacks_.OnProgress();
@@ -122,7 +119,7 @@
 Milliseconds OperatorFeed::nextBackoff() {
   const bool ReadsAlways = mesh::shouldReadStore(
       mesh::rendezvousRank(Context_.KnownNodes, "store", Context_.now()),
-      Milliseconds(0));
+      Milliseconds(0), Context_.Bounds);
   const bool Serves = Context_.Records.Position > Offset();
   const Milliseconds Longest = mesh::maxStoreBackoff(
       ReadsAlways, Serves, Context_.KnownNodes.Nodes.size());
@@ -147,7 +144,7 @@
                                : elapsed(Context_.ConfirmedAt, Now);
   if (Rank == 0 && elapsed(MembersReadAt_, Now) > MembersInterval)
     loadMembers();
-  if (!mesh::shouldReadStore(Rank, Age)) {
+  if (!mesh::shouldReadStore(Rank, Age, Context_.Bounds)) {
     scheduleReaderCheck(ReaderCheckInterval);
     return;
   }
@@ -162,7 +159,8 @@
   if (Busy_)
     return;
   Busy_ = true;
-  Store_.read(StoreTopic::Operator, Context_.Records.Position, PollWait,
+  Store_.read(StoreTopic::Operator, Context_.Records.Position,
+              mesh::storeReadWait(Context_.Bounds),
               [this](const StoreRead &Read) {
                 Busy_ = false;
                 onPolled(Read);
@@ -404,7 +402,9 @@
   // A confirmation given after this node started is at least as new as any
   // configuration that the node served before its restart.
   const bool IsConfirmed = Context_.ConfirmedAt >= StartedAt_;
-  const bool KnowsNodes = MembersKnown_ || !Context_.KnownNodes.Nodes.empty();
+  const bool KnowsNodes =
+      mesh::hasJoined(Context_.Join, Context_.KnownNodes.Nodes.size(),
+                      elapsed(StartedAt_, Context_.now()));
   if (IsConfirmed && KnowsNodes && (StatusKnown_ || peersKnowOrders()))
     return true;
   if (elapsed(StartedAt_, Context_.now()) < StoreWaitTimeout)
--- a/src/sidecar/internal/OperatorFeed.h
+++ b/src/sidecar/internal/OperatorFeed.h
@@ -23,7 +23,7 @@
     /// isCurrent() may have become true.
     std::function<void()> OnProgress;
     std::function<void(const std::vector<StoreItem> &)> OnStatus;
-    std::function<void(const std::vector<StoreItem> &)> OnMembers;
+    std::function<void(const StoreRead &)> OnMembers;
   };
 
   OperatorFeed(NodeContext &Context, StoreClient &Store, Callbacks Handlers);
--- a/src/sidecar/internal/OutboundProxy.cpp
+++ b/src/sidecar/internal/OutboundProxy.cpp
@@ -118,6 +118,10 @@
   Item->Id =
       RequestId(Request->head().get(Context_.Platform.Headers.RequestId, ""));
   ++InProgress_;
+  if (Request->hasPeerClosed()) {
+    end(Item, 0, "caller-left");
+    return;
+  }
   Request->onGone([this, Item] {
     cancelAttempt(Item);
     end(Item, 0, "caller-left");
@@ -176,20 +180,26 @@
   Item->Config = Context_.Config;
   Item->Route = mesh::findRoute(*Item->Config, Head.get(HTTPRequest::HOST, ""),
                                 Head.getURI());
-  const ServiceName *Service = nullptr;
-  if (Item->Route != nullptr)
-    Service = mesh::chooseService(*Item->Route, Splits_[Item->Route->Name]);
-  if (Service == nullptr) {
+  if (Item->Route == nullptr) {
     endUnanswered(Item, RefusalReason::NoRoute, Milliseconds(0));
     return false;
   }
+  const ServiceName *const Service = mesh::chooseService(
+      *Item->Route, Splits_[Item->Route->Name], Context_.Random);
+  if (Service == nullptr) {
+    // All parts of the route have the weight 0.
+    endUnanswered(Item, RefusalReason::NoUpstream, Milliseconds(0));
+    return false;
+  }
   HopInfo &Info = Item->Info;
   Info.Service = *Service;
   Info.Route = Item->Route->Name;
   Info.Class = Item->Route->Class;
   Info.Rank = Item->Route->Rank;
   Info.Caller = Context_.Settings.Service;
-  mesh::addRetryTokens(Budgets_[Info.Service]);
+  mesh::addRetryTokens(
+      Budgets_[Info.Service],
+      mesh::retryLimits(Context_.Bounds, Context_.KnownNodes.Nodes.size() + 1));
   return true;
 }
 
--- a/src/sidecar/internal/Rollouts.cpp
+++ b/src/sidecar/internal/Rollouts.cpp
@@ -16,6 +16,9 @@
 constexpr Milliseconds RecordDelayPerRank{800};
 constexpr Milliseconds RecordRetryDelay{700};
 constexpr std::int64_t FullShare = 1000;
+/// The requests in progress at a node that was heard of earlier say nothing: it
+/// may have been killed.
+constexpr Milliseconds MaxProgressAge{3000};
 
 bool isEnd(RolloutState State) { return State != RolloutState::Running; }
 
@@ -30,6 +33,22 @@
   return Kept;
 }
 
+/// Returns what \p Now counts beyond \p Before. Counts that are lower belong to
+/// a restarted node.
+mesh::RouteEvidence since(const std::vector<mesh::RouteEvidence> &Before,
+                          mesh::RouteEvidence Now) {
+  const auto Found = std::find_if(
+      Before.begin(), Before.end(), [&](const mesh::RouteEvidence &Item) {
+        return Item.Order == Now.Order && Item.Route == Now.Route;
+      });
+  if (Found == Before.end() || Found->Good > Now.Good || Found->Bad > Now.Bad)
+    return Now;
+  Now.Good -= Found->Good;
+  Now.Bad -= Found->Bad;
+  Now.TotalTime = std::max(Milliseconds(0), Now.TotalTime - Found->TotalTime);
+  return Now;
+}
+
 const char *nameOf(RolloutState State) {
   switch (State) {
   case RolloutState::Completed:
@@ -74,6 +93,8 @@
     Current = {};
     Current.Order = *Order;
     Current.SeenAt = Context_.now();
+    for (std::int64_t &Credit : Current.Credit)
+      Credit = static_cast<std::int64_t>(Context_.Random() % FullShare);
     Context_.Log.write(
         LogClass::State, Context_.now(), "rollout-ordered",
         {{"service", Order->Service.str()},
@@ -180,7 +201,10 @@
     }
   if (isEnd(Current.State))
     return;
-  const mesh::RolloutDecision Decided = mesh::decideRollout(viewOf(Current));
+  const mesh::RolloutView View = viewOf(Current);
+  const mesh::RolloutDecision Decided = mesh::decideRollout(View);
+  if (Decided.Repeatable != Current.Decision.Repeatable)
+    closeShare(Current, View);
   const bool Changed =
       Decided.Repeatable != Current.Decision.Repeatable ||
       Decided.IsNewVersionBad != Current.Decision.IsNewVersionBad;
@@ -200,7 +224,7 @@
 }
 
 void Rollouts::addNode(mesh::RolloutView &View, const Item &Current,
-                       const mesh::NodeReport &Report) const {
+                       const mesh::NodeReport &Report, bool IsRecent) const {
   if (Report.LocalUpstream.Service != Current.Order.Service)
     return;
   const bool IsNew = Report.LocalUpstream.Version == Current.Order.Target;
@@ -209,11 +233,15 @@
       !Report.Stopping;
   if (IsReady)
     ++(IsNew ? View.ReadyNew : View.ReadyOld);
-  if (!IsNew)
+  if (!IsNew && IsRecent)
     View.OldInProgress += Report.Load.Running + Report.Load.Waiting;
-  for (const mesh::RouteEvidence &Seen : Report.Evidence) {
-    if (Seen.Order != Current.Order.At)
+  const auto Before = Current.EvidenceBefore.find(Report.Id);
+  for (const mesh::RouteEvidence &Counted : Report.Evidence) {
+    if (Counted.Order != Current.Order.At)
       continue;
+    const mesh::RouteEvidence Seen = Before == Current.EvidenceBefore.end()
+                                         ? Counted
+                                         : since(Before->second, Counted);
     mesh::RouteTotals &Totals = View.Routes[Seen.Route];
     mesh::VersionTotals &Into = IsNew ? Totals.New : Totals.Old;
     Into.Good += Seen.Good;
@@ -227,17 +255,31 @@
   View.Duration = Current.Order.Duration;
   View.Age = elapsed(Current.SeenAt, Context_.now());
   View.IsNewVersionBad = Current.IsNewVersionBad;
+  View.IsComparing = Current.Decision.IsComparing;
+  View.ExposureShare = Context_.Bounds.ExposureShare;
+  View.Earlier = Current.Earlier;
   mesh::NodeReport Own;
+  Own.Id = Context_.Settings.Id;
   Own.LocalUpstream = Context_.Registered.Current;
   Own.Load = OwnLoad_();
   Own.Evidence = OwnEvidence_();
-  addNode(View, Current, Own);
+  addNode(View, Current, Own, true);
   for (const auto &[Id, Known] : Context_.KnownNodes.Nodes)
     if (mesh::isAlive(Known, Context_.now()))
-      addNode(View, Current, Known.LastReport);
+      addNode(View, Current, Known.LastReport,
+              elapsed(Known.HeardAt, Context_.now()) < MaxProgressAge);
   return View;
 }
 
+void Rollouts::closeShare(Item &Current, const mesh::RolloutView &View) {
+  Current.Earlier.push_back(View.Routes);
+  Current.EvidenceBefore.clear();
+  Current.EvidenceBefore[Context_.Settings.Id] = OwnEvidence_();
+  for (const auto &[Id, Known] : Context_.KnownNodes.Nodes)
+    if (!Known.LastReport.Evidence.empty())
+      Current.EvidenceBefore[Id] = Known.LastReport.Evidence;
+}
+
 // The store decides which node records an end: the record is appended only if
 // the topic has not changed since it was read, and the first end counts.
 void Rollouts::recordProgress(Item &Current) {
--- a/src/sidecar/internal/Rollouts.h
+++ b/src/sidecar/internal/Rollouts.h
@@ -39,8 +39,13 @@
     mesh::RolloutState State = mesh::RolloutState::Running;
     mesh::RolloutDecision Decision;
     bool IsNewVersionBad = false;
+    /// Evidence of each node when the share last changed, and the outcomes
+    /// under each earlier share.
+    std::map<NodeId, std::vector<mesh::RouteEvidence>> EvidenceBefore;
+    std::vector<mesh::TotalsByRoute> Earlier;
     /// Accumulated share of the new version in thousandths of a request, for
     /// repeatable and for other requests.
+    /// A random start spreads the first such requests of the nodes over time.
     std::int64_t Credit[2] = {0, 0};
     bool RunningRecorded = false;
     bool Writing = false;
@@ -51,7 +56,9 @@
   void update(Item &Current);
   mesh::RolloutView viewOf(const Item &Current) const;
   void addNode(mesh::RolloutView &View, const Item &Current,
-               const mesh::NodeReport &Report) const;
+               const mesh::NodeReport &Report, bool IsRecent) const;
+  /// Starts to count the outcomes under a changed share.
+  void closeShare(Item &Current, const mesh::RolloutView &View);
   void recordProgress(Item &Current);
   /// Ends a call to the store and returns its item, or null if a different
   /// order has replaced it meanwhile.
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -31,7 +31,8 @@
 constexpr Milliseconds DroppedReportInterval{5000};
 constexpr Milliseconds MinPause{1200};
 /// Time within which nodes on the member list have contacted each other.
-constexpr Milliseconds MemberRecheckDelay{500};
+constexpr Milliseconds MemberRecheckDelay{300};
+constexpr Milliseconds JoinRetryDelay{1000};
 /// Limits for requests of other nodes and of the platform.
 constexpr std::size_t MaxInternalHeadBytes = 64 * 1024;
 constexpr std::int64_t MaxInternalBodyBytes = 1LL << 40;
@@ -99,18 +100,30 @@
   SteadyTime StopAt;
   SteadyTime SettingsAt;
   SteadyTime DroppedAt;
-  bool MemberWritten = false;
+  /// The record that adds this node to the list is being written.
+  bool JoinRequested = false;
 
   Impl(std::string Path, NodeDependencies Dependencies)
       : SettingsPath(std::move(Path)), SettingsText(readText(SettingsPath)),
         Services(std::move(Dependencies)),
         Context(Loop, *Services.Platform,
                 parseOrThrow(SettingsPath, SettingsText)) {
-    Context.Bounds = Context.Platform.Bounds(Context.Settings.PlatformBounds);
+    applyBounds();
     Context.Metrics = Services.Recorder;
     Context.KnownNodes.Self = Context.Settings.Id;
   }
 
+  /// A value that cannot be used does not keep the node from its work: the
+  /// default is used for it.
+  void applyBounds() {
+    const mesh::ParsedMeshBounds Parsed =
+        Context.Platform.Bounds(Context.Settings.PlatformBounds);
+    Context.Bounds = Parsed.Bounds;
+    for (const Finding &Item : Parsed.Problems)
+      Context.Log.write(LogClass::State, Context.now(), "bound-unusable",
+                        {{"problem", toString(Item)}});
+  }
+
   void build() {
     Store = std::make_unique<StoreClient>(Context);
     Hop = std::make_unique<UpstreamHop>(
@@ -140,7 +153,7 @@
             [this] { NodeGossip->sendToRegion(); },
             [this] { updateReadiness(); },
             [this](const auto &Items) { ActiveRollouts->onStatus(Items); },
-            [this](const auto &Items) { onMembers(Items); }});
+            [this](const auto &Read) { onMembers(Read); }});
     listen();
     housekeep();
   }
@@ -205,11 +218,11 @@
     updateReadiness();
   }
 
-  void onMembers(const std::vector<StoreItem> &Items) {
+  void onMembers(const StoreRead &Read) {
     std::vector<Endpoint> Found;
     bool IsListed = false;
     const Endpoint &Own = Context.Settings.Gossip;
-    for (const StoreItem &Item : Items) {
+    for (const StoreItem &Item : Read.Items) {
       const auto At = Context.Platform.Operator.ParseMember(Item.Value);
       if (!At)
         continue;
@@ -217,25 +230,48 @@
       IsListed = IsListed || *At == Own;
     }
     NodeGossip->addSeedEndpoints(Found);
-    if (IsListed || MemberWritten)
+    if (IsListed) {
+      Context.Join.IsListed = true;
+      if (!Context.Join.IsNew)
+        Context.Join.Others = Found.size() - 1;
       return;
-    const Milliseconds Delay =
-        Found.empty() ? Milliseconds(0) : MemberRecheckDelay;
+    }
+    joinMembers();
+  }
+
+  void joinMembers() {
+    if (JoinRequested)
+      return;
+    JoinRequested = true;
     Store->append(StoreTopic::Members, Context.Settings.Id.str(),
-                  Context.Platform.Operator.Member(Own), std::nullopt,
-                  [this, Delay](const StoreAppend &Written) {
-                    MemberWritten = Written.Outcome == StoreOutcome::Done;
-                    if (MemberWritten)
-                      Loop.runAfter(Delay, [this] { recheckMembers(); });
+                  Context.Platform.Operator.Member(Context.Settings.Gossip),
+                  std::nullopt, [this](const StoreAppend &Written) {
+                    JoinRequested = false;
+                    if (Written.Outcome == StoreOutcome::Done)
+                      onJoined(Written.End);
+                    else
+                      Loop.runAfter(JoinRetryDelay,
+                                    [this] { Feed->reloadMembers(); });
                   });
   }
 
-  /// Reads the member list again if no other node is known. When two nodes
-  /// start together and neither finds the other on the list, the one that is
-  /// listed later finds the other in this second read. Otherwise gossip spreads
-  /// the members.
+  /// The end of the list after the own record tells how many nodes joined
+  /// before this one, also those that joined after the list was read.
+  void onJoined(Offset End) {
+    mesh::JoinState &Join = Context.Join;
+    Join.IsListed = true;
+    Join.IsNew = true;
+    Join.Others =
+        static_cast<std::size_t>(std::max<std::int64_t>(0, End.value() - 1));
+    updateReadiness();
+    Loop.runAfter(MemberRecheckDelay, [this] { recheckMembers(); });
+  }
+
+  /// Reads the member list again if nodes on it are still unknown: when two
+  /// nodes start together and neither finds the other on the list, the one that
+  /// is listed later finds the other in this second read.
   void recheckMembers() {
-    if (Context.KnownNodes.Nodes.empty())
+    if (!mesh::knowsListedNodes(Context.Join, Context.KnownNodes.Nodes.size()))
       Feed->reloadMembers();
   }
 
@@ -395,7 +431,7 @@
       Context.Settings.CheckInInterval = Read.CheckInInterval;
       Context.Settings.PlatformBounds = Read.PlatformBounds;
       Context.Settings.Service = Read.Service;
-      Context.Bounds = Context.Platform.Bounds(Read.PlatformBounds);
+      applyBounds();
       addSeeds();
       Context.Log.write(
           LogClass::State, Context.now(), "reload",
@@ -428,9 +464,8 @@
     // not be finished, so it is refused as not run.
     if (Since >= CallerDrainTime)
       Context.Serving = false;
-    const bool Quiet =
-        Since >= CallerDrainTime && OutboundServer->inProgress() == 0 &&
-        InboundServer->inProgress() == 0 && Hop->inProgress() == 0;
+    const bool Quiet = Since >= CallerDrainTime && OutboundServer->isQuiet() &&
+                       InboundServer->isQuiet() && Hop->inProgress() == 0;
     if (!Quiet && Since < Context.Bounds.GraceTime - ExitMargin)
       return;
     OutboundServer->closeIdle();
--- a/src/sidecar/types/PlatformProtocol.h
+++ b/src/sidecar/types/PlatformProtocol.h
@@ -25,12 +25,6 @@
   std::string CallerService;
 };
 
-/// Limits that the platform's users set for all nodes together.
-struct MeshBounds {
-  /// Time from SIGTERM until the platform kills the process.
-  Milliseconds GraceTime{6000};
-};
-
 /// A request to the store, without the headers common to all requests.
 struct StoreCall {
   std::string Method;
@@ -131,7 +125,7 @@
 struct PlatformProtocol {
   HeaderNames Headers;
   std::string ReadinessPath;
-  std::function<MeshBounds(const std::string &Bounds)> Bounds;
+  std::function<mesh::ParsedMeshBounds(const std::string &Text)> Bounds;
   std::function<UpstreamMessage(const std::string &Method,
                                 const std::string &Target,
                                 const std::string &Body)>
