--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -6,9 +6,11 @@
 /// functions are pure: no sockets, clocks or threads.
 
 #include "mesh/types/CheckIn.h"
+#include "mesh/types/GossipPlan.h"
 #include "mesh/types/HopQueue.h"
 #include "mesh/types/JoinState.h"
 #include "mesh/types/LinkBudget.h"
+#include "mesh/types/ListedNode.h"
 #include "mesh/types/MeshBounds.h"
 #include "mesh/types/MeshConfig.h"
 #include "mesh/types/NodeReport.h"
@@ -121,10 +123,30 @@
 /// share along the fixed steps.
 RolloutDecision decideRollout(const RolloutView &View);
 
+/// Returns which versions may get requests. A rollout that was recorded as
+/// completed stays so, whatever a node finds later: the old version has ended.
+VersionChoice versionChoice(RolloutState State, bool IsNewVersionBad);
+
 /// Stores \p Report if it is newer than the known one; otherwise returns false.
 /// An upstream process that has left does not become ready again.
 bool mergeReport(NodeTable &Known, const NodeReport &Report, SteadyTime Now);
 
+NodeKey nodeKey(const NodeId &Id, Incarnation Number);
+
+/// Stores a load that is newer than the known one. Returns false if the full
+/// report of the node is unknown or out of date.
+bool mergeBeat(NodeTable &Known, const LoadBeat &Beat, SteadyTime Now);
+
+LoadBeat beatOf(const NodeReport &Report);
+
+/// Returns the report of a known node as it can be forwarded at \p Now.
+NodeReport forwardedReport(const KnownNode &Node, SteadyTime Now);
+
+/// Chooses the reports and loads of other nodes that fit in one datagram, and
+/// counts them as forwarded.
+GossipContent composeGossip(NodeTable &Known, const GossipPlan &Plan,
+                            SteadyTime Now);
+
 /// Whether the process will get no more requests.
 bool isLeaving(const Upstream &Item);
 
@@ -133,29 +155,43 @@
 
 /// Returns the gossip endpoints to which a node at \p At sends its report in
 /// this round. Rounds are \p Interval apart.
-std::vector<Endpoint> choosePeers(const NodeTable &Known, const Location &At,
-                                  Milliseconds Interval, SteadyTime Now,
+GossipTargets choosePeers(const NodeTable &Known, const Location &At,
+                          Milliseconds Interval, SteadyTime Now,
+                          std::mt19937_64 &Random);
+
+/// Returns the listed nodes to contact now, and records the attempts. A node at
+/// \p Zone contacts those of its zone and a few of each other one.
+std::vector<Endpoint> chooseSeeds(SeedNodes &Seeds, const NodeTable &Known,
+                                  const AvailabilityZone &Zone, SteadyTime Now,
                                   std::mt19937_64 &Random);
 
-/// Whether a new report of the node has arrived recently, also by way of other
-/// nodes.
-bool isAlive(const KnownNode &Node, SteadyTime Now);
+/// Returns how long a node may be silent before it counts as gone.
+Milliseconds aliveTimeout(std::size_t Nodes);
+
+/// Whether a new report or load of the node has arrived recently, also by way
+/// of other nodes.
+bool isAlive(const NodeTable &Known, const KnownNode &Node, SteadyTime Now);
 
 void expireNodes(NodeTable &Known, SteadyTime Now);
 
-/// Whether a node that has heard of \p Heard others knows enough of the nodes
-/// on the list.
-bool knowsListedNodes(const JoinState &State, std::size_t Heard);
+/// Whether the node has heard of enough of the nodes on the list.
+bool knowsListedNodes(const JoinState &State, const NodeTable &Known);
 
 /// Whether a node may serve that has started \p Waited ago: it must not refuse
 /// requests for want of upstreams that the list would have shown.
-bool hasJoined(const JoinState &State, std::size_t Heard, Milliseconds Waited);
+bool hasJoined(const JoinState &State, const NodeTable &Known,
+               Milliseconds Waited);
 
 /// Returns the position of this node, from 0, in a rendezvous hash order of the
 /// living nodes. The order depends on \p Subject only.
 std::size_t rendezvousRank(const NodeTable &Known, const std::string &Subject,
                            SteadyTime Now);
 
+/// Returns the first \p Count nodes of that order; may include this node.
+std::vector<NodeId> rendezvousFirst(const NodeTable &Known,
+                                    const std::string &Subject,
+                                    std::size_t Count, SteadyTime Now);
+
 /// Whether a node of rank \p Rank reads the store itself. \p ConfirmedAge is
 /// the age of the newest confirmation by any node.
 bool shouldReadStore(std::size_t Rank, Milliseconds ConfirmedAge,
--- a/src/mesh/internal/ChoosePeers.cpp
+++ b/src/mesh/internal/ChoosePeers.cpp
@@ -6,8 +6,7 @@
 
 namespace {
 
-/// Nodes of the local zone to which a report is sent in each round. It reaches
-/// all nodes of a zone of 25 in about three rounds.
+/// Nodes of the local zone to which a report is sent in each round.
 constexpr std::size_t PeersInZone = 2;
 /// Datagrams per second from one zone to the rest of its region, and from one
 /// region to the others. Each carries the reports of several nodes. A fixed
@@ -17,40 +16,68 @@
 constexpr double RegionDatagramsPerSecond = 12;
 constexpr double MillisecondsPerSecond = 1000;
 
+/// A random choice of up to \p Size endpoints among those added.
+class Sample {
+public:
+  explicit Sample(std::size_t Size) : Size_(Size) {}
+
+  void add(const Endpoint &At, std::mt19937_64 &Random) {
+    ++Seen_;
+    if (Chosen_.size() < Size_) {
+      Chosen_.push_back(&At);
+      return;
+    }
+    const std::size_t Place = Random() % Seen_;
+    if (Place < Size_)
+      Chosen_[Place] = &At;
+  }
+
+  std::size_t seen() const { return Seen_; }
+
+  std::vector<Endpoint> take() const {
+    std::vector<Endpoint> Taken;
+    for (const Endpoint *Item : Chosen_)
+      Taken.push_back(*Item);
+    return Taken;
+  }
+
+private:
+  std::size_t Size_;
+  std::size_t Seen_ = 0;
+  std::vector<const Endpoint *> Chosen_;
+};
+
 } // namespace
 
-std::vector<Endpoint> choosePeers(const NodeTable &Known, const Location &At,
-                                  Milliseconds Interval, SteadyTime Now,
-                                  std::mt19937_64 &Random) {
-  std::vector<Endpoint> InZone;
-  std::vector<Endpoint> InRegion;
-  std::vector<Endpoint> OtherRegions;
+GossipTargets choosePeers(const NodeTable &Known, const Location &At,
+                          Milliseconds Interval, SteadyTime Now,
+                          std::mt19937_64 &Random) {
+  Sample InZone(PeersInZone);
+  Sample InRegion(1);
+  Sample OtherRegions(1);
   for (const auto &[Id, Node] : Known.Nodes) {
-    if (!isAlive(Node, Now))
+    if (!isAlive(Known, Node, Now))
       continue;
     const Proximity Distance = proximityOf(At, Known.Self, Node.LastReport);
-    auto &List = Distance == Proximity::OtherRegion  ? OtherRegions
-                 : Distance == Proximity::SameRegion ? InRegion
-                                                     : InZone;
-    List.push_back(Node.LastReport.Gossip);
+    Sample &Link = Distance == Proximity::OtherRegion  ? OtherRegions
+                   : Distance == Proximity::SameRegion ? InRegion
+                                                       : InZone;
+    Link.add(Node.LastReport.Gossip, Random);
   }
   const double Rounds =
       MillisecondsPerSecond / static_cast<double>(Interval.count());
-  const auto AddOne = [&](const std::vector<Endpoint> &From, double Rate,
-                          std::size_t Senders, std::vector<Endpoint> &To) {
+  const auto IsDue = [&](double Rate, std::size_t Senders) {
     std::uniform_real_distribution<double> Chance(0, 1);
-    const double Share = Rate / (Rounds * static_cast<double>(Senders));
-    if (!From.empty() && Chance(Random) < Share)
-      To.push_back(From[Random() % From.size()]);
+    return Chance(Random) < Rate / (Rounds * static_cast<double>(Senders));
   };
-  const std::size_t ZoneNodes = InZone.size() + 1;
-  std::vector<Endpoint> Peers = InZone;
-  std::shuffle(Peers.begin(), Peers.end(), Random);
-  Peers.resize(std::min(Peers.size(), PeersInZone));
-  AddOne(InRegion, ZoneDatagramsPerSecond, ZoneNodes, Peers);
-  AddOne(OtherRegions, RegionDatagramsPerSecond, ZoneNodes + InRegion.size(),
-         Peers);
-  return Peers;
+  const std::size_t ZoneNodes = InZone.seen() + 1;
+  GossipTargets Targets;
+  Targets.InZone = InZone.take();
+  if (IsDue(ZoneDatagramsPerSecond, ZoneNodes))
+    Targets.InRegion = InRegion.take();
+  if (IsDue(RegionDatagramsPerSecond, ZoneNodes + InRegion.seen()))
+    Targets.OtherRegions = OtherRegions.take();
+  return Targets;
 }
 
 } // namespace lycheethread::mesh
--- a/src/mesh/internal/DecideRollout.cpp
+++ b/src/mesh/internal/DecideRollout.cpp
@@ -72,9 +72,9 @@
 }
 
 double meanTime(const VersionTotals &Totals) {
-  return Totals.Good == 0 ? 0
-                          : static_cast<double>(Totals.TotalTime.count()) /
-                                static_cast<double>(Totals.Good);
+  return Totals.Timed == 0 ? 0
+                           : static_cast<double>(Totals.TotalTime.count()) /
+                                 static_cast<double>(Totals.Timed);
 }
 
 /// Whether the old version has answered enough under the same share.
@@ -102,12 +102,12 @@
   To.New.Bad += Totals.New.Bad;
   To.ExpectedBad +=
       static_cast<double>(answers(Totals.New)) * failureRate(Totals.Old);
-  if (Totals.Old.Good == 0)
+  if (Totals.Old.Timed == 0)
     return;
-  To.ExpectedMs += static_cast<double>(Totals.New.Good) * meanTime(Totals.Old);
+  To.ExpectedMs += static_cast<double>(Totals.New.Timed) * meanTime(Totals.Old);
   To.TimedMs += static_cast<double>(Totals.New.TotalTime.count());
-  To.TimedNew += Totals.New.Good;
-  To.TimedOld += Totals.Old.Good;
+  To.TimedNew += Totals.New.Timed;
+  To.TimedOld += Totals.Old.Timed;
 }
 
 bool fails(const Comparison &Totals) {
@@ -129,6 +129,7 @@
 void add(VersionTotals &To, const VersionTotals &From) {
   To.Good += From.Good;
   To.Bad += From.Bad;
+  To.Timed += From.Timed;
   To.TotalTime += From.TotalTime;
 }
 
@@ -211,12 +212,21 @@
 
 } // namespace
 
+VersionChoice versionChoice(RolloutState State, bool IsNewVersionBad) {
+  if (State == RolloutState::Completed)
+    return VersionChoice::NewOnly;
+  return State == RolloutState::RolledBack || IsNewVersionBad
+             ? VersionChoice::OldOnly
+             : VersionChoice::Split;
+}
+
 RolloutDecision decideRollout(const RolloutView &View) {
   RolloutDecision Decided;
   const std::int64_t Progress =
       View.Age.count() * 1000 /
       std::max<std::int64_t>(1, View.Duration.count());
-  Decided.Reason = findDefect(View);
+  if (View.MayJudge)
+    Decided.Reason = findDefect(View);
   if (View.IsNewVersionBad || !Decided.Reason.empty()) {
     if (Decided.Reason.empty())
       Decided.Reason = "another node found it bad";
--- a/src/mesh/internal/JoinState.cpp
+++ b/src/mesh/internal/JoinState.cpp
@@ -14,21 +14,26 @@
 
 } // namespace
 
-bool knowsListedNodes(const JoinState &State, std::size_t Heard) {
+// Of two nodes that start together and miss each other on the list, the later
+// one finds the other; so a new node has to hear of most of those before it.
+bool knowsListedNodes(const JoinState &State, const NodeTable &Known) {
   constexpr std::size_t Whole = 100;
-  // Nodes that start together may miss each other on the list, so a new node
-  // has to hear of most of them. A listed one is known to the others.
-  const std::size_t Wanted =
-      State.IsNew ? (State.Others * JoinPercent + Whole - 1) / Whole
-                  : std::min<std::size_t>(1, State.Others);
-  return Heard >= Wanted;
+  if (!State.IsNew)
+    return Known.Nodes.size() >= std::min<std::size_t>(1, State.Others);
+  const auto Before = static_cast<std::size_t>(std::count_if(
+      Known.Nodes.begin(), Known.Nodes.end(), [&](const auto &Item) {
+        const Offset Place = Item.second.LastReport.Place;
+        return Place > Offset() && Place < State.Place;
+      }));
+  return Before * Whole >= State.Others * JoinPercent;
 }
 
-bool hasJoined(const JoinState &State, std::size_t Heard, Milliseconds Waited) {
+bool hasJoined(const JoinState &State, const NodeTable &Known,
+               Milliseconds Waited) {
   if (Waited >= MaxJoinTime)
     return true;
   // Without the list, the other nodes tell who is there.
-  return State.IsListed ? knowsListedNodes(State, Heard) : Heard > 0;
+  return State.IsListed ? knowsListedNodes(State, Known) : !Known.Nodes.empty();
 }
 
 } // namespace lycheethread::mesh
--- a/src/mesh/internal/NodeTable.cpp
+++ b/src/mesh/internal/NodeTable.cpp
@@ -1,15 +1,16 @@
 #include "mesh/Mesh.h"
 
 #include <algorithm>
-#include <functional>
+#include <utility>
 
 namespace lycheethread::mesh {
 
 namespace {
 
-/// A node that has been silent for longer counts as gone. Its reports reach
-/// every node of the users' largest deployment within about two seconds.
-constexpr Milliseconds AliveTimeout{6000};
+/// A node that has been silent for longer counts as gone. The time grows with
+/// the number of nodes, whose loads share the same datagrams.
+constexpr Milliseconds MinAliveTimeout{6000};
+constexpr Milliseconds AliveTimePerNode{20};
 /// A node that has been silent for longer is removed. Until then its last known
 /// incarnation keeps rejecting older reports.
 constexpr Milliseconds RemovalTimeout{60000};
@@ -37,13 +38,42 @@
 /// records over the link themselves.
 constexpr Milliseconds RemoteFetchDelay{350};
 
-std::uint64_t hashOf(const NodeId &Id) {
-  // FNV-1a: all nodes must compute the same hash, and std::hash differs between
-  // builds.
-  std::uint64_t Hash = 14695981039346656037ULL;
-  for (const char Byte : Id.str())
-    Hash = (Hash ^ static_cast<unsigned char>(Byte)) * 1099511628211ULL;
-  return Hash;
+std::uint64_t rendezvousWeight(const std::string &Subject, const NodeId &Id) {
+  return mixBits(fnv1a(Id.str(), mixBits(fnv1a(Subject))));
+}
+
+/// Takes what \p Report says and \p Into does not know yet. Returns whether the
+/// state has changed, and sets \p IsNews if anything has.
+bool updateNode(KnownNode &Into, const NodeReport &Report, SteadyTime Now,
+                bool &IsNews) {
+  const NodeReport &Old = Into.LastReport;
+  const bool IsSameLife = Old.IncarnationNumber == Report.IncarnationNumber;
+  const bool HasNewerLoad = !IsSameLife || Old.Number < Report.Number;
+  // A node that does not count its states changes with each message.
+  const bool HasNewerState = !IsSameLife || Old.State < Report.State ||
+                             (Report.State == Sequence() && HasNewerLoad);
+  const bool IsCurrentState = IsSameLife && Old.State == Report.State;
+  IsNews = HasNewerState || (HasNewerLoad && IsSameLife);
+  if (HasNewerState || (IsCurrentState && HasNewerLoad)) {
+    const Sequence Number = Old.Number;
+    const LoadReport Load = Old.Load;
+    Into.LastReport = Report;
+    Into.ReportedAt = Now;
+    if (!HasNewerLoad) {
+      Into.LastReport.Number = Number;
+      Into.LastReport.Load = Load;
+    }
+  } else if (HasNewerLoad) {
+    Into.LastReport.Number = Report.Number;
+    Into.LastReport.Load = Report.Load;
+  }
+  if (HasNewerLoad) {
+    Into.HeardAt = Now;
+    Into.LoadForwards = 0;
+  }
+  if (HasNewerState)
+    Into.StateForwards = 0;
+  return HasNewerState;
 }
 
 } // namespace
@@ -51,26 +81,69 @@
 bool mergeReport(NodeTable &Known, const NodeReport &Report, SteadyTime Now) {
   if (Report.Id == Known.Self || Report.Id.empty())
     return false;
-  const auto Found = Known.Nodes.find(Report.Id);
-  if (Found == Known.Nodes.end()) {
-    Known.Nodes.emplace(Report.Id, KnownNode{Report, Now, std::nullopt});
-    return true;
+  const auto [Found, IsNew] = Known.Nodes.try_emplace(Report.Id);
+  KnownNode &Node = Found->second;
+  if (!IsNew && Node.LastReport.IncarnationNumber > Report.IncarnationNumber)
+    return false;
+  const Upstream Before = Node.LastReport.LocalUpstream;
+  const NodeKey OldKey = nodeKey(Report.Id, Node.LastReport.IncarnationNumber);
+  bool IsNews = IsNew;
+  bool HasNewState = IsNew;
+  if (IsNew)
+    Node = {Report, Now, Now, 0, 0, false, std::nullopt};
+  else
+    HasNewState = updateNode(Node, Report, Now, IsNews);
+  if (HasNewState) {
+    Known.ByKey.erase(OldKey.value());
+    Known.ByKey[nodeKey(Report.Id, Report.IncarnationNumber).value()] =
+        Report.Id;
+    if (!Node.IsUnspread)
+      Known.Unspread.push_front(Report.Id);
+    Node.IsUnspread = true;
   }
-  const NodeReport &Old = Found->second.LastReport;
-  const bool IsNewer = Old.IncarnationNumber != Report.IncarnationNumber
-                           ? Old.IncarnationNumber < Report.IncarnationNumber
-                           : Old.Number < Report.Number;
-  if (!IsNewer)
+  if (isLeaving(Before) && Before.StartedAtUnixMs > 0)
+    Node.Left = Before;
+  Upstream &Current = Node.LastReport.LocalUpstream;
+  if (Node.Left && isSameProcess(*Node.Left, Current) && !isLeaving(Current))
+    Current.State = Node.Left->State;
+  return IsNews;
+}
+
+NodeKey nodeKey(const NodeId &Id, Incarnation Number) {
+  return NodeKey(static_cast<std::int64_t>(
+      mixBits(fnv1a(Id.str()) + static_cast<std::uint64_t>(Number.value()))));
+}
+
+bool mergeBeat(NodeTable &Known, const LoadBeat &Beat, SteadyTime Now) {
+  const auto Id = Known.ByKey.find(Beat.Node.value());
+  const auto Found = Id == Known.ByKey.end() ? Known.Nodes.end()
+                                             : Known.Nodes.find(Id->second);
+  if (Found == Known.Nodes.end())
     return false;
-  std::optional<Upstream> Left = std::move(Found->second.Left);
-  if (isLeaving(Old.LocalUpstream) && Old.LocalUpstream.StartedAtUnixMs > 0)
-    Left = Old.LocalUpstream;
-  Found->second = {Report, Now, std::move(Left)};
-  Upstream &Current = Found->second.LastReport.LocalUpstream;
-  const std::optional<Upstream> &Past = Found->second.Left;
-  if (Past && isSameProcess(*Past, Current) && !isLeaving(Current))
-    Current.State = Past->State;
-  return true;
+  KnownNode &Node = Found->second;
+  if (Node.LastReport.Number < Beat.Number) {
+    Node.LastReport.Number = Beat.Number;
+    Node.LastReport.Load = Beat.Load;
+    Node.HeardAt = Now;
+    Node.LoadForwards = 0;
+  }
+  return Beat.State <= Node.LastReport.State;
+}
+
+LoadBeat beatOf(const NodeReport &Report) {
+  return {nodeKey(Report.Id, Report.IncarnationNumber), Report.State,
+          Report.Number, Report.Load};
+}
+
+NodeReport forwardedReport(const KnownNode &Node, SteadyTime Now) {
+  NodeReport Report = Node.LastReport;
+  // Ages count from the time of sending.
+  const Milliseconds Since = elapsed(Node.ReportedAt, Now);
+  if (Report.ConfirmedAge)
+    *Report.ConfirmedAge += Since;
+  for (RolloutReport &Rollout : Report.Rollouts)
+    Rollout.Age += Since;
+  return Report;
 }
 
 bool isLeaving(const Upstream &Item) {
@@ -83,30 +156,56 @@
          First.StartedAtUnixMs == Second.StartedAtUnixMs;
 }
 
-bool isAlive(const KnownNode &Node, SteadyTime Now) {
-  return elapsed(Node.HeardAt, Now) < AliveTimeout;
+Milliseconds aliveTimeout(std::size_t Nodes) {
+  return std::max(MinAliveTimeout,
+                  AliveTimePerNode * static_cast<std::int64_t>(Nodes));
+}
+
+bool isAlive(const NodeTable &Known, const KnownNode &Node, SteadyTime Now) {
+  return elapsed(Node.HeardAt, Now) < aliveTimeout(Known.Nodes.size());
 }
 
 void expireNodes(NodeTable &Known, SteadyTime Now) {
-  for (auto It = Known.Nodes.begin(); It != Known.Nodes.end();)
-    It = elapsed(It->second.HeardAt, Now) > RemovalTimeout
-             ? Known.Nodes.erase(It)
-             : std::next(It);
+  for (auto It = Known.Nodes.begin(); It != Known.Nodes.end();) {
+    if (elapsed(It->second.HeardAt, Now) <= RemovalTimeout) {
+      ++It;
+      continue;
+    }
+    Known.ByKey.erase(
+        nodeKey(It->first, It->second.LastReport.IncarnationNumber).value());
+    It = Known.Nodes.erase(It);
+  }
 }
 
 std::size_t rendezvousRank(const NodeTable &Known, const std::string &Subject,
                            SteadyTime Now) {
-  const auto Weight = [&](const NodeId &Id) {
-    return hashOf(NodeId(Subject + "/" + Id.str()));
-  };
-  const std::uint64_t Own = Weight(Known.Self);
+  const std::uint64_t Own = rendezvousWeight(Subject, Known.Self);
   return static_cast<std::size_t>(std::count_if(
       Known.Nodes.begin(), Known.Nodes.end(), [&](const auto &Item) {
-        return isAlive(Item.second, Now) && !Item.second.LastReport.Stopping &&
-               Weight(Item.first) < Own;
+        return isAlive(Known, Item.second, Now) &&
+               !Item.second.LastReport.Stopping &&
+               rendezvousWeight(Subject, Item.first) < Own;
       }));
 }
 
+std::vector<NodeId> rendezvousFirst(const NodeTable &Known,
+                                    const std::string &Subject,
+                                    std::size_t Count, SteadyTime Now) {
+  std::vector<std::pair<std::uint64_t, NodeId>> Weighted{
+      {rendezvousWeight(Subject, Known.Self), Known.Self}};
+  for (const auto &[Id, Node] : Known.Nodes)
+    if (isAlive(Known, Node, Now) && !Node.LastReport.Stopping)
+      Weighted.emplace_back(rendezvousWeight(Subject, Id), Id);
+  Count = std::min(Count, Weighted.size());
+  std::partial_sort(Weighted.begin(),
+                    Weighted.begin() + static_cast<std::ptrdiff_t>(Count),
+                    Weighted.end());
+  std::vector<NodeId> First;
+  for (std::size_t At = 0; At < Count; ++At)
+    First.push_back(Weighted[At].second);
+  return First;
+}
+
 bool shouldReadStore(std::size_t Rank, Milliseconds ConfirmedAge,
                      const MeshBounds &Bounds) {
   if (Rank < PermanentReaders)
--- a/src/mesh/tests/NodeTableTest.cpp
+++ b/src/mesh/tests/NodeTableTest.cpp
@@ -41,6 +41,64 @@
   BOOST_TEST(!mergeReport(Known, report("self", 1, 1), SteadyTime(2)));
 }
 
+// Guards against an upstream that has left and gets requests again because the
+// node beside it was restarted and has forgotten it.
+BOOST_AUTO_TEST_CASE(upstreamThatHasLeftStaysAwayAfterARestartOfItsNode) {
+  NodeTable Known;
+  Known.Self = NodeId("self");
+  NodeReport Before = report("a", 5, 7);
+  Before.LocalUpstream.Id = UpstreamId("i-1");
+  Before.LocalUpstream.StartedAtUnixMs = 1000;
+  Before.LocalUpstream.State = UpstreamState::Draining;
+  mergeReport(Known, Before, SteadyTime(1));
+  NodeReport Restarted = report("a", 6, 1);
+  mergeReport(Known, Restarted, SteadyTime(2));
+  Restarted.Number = Sequence(2);
+  Restarted.LocalUpstream = Before.LocalUpstream;
+  Restarted.LocalUpstream.State = UpstreamState::Ready;
+  mergeReport(Known, Restarted, SteadyTime(3));
+  const KnownNode &Node = Known.Nodes.at(NodeId("a"));
+  BOOST_TEST((Node.LastReport.LocalUpstream.State == UpstreamState::Draining));
+  BOOST_REQUIRE(Node.Left.has_value());
+  // The next process at the same place is another one.
+  Restarted.Number = Sequence(3);
+  Restarted.LocalUpstream.StartedAtUnixMs = 2000;
+  mergeReport(Known, Restarted, SteadyTime(4));
+  BOOST_TEST((Node.LastReport.LocalUpstream.State == UpstreamState::Ready));
+}
+
+// Guards against a load that overtakes the state it belongs to, and against a
+// missing state that nobody asks for.
+BOOST_AUTO_TEST_CASE(loadsAreTakenAndMissingStatesAreNoticed) {
+  NodeTable Known;
+  Known.Self = NodeId("self");
+  NodeReport Full = report("a", 5, 7);
+  Full.State = Sequence(2);
+  LoadBeat Beat = beatOf(Full);
+  BOOST_TEST(!mergeBeat(Known, Beat, SteadyTime(1)));
+  mergeReport(Known, Full, SteadyTime(1));
+  Beat.Number = Sequence(9);
+  Beat.Load.Running = 4;
+  BOOST_TEST(mergeBeat(Known, Beat, SteadyTime(500)));
+  const KnownNode &Node = Known.Nodes.at(NodeId("a"));
+  BOOST_TEST(Node.LastReport.Load.Running == 4);
+  BOOST_TEST(Node.HeardAt.value() == 500);
+  BOOST_TEST(Node.ReportedAt.value() == 1);
+  // A report of the new state that was made before the load keeps the load.
+  Beat.State = Sequence(3);
+  BOOST_TEST(!mergeBeat(Known, Beat, SteadyTime(501)));
+  Full.State = Sequence(3);
+  Full.Number = Sequence(8);
+  Full.Ready = true;
+  BOOST_TEST(mergeReport(Known, Full, SteadyTime(510)));
+  BOOST_TEST(Node.LastReport.Ready);
+  BOOST_TEST(Node.LastReport.Load.Running == 4);
+  BOOST_TEST(mergeBeat(Known, Beat, SteadyTime(520)));
+  // A restart begins a new count.
+  BOOST_TEST(mergeReport(Known, report("a", 6, 1), SteadyTime(600)));
+  BOOST_TEST(!mergeBeat(Known, Beat, SteadyTime(610)));
+}
+
 // Guards against two nodes, or none, that take themselves for the first in the
 // order.
 BOOST_AUTO_TEST_CASE(ranksAreDistinctAndStable) {
@@ -86,6 +144,52 @@
   }
 }
 
+// Guards against a new node that is ready before it knows a node that joined
+// just before it: an even newer one that it has heard of proves nothing.
+BOOST_AUTO_TEST_CASE(newNodeWaitsForThoseBeforeIt) {
+  NodeTable Known;
+  Known.Self = NodeId("self");
+  const JoinState Second{true, true, Offset(2), 1};
+  NodeReport Later = report("later", 1, 1);
+  Later.Place = Offset(3);
+  mergeReport(Known, Later, SteadyTime(1));
+  BOOST_TEST(!hasJoined(Second, Known, Milliseconds(100)));
+  NodeReport First = report("first", 1, 1);
+  First.Place = Offset(1);
+  mergeReport(Known, First, SteadyTime(1));
+  BOOST_TEST(hasJoined(Second, Known, Milliseconds(100)));
+  // Those that have ended do not answer.
+  BOOST_TEST(!hasJoined({true, true, Offset(9), 8}, Known, Milliseconds(900)));
+  BOOST_TEST(hasJoined({true, true, Offset(9), 8}, Known, Milliseconds(1200)));
+  // A restarted node is known to the others, and hears of them at once.
+  BOOST_TEST(hasJoined({true, false, Offset(2), 8}, Known, Milliseconds(1)));
+  BOOST_TEST(
+      !hasJoined({true, false, Offset(2), 8}, NodeTable(), Milliseconds(1)));
+  BOOST_TEST(
+      hasJoined({true, true, Offset(1), 0}, NodeTable(), Milliseconds(1)));
+}
+
+// Guards against a datagram for each pair of nodes when all of them start.
+BOOST_AUTO_TEST_CASE(contactsAtAStartDoNotGrowWithTheFleet) {
+  std::mt19937_64 Random(3);
+  SeedNodes Seeds;
+  for (int At = 0; At < 1000; ++At)
+    Seeds[{"10.0.0." + std::to_string(At), 1}].Zone =
+        AvailabilityZone("z" + std::to_string(At % 8));
+  NodeTable Known;
+  Known.Self = NodeId("self");
+  const AvailabilityZone Own("z0");
+  const auto First = chooseSeeds(Seeds, Known, Own, SteadyTime(1), Random);
+  BOOST_TEST(First.size() == 125U + 7 * 4);
+  std::size_t Later = 0;
+  for (int Second = 60; Second < 160; ++Second)
+    Later += chooseSeeds(Seeds, Known, Own, SteadyTime(Second * 1000), Random)
+                 .size();
+  // All of them are silent: the attempts go on, but few at a time.
+  BOOST_TEST(Later >= 100U);
+  BOOST_TEST(Later <= 100U * (7 * 4 + 1) + 250);
+}
+
 // Guards against calls to a failing store that grow with the number of nodes,
 // and against a node without records that backs off as long as the others.
 BOOST_AUTO_TEST_CASE(storeBackoffGrowsWithTheNodes) {
@@ -142,6 +246,13 @@
   return Known;
 }
 
+void countTargets(const GossipTargets &Targets, std::map<char, int> &Sent) {
+  for (const auto *List :
+       {&Targets.InZone, &Targets.InRegion, &Targets.OtherRegions})
+    for (const Endpoint &To : *List)
+      ++Sent[To.Address.front()];
+}
+
 } // namespace
 
 // Guards against control traffic on billed links that grows with the number of
@@ -156,9 +267,7 @@
     std::mt19937_64 Random(7);
     std::map<char, int> Sent;
     for (int Count = 0; Count < Rounds; ++Count)
-      for (const Endpoint &To :
-           choosePeers(Known, At, Round, SteadyTime(1), Random))
-        ++Sent[To.Address.front()];
+      countTargets(choosePeers(Known, At, Round, SteadyTime(1), Random), Sent);
     const double ToZone = Sent['1'] * PerZone / 1000.0;
     const double ToRegion = (Sent['2'] + Sent['3']) * PerZone * 2 / 1000.0;
     BOOST_TEST(ToZone <= 16 * 1.2);
--- a/src/mesh/tests/RegistrationTest.cpp
+++ b/src/mesh/tests/RegistrationTest.cpp
@@ -75,6 +75,22 @@
   BOOST_TEST((Known.Current.State == UpstreamState::Ready));
 }
 
+// Guards against a late check-in that brings back an upstream which left before
+// its node was restarted.
+BOOST_AUTO_TEST_CASE(leaveIsRestoredFromOtherNodes) {
+  Registration Known;
+  Upstream Past = checkIn("a", 100, 1).From;
+  Past.State = UpstreamState::Draining;
+  BOOST_TEST(!restoreLeave(Known, Past, SteadyTime(10)));
+  BOOST_TEST(!applyCheckIn(Known, checkIn("a", 100, 19), SteadyTime(90'000)));
+  BOOST_TEST(applyCheckIn(Known, checkIn("a", 101, 1), SteadyTime(90'000)));
+  Registration Registered;
+  applyCheckIn(Registered, checkIn("a", 100, 18), SteadyTime(5));
+  BOOST_TEST(restoreLeave(Registered, Past, SteadyTime(10)));
+  BOOST_TEST((Registered.Current.State == UpstreamState::Draining));
+  BOOST_TEST(!restoreLeave(Registered, Past, SteadyTime(11)));
+}
+
 BOOST_AUTO_TEST_CASE(missedCheckInsMeanSilence) {
   Registration Known;
   applyCheckIn(Known, checkIn("b", 200, 1), SteadyTime(1000));
--- a/src/mesh/tests/RolloutTest.cpp
+++ b/src/mesh/tests/RolloutTest.cpp
@@ -12,8 +12,8 @@
 RouteTotals totals(std::int64_t OldGood, std::int64_t OldBad,
                    std::int64_t NewGood, std::int64_t NewBad,
                    std::int64_t NewMs = 80) {
-  return {{OldGood, OldBad, Milliseconds(80 * OldGood)},
-          {NewGood, NewBad, Milliseconds(NewMs * NewGood)}};
+  return {{OldGood, OldBad, OldGood, Milliseconds(80 * OldGood)},
+          {NewGood, NewBad, NewGood, Milliseconds(NewMs * NewGood)}};
 }
 
 RolloutView viewAt(std::int64_t AgeMs, const RouteTotals &Read) {
@@ -143,6 +143,31 @@
       !isRolledBack(decideRollout(viewAt(3000, totals(200, 100, 20, 11)))));
 }
 
+// Guards against a fleet that refuses everything for good: a node found the new
+// version bad while another recorded it as completed, and the old one had
+// ended.
+BOOST_AUTO_TEST_CASE(completedRolloutOutlastsALateVerdict) {
+  BOOST_TEST(
+      (versionChoice(RolloutState::Completed, true) == VersionChoice::NewOnly));
+  BOOST_TEST((versionChoice(RolloutState::Completed, false) ==
+              VersionChoice::NewOnly));
+  BOOST_TEST(
+      (versionChoice(RolloutState::Running, true) == VersionChoice::OldOnly));
+  BOOST_TEST((versionChoice(RolloutState::RolledBack, false) ==
+              VersionChoice::OldOnly));
+  BOOST_TEST(
+      (versionChoice(RolloutState::Running, false) == VersionChoice::Split));
+}
+
+// Guards against a good version that is condemned since its upstreams have just
+// started: their good answers count, only the time of these does not.
+BOOST_AUTO_TEST_CASE(coldUpstreamsDoNotCondemn) {
+  RouteTotals Cold = totals(4000, 90, 120, 6, 400);
+  Cold.New.Timed = 0;
+  Cold.New.TotalTime = Milliseconds(0);
+  BOOST_TEST(!isRolledBack(decideRollout(viewAt(4000, Cold))));
+}
+
 BOOST_AUTO_TEST_CASE(singleErrorDoesNotRollBack) {
   BOOST_TEST(!isRolledBack(decideRollout(viewAt(1000, totals(50, 0, 1, 1)))));
 }
--- a/src/mesh/types/JoinState.h
+++ b/src/mesh/types/JoinState.h
@@ -13,7 +13,10 @@
   bool IsListed = false;
   /// The node was added to the list by this process.
   bool IsNew = false;
-  /// Other nodes on the list, including those that have ended since.
+  /// Place on the list, from 1.
+  Offset Place;
+  /// Other nodes on the list, including those that have ended since; for a new
+  /// node those before it.
   std::size_t Others = 0;
 };
 
--- a/src/mesh/types/NodeReport.h
+++ b/src/mesh/types/NodeReport.h
@@ -4,8 +4,10 @@
 #include "mesh/types/MeshConfig.h"
 #include "requests/Requests.h"
 
+#include <deque>
 #include <map>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace lycheethread::mesh {
@@ -53,7 +55,10 @@
   RouteName Route;
   std::int32_t Good = 0;
   std::int32_t Bad = 0;
-  /// Sum over the requests counted in Good.
+  /// Requests counted in Good whose time counts: a cold upstream is slow
+  /// regardless of its version.
+  std::int32_t Timed = 0;
+  /// Sum over the requests counted in Timed.
   Milliseconds TotalTime{0};
 };
 
@@ -83,9 +88,13 @@
   Incarnation IncarnationNumber;
   /// Grows with each message of one incarnation.
   Sequence Number;
+  /// Grows when more than the load has changed.
+  Sequence State;
   Location At;
   Endpoint Hop;
   Endpoint Gossip;
+  /// Place on the list of nodes, from 1; 0 while it is not known.
+  Offset Place;
   /// The node serves callers and is not about to stop.
   bool Ready = false;
   bool Stopping = false;
@@ -101,12 +110,30 @@
   std::vector<CrashSuspectReport> Crashes;
 };
 
+/// Identifies one incarnation of a node in a LoadBeat.
+using NodeKey = StrongNumber<struct NodeKeyTag>;
+
+/// The load of a node without the rest of its report, which changes rarely.
+struct LoadBeat {
+  NodeKey Node;
+  Sequence State;
+  Sequence Number;
+  LoadReport Load;
+};
+
 /// The latest known state of another node.
 struct KnownNode {
   NodeReport LastReport;
-  /// When its newest report was received, from the node itself or forwarded by
-  /// another one.
+  /// When its newest report or beat was received, from the node itself or
+  /// forwarded by another one.
   SteadyTime HeardAt;
+  /// When LastReport was received; ages in it count from this time.
+  SteadyTime ReportedAt;
+  /// How many times this node has forwarded the state and the load.
+  int StateForwards = 0;
+  int LoadForwards = 0;
+  /// The node is in NodeTable::Unspread.
+  bool IsUnspread = false;
   /// The newest upstream process beside the node that is known to leave or to
   /// have left; only for processes with a stated start. A node that was
   /// restarted does not remember it.
@@ -117,6 +144,11 @@
 struct NodeTable {
   NodeId Self;
   std::map<NodeId, KnownNode> Nodes;
+  std::unordered_map<std::int64_t, NodeId> ByKey;
+  /// Nodes whose newest state has to be forwarded, the most urgent first.
+  std::deque<NodeId> Unspread;
+  /// The node whose load was forwarded last.
+  NodeId BeatCursor;
 };
 
 } // namespace lycheethread::mesh
--- a/src/mesh/types/Rollout.h
+++ b/src/mesh/types/Rollout.h
@@ -19,10 +19,15 @@
   Milliseconds Duration{0};
 };
 
+/// Versions that may get requests of a service.
+enum class VersionChoice { OldOnly, NewOnly, Split };
+
 /// Outcomes of one route at one version.
 struct VersionTotals {
   std::int64_t Good = 0;
   std::int64_t Bad = 0;
+  /// Good answers whose time is in TotalTime: those of a cold upstream are not.
+  std::int64_t Timed = 0;
   Milliseconds TotalTime{0};
 };
 
@@ -44,6 +49,8 @@
   std::vector<TotalsByRoute> Earlier;
   /// The last decision was to compare the versions before the rollout ends.
   bool IsComparing = false;
+  /// This node is one of those that judge by the evidence.
+  bool MayJudge = true;
   /// Part of the requests that a bad version may get in total.
   double ExposureShare = 0.1;
   std::int32_t ReadyNew = 0;
--- a/src/model/Model.h
+++ b/src/model/Model.h
@@ -17,6 +17,7 @@
 #include "model/types/RequestClass.h"
 #include "model/types/RouteOutcomes.h"
 #include "model/types/ServiceDocument.h"
+#include "model/types/StableHash.h"
 #include "model/types/Units.h"
 
 #endif // LYCHEETHREAD_MODEL_MODEL_H
--- a/src/sidecar/gen/gossip_types.cpp
+++ b/src/sidecar/gen/gossip_types.cpp
@@ -513,6 +513,11 @@
 void EvidenceMessage::__set_totalTimeMs(const int64_t val) {
   this->totalTimeMs = val;
 }
+
+void EvidenceMessage::__set_timed(const int32_t val) {
+  this->timed = val;
+__isset.timed = true;
+}
 std::ostream& operator<<(std::ostream& out, const EvidenceMessage& obj)
 {
   obj.printTo(out);
@@ -581,6 +586,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->timed);
+          this->__isset.timed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -618,6 +631,11 @@
   xfer += oprot->writeI64(this->totalTimeMs);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.timed) {
+    xfer += oprot->writeFieldBegin("timed", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->timed);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -630,6 +648,7 @@
   swap(a.good, b.good);
   swap(a.bad, b.bad);
   swap(a.totalTimeMs, b.totalTimeMs);
+  swap(a.timed, b.timed);
   swap(a.__isset, b.__isset);
 }
 
@@ -639,6 +658,7 @@
   good = other6.good;
   bad = other6.bad;
   totalTimeMs = other6.totalTimeMs;
+  timed = other6.timed;
   __isset = other6.__isset;
 }
 EvidenceMessage& EvidenceMessage::operator=(const EvidenceMessage& other7) {
@@ -647,6 +667,7 @@
   good = other7.good;
   bad = other7.bad;
   totalTimeMs = other7.totalTimeMs;
+  timed = other7.timed;
   __isset = other7.__isset;
   return *this;
 }
@@ -658,6 +679,7 @@
   out << ", " << "good=" << to_string(good);
   out << ", " << "bad=" << to_string(bad);
   out << ", " << "totalTimeMs=" << to_string(totalTimeMs);
+  out << ", " << "timed="; (__isset.timed ? (out << to_string(timed)) : (out << "<null>"));
   out << ")";
 }
 
@@ -878,6 +900,15 @@
 void NewsMessage::__set_bodyWaitMs(const int64_t val) {
   this->bodyWaitMs = val;
 }
+
+void NewsMessage::__set_state(const int64_t val) {
+  this->state = val;
+}
+
+void NewsMessage::__set_place(const int64_t val) {
+  this->place = val;
+__isset.place = true;
+}
 std::ostream& operator<<(std::ostream& out, const NewsMessage& obj)
 {
   obj.printTo(out);
@@ -1094,6 +1125,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->place);
+          this->__isset.place = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1216,6 +1263,15 @@
   xfer += oprot->writeI64(this->bodyWaitMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I64, 20);
+  xfer += oprot->writeI64(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.place) {
+    xfer += oprot->writeFieldBegin("place", ::apache::thrift::protocol::T_I64, 21);
+    xfer += oprot->writeI64(this->place);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1242,6 +1298,8 @@
   swap(a.evidence, b.evidence);
   swap(a.crashes, b.crashes);
   swap(a.bodyWaitMs, b.bodyWaitMs);
+  swap(a.state, b.state);
+  swap(a.place, b.place);
   swap(a.__isset, b.__isset);
 }
 
@@ -1265,6 +1323,8 @@
   evidence = other28.evidence;
   crashes = other28.crashes;
   bodyWaitMs = other28.bodyWaitMs;
+  state = other28.state;
+  place = other28.place;
   __isset = other28.__isset;
 }
 NewsMessage& NewsMessage::operator=(const NewsMessage& other29) {
@@ -1287,6 +1347,8 @@
   evidence = other29.evidence;
   crashes = other29.crashes;
   bodyWaitMs = other29.bodyWaitMs;
+  state = other29.state;
+  place = other29.place;
   __isset = other29.__isset;
   return *this;
 }
@@ -1312,6 +1374,228 @@
   out << ", " << "evidence="; (__isset.evidence ? (out << to_string(evidence)) : (out << "<null>"));
   out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
   out << ", " << "bodyWaitMs=" << to_string(bodyWaitMs);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "place="; (__isset.place ? (out << to_string(place)) : (out << "<null>"));
+  out << ")";
+}
+
+
+BeatMessage::~BeatMessage() noexcept {
+}
+
+
+void BeatMessage::__set_node(const int64_t val) {
+  this->node = val;
+}
+
+void BeatMessage::__set_state(const int64_t val) {
+  this->state = val;
+}
+
+void BeatMessage::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void BeatMessage::__set_running(const int32_t val) {
+  this->running = val;
+__isset.running = true;
+}
+
+void BeatMessage::__set_waiting(const int32_t val) {
+  this->waiting = val;
+__isset.waiting = true;
+}
+
+void BeatMessage::__set_serviceTimeMs(const int32_t val) {
+  this->serviceTimeMs = val;
+__isset.serviceTimeMs = true;
+}
+
+void BeatMessage::__set_bodyWaitMs(const int32_t val) {
+  this->bodyWaitMs = val;
+__isset.bodyWaitMs = true;
+}
+std::ostream& operator<<(std::ostream& out, const BeatMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BeatMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->serviceTimeMs);
+          this->__isset.serviceTimeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->bodyWaitMs);
+          this->__isset.bodyWaitMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t BeatMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BeatMessage");
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.running) {
+    xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->running);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.waiting) {
+    xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->waiting);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.serviceTimeMs) {
+    xfer += oprot->writeFieldBegin("serviceTimeMs", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->serviceTimeMs);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.bodyWaitMs) {
+    xfer += oprot->writeFieldBegin("bodyWaitMs", ::apache::thrift::protocol::T_I32, 7);
+    xfer += oprot->writeI32(this->bodyWaitMs);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BeatMessage &a, BeatMessage &b) {
+  using ::std::swap;
+  swap(a.node, b.node);
+  swap(a.state, b.state);
+  swap(a.number, b.number);
+  swap(a.running, b.running);
+  swap(a.waiting, b.waiting);
+  swap(a.serviceTimeMs, b.serviceTimeMs);
+  swap(a.bodyWaitMs, b.bodyWaitMs);
+  swap(a.__isset, b.__isset);
+}
+
+BeatMessage::BeatMessage(const BeatMessage& other30) noexcept {
+  node = other30.node;
+  state = other30.state;
+  number = other30.number;
+  running = other30.running;
+  waiting = other30.waiting;
+  serviceTimeMs = other30.serviceTimeMs;
+  bodyWaitMs = other30.bodyWaitMs;
+  __isset = other30.__isset;
+}
+BeatMessage& BeatMessage::operator=(const BeatMessage& other31) noexcept {
+  node = other31.node;
+  state = other31.state;
+  number = other31.number;
+  running = other31.running;
+  waiting = other31.waiting;
+  serviceTimeMs = other31.serviceTimeMs;
+  bodyWaitMs = other31.bodyWaitMs;
+  __isset = other31.__isset;
+  return *this;
+}
+void BeatMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BeatMessage(";
+  out << "node=" << to_string(node);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "running="; (__isset.running ? (out << to_string(running)) : (out << "<null>"));
+  out << ", " << "waiting="; (__isset.waiting ? (out << to_string(waiting)) : (out << "<null>"));
+  out << ", " << "serviceTimeMs="; (__isset.serviceTimeMs ? (out << to_string(serviceTimeMs)) : (out << "<null>"));
+  out << ", " << "bodyWaitMs="; (__isset.bodyWaitMs ? (out << to_string(bodyWaitMs)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1323,6 +1607,16 @@
 void GossipMessage::__set_news(const std::vector<NewsMessage> & val) {
   this->news = val;
 }
+
+void GossipMessage::__set_beats(const std::vector<BeatMessage> & val) {
+  this->beats = val;
+__isset.beats = true;
+}
+
+void GossipMessage::__set_wanted(const std::vector<int64_t> & val) {
+  this->wanted = val;
+__isset.wanted = true;
+}
 std::ostream& operator<<(std::ostream& out, const GossipMessage& obj)
 {
   obj.printTo(out);
@@ -1355,14 +1649,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->news.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->news.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->news.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              xfer += this->news[_i34].read(iprot);
+              xfer += this->news[_i36].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1371,6 +1665,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->beats.clear();
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->beats.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
+            {
+              xfer += this->beats[_i41].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.beats = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->wanted.clear();
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->wanted.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
+            {
+              xfer += iprot->readI64(this->wanted[_i46]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1391,15 +1725,41 @@
   xfer += oprot->writeFieldBegin("news", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->news.size()));
-    std::vector<NewsMessage> ::const_iterator _iter35;
-    for (_iter35 = this->news.begin(); _iter35 != this->news.end(); ++_iter35)
+    std::vector<NewsMessage> ::const_iterator _iter47;
+    for (_iter47 = this->news.begin(); _iter47 != this->news.end(); ++_iter47)
     {
-      xfer += (*_iter35).write(oprot);
+      xfer += (*_iter47).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.beats) {
+    xfer += oprot->writeFieldBegin("beats", ::apache::thrift::protocol::T_LIST, 2);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->beats.size()));
+      std::vector<BeatMessage> ::const_iterator _iter48;
+      for (_iter48 = this->beats.begin(); _iter48 != this->beats.end(); ++_iter48)
+      {
+        xfer += (*_iter48).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.wanted) {
+    xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_LIST, 3);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->wanted.size()));
+      std::vector<int64_t> ::const_iterator _iter49;
+      for (_iter49 = this->wanted.begin(); _iter49 != this->wanted.end(); ++_iter49)
+      {
+        xfer += oprot->writeI64((*_iter49));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1408,22 +1768,30 @@
 void swap(GossipMessage &a, GossipMessage &b) {
   using ::std::swap;
   swap(a.news, b.news);
+  swap(a.beats, b.beats);
+  swap(a.wanted, b.wanted);
   swap(a.__isset, b.__isset);
 }
 
-GossipMessage::GossipMessage(const GossipMessage& other36) {
-  news = other36.news;
-  __isset = other36.__isset;
+GossipMessage::GossipMessage(const GossipMessage& other50) {
+  news = other50.news;
+  beats = other50.beats;
+  wanted = other50.wanted;
+  __isset = other50.__isset;
 }
-GossipMessage& GossipMessage::operator=(const GossipMessage& other37) {
-  news = other37.news;
-  __isset = other37.__isset;
+GossipMessage& GossipMessage::operator=(const GossipMessage& other51) {
+  news = other51.news;
+  beats = other51.beats;
+  wanted = other51.wanted;
+  __isset = other51.__isset;
   return *this;
 }
 void GossipMessage::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "GossipMessage(";
   out << "news=" << to_string(news);
+  out << ", " << "beats="; (__isset.beats ? (out << to_string(beats)) : (out << "<null>"));
+  out << ", " << "wanted="; (__isset.wanted ? (out << to_string(wanted)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1537,17 +1905,17 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorItemMessage::OperatorItemMessage(const OperatorItemMessage& other38) {
-  key = other38.key;
-  value = other38.value;
-  offset = other38.offset;
-  __isset = other38.__isset;
+OperatorItemMessage::OperatorItemMessage(const OperatorItemMessage& other52) {
+  key = other52.key;
+  value = other52.value;
+  offset = other52.offset;
+  __isset = other52.__isset;
 }
-OperatorItemMessage& OperatorItemMessage::operator=(const OperatorItemMessage& other39) {
-  key = other39.key;
-  value = other39.value;
-  offset = other39.offset;
-  __isset = other39.__isset;
+OperatorItemMessage& OperatorItemMessage::operator=(const OperatorItemMessage& other53) {
+  key = other53.key;
+  value = other53.value;
+  offset = other53.offset;
+  __isset = other53.__isset;
   return *this;
 }
 void OperatorItemMessage::printTo(std::ostream& out) const {
@@ -1611,14 +1979,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _etype43;
-            xfer += iprot->readListBegin(_etype43, _size40);
-            this->items.resize(_size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->items.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
             {
-              xfer += this->items[_i44].read(iprot);
+              xfer += this->items[_i58].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1651,10 +2019,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<OperatorItemMessage> ::const_iterator _iter45;
-    for (_iter45 = this->items.begin(); _iter45 != this->items.end(); ++_iter45)
+    std::vector<OperatorItemMessage> ::const_iterator _iter59;
+    for (_iter59 = this->items.begin(); _iter59 != this->items.end(); ++_iter59)
     {
-      xfer += (*_iter45).write(oprot);
+      xfer += (*_iter59).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1672,15 +2040,15 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorItemsMessage::OperatorItemsMessage(const OperatorItemsMessage& other46) {
-  position = other46.position;
-  items = other46.items;
-  __isset = other46.__isset;
+OperatorItemsMessage::OperatorItemsMessage(const OperatorItemsMessage& other60) {
+  position = other60.position;
+  items = other60.items;
+  __isset = other60.__isset;
 }
-OperatorItemsMessage& OperatorItemsMessage::operator=(const OperatorItemsMessage& other47) {
-  position = other47.position;
-  items = other47.items;
-  __isset = other47.__isset;
+OperatorItemsMessage& OperatorItemsMessage::operator=(const OperatorItemsMessage& other61) {
+  position = other61.position;
+  items = other61.items;
+  __isset = other61.__isset;
   return *this;
 }
 void OperatorItemsMessage::printTo(std::ostream& out) const {
--- a/src/sidecar/gen/gossip_types.h
+++ b/src/sidecar/gen/gossip_types.h
@@ -33,6 +33,8 @@
 
 class NewsMessage;
 
+class BeatMessage;
+
 class GossipMessage;
 
 class OperatorItemMessage;
@@ -239,12 +241,13 @@
 std::ostream& operator<<(std::ostream& out, const RolloutMessage& obj);
 
 typedef struct _EvidenceMessage__isset {
-  _EvidenceMessage__isset() : order(false), route(false), good(false), bad(false), totalTimeMs(false) {}
+  _EvidenceMessage__isset() : order(false), route(false), good(false), bad(false), totalTimeMs(false), timed(false) {}
   bool order :1;
   bool route :1;
   bool good :1;
   bool bad :1;
   bool totalTimeMs :1;
+  bool timed :1;
 } _EvidenceMessage__isset;
 
 class EvidenceMessage : public virtual ::apache::thrift::TBase {
@@ -257,7 +260,8 @@
                     route(),
                     good(0),
                     bad(0),
-                    totalTimeMs(0) {
+                    totalTimeMs(0),
+                    timed(0) {
   }
 
   virtual ~EvidenceMessage() noexcept;
@@ -266,6 +270,7 @@
   int32_t good;
   int32_t bad;
   int64_t totalTimeMs;
+  int32_t timed;
 
   _EvidenceMessage__isset __isset;
 
@@ -279,6 +284,8 @@
 
   void __set_totalTimeMs(const int64_t val);
 
+  void __set_timed(const int32_t val);
+
   bool operator == (const EvidenceMessage & rhs) const
   {
     if (!(order == rhs.order))
@@ -291,6 +298,10 @@
       return false;
     if (!(totalTimeMs == rhs.totalTimeMs))
       return false;
+    if (__isset.timed != rhs.__isset.timed)
+      return false;
+    else if (__isset.timed && !(timed == rhs.timed))
+      return false;
     return true;
   }
   bool operator != (const EvidenceMessage &rhs) const {
@@ -367,7 +378,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashMessage& obj);
 
 typedef struct _NewsMessage__isset {
-  _NewsMessage__isset() : id(false), life(false), number(false), region(false), zone(false), hop(false), gossip(false), ready(false), stopping(false), own(false), running(false), waiting(false), serviceTimeMs(false), operatorPosition(false), confirmedAgeMs(false), rollouts(false), evidence(false), crashes(false), bodyWaitMs(false) {}
+  _NewsMessage__isset() : id(false), life(false), number(false), region(false), zone(false), hop(false), gossip(false), ready(false), stopping(false), own(false), running(false), waiting(false), serviceTimeMs(false), operatorPosition(false), confirmedAgeMs(false), rollouts(false), evidence(false), crashes(false), bodyWaitMs(false), state(false), place(false) {}
   bool id :1;
   bool life :1;
   bool number :1;
@@ -387,6 +398,8 @@
   bool evidence :1;
   bool crashes :1;
   bool bodyWaitMs :1;
+  bool state :1;
+  bool place :1;
 } _NewsMessage__isset;
 
 class NewsMessage : public virtual ::apache::thrift::TBase {
@@ -407,7 +420,9 @@
                 serviceTimeMs(0),
                 operatorPosition(0),
                 confirmedAgeMs(0),
-                bodyWaitMs(0) {
+                bodyWaitMs(0),
+                state(0),
+                place(0) {
   }
 
   virtual ~NewsMessage() noexcept;
@@ -430,6 +445,8 @@
   std::vector<EvidenceMessage>  evidence;
   std::vector<CrashMessage>  crashes;
   int64_t bodyWaitMs;
+  int64_t state;
+  int64_t place;
 
   _NewsMessage__isset __isset;
 
@@ -471,6 +488,10 @@
 
   void __set_bodyWaitMs(const int64_t val);
 
+  void __set_state(const int64_t val);
+
+  void __set_place(const int64_t val);
+
   bool operator == (const NewsMessage & rhs) const
   {
     if (!(id == rhs.id))
@@ -521,6 +542,12 @@
       return false;
     if (!(bodyWaitMs == rhs.bodyWaitMs))
       return false;
+    if (!(state == rhs.state))
+      return false;
+    if (__isset.place != rhs.__isset.place)
+      return false;
+    else if (__isset.place && !(place == rhs.place))
+      return false;
     return true;
   }
   bool operator != (const NewsMessage &rhs) const {
@@ -539,9 +566,104 @@
 
 std::ostream& operator<<(std::ostream& out, const NewsMessage& obj);
 
+typedef struct _BeatMessage__isset {
+  _BeatMessage__isset() : node(false), state(false), number(false), running(false), waiting(false), serviceTimeMs(false), bodyWaitMs(false) {}
+  bool node :1;
+  bool state :1;
+  bool number :1;
+  bool running :1;
+  bool waiting :1;
+  bool serviceTimeMs :1;
+  bool bodyWaitMs :1;
+} _BeatMessage__isset;
+
+class BeatMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  BeatMessage(const BeatMessage&) noexcept;
+  BeatMessage& operator=(const BeatMessage&) noexcept;
+  BeatMessage() noexcept
+              : node(0),
+                state(0),
+                number(0),
+                running(0),
+                waiting(0),
+                serviceTimeMs(0),
+                bodyWaitMs(0) {
+  }
+
+  virtual ~BeatMessage() noexcept;
+  int64_t node;
+  int64_t state;
+  int64_t number;
+  int32_t running;
+  int32_t waiting;
+  int32_t serviceTimeMs;
+  int32_t bodyWaitMs;
+
+  _BeatMessage__isset __isset;
+
+  void __set_node(const int64_t val);
+
+  void __set_state(const int64_t val);
+
+  void __set_number(const int64_t val);
+
+  void __set_running(const int32_t val);
+
+  void __set_waiting(const int32_t val);
+
+  void __set_serviceTimeMs(const int32_t val);
+
+  void __set_bodyWaitMs(const int32_t val);
+
+  bool operator == (const BeatMessage & rhs) const
+  {
+    if (!(node == rhs.node))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (__isset.running != rhs.__isset.running)
+      return false;
+    else if (__isset.running && !(running == rhs.running))
+      return false;
+    if (__isset.waiting != rhs.__isset.waiting)
+      return false;
+    else if (__isset.waiting && !(waiting == rhs.waiting))
+      return false;
+    if (__isset.serviceTimeMs != rhs.__isset.serviceTimeMs)
+      return false;
+    else if (__isset.serviceTimeMs && !(serviceTimeMs == rhs.serviceTimeMs))
+      return false;
+    if (__isset.bodyWaitMs != rhs.__isset.bodyWaitMs)
+      return false;
+    else if (__isset.bodyWaitMs && !(bodyWaitMs == rhs.bodyWaitMs))
+      return false;
+    return true;
+  }
+  bool operator != (const BeatMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const BeatMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(BeatMessage &a, BeatMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const BeatMessage& obj);
+
 typedef struct _GossipMessage__isset {
-  _GossipMessage__isset() : news(false) {}
+  _GossipMessage__isset() : news(false), beats(false), wanted(false) {}
   bool news :1;
+  bool beats :1;
+  bool wanted :1;
 } _GossipMessage__isset;
 
 class GossipMessage : public virtual ::apache::thrift::TBase {
@@ -554,15 +676,29 @@
 
   virtual ~GossipMessage() noexcept;
   std::vector<NewsMessage>  news;
+  std::vector<BeatMessage>  beats;
+  std::vector<int64_t>  wanted;
 
   _GossipMessage__isset __isset;
 
   void __set_news(const std::vector<NewsMessage> & val);
 
+  void __set_beats(const std::vector<BeatMessage> & val);
+
+  void __set_wanted(const std::vector<int64_t> & val);
+
   bool operator == (const GossipMessage & rhs) const
   {
     if (!(news == rhs.news))
       return false;
+    if (__isset.beats != rhs.__isset.beats)
+      return false;
+    else if (__isset.beats && !(beats == rhs.beats))
+      return false;
+    if (__isset.wanted != rhs.__isset.wanted)
+      return false;
+    else if (__isset.wanted && !(wanted == rhs.wanted))
+      return false;
     return true;
   }
   bool operator != (const GossipMessage &rhs) const {
--- a/src/sidecar/gossip.thrift
+++ b/src/sidecar/gossip.thrift
@@ -29,6 +29,7 @@
   3: i32 good
   4: i32 bad
   5: i64 totalTimeMs
+  6: optional i32 timed  // answers in totalTimeMs; all good ones where absent
 }
 
 struct CrashMessage {
@@ -59,11 +60,27 @@
   17: optional list<EvidenceMessage> evidence
   18: optional list<CrashMessage> crashes
   19: i64 bodyWaitMs
+  20: i64 state          // grows when more than the load has changed
+  21: optional i64 place // on the list of nodes, from 1
 }
 
-// One datagram.
+// The load of a node whose report the receiver may know. Numbers that are 0 are
+// left out.
+struct BeatMessage {
+  1: i64 node            // identifies one life of a node
+  2: i64 state
+  3: i64 number
+  4: optional i32 running
+  5: optional i32 waiting
+  6: optional i32 serviceTimeMs
+  7: optional i32 bodyWaitMs
+}
+
+// One datagram. The first report is that of the sender.
 struct GossipMessage {
   1: list<NewsMessage> news
+  2: optional list<BeatMessage> beats
+  3: optional list<i64> wanted // nodes whose report the sender lacks
 }
 
 // A record of the operator. OperatorItemsMessage holds the records of one node
--- a/src/sidecar/internal/Gossip.cpp
+++ b/src/sidecar/internal/Gossip.cpp
@@ -3,6 +3,7 @@
 #include "sidecar/internal/GossipCodec.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace lycheethread::sidecar {
 
@@ -10,29 +11,40 @@
 
 constexpr Milliseconds TickInterval{250};
 constexpr std::size_t MaxBroadcastTargets = 40;
-/// Exponential backoff for seed nodes that do not answer.
-constexpr Milliseconds MinSeedBackoff{500};
-constexpr Milliseconds MaxSeedBackoff{8000};
-/// A report is forwarded at most this many times, plus one for each doubling of
-/// the number of nodes.
-constexpr int MinForwards = 3;
+constexpr Milliseconds SeedCheckInterval{1000};
+/// A report that was asked for is not asked for again within this time.
+constexpr Milliseconds AskInterval{500};
+constexpr std::size_t MaxAsked = 16;
+constexpr std::size_t MaxAskedAt = 4096;
+/// Bytes of a datagram around its reports and loads.
+constexpr std::size_t FrameBytes = 16;
 
-int forwardLimit(std::size_t Nodes) {
-  int Limit = MinForwards;
-  for (; Nodes > 1; Nodes /= 2)
-    ++Limit;
-  return Limit;
+/// The parts of a report that other nodes must learn of soon. Positions and
+/// evidence change all the time; every node passes its own on by itself.
+std::string stateText(mesh::NodeReport Report) {
+  Report.Number = Sequence();
+  Report.State = Sequence();
+  Report.Load = {};
+  Report.ConfirmedAge = std::nullopt;
+  Report.OperatorPosition = Offset();
+  Report.Evidence.clear();
+  Milliseconds &Cold = Report.LocalUpstream.ColdRemaining;
+  Cold = std::min(Cold, Milliseconds(1));
+  for (mesh::RolloutReport &Item : Report.Rollouts)
+    Item.Age = Milliseconds(0);
+  return encodeGossip({{Report}, {}, {}});
 }
 
 } // namespace
 
 Gossip::Gossip(NodeContext &Context,
                std::function<void(mesh::NodeReport &)> FillOwnReport,
-               std::function<void()> OnReports)
+               std::function<void()> OnReports,
+               std::function<void(const mesh::Upstream &)> OnOwnPast)
     : Context_(Context), FillOwnReport_(std::move(FillOwnReport)),
-      OnReports_(std::move(OnReports)),
+      OnReports_(std::move(OnReports)), OnOwnPast_(std::move(OnOwnPast)),
       // The incarnation of a restarted node must be higher than its previous
-      // one. If the wall clock has been set back it is not; onDatagram()
+      // one. If the wall clock has been set back it is not; onReport()
       // corrects that.
       Incarnation_(kernel::wallNow().value()) {
   Socket_ = std::make_unique<reactor::UdpSocket>(
@@ -43,11 +55,15 @@
 
 Gossip::~Gossip() { Context_.Loop.cancel(Timer_); }
 
-void Gossip::addSeedEndpoints(const std::vector<Endpoint> &Found) {
+void Gossip::addSeeds(const std::vector<mesh::ListedNode> &Found) {
   bool Added = false;
-  for (const Endpoint &At : Found)
-    if (!(At == Context_.Settings.Gossip))
-      Added = Seeds_.emplace(At, SeedNode{}).second || Added;
+  for (const mesh::ListedNode &Node : Found) {
+    if (Node.Gossip == Context_.Settings.Gossip)
+      continue;
+    const auto [Place, IsNew] = Seeds_.try_emplace(Node.Gossip);
+    Place->second.Zone = Node.Zone;
+    Added = Added || IsNew;
+  }
   if (Added)
     contactSeeds();
 }
@@ -61,82 +77,70 @@
   Report.Hop = Context_.Settings.Inbound;
   Report.Gossip = Context_.Settings.Gossip;
   FillOwnReport_(Report);
+  countState(Report);
   return Report;
 }
 
+void Gossip::countState(mesh::NodeReport &Report) {
+  std::string Text = stateText(Report);
+  if (Text != StateText_) {
+    StateText_ = std::move(Text);
+    State_ = State_.next();
+  }
+  Report.State = State_;
+}
+
 /// Encodes only this node's own report, for datagrams to many nodes at once.
 /// With the reports of others included, starts and configuration changes caused
 /// most of the traffic between zones on a quiet day; those reports travel with
 /// the regular rounds.
-std::string Gossip::ownDatagram() { return encodeReports({ownReport()}); }
+std::string Gossip::ownDatagram() {
+  return encodeGossip({{ownReport()}, {}, {}});
+}
 
-std::string Gossip::gossipDatagram() {
-  std::vector<mesh::NodeReport> Reports{ownReport()};
-  std::size_t Size = encodedSize(Reports.front());
-  std::vector<const mesh::KnownNode *> Others;
-  const SteadyTime Now = Context_.now();
-  for (const auto &[Id, Known] : Context_.KnownNodes.Nodes)
-    if (mesh::isAlive(Known, Now))
-      Others.push_back(&Known);
-  const auto TimesForwarded = [&](const mesh::KnownNode &Known) {
-    const auto &Forwarded = ForwardCounts_[Known.LastReport.Id];
-    return Forwarded.first == Known.LastReport.Number ? Forwarded.second : 0;
-  };
-  std::shuffle(Others.begin(), Others.end(), Context_.Random);
-  std::stable_sort(Others.begin(), Others.end(), [&](auto *L, auto *R) {
-    return TimesForwarded(*L) < TimesForwarded(*R);
-  });
-  const int Limit = forwardLimit(Others.size());
-  for (const mesh::KnownNode *Known : Others) {
-    if (TimesForwarded(*Known) >= Limit)
-      break;
-    mesh::NodeReport Item = Known->LastReport;
-    // Ages count from the time of sending.
-    const Milliseconds TimeSinceHeard = elapsed(Known->HeardAt, Now);
-    if (Item.ConfirmedAge)
-      *Item.ConfirmedAge += TimeSinceHeard;
-    for (mesh::RolloutReport &Rollout : Item.Rollouts)
-      Rollout.Age += TimeSinceHeard;
-    Size += encodedSize(Item);
-    if (Size > MaxDatagramBytes)
-      break;
-    ForwardCounts_[Item.Id] = {Item.Number, TimesForwarded(*Known) + 1};
-    Reports.push_back(std::move(Item));
-  }
-  return encodeReports(Reports);
+void Gossip::sendRound(const std::vector<Endpoint> &To, mesh::BeatScope Scope) {
+  if (To.empty())
+    return;
+  GossipMessage Message;
+  Message.Reports.push_back(ownReport());
+  mesh::GossipPlan Plan;
+  Plan.At = Context_.Settings.At;
+  Plan.Scope = Scope;
+  const std::size_t Own = encodedSize(Message.Reports.front()) + FrameBytes;
+  Plan.Bytes = Own < MaxDatagramBytes ? MaxDatagramBytes - Own : 0;
+  Plan.BeatBytes = MaxBeatBytes;
+  Plan.ReportBytes = encodedSize;
+  mesh::GossipContent Others =
+      mesh::composeGossip(Context_.KnownNodes, Plan, Context_.now());
+  std::move(Others.Reports.begin(), Others.Reports.end(),
+            std::back_inserter(Message.Reports));
+  Message.Beats = std::move(Others.Beats);
+  const std::string Data = encodeGossip(Message);
+  for (const Endpoint &At : To)
+    Socket_->send(At, Data);
 }
 
 void Gossip::tick() {
   mesh::expireNodes(Context_.KnownNodes, Context_.now());
-  const std::string Data = gossipDatagram();
-  for (const Endpoint &To :
-       mesh::choosePeers(Context_.KnownNodes, Context_.Settings.At,
-                         TickInterval, Context_.now(), Context_.Random))
-    Socket_->send(To, Data);
-  contactSeeds();
+  const mesh::GossipTargets Targets =
+      mesh::choosePeers(Context_.KnownNodes, Context_.Settings.At, TickInterval,
+                        Context_.now(), Context_.Random);
+  sendRound(Targets.InZone, mesh::BeatScope::All);
+  sendRound(Targets.InRegion, mesh::BeatScope::Zone);
+  sendRound(Targets.OtherRegions, mesh::BeatScope::Region);
+  if (elapsed(SeedsCheckedAt_, Context_.now()) >= SeedCheckInterval)
+    contactSeeds();
   Timer_ = Context_.Loop.runAfter(TickInterval, [this] { tick(); });
 }
 
 void Gossip::contactSeeds() {
-  const SteadyTime Now = Context_.now();
-  std::set<Endpoint> Known;
-  for (const auto &[Id, Node] : Context_.KnownNodes.Nodes)
-    if (mesh::isAlive(Node, Now))
-      Known.insert(Node.LastReport.Gossip);
+  SeedsCheckedAt_ = Context_.now();
   std::string Data;
-  for (auto &[At, Item] : Seeds_) {
-    if (Known.count(At) != 0) {
-      Item = {};
-      continue;
-    }
-    if (Now < Item.NextTry)
-      continue;
+  for (const Endpoint &At :
+       mesh::chooseSeeds(Seeds_, Context_.KnownNodes, Context_.Settings.At.Zone,
+                         Context_.now(), Context_.Random)) {
     if (Data.empty())
       Data = ownDatagram();
-    Item.Backoff = Item.Backoff == Milliseconds(0)
-                       ? MinSeedBackoff
-                       : std::min(MaxSeedBackoff, Item.Backoff * 2);
-    Item.NextTry = after(Now, Item.Backoff);
     Socket_->send(At, Data);
   }
 }
@@ -151,54 +155,142 @@
   });
 }
 
+void Gossip::sendTo(const std::vector<NodeId> &Targets) {
+  std::string Data;
+  for (const NodeId &Id : Targets) {
+    const auto Found = Context_.KnownNodes.Nodes.find(Id);
+    if (Found == Context_.KnownNodes.Nodes.end())
+      continue;
+    if (Data.empty())
+      Data = ownDatagram();
+    Socket_->send(Found->second.LastReport.Gossip, Data);
+  }
+}
+
 void Gossip::sendOwnReport(
     const std::function<bool(const mesh::NodeReport &)> &IsTarget) {
   const std::string Data = ownDatagram();
   std::vector<Endpoint> To;
   for (const auto &[Id, Known] : Context_.KnownNodes.Nodes)
-    if (mesh::isAlive(Known, Context_.now()) && IsTarget(Known.LastReport))
+    if (mesh::isAlive(Context_.KnownNodes, Known, Context_.now()) &&
+        IsTarget(Known.LastReport))
       To.push_back(Known.LastReport.Gossip);
   std::shuffle(To.begin(), To.end(), Context_.Random);
+  // The nodes that get it pass it on with their next rounds.
   To.resize(std::min(To.size(), MaxBroadcastTargets));
   for (const Endpoint &At : To)
     Socket_->send(At, Data);
 }
 
+/// Answers a node that this one did not know, or that has been restarted, so
+/// that it learns of the others at once, and of what it knew before.
+void Gossip::greet(const mesh::NodeReport &Sender) {
+  GossipMessage Message;
+  Message.Reports.push_back(ownReport());
+  const auto Found = Context_.KnownNodes.Nodes.find(Sender.Id);
+  if (Found != Context_.KnownNodes.Nodes.end() && Found->second.Left) {
+    mesh::NodeReport Past;
+    Past.Id = Sender.Id;
+    Past.LocalUpstream = *Found->second.Left;
+    Message.Reports.push_back(std::move(Past));
+  }
+  Socket_->send(Sender.Gossip, encodeGossip(Message));
+}
+
+/// Takes a report; returns whether it told something new.
+bool Gossip::onReport(const mesh::NodeReport &Item) {
+  if (Item.Id == Context_.Settings.Id) {
+    const bool IsEarlierIncarnation =
+        Item.IncarnationNumber != Incarnation_ || Item.Number > Number_;
+    if (IsEarlierIncarnation && Item.IncarnationNumber >= Incarnation_)
+      Incarnation_ = Item.IncarnationNumber.next();
+    if (IsEarlierIncarnation && mesh::isLeaving(Item.LocalUpstream))
+      OnOwnPast_(Item.LocalUpstream);
+    return false;
+  }
+  const bool WasKnown = Context_.KnownNodes.Nodes.count(Item.Id) != 0;
+  if (!mesh::mergeReport(Context_.KnownNodes, Item, Context_.now()))
+    return false;
+  if (!WasKnown)
+    Context_.Log.write(LogClass::State, Context_.now(), "node-found",
+                       {{"node", Item.Id.str()},
+                        {"zone", Item.At.Zone.str()},
+                        {"service", Item.LocalUpstream.Service.str()}});
+  for (const mesh::CrashSuspectReport &Crash : Item.Crashes)
+    requests::recordCrashSuspect(Context_.Suspects, Crash.RequestFingerprint,
+                                 Crash.Crash, Crash.Weight, Context_.now());
+  return true;
+}
+
+/// Asks the sender of loads for the reports that this node lacks.
+void Gossip::ask(const mesh::NodeReport &Sender,
+                 const std::vector<mesh::LoadBeat> &Missing) {
+  const SteadyTime Now = Context_.now();
+  GossipMessage Message;
+  for (const mesh::LoadBeat &Beat : Missing) {
+    SteadyTime &Last = AskedAt_[Beat.Node.value()];
+    if (Message.Wanted.size() >= MaxAsked || elapsed(Last, Now) < AskInterval)
+      continue;
+    Last = Now;
+    Message.Wanted.push_back(Beat.Node);
+  }
+  // Keys of nodes that have ended stay otherwise.
+  if (AskedAt_.size() > MaxAskedAt)
+    AskedAt_.clear();
+  if (Message.Wanted.empty())
+    return;
+  Message.Reports.push_back(ownReport());
+  Socket_->send(Sender.Gossip, encodeGossip(Message));
+}
+
+void Gossip::answer(const Endpoint &To,
+                    const std::vector<mesh::NodeKey> &Wanted) {
+  GossipMessage Message;
+  Message.Reports.push_back(ownReport());
+  std::size_t Size = encodedSize(Message.Reports.front()) + FrameBytes;
+  for (const mesh::NodeKey Key : Wanted) {
+    const auto Id = Context_.KnownNodes.ByKey.find(Key.value());
+    if (Id == Context_.KnownNodes.ByKey.end())
+      continue;
+    const auto Found = Context_.KnownNodes.Nodes.find(Id->second);
+    if (Found == Context_.KnownNodes.Nodes.end())
+      continue;
+    Message.Reports.push_back(
+        mesh::forwardedReport(Found->second, Context_.now()));
+    Size += encodedSize(Message.Reports.back());
+    if (Size <= MaxDatagramBytes)
+      continue;
+    Message.Reports.pop_back();
+    break;
+  }
+  if (Message.Reports.size() > 1)
+    Socket_->send(To, encodeGossip(Message));
+}
+
 void Gossip::onDatagram(std::string_view Data) {
-  const auto Reports = decodeReports(Data);
-  if (!Reports) {
+  const auto Message = decodeGossip(Data);
+  if (!Message || Message->Reports.empty()) {
     Context_.Log.write(LogClass::State, Context_.now(), "news-unreadable",
                        {{"bytes", std::to_string(Data.size())}});
     return;
   }
+  const mesh::NodeReport &Sender = Message->Reports.front();
+  const auto Known = Context_.KnownNodes.Nodes.find(Sender.Id);
+  const bool IsNewLife =
+      Known == Context_.KnownNodes.Nodes.end() ||
+      Known->second.LastReport.IncarnationNumber < Sender.IncarnationNumber;
   bool Changed = false;
-  std::string Answer;
-  for (const mesh::NodeReport &Item : *Reports) {
-    if (Item.Id == Context_.Settings.Id) {
-      const bool IsEarlierIncarnation =
-          Item.IncarnationNumber != Incarnation_ || Item.Number > Number_;
-      if (IsEarlierIncarnation && Item.IncarnationNumber >= Incarnation_)
-        Incarnation_ = Item.IncarnationNumber.next();
-      continue;
-    }
-    const bool WasKnown = Context_.KnownNodes.Nodes.count(Item.Id) != 0;
-    if (!mesh::mergeReport(Context_.KnownNodes, Item, Context_.now()))
-      continue;
-    Changed = true;
-    if (!WasKnown) {
-      Context_.Log.write(LogClass::State, Context_.now(), "node-found",
-                         {{"node", Item.Id.str()},
-                          {"zone", Item.At.Zone.str()},
-                          {"service", Item.LocalUpstream.Service.str()}});
-      // When many nodes start, each should learn of the others at once.
-      if (Answer.empty())
-        Answer = ownDatagram();
-      Socket_->send(Item.Gossip, Answer);
-    }
-    for (const mesh::CrashSuspectReport &Crash : Item.Crashes)
-      requests::recordCrashSuspect(Context_.Suspects, Crash.RequestFingerprint,
-                                   Crash.Crash, Crash.Weight, Context_.now());
-  }
+  for (const mesh::NodeReport &Item : Message->Reports)
+    Changed = onReport(Item) || Changed;
+  std::vector<mesh::LoadBeat> Missing;
+  for (const mesh::LoadBeat &Beat : Message->Beats)
+    if (Beat.Node != mesh::nodeKey(Context_.Settings.Id, Incarnation_) &&
+        !mesh::mergeBeat(Context_.KnownNodes, Beat, Context_.now()))
+      Missing.push_back(Beat);
+  if (IsNewLife && Sender.Id != Context_.Settings.Id)
+    greet(Sender);
+  ask(Sender, Missing);
+  answer(Sender.Gossip, Message->Wanted);
   if (Changed)
     OnReports_();
 }
--- a/src/sidecar/internal/Gossip.h
+++ b/src/sidecar/internal/Gossip.h
@@ -3,7 +3,7 @@
 
 #include "sidecar/internal/NodeContext.h"
 
-#include <set>
+#include <unordered_map>
 
 namespace lycheethread::sidecar {
 
@@ -11,43 +11,54 @@
 class Gossip {
 public:
   /// \p FillOwnReport fills in the report of this node, \p OnReports is called
-  /// after newer reports of other nodes have arrived.
+  /// after newer reports of other nodes have arrived, \p OnOwnPast when another
+  /// node remembers an upstream process that left an earlier incarnation of
+  /// this node.
   Gossip(NodeContext &Context,
          std::function<void(mesh::NodeReport &)> FillOwnReport,
-         std::function<void()> OnReports);
+         std::function<void()> OnReports,
+         std::function<void(const mesh::Upstream &)> OnOwnPast);
   ~Gossip();
 
-  /// Adds endpoints at which other nodes may be found.
-  void addSeedEndpoints(const std::vector<Endpoint> &Found);
+  /// Adds places at which other nodes may be found.
+  void addSeeds(const std::vector<mesh::ListedNode> &Found);
 
   /// Sends this node's report to many nodes at once, for urgent changes.
   void sendToAll();
   void sendToRegion();
+  /// Sends this node's report to \p Targets alone.
+  void sendTo(const std::vector<NodeId> &Targets);
 
 private:
-  struct SeedNode {
-    SteadyTime NextTry;
-    Milliseconds Backoff{0};
-  };
-
   void tick();
   void
   sendOwnReport(const std::function<bool(const mesh::NodeReport &)> &IsTarget);
+  void sendRound(const std::vector<Endpoint> &To, mesh::BeatScope Scope);
   void onDatagram(std::string_view Data);
+  bool onReport(const mesh::NodeReport &Item);
+  void greet(const mesh::NodeReport &Sender);
+  void ask(const mesh::NodeReport &Sender,
+           const std::vector<mesh::LoadBeat> &Missing);
+  void answer(const Endpoint &To, const std::vector<mesh::NodeKey> &Wanted);
   mesh::NodeReport ownReport();
+  void countState(mesh::NodeReport &Report);
   std::string ownDatagram();
-  std::string gossipDatagram();
   void contactSeeds();
 
   NodeContext &Context_;
   std::function<void(mesh::NodeReport &)> FillOwnReport_;
   std::function<void()> OnReports_;
+  std::function<void(const mesh::Upstream &)> OnOwnPast_;
   std::unique_ptr<reactor::UdpSocket> Socket_;
-  std::map<Endpoint, SeedNode> Seeds_;
+  mesh::SeedNodes Seeds_;
+  SteadyTime SeedsCheckedAt_;
   Incarnation Incarnation_;
   Sequence Number_;
-  /// How many times the newest report of each node has been forwarded.
-  std::map<NodeId, std::pair<Sequence, int>> ForwardCounts_;
+  Sequence State_;
+  /// The own report without its load, encoded, as of State_.
+  std::string StateText_;
+  /// When the report of a node was asked for last.
+  std::unordered_map<std::int64_t, SteadyTime> AskedAt_;
   reactor::TimerId Timer_;
 };
 
--- a/src/sidecar/internal/GossipCodec.cpp
+++ b/src/sidecar/internal/GossipCodec.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <sstream>
 
 namespace lycheethread::sidecar {
@@ -77,6 +78,7 @@
   To.__set_good(From.Good);
   To.__set_bad(From.Bad);
   To.__set_totalTimeMs(From.TotalTime.count());
+  To.__set_timed(From.Timed);
   return To;
 }
 
@@ -89,6 +91,7 @@
 }
 
 wire::NewsMessage toWire(const mesh::NodeReport &From);
+wire::BeatMessage toWire(const mesh::LoadBeat &From);
 
 template <typename Wire, typename Item>
 std::vector<Wire> listToWire(const std::vector<Item> &From) {
@@ -104,6 +107,9 @@
   To.__set_id(From.Id.str());
   To.__set_life(From.IncarnationNumber.value());
   To.__set_number(From.Number.value());
+  To.__set_state(From.State.value());
+  if (From.Place > Offset())
+    To.__set_place(From.Place.value());
   To.__set_region(From.At.RegionName.str());
   To.__set_zone(From.At.Zone.str());
   To.__set_hop(toWire(From.Hop));
@@ -144,6 +150,8 @@
   To.Id = NodeId(From.id);
   To.IncarnationNumber = Incarnation(From.life);
   To.Number = Sequence(From.number);
+  To.State = Sequence(From.state);
+  To.Place = Offset(From.place);
   To.At = {Region(From.region), AvailabilityZone(From.zone)};
   To.Hop = fromWire(From.hop);
   To.Gossip = fromWire(From.gossip);
@@ -161,7 +169,9 @@
                            Item.condemned, rolloutStateFrom(Item.state)});
   for (const wire::EvidenceMessage &Item : From.evidence)
     To.Evidence.push_back({Offset(Item.order), RouteName(Item.route), Item.good,
-                           Item.bad, Milliseconds(Item.totalTimeMs)});
+                           Item.bad,
+                           Item.__isset.timed ? Item.timed : Item.good,
+                           Milliseconds(Item.totalTimeMs)});
   for (const wire::CrashMessage &Item : From.crashes)
     To.Crashes.push_back(
         {requests::Fingerprint(Item.fingerprint), requests::CrashId(Item.crash),
@@ -170,6 +180,38 @@
   return To;
 }
 
+std::int32_t saturated(Milliseconds Value) {
+  return static_cast<std::int32_t>(std::clamp<std::int64_t>(
+      Value.count(), 0, std::numeric_limits<std::int32_t>::max()));
+}
+
+wire::BeatMessage toWire(const mesh::LoadBeat &From) {
+  wire::BeatMessage To;
+  To.__set_node(From.Node.value());
+  To.__set_state(From.State.value());
+  To.__set_number(From.Number.value());
+  // Numbers that are 0 are left out: most upstreams have no queue.
+  if (From.Load.Running != 0)
+    To.__set_running(From.Load.Running);
+  if (From.Load.Waiting != 0)
+    To.__set_waiting(From.Load.Waiting);
+  if (From.Load.ServiceTime != Milliseconds(0))
+    To.__set_serviceTimeMs(saturated(From.Load.ServiceTime));
+  if (From.Load.BodyWait != Milliseconds(0))
+    To.__set_bodyWaitMs(saturated(From.Load.BodyWait));
+  return To;
+}
+
+mesh::LoadBeat fromWire(const wire::BeatMessage &From) {
+  mesh::LoadBeat To;
+  To.Node = mesh::NodeKey(From.node);
+  To.State = Sequence(From.state);
+  To.Number = Sequence(From.number);
+  To.Load = {From.running, From.waiting, Milliseconds(From.serviceTimeMs),
+             Milliseconds(From.bodyWaitMs)};
+  return To;
+}
+
 /// Configurations are long, repetitive texts and cross links that are billed by
 /// volume.
 std::string deflate(const std::string &Text) {
@@ -203,27 +245,34 @@
 
 } // namespace
 
-std::string encodeReports(const std::vector<mesh::NodeReport> &Reports) {
-  wire::GossipMessage Message;
-  Message.__set_news(listToWire<wire::NewsMessage>(Reports));
-  return thriftcodec::encode(Message);
+std::string encodeGossip(const GossipMessage &Message) {
+  wire::GossipMessage To;
+  To.__set_news(listToWire<wire::NewsMessage>(Message.Reports));
+  if (!Message.Beats.empty())
+    To.__set_beats(listToWire<wire::BeatMessage>(Message.Beats));
+  for (const mesh::NodeKey Key : Message.Wanted)
+    To.wanted.push_back(Key.value());
+  To.__isset.wanted = !To.wanted.empty();
+  return thriftcodec::encode(To);
 }
 
 std::size_t encodedSize(const mesh::NodeReport &Report) {
   return thriftcodec::encode(toWire(Report)).size();
 }
 
-std::optional<std::vector<mesh::NodeReport>>
-decodeReports(std::string_view Data) {
-  const auto Message =
+std::optional<GossipMessage> decodeGossip(std::string_view Data) {
+  const auto Read =
       thriftcodec::decode<wire::GossipMessage>(Data, 2 * MaxDatagramBytes);
-  if (!Message)
+  if (!Read)
     return std::nullopt;
-  std::vector<mesh::NodeReport> Reports;
-  Reports.reserve(Message->news.size());
-  for (const wire::NewsMessage &Item : Message->news)
-    Reports.push_back(fromWire(Item));
-  return Reports;
+  GossipMessage Message;
+  for (const wire::NewsMessage &Item : Read->news)
+    Message.Reports.push_back(fromWire(Item));
+  for (const wire::BeatMessage &Item : Read->beats)
+    Message.Beats.push_back(fromWire(Item));
+  for (const std::int64_t Key : Read->wanted)
+    Message.Wanted.emplace_back(Key);
+  return Message;
 }
 
 std::string encodeRecords(const OperatorRecords &Records) {
--- a/src/sidecar/internal/GossipCodec.h
+++ b/src/sidecar/internal/GossipCodec.h
@@ -14,15 +14,26 @@
 /// Size of a datagram that no link fragments.
 inline constexpr std::size_t MaxDatagramBytes = 1200;
 
+/// Size of an encoded load, at most.
+inline constexpr std::size_t MaxBeatBytes = 34;
+
+/// The content of one datagram.
+struct GossipMessage {
+  /// The first one is that of the sender.
+  std::vector<mesh::NodeReport> Reports;
+  std::vector<mesh::LoadBeat> Beats;
+  /// Nodes whose report the sender lacks.
+  std::vector<mesh::NodeKey> Wanted;
+};
+
 /// Thrift compact encoding, see gossip.thrift.
-std::string encodeReports(const std::vector<mesh::NodeReport> &Reports);
+std::string encodeGossip(const GossipMessage &Message);
 
 /// Returns the size of one encoded node report.
 std::size_t encodedSize(const mesh::NodeReport &Report);
 
 /// Returns nothing if the data is not a valid gossip message.
-std::optional<std::vector<mesh::NodeReport>>
-decodeReports(std::string_view Data);
+std::optional<GossipMessage> decodeGossip(std::string_view Data);
 
 std::string encodeRecords(const OperatorRecords &Records);
 std::optional<OperatorRecords> decodeRecords(std::string_view Data);
--- a/src/sidecar/internal/OperatorFeed.cpp
+++ b/src/sidecar/internal/OperatorFeed.cpp
@@ -266,14 +266,14 @@
   bool Behind = false;
   for (const auto &[Id, Known] : Context_.KnownNodes.Nodes) {
     const mesh::NodeReport &Report = Known.LastReport;
-    if (!mesh::isAlive(Known, Now))
+    if (!mesh::isAlive(Context_.KnownNodes, Known, Now))
       continue;
     if (Report.OperatorPosition > Context_.Records.Position)
       Behind = true;
     if (Report.OperatorPosition != Context_.Records.Position ||
         !Report.ConfirmedAge)
       continue;
-    const SteadyTime Confirmed(Known.HeardAt.value() -
+    const SteadyTime Confirmed(Known.ReportedAt.value() -
                                Report.ConfirmedAge->count());
     Context_.ConfirmedAt = std::max(Context_.ConfirmedAt, Confirmed);
   }
@@ -289,7 +289,7 @@
   const mesh::NodeReport *Best = nullptr;
   std::uint64_t Equal = 0;
   for (const auto &[Id, Known] : Context_.KnownNodes.Nodes) {
-    if (!mesh::isAlive(Known, Context_.now()) ||
+    if (!mesh::isAlive(Context_.KnownNodes, Known, Context_.now()) ||
         Known.LastReport.OperatorPosition <= Context_.Records.Position)
       continue;
     const auto Distance = [&](const mesh::NodeReport &Report) {
@@ -381,7 +381,9 @@
         Context_.KnownNodes.Nodes.begin(), Context_.KnownNodes.Nodes.end(),
         [&](const auto &Item) {
           const mesh::NodeReport &Report = Item.second.LastReport;
-          return Report.Ready && mesh::isAlive(Item.second, Context_.now()) &&
+          return Report.Ready &&
+                 mesh::isAlive(Context_.KnownNodes, Item.second,
+                               Context_.now()) &&
                  std::any_of(Report.Rollouts.begin(), Report.Rollouts.end(),
                              [Order](const mesh::RolloutReport &Reported) {
                                return Reported.Order == Order;
@@ -402,9 +404,8 @@
   // A confirmation given after this node started is at least as new as any
   // configuration that the node served before its restart.
   const bool IsConfirmed = Context_.ConfirmedAt >= StartedAt_;
-  const bool KnowsNodes =
-      mesh::hasJoined(Context_.Join, Context_.KnownNodes.Nodes.size(),
-                      elapsed(StartedAt_, Context_.now()));
+  const bool KnowsNodes = mesh::hasJoined(Context_.Join, Context_.KnownNodes,
+                                          elapsed(StartedAt_, Context_.now()));
   if (IsConfirmed && KnowsNodes && (StatusKnown_ || peersKnowOrders()))
     return true;
   if (elapsed(StartedAt_, Context_.now()) < StoreWaitTimeout)
@@ -413,7 +414,7 @@
   // can have been served with.
   bool HasPeer = false;
   for (const auto &[Id, Known] : Context_.KnownNodes.Nodes) {
-    if (!mesh::isAlive(Known, Context_.now()))
+    if (!mesh::isAlive(Context_.KnownNodes, Known, Context_.now()))
       continue;
     HasPeer = true;
     if (Known.LastReport.OperatorPosition > Context_.Records.Position)
--- a/src/sidecar/internal/Rollouts.cpp
+++ b/src/sidecar/internal/Rollouts.cpp
@@ -16,10 +16,18 @@
 constexpr Milliseconds RecordDelayPerRank{800};
 constexpr Milliseconds RecordRetryDelay{700};
 constexpr std::int64_t FullShare = 1000;
+/// Nodes that judge the new version of a service; more than one, since each may
+/// fail.
+constexpr std::size_t Judges = 3;
+constexpr Milliseconds EvidenceInterval{500};
 /// The requests in progress at a node that was heard of earlier say nothing: it
 /// may have been killed.
 constexpr Milliseconds MaxProgressAge{3000};
 
+std::string judgeSubject(const ServiceName &Service) {
+  return "judge/" + Service.str();
+}
+
 bool isEnd(RolloutState State) { return State != RolloutState::Running; }
 
 std::vector<Candidate> filterByVersion(const std::vector<Candidate> &From,
@@ -45,6 +53,7 @@
     return Now;
   Now.Good -= Found->Good;
   Now.Bad -= Found->Bad;
+  Now.Timed = std::max(0, Now.Timed - Found->Timed);
   Now.TotalTime = std::max(Milliseconds(0), Now.TotalTime - Found->TotalTime);
   return Now;
 }
@@ -63,13 +72,9 @@
 
 } // namespace
 
-Rollouts::Rollouts(
-    NodeContext &Context, StoreClient &Store,
-    std::function<std::vector<mesh::RouteEvidence>()> OwnEvidence,
-    std::function<mesh::LoadReport()> OwnLoad)
-    : Context_(Context), Store_(Store), OwnEvidence_(std::move(OwnEvidence)),
-      OwnLoad_(std::move(OwnLoad)) {
-  tick();
+Rollouts::Rollouts(NodeContext &Context, StoreClient &Store, Callbacks Handlers)
+    : Context_(Context), Store_(Store), Callbacks_(std::move(Handlers)) {
+  Timer_ = Context_.Loop.runAfter(TickInterval, [this] { tick(); });
 }
 
 Rollouts::~Rollouts() { Context_.Loop.cancel(Timer_); }
@@ -144,10 +149,12 @@
   Item &Current = Found->second;
   const VersionName &Target = Current.Order.Target;
   std::vector<Candidate> Old = filterByVersion(From, Target, false);
-  if (Current.State == RolloutState::RolledBack || Current.IsNewVersionBad)
+  const mesh::VersionChoice Choice =
+      mesh::versionChoice(Current.State, Current.IsNewVersionBad);
+  if (Choice == mesh::VersionChoice::OldOnly)
     return Old;
   std::vector<Candidate> New = filterByVersion(From, Target, true);
-  if (Current.State == RolloutState::Completed)
+  if (Choice == mesh::VersionChoice::NewOnly)
     return New.empty() ? Old : New;
   if (New.empty())
     return Old;
@@ -182,9 +189,23 @@
 void Rollouts::tick() {
   for (auto &[Service, Current] : Items_)
     update(Current);
+  if (elapsed(EvidenceSentAt_, Context_.now()) >= EvidenceInterval)
+    sendEvidence();
   Timer_ = Context_.Loop.runAfter(TickInterval, [this] { tick(); });
 }
 
+// Among many nodes gossip passes evidence on too slowly, and each node would
+// judge by another part of it. A few nodes judge, and get it directly.
+void Rollouts::sendEvidence() {
+  EvidenceSentAt_ = Context_.now();
+  if (Callbacks_.OwnEvidence().empty())
+    return;
+  for (const auto &[Service, Current] : Items_)
+    if (!isEnd(Current.State) && Service == Context_.Registered.Current.Service)
+      Callbacks_.SendReport(mesh::rendezvousFirst(
+          Context_.KnownNodes, judgeSubject(Service), Judges, Context_.now()));
+}
+
 void Rollouts::update(Item &Current) {
   const SteadyTime Now = Context_.now();
   for (const auto &[Id, Known] : Context_.KnownNodes.Nodes)
@@ -192,7 +213,8 @@
       if (Reported.Order != Current.Order.At)
         continue;
       // The age of an order counts from when the first node saw it.
-      const SteadyTime FirstSeen(Known.HeardAt.value() - Reported.Age.count());
+      const SteadyTime FirstSeen(Known.ReportedAt.value() -
+                                 Reported.Age.count());
       Current.SeenAt = std::min(Current.SeenAt, FirstSeen);
       Current.IsNewVersionBad =
           Current.IsNewVersionBad || Reported.IsNewVersionBad;
@@ -209,7 +231,10 @@
       Decided.Repeatable != Current.Decision.Repeatable ||
       Decided.IsNewVersionBad != Current.Decision.IsNewVersionBad;
   Current.Decision = Decided;
-  Current.IsNewVersionBad = Current.IsNewVersionBad || Decided.IsNewVersionBad;
+  if (Decided.IsNewVersionBad && !Current.IsNewVersionBad) {
+    Current.IsNewVersionBad = true;
+    Callbacks_.OnChange();
+  }
   if (Changed)
     Context_.Log.write(
         LogClass::State, Now, "rollout-share",
@@ -246,6 +271,7 @@
     mesh::VersionTotals &Into = IsNew ? Totals.New : Totals.Old;
     Into.Good += Seen.Good;
     Into.Bad += Seen.Bad;
+    Into.Timed += Seen.Timed;
     Into.TotalTime += Seen.TotalTime;
   }
 }
@@ -257,15 +283,18 @@
   View.IsNewVersionBad = Current.IsNewVersionBad;
   View.IsComparing = Current.Decision.IsComparing;
   View.ExposureShare = Context_.Bounds.ExposureShare;
+  View.MayJudge = mesh::rendezvousRank(Context_.KnownNodes,
+                                       judgeSubject(Current.Order.Service),
+                                       Context_.now()) < Judges;
   View.Earlier = Current.Earlier;
   mesh::NodeReport Own;
   Own.Id = Context_.Settings.Id;
   Own.LocalUpstream = Context_.Registered.Current;
-  Own.Load = OwnLoad_();
-  Own.Evidence = OwnEvidence_();
+  Own.Load = Callbacks_.OwnLoad();
+  Own.Evidence = Callbacks_.OwnEvidence();
   addNode(View, Current, Own, true);
   for (const auto &[Id, Known] : Context_.KnownNodes.Nodes)
-    if (mesh::isAlive(Known, Context_.now()))
+    if (mesh::isAlive(Context_.KnownNodes, Known, Context_.now()))
       addNode(View, Current, Known.LastReport,
               elapsed(Known.HeardAt, Context_.now()) < MaxProgressAge);
   return View;
@@ -274,7 +303,7 @@
 void Rollouts::closeShare(Item &Current, const mesh::RolloutView &View) {
   Current.Earlier.push_back(View.Routes);
   Current.EvidenceBefore.clear();
-  Current.EvidenceBefore[Context_.Settings.Id] = OwnEvidence_();
+  Current.EvidenceBefore[Context_.Settings.Id] = Callbacks_.OwnEvidence();
   for (const auto &[Id, Known] : Context_.KnownNodes.Nodes)
     if (!Known.LastReport.Evidence.empty())
       Current.EvidenceBefore[Id] = Known.LastReport.Evidence;
@@ -347,6 +376,7 @@
   Current.State = State;
   if (State == RolloutState::RolledBack)
     Current.IsNewVersionBad = true;
+  Callbacks_.OnChange();
   Context_.Log.write(
       LogClass::State, Context_.now(), "rollout-ended",
       {{"service", Current.Order.Service.str()},
--- a/src/sidecar/internal/Rollouts.h
+++ b/src/sidecar/internal/Rollouts.h
@@ -11,9 +11,17 @@
 /// on the node whose turn it is, records the progress in the store.
 class Rollouts {
 public:
-  Rollouts(NodeContext &Context, StoreClient &Store,
-           std::function<std::vector<mesh::RouteEvidence>()> OwnEvidence,
-           std::function<mesh::LoadReport()> OwnLoad);
+  struct Callbacks {
+    std::function<std::vector<mesh::RouteEvidence>()> OwnEvidence;
+    std::function<mesh::LoadReport()> OwnLoad;
+    /// Sends this node's report, with its evidence, to the nodes that judge.
+    std::function<void(const std::vector<NodeId> &)> SendReport;
+    /// The state of a rollout has changed; all nodes should learn of it at
+    /// once.
+    std::function<void()> OnChange;
+  };
+
+  Rollouts(NodeContext &Context, StoreClient &Store, Callbacks Handlers);
   ~Rollouts();
 
   /// To be called after the operator's records have changed.
@@ -53,6 +61,7 @@
   };
 
   void tick();
+  void sendEvidence();
   void update(Item &Current);
   mesh::RolloutView viewOf(const Item &Current) const;
   void addNode(mesh::RolloutView &View, const Item &Current,
@@ -70,11 +79,11 @@
 
   NodeContext &Context_;
   StoreClient &Store_;
-  std::function<std::vector<mesh::RouteEvidence>()> OwnEvidence_;
-  std::function<mesh::LoadReport()> OwnLoad_;
+  Callbacks Callbacks_;
   std::map<ServiceName, Item> Items_;
   std::map<std::string, std::string> Status_;
   reactor::TimerId Timer_;
+  SteadyTime EvidenceSentAt_;
 };
 
 } // namespace lycheethread::sidecar
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -132,7 +132,11 @@
         });
     const auto OwnLoad = [this] { return Hop->load(); };
     ActiveRollouts = std::make_unique<Rollouts>(
-        Context, *Store, [this] { return Hop->evidence(); }, OwnLoad);
+        Context, *Store,
+        Rollouts::Callbacks{
+            [this] { return Hop->evidence(); }, OwnLoad,
+            [this](const auto &Judges) { NodeGossip->sendTo(Judges); },
+            [this] { NodeGossip->sendToAll(); }});
     Remote = std::make_unique<RemoteHop>(Context);
     Directory = std::make_unique<UpstreamDirectory>(Context, OwnLoad);
     Outbound = std::make_unique<OutboundProxy>(Context, *Hop, *Remote,
@@ -144,7 +148,8 @@
           Feed->onReports();
           if (!Context.Ready)
             updateReadiness();
-        });
+        },
+        [this](const mesh::Upstream &Past) { onOwnPast(Past); });
     addSeeds();
     Feed = std::make_unique<OperatorFeed>(
         Context, *Store,
@@ -193,13 +198,14 @@
   }
 
   void addSeeds() {
-    std::vector<Endpoint> Found;
+    std::vector<mesh::ListedNode> Found;
     for (const Endpoint &Seed : Context.Settings.Seeds)
-      Found.push_back({Seed.Address, Context.Settings.Gossip.Port});
-    NodeGossip->addSeedEndpoints(Found);
+      Found.push_back({{Seed.Address, Context.Settings.Gossip.Port}, {}});
+    NodeGossip->addSeeds(Found);
   }
 
   void fillOwnReport(mesh::NodeReport &Own) {
+    Own.Place = Context.Join.Place;
     Own.Ready = Context.Ready;
     Own.Stopping = Context.Stopping;
     Own.LocalUpstream = Context.Registered.Current;
@@ -219,24 +225,24 @@
   }
 
   void onMembers(const StoreRead &Read) {
-    std::vector<Endpoint> Found;
-    bool IsListed = false;
+    std::vector<mesh::ListedNode> Found;
+    Offset Place;
     const Endpoint &Own = Context.Settings.Gossip;
     for (const StoreItem &Item : Read.Items) {
-      const auto At = Context.Platform.Operator.ParseMember(Item.Value);
-      if (!At)
+      const auto Node = Context.Platform.Operator.ParseMember(Item.Value);
+      if (!Node)
         continue;
-      Found.push_back(*At);
-      IsListed = IsListed || *At == Own;
+      Found.push_back(*Node);
+      if (Node->Gossip == Own)
+        Place = Item.At.next();
     }
-    NodeGossip->addSeedEndpoints(Found);
-    if (IsListed) {
-      Context.Join.IsListed = true;
-      if (!Context.Join.IsNew)
-        Context.Join.Others = Found.size() - 1;
+    NodeGossip->addSeeds(Found);
+    if (Place == Offset()) {
+      joinMembers();
       return;
     }
-    joinMembers();
+    if (!Context.Join.IsNew)
+      Context.Join = {true, false, Place, Found.size() - 1};
   }
 
   void joinMembers() {
@@ -244,7 +250,8 @@
       return;
     JoinRequested = true;
     Store->append(StoreTopic::Members, Context.Settings.Id.str(),
-                  Context.Platform.Operator.Member(Context.Settings.Gossip),
+                  Context.Platform.Operator.Member(
+                      {Context.Settings.Gossip, Context.Settings.At.Zone}),
                   std::nullopt, [this](const StoreAppend &Written) {
                     JoinRequested = false;
                     if (Written.Outcome == StoreOutcome::Done)
@@ -258,11 +265,9 @@
   /// The end of the list after the own record tells how many nodes joined
   /// before this one, also those that joined after the list was read.
   void onJoined(Offset End) {
-    mesh::JoinState &Join = Context.Join;
-    Join.IsListed = true;
-    Join.IsNew = true;
-    Join.Others =
-        static_cast<std::size_t>(std::max<std::int64_t>(0, End.value() - 1));
+    Context.Join = {
+        true, true, End,
+        static_cast<std::size_t>(std::max<std::int64_t>(0, End.value() - 1))};
     updateReadiness();
     Loop.runAfter(MemberRecheckDelay, [this] { recheckMembers(); });
   }
@@ -271,7 +276,7 @@
   /// nodes start together and neither finds the other on the list, the one that
   /// is listed later finds the other in this second read.
   void recheckMembers() {
-    if (!mesh::knowsListedNodes(Context.Join, Context.KnownNodes.Nodes.size()))
+    if (!mesh::knowsListedNodes(Context.Join, Context.KnownNodes))
       Feed->reloadMembers();
   }
 
@@ -352,6 +357,20 @@
       onRegistration();
   }
 
+  /// Another node remembers that the upstream was leaving before this node was
+  /// restarted; the acknowledgement given then still binds.
+  void onOwnPast(const mesh::Upstream &Past) {
+    const bool IsKnown = Context.Registered.Left.count(Past.Id) != 0;
+    const bool IsChanged =
+        mesh::restoreLeave(Context.Registered, Past, Context.now());
+    if (!IsKnown)
+      Context.Log.write(LogClass::State, Context.now(), "upstream-had-left",
+                        {{"upstream", Past.Id.str()},
+                         {"registered", IsChanged ? "yes" : "no"}});
+    if (IsChanged)
+      onRegistration();
+  }
+
   void onCheckIn(const mesh::CheckIn &Item) {
     const mesh::Upstream Before = Context.Registered.Current;
     // A different service at this address means that the settings belong to
--- a/src/sidecar/internal/UpstreamDirectory.cpp
+++ b/src/sidecar/internal/UpstreamDirectory.cpp
@@ -97,7 +97,7 @@
   const SteadyTime Now = Context_.now();
   for (const auto &[Id, Known] : Context_.KnownNodes.Nodes) {
     if (Excluded.count(Id) != 0 || !isUsable(Known.LastReport, Service) ||
-        !mesh::isAlive(Known, Now))
+        !mesh::isAlive(Context_.KnownNodes, Known, Now))
       continue;
     const UpstreamStats &Item = Stats_[Id];
     const bool IsAvoided =
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -564,16 +564,16 @@
     Evidence_.clear();
     return;
   }
-  // A cold upstream is slow regardless of its version.
-  if (Good && isCold())
-    return;
   const RouteName &Route = Job.Job.Info.Route;
   mesh::RouteEvidence &Item = Evidence_[{*Order, Route}];
   Item.Order = *Order;
   Item.Route = Route;
   if (Good) {
     ++Item.Good;
-    Item.TotalTime += Took;
+    if (!isCold()) {
+      ++Item.Timed;
+      Item.TotalTime += Took;
+    }
   } else {
     ++Item.Bad;
   }
--- a/src/sidecar/tests/CodecTest.cpp
+++ b/src/sidecar/tests/CodecTest.cpp
@@ -30,7 +30,7 @@
   Report.Rollouts.push_back(
       {Offset(40), Milliseconds(700), true, mesh::RolloutState::RolledBack});
   Report.Evidence.push_back(
-      {Offset(40), RouteName("r"), 20, 3, Milliseconds(1600)});
+      {Offset(40), RouteName("r"), 20, 3, 18, Milliseconds(1600)});
   Report.Crashes.push_back({requests::Fingerprint("ab"),
                             requests::CrashId("n/i/1"),
                             requests::SuspectWeight::Answered});
@@ -42,9 +42,9 @@
 BOOST_AUTO_TEST_SUITE(Codecs)
 
 BOOST_AUTO_TEST_CASE(reportsRoundTrip) {
-  const auto Read = decodeReports(encodeReports({fullReport()}));
-  BOOST_REQUIRE((Read && Read->size() == 1U));
-  const mesh::NodeReport &Report = Read->front();
+  const auto Read = decodeGossip(encodeGossip({{fullReport()}, {}, {}}));
+  BOOST_REQUIRE((Read && Read->Reports.size() == 1U));
+  const mesh::NodeReport &Report = Read->Reports.front();
   BOOST_TEST(Report.Id.str() == "10.0.0.7");
   BOOST_TEST(Report.LocalUpstream.StartedAtUnixMs == 1'700'000'000'000);
   BOOST_TEST((Report.LocalUpstream.State == mesh::UpstreamState::Draining));
@@ -61,24 +61,24 @@
 BOOST_AUTO_TEST_CASE(missingConfirmationRoundTrips) {
   mesh::NodeReport Report = fullReport();
   Report.ConfirmedAge.reset();
-  const auto Read = decodeReports(encodeReports({Report}));
-  BOOST_REQUIRE((Read && Read->size() == 1U));
-  BOOST_TEST(!Read->front().ConfirmedAge.has_value());
+  const auto Read = decodeGossip(encodeGossip({{Report}, {}, {}}));
+  BOOST_REQUIRE((Read && Read->Reports.size() == 1U));
+  BOOST_TEST(!Read->Reports.front().ConfirmedAge.has_value());
 }
 
 // Guards against a crash of the process by a datagram from a foreign sender.
 BOOST_AUTO_TEST_CASE(brokenDatagramsAreRejected) {
-  const std::string Whole = encodeReports({fullReport()});
+  const std::string Whole = encodeGossip({{fullReport()}, {}, {}});
   std::mt19937 Random(7);
   for (int Count = 0; Count < 5000; ++Count) {
     std::string Broken = Whole.substr(0, Random() % (Whole.size() + 1));
     for (int Change = 0; Change < 3 && !Broken.empty(); ++Change)
       Broken[Random() % Broken.size()] = static_cast<char>(Random());
-    decodeReports(Broken);
+    decodeGossip(Broken);
     decodeRecords(Broken);
   }
-  BOOST_TEST(!decodeReports("").has_value());
-  BOOST_TEST(!decodeReports(std::string(5000, 'x')).has_value());
+  BOOST_TEST(!decodeGossip("").has_value());
+  BOOST_TEST(!decodeGossip(std::string(5000, 'x')).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(recordsRoundTripCompressed) {
--- a/src/sidecar/types/PlatformProtocol.h
+++ b/src/sidecar/types/PlatformProtocol.h
@@ -116,9 +116,10 @@
   std::function<std::optional<mesh::RolloutState>(const mesh::RolloutOrder &,
                                                   const std::string &Value)>
       ParseStatus;
-  /// Formats the endpoint of a node as stored in StoreTopic::Members.
-  std::function<std::string(const Endpoint &Gossip)> Member;
-  std::function<std::optional<Endpoint>(const std::string &Value)> ParseMember;
+  /// Formats the entry of a node as stored in StoreTopic::Members.
+  std::function<std::string(const mesh::ListedNode &)> Member;
+  std::function<std::optional<mesh::ListedNode>(const std::string &Value)>
+      ParseMember;
 };
 
 /// The platform-specific protocols and formats that a node uses.
--- a/tests/platform/LeavingTest.cpp
+++ b/tests/platform/LeavingTest.cpp
@@ -1,8 +1,16 @@
 #include "TestMesh.h"
 
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
 #include <future>
+#include <set>
 
 using namespace lycheethread::platformtest;
 
@@ -10,6 +18,50 @@
 
 using std::chrono::milliseconds;
 
+/// What one caller saw.
+struct CallerRecord {
+  std::size_t Answered = 0;
+  /// Ids of requests that were sent and got no complete answer.
+  std::set<std::string> Unanswered;
+};
+
+/// Sends one request after the other over a connection that is kept as long as
+/// the node keeps it.
+CallerRecord keepSending(std::uint16_t Port, const std::string &IdPrefix,
+                         const std::atomic<bool> &HasEnded) {
+  CallerRecord Record;
+  Poco::Net::HTTPClientSession Session("127.0.0.1", Port);
+  Session.setKeepAlive(true);
+  Session.setTimeout(Poco::Timespan(5, 0));
+  for (int Count = 0; !HasEnded; ++Count) {
+    const std::string Id = IdPrefix + std::to_string(Count);
+    Poco::Net::HTTPRequest Request("GET", "/read/x",
+                                   Poco::Net::HTTPMessage::HTTP_1_1);
+    Request.set("Host", "shop.example");
+    Request.set("X-Attempt-Id", Id);
+    Request.set("X-Deadline-Ms", "1200");
+    try {
+      Session.sendRequest(Request);
+      Poco::Net::HTTPResponse Response;
+      std::istream &In = Session.receiveResponse(Response);
+      std::string Body;
+      Poco::StreamCopier::copyToString(In, Body);
+      const bool IsComplete =
+          static_cast<Poco::Int64>(Body.size()) ==
+          static_cast<Poco::Int64>(Response.getContentLength64());
+      if (IsComplete)
+        ++Record.Answered;
+      else
+        Record.Unanswered.insert(Id);
+    } catch (const Poco::Exception &) {
+      Record.Unanswered.insert(Id);
+      Session.reset();
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+  }
+  return Record;
+}
+
 std::size_t requestCount(UpstreamStandIn &Upstream) {
   return Upstream.receivedRequests().size();
 }
@@ -82,6 +134,64 @@
       BOOST_TEST(std::stoi(Received.Headers.at("x-deadline-ms")) <= 400);
 }
 
+// Guards against an upstream that left and is in use again after a restart of
+// its node, which got a check-in that was late.
+BOOST_AUTO_TEST_CASE(acknowledgedLeavingOutlastsARestartOfTheNode) {
+  TestMesh Mesh({{"k1"}, {"k2"}, {"k3", "store"}});
+  Instance &Left = Mesh.at(0);
+  Left.stopCheckIns();
+  std::this_thread::sleep_for(milliseconds(250));
+  BOOST_REQUIRE(Left.checkIn("draining") == 200);
+  // Gossip has passed the change on.
+  std::this_thread::sleep_for(milliseconds(300));
+  const std::size_t Before = requestCount(Left.upstream());
+  Left.node().kill();
+  Left.startNode();
+  BOOST_REQUIRE(
+      holdsWithin([&] { return Left.isReady(); }, milliseconds(5000)));
+  BOOST_REQUIRE(Left.checkIn("ready") == 200);
+  for (int Count = 0; Count < 60; ++Count)
+    for (const std::size_t Entry : {0U, 1U, 2U})
+      Mesh.at(Entry).get("/read/x");
+  BOOST_TEST(requestCount(Left.upstream()) == Before);
+}
+
+// Guards against a planned stop under load that cuts off requests which were
+// accepted: callers keep and use their connections until the node has ended.
+BOOST_AUTO_TEST_CASE(stopUnderLoadAnswersWhatReachedAnUpstream) {
+  TestMesh Mesh({{"w1"}, {"w2"}});
+  for (const std::size_t Index : {0U, 1U})
+    Mesh.at(Index).upstream().setBehaviour([](const ReceivedRequest &Request) {
+      RawResponse Response = completeResponse(Request, std::string(5000, 'b'));
+      Response.Delay = milliseconds(40);
+      return Response;
+    });
+  std::atomic<bool> HasEnded{false};
+  std::vector<std::future<CallerRecord>> Callers;
+  for (int Caller = 0; Caller < 6; ++Caller)
+    Callers.push_back(std::async(std::launch::async, [&, Caller] {
+      return keepSending(Mesh.at(0).outboundPort(),
+                         "w" + std::to_string(Caller) + "-", HasEnded);
+    }));
+  std::this_thread::sleep_for(milliseconds(500));
+  Mesh.at(0).node().terminate();
+  BOOST_TEST(
+      (Mesh.at(0).node().waitFor(milliseconds(7000)) == std::optional<int>(0)));
+  HasEnded = true;
+  std::set<std::string> Unanswered;
+  std::size_t Answered = 0;
+  for (auto &Caller : Callers) {
+    const CallerRecord Record = Caller.get();
+    Unanswered.insert(Record.Unanswered.begin(), Record.Unanswered.end());
+    Answered += Record.Answered;
+  }
+  BOOST_TEST(Answered > 50U);
+  for (const std::size_t Index : {0U, 1U})
+    for (const ReceivedRequest &Received :
+         Mesh.at(Index).upstream().receivedRequests())
+      BOOST_TEST(Unanswered.count(Received.Headers.at("x-attempt-id")) == 0U);
+}
+
 // Guards against a killed node whose upstream receives no requests after the
 // node has restarted.
 BOOST_AUTO_TEST_CASE(restartedNodeServesRequests) {
--- a/tests/platform/TestMesh.cpp
+++ b/tests/platform/TestMesh.cpp
@@ -154,6 +154,10 @@
     Instances.push_back(std::make_unique<Instance>(Spec, Store.port()));
   for (const auto &Item : Instances)
     BOOST_REQUIRE(holdsWithin([&] { return Item->isReady(); }, StartLimit));
+  // A node is ready before its own upstream has checked in. Without this, a
+  // test may find that the only registered upstream is the one that it drains.
+  for (const auto &Item : Instances)
+    BOOST_REQUIRE(Item->checkIn("ready") == 200);
   // Each node must know an upstream before a test checks single requests.
   for (const auto &Item : Instances)
     BOOST_REQUIRE(holdsWithin(
--- a/tests/platform/TestMesh.h
+++ b/tests/platform/TestMesh.h
@@ -32,6 +32,8 @@
   UpstreamStandIn &upstream() { return *Upstream_; }
   harness::ChildProcess &node() { return *Node_; }
   std::string logFile() const { return LogFile_; }
+  /// Port at which callers reach the node.
+  std::uint16_t outboundPort() const { return OutboundPort_; }
 
   void startNode();
   /// Sends a GET request for \p Path to the host of the tests through this
