--- a/src/reactor/internal/TcpStream.cpp
+++ b/src/reactor/internal/TcpStream.cpp
@@ -17,7 +17,9 @@
 
 constexpr std::size_t ReadBufferBytes = 16 * 1024;
 /// Bytes read from one connection before other events are handled.
-constexpr std::size_t MaxReadBytesPerEvent = 64 * 1024;
+constexpr std::size_t MaxReadBytesPerEvent = 32 * 1024;
+/// Capacity that an emptied buffer keeps.
+constexpr std::size_t MaxIdleBufferBytes = 4 * 1024;
 /// Limits a graceful close when the peer keeps sending after the last answer,
 /// or has taken nothing of it for this long.
 constexpr Milliseconds LingerTimeout{1500};
@@ -177,6 +179,8 @@
     updateInterest();
     if (!Output.empty())
       return true;
+    if (Output.capacity() > MaxIdleBufferBytes)
+      Output.shrink_to_fit();
     if (Draining && !ShutDown)
       shutDownSending();
     const auto Callback = Handlers.OnSent;
@@ -233,6 +237,9 @@
     const auto Callback = Handlers.OnInput;
     if (Callback)
       Callback();
+    // Many connections that were busy once would hold their buffers.
+    if (Input.empty() && Input.capacity() > MaxIdleBufferBytes)
+      Input.shrink_to_fit();
   }
 
   /// Keeps \p Owner open while its peer still takes written data.
--- a/src/sidecar/internal/ClientConnection.cpp
+++ b/src/sidecar/internal/ClientConnection.cpp
@@ -25,6 +25,12 @@
 /// Answers to other requests that are skipped before the connection is given
 /// up.
 constexpr int MaxSkippedAnswers = 3;
+constexpr std::size_t MaxSkippedBytes = 1024 * 1024;
+/// Answers with a status below 200 to one request, after which the server is
+/// taken to send them without end.
+constexpr int MaxInterimAnswers = 32;
+/// A connection may hold this much whatever the others hold.
+constexpr std::size_t MinHeldBytes = 16 * 1024;
 
 Milliseconds statedIdleLimit(const HTTPResponse &Head) {
   const std::string Text = Head.get("Keep-Alive", "");
@@ -77,7 +83,16 @@
   return Opened;
 }
 
+ClientConnection::~ClientConnection() { countHeld(0); }
+
+void ClientConnection::setBudget(std::shared_ptr<AnswerBudget> Budget) {
+  Budget_ = std::move(Budget);
+}
+
+bool ClientConnection::wasUsedBefore() const { return Requests_ > 1; }
+
 void ClientConnection::start(ClientRequest Request, ClientCallbacks Callbacks) {
+  ++Requests_;
   Request_ = std::move(Request);
   Callbacks_ = std::move(Callbacks);
   Busy_ = true;
@@ -86,6 +101,8 @@
   HasHead_ = false;
   Skipping_ = false;
   Skipped_ = 0;
+  SkippedBytes_ = 0;
+  InterimAnswers_ = 0;
   Delivered_ = false;
   Answer_ = {};
   std::string Out = std::move(Request_.Head);
@@ -165,6 +182,10 @@
     Input.erase(0, End + 4);
     const int Status = Head.getStatus();
     if (Status < HTTPResponse::HTTP_OK) {
+      if (++InterimAnswers_ > MaxInterimAnswers) {
+        fail(ClientFailure::BrokenAnswer);
+        return false;
+      }
       if (Status == HTTPResponse::HTTP_CONTINUE && !MaySendBody_) {
         MaySendBody_ = true;
         if (Callbacks_.OnContinue)
@@ -216,21 +237,45 @@
   }
   if (!Skipping_)
     Answer_.Body->append(Data);
+  else
+    SkippedBytes_ += Data.size();
+  if (SkippedBytes_ > MaxSkippedBytes) {
+    fail(ClientFailure::BrokenAnswer);
+    return false;
+  }
   if (Decoder_.isComplete()) {
     complete();
     return true;
   }
-  if (!Skipping_ && Answer_.Body->size() >= BufferedAnswerBytes) {
+  if (Skipping_)
+    return true;
+  if (!Delivered_)
+    countHeld(Answer_.Body->size());
+  const std::size_t Buffered = Answer_.Body->size();
+  if (Buffered >= BufferedAnswerBytes || (Buffered > 0 && Delivered_) ||
+      !mayHoldMore()) {
     Stream_->setReadingPaused(true);
     deliver();
   }
   return true;
 }
 
+bool ClientConnection::mayHoldMore() const {
+  return !Budget_ || Held_ < MinHeldBytes ||
+         Budget_->HeldBytes < Budget_->MaxBytes;
+}
+
+void ClientConnection::countHeld(std::size_t Bytes) {
+  if (Budget_)
+    Budget_->HeldBytes += Bytes - Held_;
+  Held_ = Bytes;
+}
+
 void ClientConnection::deliver() {
   if (Delivered_)
     return;
   Delivered_ = true;
+  countHeld(0);
   const auto Callback = Callbacks_.OnAnswer;
   if (Callback)
     Callback(Answer_);
@@ -288,6 +333,7 @@
   if (!Busy_)
     return;
   Busy_ = false;
+  countHeld(0);
   if (Request_.Body)
     Request_.Body->OnChange = nullptr;
   const ClientCallbacks Done = std::move(Callbacks_);
@@ -313,6 +359,7 @@
 const Endpoint &ClientConnection::peer() const { return To_; }
 
 void ClientConnection::close() {
+  countHeld(0);
   Busy_ = false;
   Reusable_ = false;
   Callbacks_ = {};
@@ -327,10 +374,15 @@
 
 void collectBody(const ClientAnswer &Answer,
                  const std::shared_ptr<std::string> &Into) {
-  *Into += Answer.Body->take();
-  Answer.Body->OnChange = [Into, Weak = std::weak_ptr<BodyPipe>(Answer.Body)] {
+  const auto Take = [Into](BodyPipe &From) {
+    const std::string Data = From.take();
+    if (Into->size() + Data.size() <= MaxCollectedBytes)
+      *Into += Data;
+  };
+  Take(*Answer.Body);
+  Answer.Body->OnChange = [Take, Weak = std::weak_ptr<BodyPipe>(Answer.Body)] {
     if (const auto More = Weak.lock())
-      *Into += More->take();
+      Take(*More);
   };
 }
 
--- a/src/sidecar/internal/ClientConnection.h
+++ b/src/sidecar/internal/ClientConnection.h
@@ -3,6 +3,7 @@
 
 #include "http/Http.h"
 #include "reactor/Reactor.h"
+#include "sidecar/internal/AnswerBudget.h"
 #include "sidecar/internal/BodyPipe.h"
 
 #include <memory>
@@ -20,6 +21,9 @@
   BrokenAnswer
 };
 
+/// Size of a body that collectBody() takes, at most.
+inline constexpr std::size_t MaxCollectedBytes = 16 * 1024 * 1024;
+
 /// An answer whose body may still be arriving.
 struct ClientAnswer {
   Poco::Net::HTTPResponse Head;
@@ -28,7 +32,8 @@
   std::int64_t KnownLength = -1;
 };
 
-/// Appends the body of \p Answer to \p Into as it arrives.
+/// Appends the body of \p Answer to \p Into as it arrives, up to
+/// MaxCollectedBytes; the rest is dropped, and \p Into cannot be read.
 void collectBody(const ClientAnswer &Answer,
                  const std::shared_ptr<std::string> &Into);
 
@@ -71,8 +76,15 @@
 
   void start(ClientRequest Request, ClientCallbacks Callbacks);
 
+  /// Shares the memory for held answers with other connections; without it,
+  /// each may hold BufferedAnswerBytes.
+  void setBudget(std::shared_ptr<AnswerBudget> Budget);
+
   /// Whether another request may be sent within idleLimit().
   bool isReusable() const;
+  /// Whether the connection has carried an earlier request, of which a late
+  /// copy of the answer may still come.
+  bool wasUsedBefore() const;
   bool isConnected() const;
   /// Returns how long the server keeps the connection between two requests.
   Milliseconds idleLimit() const;
@@ -84,6 +96,7 @@
 
   /// Closes the connection; no callback follows.
   void close();
+  ~ClientConnection();
 
 private:
   explicit ClientConnection(Endpoint To);
@@ -92,6 +105,8 @@
   bool readHead();
   bool readBody();
   void onAnswerHead(Poco::Net::HTTPResponse Head);
+  bool mayHoldMore() const;
+  void countHeld(std::size_t Bytes);
   void deliver();
   void complete();
   void fail(ClientFailure Why);
@@ -109,6 +124,12 @@
   /// The answer being read belongs to a different request.
   bool Skipping_ = false;
   int Skipped_ = 0;
+  std::size_t SkippedBytes_ = 0;
+  int InterimAnswers_ = 0;
+  int Requests_ = 0;
+  std::shared_ptr<AnswerBudget> Budget_;
+  /// Bytes counted in Budget_.
+  std::size_t Held_ = 0;
   bool Delivered_ = false;
   bool Reusable_ = true;
   ClientAnswer Answer_;
--- a/src/sidecar/internal/NodeContext.h
+++ b/src/sidecar/internal/NodeContext.h
@@ -4,6 +4,7 @@
 #include "metrics/Metrics.h"
 #include "reactor/Reactor.h"
 #include "settings/Settings.h"
+#include "sidecar/internal/AnswerBudget.h"
 #include "sidecar/internal/EventLog.h"
 #include "sidecar/types/OperatorRecords.h"
 #include "sidecar/types/PlatformProtocol.h"
@@ -47,6 +48,7 @@
 
   std::shared_ptr<metrics::RequestRecorder> Metrics;
   EventLog Log;
+  std::shared_ptr<AnswerBudget> HeldAnswers = std::make_shared<AnswerBudget>();
   std::mt19937_64 Random{std::random_device{}()};
 
   /// The process was suspended for LastPause until ResumedAt.
--- a/src/sidecar/internal/OperatorFeed.cpp
+++ b/src/sidecar/internal/OperatorFeed.cpp
@@ -26,6 +26,9 @@
 /// ms, and connecting takes another.
 constexpr Milliseconds NearStoreResponseTime{80};
 constexpr Milliseconds NearNodeWaitTime{400};
+constexpr Milliseconds SpreadPerNode{2};
+/// Time for ready nodes to report how the rollouts stand.
+constexpr Milliseconds StatusWaitTime{300};
 /// A starting node that has waited this long for the store uses the records of
 /// its peers.
 constexpr Milliseconds StoreWaitTimeout{1200};
@@ -59,7 +62,13 @@
 void OperatorFeed::onFirstMembers() {
   const bool IsNear =
       elapsed(StartedAt_, Context_.now()) < NearStoreResponseTime;
-  scheduleReload(IsNear ? Milliseconds(0) : NearNodeWaitTime);
+  // Of many nodes near the store that start together, the first ones read it
+  // and the others take the records from them.
+  const Milliseconds Spread =
+      std::min(NearNodeWaitTime,
+               SpreadPerNode * static_cast<std::int64_t>(Context_.Join.Others));
+  scheduleReload(IsNear ? randomBetween(Milliseconds(0), Spread)
+                        : NearNodeWaitTime);
 }
 
 void OperatorFeed::scheduleReload(Milliseconds Pause) {
@@ -78,6 +87,16 @@
     StatusKnown_ = true;
     return;
   }
+  if (peersKnowOrders()) {
+    // Their reports carry each end; the store is not needed.
+    StatusKnown_ = true;
+    return;
+  }
+  if (!StatusAwaited_ && hasReadyPeer()) {
+    StatusAwaited_ = true;
+    Context_.Loop.runAfter(StatusWaitTime, [this] { loadStatus(); });
+    return;
+  }
   Store_.readNewest(StoreTopic::Status, [this](const StoreRead &Read) {
     if (Read.Outcome != StoreOutcome::Done) {
       Context_.Loop.runAfter(
@@ -374,6 +393,15 @@
   FetchConnection_->start(std::move(Request), std::move(Callbacks));
 }
 
+bool OperatorFeed::hasReadyPeer() const {
+  return std::any_of(Context_.KnownNodes.Nodes.begin(),
+                     Context_.KnownNodes.Nodes.end(), [&](const auto &Item) {
+                       return Item.second.LastReport.Ready &&
+                              mesh::isAlive(Context_.KnownNodes, Item.second,
+                                            Context_.now());
+                     });
+}
+
 /// Whether ready nodes report the state of every order.
 bool OperatorFeed::peersKnowOrders() const {
   const auto IsKnown = [this](Offset Order) {
--- a/src/sidecar/internal/OperatorFeed.h
+++ b/src/sidecar/internal/OperatorFeed.h
@@ -46,6 +46,7 @@
   void loadMembers();
   void onFirstMembers();
   bool peersKnowOrders() const;
+  bool hasReadyPeer() const;
   void scheduleReload(Milliseconds Pause);
   void checkReader();
   void poll();
@@ -73,6 +74,7 @@
   bool HasReadStore_ = false;
   bool StatusRequested_ = false;
   bool StatusKnown_ = false;
+  bool StatusAwaited_ = false;
   bool MembersKnown_ = false;
   bool Busy_ = false;
   Milliseconds Backoff_{0};
--- a/src/sidecar/internal/RemoteHop.cpp
+++ b/src/sidecar/internal/RemoteHop.cpp
@@ -50,6 +50,7 @@
     return Item->Id;
   }
   Item->Connection = ClientConnection::open(Context_.Loop, To, ConnectTimeout);
+  Item->Connection->setBudget(Context_.HeldAnswers);
   const std::weak_ptr<Running> Weak = Item;
   Item->Connection->OnConnected = [this, Weak] {
     const auto Found = Weak.lock();
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -31,7 +31,9 @@
 constexpr Milliseconds DroppedReportInterval{5000};
 constexpr Milliseconds MinPause{1200};
 /// Time within which nodes on the member list have contacted each other.
-constexpr Milliseconds MemberRecheckDelay{300};
+constexpr Milliseconds MinMemberRecheckDelay{300};
+constexpr Milliseconds RecheckDelayPerNode{4};
+constexpr Milliseconds MaxMemberRecheckDelay{900};
 constexpr Milliseconds JoinRetryDelay{1000};
 /// Limits for requests of other nodes and of the platform.
 constexpr std::size_t MaxInternalHeadBytes = 64 * 1024;
@@ -269,7 +271,12 @@
         true, true, End,
         static_cast<std::size_t>(std::max<std::int64_t>(0, End.value() - 1))};
     updateReadiness();
-    Loop.runAfter(MemberRecheckDelay, [this] { recheckMembers(); });
+    // Among many nodes gossip needs longer; it saves a call to the store.
+    const Milliseconds Delay = std::min(
+        MaxMemberRecheckDelay,
+        MinMemberRecheckDelay + RecheckDelayPerNode * static_cast<std::int64_t>(
+                                                          Context.Join.Others));
+    Loop.runAfter(Delay, [this] { recheckMembers(); });
   }
 
   /// Reads the member list again if nodes on it are still unknown: when two
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -245,6 +245,7 @@
   // The request is sent only when the connection is established, so that a
   // refused connection leaves the body unread for another upstream.
   Job->Connection = ClientConnection::open(Context_.Loop, To, ConnectTimeout);
+  Job->Connection->setBudget(Context_.HeldAnswers);
   const std::weak_ptr<Running> Weak = Job;
   Job->Connection->OnConnected = [this, Weak] {
     const auto Item = Weak.lock();
@@ -335,7 +336,11 @@
     return true;
   if (Head.has(Names.RequestId))
     return Head.get(Names.RequestId) == Job.Job.Id.str();
-  // The upstream may reject a request before it has read the id.
+  // The upstream may reject a request before it has read the id. On a
+  // connection that was used before, it may be a late copy of an earlier
+  // rejection, and this request may be running.
+  if (Job.Connection->wasUsedBefore())
+    return false;
   return Head.has(Names.NotExecuted) ||
          Head.getStatus() == HTTPResponse::HTTP_MISDIRECTED_REQUEST;
 }
--- a/tests/platform/LeavingTest.cpp
+++ b/tests/platform/LeavingTest.cpp
@@ -137,7 +137,7 @@
 // Guards against an upstream that left and is in use again after a restart of
 // its node, which got a check-in that was late.
 BOOST_AUTO_TEST_CASE(acknowledgedLeavingOutlastsARestartOfTheNode) {
-  TestMesh Mesh({{"k1"}, {"k2"}, {"k3", "store"}});
+  TestMesh Mesh({{"n1"}, {"n2"}, {"n3", "store"}});
   Instance &Left = Mesh.at(0);
   Left.stopCheckIns();
   std::this_thread::sleep_for(milliseconds(250));
--- a/tests/platform/TestMesh.cpp
+++ b/tests/platform/TestMesh.cpp
@@ -79,8 +79,10 @@
 }
 
 HttpAnswer Instance::post(const std::string &Path, const std::string &Body,
-                          const std::string &Id) {
+                          const std::string &Id,
+                          std::chrono::milliseconds Deadline) {
   HttpCall Request = call(Path, Id);
+  Request.Headers["X-Deadline-Ms"] = std::to_string(Deadline.count());
   Request.Method = "POST";
   Request.Body = Body;
   return harness::send(Request);
@@ -99,13 +101,13 @@
   Request.Method = "PUT";
   Request.Path = "/instances/i-" + Spec_.Name;
   Request.Headers = {{"Content-Type", "application/json"}};
-  Request.Body = R"({"backend_service":")" + Spec_.Service +
-                 R"(","address":")" + endpoint(Upstream_->port()) +
-                 R"(","zone":")" + Spec_.Zone + R"(","version":")" +
-                 Spec_.Version + R"(","capacity":4,"state":")" + State +
-                 R"(","cold_remaining_s":0,"sequence":)" +
-                 std::to_string(++Sequence_) + R"(,"born":)" +
-                 std::to_string(StartTimeMs_) + "}";
+  Request.Body =
+      R"({"backend_service":")" + Spec_.Service + R"(","address":")" +
+      endpoint(Upstream_->port()) + R"(","zone":")" + Spec_.Zone +
+      R"(","version":")" + Spec_.Version + R"(","capacity":)" +
+      std::to_string(Spec_.Capacity) + R"(,"state":")" + State +
+      R"(","cold_remaining_s":0,"sequence":)" + std::to_string(++Sequence_) +
+      R"(,"born":)" + std::to_string(StartTimeMs_) + "}";
   return harness::send(Request).Status;
 }
 
--- a/tests/platform/TestMesh.h
+++ b/tests/platform/TestMesh.h
@@ -20,6 +20,8 @@
   std::string Service = "desk";
   std::string Version = "v1";
   std::string Zone = "north";
+  /// Requests that the upstream runs at the same time.
+  int Capacity = 4;
 };
 
 /// An instance with its node, a separate process, and its upstream, which sends
@@ -39,8 +41,10 @@
   /// Sends a GET request for \p Path to the host of the tests through this
   /// node.
   harness::HttpAnswer get(const std::string &Path, const std::string &Id = "");
-  harness::HttpAnswer post(const std::string &Path, const std::string &Body,
-                           const std::string &Id = "");
+  harness::HttpAnswer
+  post(const std::string &Path, const std::string &Body,
+       const std::string &Id = "",
+       std::chrono::milliseconds Deadline = std::chrono::milliseconds(1500));
   bool isReady();
   /// Sends a check-in with \p State; returns the status of the response.
   int checkIn(const std::string &State);
--- a/tests/platform/UpstreamStandIn.cpp
+++ b/tests/platform/UpstreamStandIn.cpp
@@ -87,6 +87,21 @@
     }
   }
 
+  void sendLate(const StreamSocket &Connection, const RawResponse &Response) {
+    if (Response.LateBytes.empty())
+      return;
+    const std::lock_guard<std::mutex> Guard(Lock);
+    Threads.emplace_back([Late = Connection, Response]() mutable {
+      std::this_thread::sleep_for(Response.LateDelay);
+      try {
+        Late.sendBytes(Response.LateBytes.data(),
+                       static_cast<int>(Response.LateBytes.size()));
+      } catch (const Poco::Exception &) {
+        // The node has closed the connection.
+      }
+    });
+  }
+
   void serve(StreamSocket Connection) {
     std::string Buffer;
     try {
@@ -105,6 +120,10 @@
         if (!Response.Bytes.empty())
           Connection.sendBytes(Response.Bytes.data(),
                                static_cast<int>(Response.Bytes.size()));
+        sendLate(Connection, Response);
+        while (!Response.EndlessBytes.empty() && !Stopping)
+          Connection.sendBytes(Response.EndlessBytes.data(),
+                               static_cast<int>(Response.EndlessBytes.size()));
         if (Response.CloseAfter) {
           Connection.close();
           return;
--- a/tests/platform/UpstreamStandIn.h
+++ b/tests/platform/UpstreamStandIn.h
@@ -22,6 +22,11 @@
 struct RawResponse {
   std::string Bytes;
   std::chrono::milliseconds Delay{0};
+  /// Sent this long after Bytes, also while the next request is being read.
+  std::string LateBytes;
+  std::chrono::milliseconds LateDelay{0};
+  /// Sent again and again until the peer closes the connection.
+  std::string EndlessBytes;
   bool CloseAfter = false;
 };
 
