--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -153,6 +153,10 @@
 /// Whether both describe the same start of an upstream.
 bool isSameProcess(const Upstream &First, const Upstream &Second);
 
+/// Whether a state has changed that this node has not forwarded yet. It goes to
+/// nodes of the own zone at once, without waiting for the next round.
+bool hasUrgentState(const NodeTable &Known);
+
 /// Returns the gossip endpoints to which a node at \p At sends its report in
 /// this round. Rounds are \p Interval apart.
 GossipTargets choosePeers(const NodeTable &Known, const Location &At,
--- a/src/mesh/internal/ComposeGossip.cpp
+++ b/src/mesh/internal/ComposeGossip.cpp
@@ -6,32 +6,27 @@
 
 namespace {
 
-/// A state is forwarded this many times by each node that has it, plus one for
-/// each doubling of the number of nodes.
-constexpr int MinStateForwards = 3;
+/// A state is forwarded this many times by each node that has it. A node that
+/// misses it all the same notices by the loads and asks for it.
+constexpr int MaxStateForwards = 5;
 /// A load is newer again within a second; most of its copies would come late.
 constexpr int MaxLoadForwards = 3;
-
-int stateForwardLimit(std::size_t Nodes) {
-  int Limit = MinStateForwards;
-  for (; Nodes > 1; Nodes /= 2)
-    ++Limit;
-  return Limit;
-}
+/// Loads that were heard of earlier are probably known to the receiver.
+constexpr Milliseconds FreshLoadAge{1000};
 
 /// Adds the reports whose state still spreads, up to \p Room bytes; returns the
 /// bytes used.
 std::size_t addReports(NodeTable &Known, const GossipPlan &Plan,
                        std::size_t Room, SteadyTime Now, GossipContent &To) {
-  const int Limit = stateForwardLimit(Known.Nodes.size());
+  std::vector<NodeId> Sent;
   std::size_t Used = 0;
   for (std::size_t Left = Known.Unspread.size(); Left > 0; --Left) {
     const NodeId Id = Known.Unspread.front();
     const auto Found = Known.Nodes.find(Id);
-    if (Found == Known.Nodes.end() || Found->second.StateForwards >= Limit ||
-        !isAlive(Known, Found->second, Now)) {
-      if (Found != Known.Nodes.end())
-        Found->second.IsUnspread = false;
+    if (Found == Known.Nodes.end() ||
+        Found->second.StateForwards >= MaxStateForwards ||
+        !isAlive(Known, Found->second, Now) ||
+        std::find(Sent.begin(), Sent.end(), Id) != Sent.end()) {
       Known.Unspread.pop_front();
       continue;
     }
@@ -43,10 +38,11 @@
     ++Found->second.StateForwards;
     ++Found->second.LoadForwards;
     To.Reports.push_back(std::move(Report));
-    // The others get their turn first.
     Known.Unspread.pop_front();
-    Known.Unspread.push_back(Id);
+    Sent.push_back(Id);
   }
+  // Newer states go first until they have spread.
+  Known.Unspread.insert(Known.Unspread.begin(), Sent.begin(), Sent.end());
   return Used;
 }
 
@@ -58,14 +54,14 @@
 /// Walks once through the nodes from the cursor and adds the loads that
 /// \p Wanted selects, up to \p Count.
 template <typename Selector>
-void addBeats(NodeTable &Known, std::size_t Count, SteadyTime Now,
+void addLoads(NodeTable &Known, std::size_t Count, SteadyTime Now,
               const Selector &Wanted, GossipContent &To) {
   auto It = Known.Nodes.upper_bound(Known.BeatCursor);
   for (std::size_t Left = Known.Nodes.size(); Left > 0 && Count > 0; --Left) {
     if (It == Known.Nodes.end())
       It = Known.Nodes.begin();
     KnownNode &Node = It->second;
-    if (Wanted(Node.LastReport.At) && mayCarry(Known, Node, Now)) {
+    if (mayCarry(Known, Node, Now) && Wanted(Node)) {
       ++Node.LoadForwards;
       To.Beats.push_back(beatOf(Node.LastReport));
       Known.BeatCursor = It->first;
@@ -75,8 +71,45 @@
   }
 }
 
+bool isFresh(const KnownNode &Node, SteadyTime Now) {
+  return elapsed(Node.HeardAt, Now) < FreshLoadAge;
+}
+
+/// Adds the fresh loads of the places that \p Wanted selects, up to \p Count.
+template <typename Selector>
+void addFreshBeats(NodeTable &Known, std::size_t Count, SteadyTime Now,
+                   const Selector &Wanted, GossipContent &To) {
+  addLoads(
+      Known, Count, Now,
+      [&](const KnownNode &Node) {
+        return isFresh(Node, Now) && Wanted(Node.LastReport.At);
+      },
+      To);
+}
+
+/// Adds fresh loads first, then others.
+template <typename Selector>
+void addBeats(NodeTable &Known, std::size_t Count, SteadyTime Now,
+              const Selector &Wanted, GossipContent &To) {
+  const std::size_t Before = To.Beats.size();
+  addFreshBeats(Known, Count, Now, Wanted, To);
+  addLoads(
+      Known, Count - (To.Beats.size() - Before), Now,
+      [&](const KnownNode &Node) {
+        return !isFresh(Node, Now) && Wanted(Node.LastReport.At);
+      },
+      To);
+}
+
 } // namespace
 
+bool hasUrgentState(const NodeTable &Known) {
+  if (Known.Unspread.empty())
+    return false;
+  const auto Found = Known.Nodes.find(Known.Unspread.front());
+  return Found != Known.Nodes.end() && Found->second.StateForwards == 0;
+}
+
 GossipContent composeGossip(NodeTable &Known, const GossipPlan &Plan,
                             SteadyTime Now) {
   GossipContent Content;
@@ -88,21 +121,18 @@
   const auto IsInZone = [&](const Location &At) {
     return At.Zone == Plan.At.Zone;
   };
-  const auto IsInRegion = [&](const Location &At) {
-    return At.RegionName == Plan.At.RegionName;
-  };
+  const auto IsElsewhere = [&](const Location &At) { return !IsInZone(At); };
   switch (Plan.Scope) {
   case BeatScope::Zone:
     addBeats(Known, Room, Now, IsInZone, Content);
-    break;
-  case BeatScope::Region:
-    addBeats(Known, Room, Now, IsInRegion, Content);
+    // The link is billed, so only what the other side probably lacks follows.
+    if (Content.Beats.size() < Room / 2)
+      addFreshBeats(Known, Room / 2 - Content.Beats.size(), Now, IsElsewhere,
+                    Content);
     break;
   case BeatScope::All:
     addBeats(Known, Room / 2, Now, IsInZone, Content);
-    addBeats(
-        Known, Room - Content.Beats.size(), Now,
-        [&](const Location &At) { return !IsInZone(At); }, Content);
+    addBeats(Known, Room - Content.Beats.size(), Now, IsElsewhere, Content);
     break;
   }
   return Content;
--- a/src/mesh/internal/NodeTable.cpp
+++ b/src/mesh/internal/NodeTable.cpp
@@ -10,7 +10,7 @@
 /// A node that has been silent for longer counts as gone. The time grows with
 /// the number of nodes, whose loads share the same datagrams.
 constexpr Milliseconds MinAliveTimeout{6000};
-constexpr Milliseconds AliveTimePerNode{20};
+constexpr Milliseconds AliveTimePerNode{40};
 /// A node that has been silent for longer is removed. Until then its last known
 /// incarnation keeps rejecting older reports.
 constexpr Milliseconds RemovalTimeout{60000};
@@ -38,6 +38,10 @@
 /// records over the link themselves.
 constexpr Milliseconds RemoteFetchDelay{350};
 
+/// The report of a new node counts as forwarded this often: its loads show that
+/// it is there, and whoever lacks the report asks for it.
+constexpr int NewNodeForwards = 3;
+
 std::uint64_t rendezvousWeight(const std::string &Subject, const NodeId &Id) {
   return mixBits(fnv1a(Id.str(), mixBits(fnv1a(Subject))));
 }
@@ -90,16 +94,14 @@
   bool IsNews = IsNew;
   bool HasNewState = IsNew;
   if (IsNew)
-    Node = {Report, Now, Now, 0, 0, false, std::nullopt};
+    Node = {Report, Now, Now, NewNodeForwards, 0, std::nullopt};
   else
     HasNewState = updateNode(Node, Report, Now, IsNews);
   if (HasNewState) {
     Known.ByKey.erase(OldKey.value());
     Known.ByKey[nodeKey(Report.Id, Report.IncarnationNumber).value()] =
         Report.Id;
-    if (!Node.IsUnspread)
-      Known.Unspread.push_front(Report.Id);
-    Node.IsUnspread = true;
+    Known.Unspread.push_front(Report.Id);
   }
   if (isLeaving(Before) && Before.StartedAtUnixMs > 0)
     Node.Left = Before;
@@ -110,8 +112,11 @@
 }
 
 NodeKey nodeKey(const NodeId &Id, Incarnation Number) {
+  // 40 bits are short on the wire and still tell a few thousand nodes apart.
+  constexpr unsigned DroppedBits = 24;
   return NodeKey(static_cast<std::int64_t>(
-      mixBits(fnv1a(Id.str()) + static_cast<std::uint64_t>(Number.value()))));
+      mixBits(fnv1a(Id.str()) + static_cast<std::uint64_t>(Number.value())) >>
+      DroppedBits));
 }
 
 bool mergeBeat(NodeTable &Known, const LoadBeat &Beat, SteadyTime Now) {
--- a/src/mesh/types/GossipPlan.h
+++ b/src/mesh/types/GossipPlan.h
@@ -11,10 +11,8 @@
 enum class BeatScope {
   /// Of all nodes, half of them of the sender's zone; to a node of that zone.
   All,
-  /// Of the sender's zone; to another zone of its region.
-  Zone,
-  /// Of the sender's region; to another region.
-  Region
+  /// Of the sender's zone, which it knows best; to another zone or region.
+  Zone
 };
 
 struct GossipPlan {
@@ -22,7 +20,7 @@
   BeatScope Scope = BeatScope::All;
   /// Room in the datagram.
   std::size_t Bytes = 0;
-  /// Bytes of an encoded load, at most, and of an encoded report.
+  /// Bytes of an encoded load and of an encoded report.
   std::size_t BeatBytes = 0;
   std::function<std::size_t(const NodeReport &)> ReportBytes;
 };
--- a/src/mesh/types/NodeReport.h
+++ b/src/mesh/types/NodeReport.h
@@ -132,8 +132,6 @@
   /// How many times this node has forwarded the state and the load.
   int StateForwards = 0;
   int LoadForwards = 0;
-  /// The node is in NodeTable::Unspread.
-  bool IsUnspread = false;
   /// The newest upstream process beside the node that is known to leave or to
   /// have left; only for processes with a stated start. A node that was
   /// restarted does not remember it.
@@ -145,7 +143,8 @@
   NodeId Self;
   std::map<NodeId, KnownNode> Nodes;
   std::unordered_map<std::int64_t, NodeId> ByKey;
-  /// Nodes whose newest state has to be forwarded, the most urgent first.
+  /// Nodes whose newest state has to be forwarded, the newest first. A node may
+  /// be in it several times.
   std::deque<NodeId> Unspread;
   /// The node whose load was forwarded last.
   NodeId BeatCursor;
--- a/src/sidecar/internal/Gossip.cpp
+++ b/src/sidecar/internal/Gossip.cpp
@@ -11,6 +11,7 @@
 
 constexpr Milliseconds TickInterval{250};
 constexpr std::size_t MaxBroadcastTargets = 40;
+constexpr Milliseconds RelayDelay{60};
 constexpr Milliseconds SeedCheckInterval{1000};
 /// A report that was asked for is not asked for again within this time.
 constexpr Milliseconds AskInterval{500};
@@ -53,7 +54,10 @@
   tick();
 }
 
-Gossip::~Gossip() { Context_.Loop.cancel(Timer_); }
+Gossip::~Gossip() {
+  Context_.Loop.cancel(Timer_);
+  Context_.Loop.cancel(RelayTimer_);
+}
 
 void Gossip::addSeeds(const std::vector<mesh::ListedNode> &Found) {
   bool Added = false;
@@ -108,7 +112,7 @@
   Plan.Scope = Scope;
   const std::size_t Own = encodedSize(Message.Reports.front()) + FrameBytes;
   Plan.Bytes = Own < MaxDatagramBytes ? MaxDatagramBytes - Own : 0;
-  Plan.BeatBytes = MaxBeatBytes;
+  Plan.BeatBytes = UsualBeatBytes;
   Plan.ReportBytes = encodedSize;
   mesh::GossipContent Others =
       mesh::composeGossip(Context_.KnownNodes, Plan, Context_.now());
@@ -127,12 +131,21 @@
                         Context_.now(), Context_.Random);
   sendRound(Targets.InZone, mesh::BeatScope::All);
   sendRound(Targets.InRegion, mesh::BeatScope::Zone);
-  sendRound(Targets.OtherRegions, mesh::BeatScope::Region);
+  sendRound(Targets.OtherRegions, mesh::BeatScope::Zone);
   if (elapsed(SeedsCheckedAt_, Context_.now()) >= SeedCheckInterval)
     contactSeeds();
   Timer_ = Context_.Loop.runAfter(TickInterval, [this] { tick(); });
 }
 
+/// Passes changed states on in the own zone, several at a time.
+void Gossip::relay() {
+  RelayTimer_ = reactor::TimerId();
+  sendRound(mesh::choosePeers(Context_.KnownNodes, Context_.Settings.At,
+                              TickInterval, Context_.now(), Context_.Random)
+                .InZone,
+            mesh::BeatScope::All);
+}
+
 void Gossip::contactSeeds() {
   SeedsCheckedAt_ = Context_.now();
   std::string Data;
@@ -291,6 +304,9 @@
     greet(Sender);
   ask(Sender, Missing);
   answer(Sender.Gossip, Message->Wanted);
+  if (RelayTimer_ == reactor::TimerId() &&
+      mesh::hasUrgentState(Context_.KnownNodes))
+    RelayTimer_ = Context_.Loop.runAfter(RelayDelay, [this] { relay(); });
   if (Changed)
     OnReports_();
 }
--- a/src/sidecar/internal/Gossip.h
+++ b/src/sidecar/internal/Gossip.h
@@ -33,6 +33,7 @@
   void tick();
   void
   sendOwnReport(const std::function<bool(const mesh::NodeReport &)> &IsTarget);
+  void relay();
   void sendRound(const std::vector<Endpoint> &To, mesh::BeatScope Scope);
   void onDatagram(std::string_view Data);
   bool onReport(const mesh::NodeReport &Item);
@@ -60,6 +61,7 @@
   /// When the report of a node was asked for last.
   std::unordered_map<std::int64_t, SteadyTime> AskedAt_;
   reactor::TimerId Timer_;
+  reactor::TimerId RelayTimer_;
 };
 
 } // namespace lycheethread::sidecar
--- a/src/sidecar/internal/GossipCodec.h
+++ b/src/sidecar/internal/GossipCodec.h
@@ -14,8 +14,8 @@
 /// Size of a datagram that no link fragments.
 inline constexpr std::size_t MaxDatagramBytes = 1200;
 
-/// Size of an encoded load, at most.
-inline constexpr std::size_t MaxBeatBytes = 34;
+/// Size of an encoded load; few are longer.
+inline constexpr std::size_t UsualBeatBytes = 20;
 
 /// The content of one datagram.
 struct GossipMessage {
