Answer every contact, and try a node that is down when it is heard of anew

Change: a contact asks for the receiver's report; the time until a node counts as gone grows by 80 ms a node, and a node that refused a connection is left out until it is heard of again.

--- a/src/mesh/internal/ChooseSeeds.cpp
+++ b/src/mesh/internal/ChooseSeeds.cpp
@@ -13,7 +13,7 @@
 /// A node of another zone is found through the others; each node contacts only
 /// a few there, so that a start of all nodes does not send a datagram for each
 /// pair of them.
-constexpr int SeedsPerOtherZone = 4;
+constexpr int SeedsPerOtherZone = 6;
 /// A node that has not answered this often is probably gone for good. The nodes
 /// of a zone share the further attempts.
 constexpr int MaxOwnTries = 3;
--- a/src/mesh/internal/NodeTable.cpp
+++ b/src/mesh/internal/NodeTable.cpp
@@ -10,7 +10,8 @@
 /// A node that has been silent for longer counts as gone. The time grows with
 /// the number of nodes, whose loads share the same datagrams.
 constexpr Milliseconds MinAliveTimeout{6000};
-constexpr Milliseconds AliveTimePerNode{40};
+constexpr Milliseconds AliveTimePerNode{80};
+constexpr int RemovalFactor = 2;
 /// A node that has been silent for longer is removed. Until then its last known
 /// incarnation keeps rejecting older reports.
 constexpr Milliseconds RemovalTimeout{60000};
@@ -171,8 +172,10 @@
 }
 
 void expireNodes(NodeTable &Known, SteadyTime Now) {
+  const Milliseconds Longest = std::max(
+      RemovalTimeout, aliveTimeout(Known.Nodes.size()) * RemovalFactor);
   for (auto It = Known.Nodes.begin(); It != Known.Nodes.end();) {
-    if (elapsed(It->second.HeardAt, Now) <= RemovalTimeout) {
+    if (elapsed(It->second.HeardAt, Now) <= Longest) {
       ++It;
       continue;
     }
--- a/src/mesh/types/NodeReport.h
+++ b/src/mesh/types/NodeReport.h
@@ -112,6 +112,9 @@
 
 /// Identifies one incarnation of a node in a LoadBeat.
 using NodeKey = StrongNumber<struct NodeKeyTag>;
+/// Stands for the receiver where a report is asked for: a node that is
+/// contacted may already know the sender without being known to it.
+inline constexpr NodeKey ReceiverKey{0};
 
 /// The load of a node without the rest of its report, which changes rarely.
 struct LoadBeat {
--- a/src/sidecar/gossip.thrift
+++ b/src/sidecar/gossip.thrift
@@ -80,7 +80,8 @@
 struct GossipMessage {
   1: list<NewsMessage> news
   2: optional list<BeatMessage> beats
-  3: optional list<i64> wanted // nodes whose report the sender lacks
+  // Nodes whose report the sender lacks; 0 stands for the receiver.
+  3: optional list<i64> wanted
 }
 
 // A record of the operator. OperatorItemsMessage holds the records of one node
--- a/src/sidecar/internal/Gossip.cpp
+++ b/src/sidecar/internal/Gossip.cpp
@@ -153,7 +153,7 @@
        mesh::chooseSeeds(Seeds_, Context_.KnownNodes, Context_.Settings.At.Zone,
                          Context_.now(), Context_.Random)) {
     if (Data.empty())
-      Data = ownDatagram();
+      Data = encodeGossip({{ownReport()}, {}, {mesh::ReceiverKey}});
     Socket_->send(At, Data);
   }
 }
@@ -195,8 +195,9 @@
     Socket_->send(At, Data);
 }
 
-/// Answers a node that this one did not know, or that has been restarted, so
-/// that it learns of the others at once, and of what it knew before.
+/// Answers a node that this one did not know, that has been restarted or that
+/// asks for it, so that it learns of the others at once, and of what it knew
+/// before.
 void Gossip::greet(const mesh::NodeReport &Sender) {
   GossipMessage Message;
   Message.Reports.push_back(ownReport());
@@ -259,8 +260,12 @@
 void Gossip::answer(const Endpoint &To,
                     const std::vector<mesh::NodeKey> &Wanted) {
   GossipMessage Message;
-  Message.Reports.push_back(ownReport());
-  std::size_t Size = encodedSize(Message.Reports.front()) + FrameBytes;
+  std::size_t Size = 0;
+  const auto Flush = [&] {
+    if (Message.Reports.size() > 1)
+      Socket_->send(To, encodeGossip(Message));
+    Message.Reports.clear();
+  };
   for (const mesh::NodeKey Key : Wanted) {
     const auto Id = Context_.KnownNodes.ByKey.find(Key.value());
     if (Id == Context_.KnownNodes.ByKey.end())
@@ -268,16 +273,19 @@
     const auto Found = Context_.KnownNodes.Nodes.find(Id->second);
     if (Found == Context_.KnownNodes.Nodes.end())
       continue;
-    Message.Reports.push_back(
-        mesh::forwardedReport(Found->second, Context_.now()));
-    Size += encodedSize(Message.Reports.back());
-    if (Size <= MaxDatagramBytes)
-      continue;
-    Message.Reports.pop_back();
-    break;
+    mesh::NodeReport Report =
+        mesh::forwardedReport(Found->second, Context_.now());
+    const std::size_t Bytes = encodedSize(Report);
+    if (!Message.Reports.empty() && Size + Bytes > MaxDatagramBytes)
+      Flush();
+    if (Message.Reports.empty()) {
+      Message.Reports.push_back(ownReport());
+      Size = encodedSize(Message.Reports.front()) + FrameBytes;
+    }
+    Message.Reports.push_back(std::move(Report));
+    Size += Bytes;
   }
-  if (Message.Reports.size() > 1)
-    Socket_->send(To, encodeGossip(Message));
+  Flush();
 }
 
 void Gossip::onDatagram(std::string_view Data) {
@@ -300,10 +308,13 @@
     if (Beat.Node != mesh::nodeKey(Context_.Settings.Id, Incarnation_) &&
         !mesh::mergeBeat(Context_.KnownNodes, Beat, Context_.now()))
       Missing.push_back(Beat);
-  if (IsNewLife && Sender.Id != Context_.Settings.Id)
+  const auto &Wanted = Message->Wanted;
+  const bool IsContact = std::find(Wanted.begin(), Wanted.end(),
+                                   mesh::ReceiverKey) != Wanted.end();
+  if ((IsNewLife || IsContact) && Sender.Id != Context_.Settings.Id)
     greet(Sender);
   ask(Sender, Missing);
-  answer(Sender.Gossip, Message->Wanted);
+  answer(Sender.Gossip, Wanted);
   if (RelayTimer_ == reactor::TimerId() &&
       mesh::hasUrgentState(Context_.KnownNodes))
     RelayTimer_ = Context_.Loop.runAfter(RelayDelay, [this] { relay(); });
--- a/src/sidecar/internal/UpstreamDirectory.cpp
+++ b/src/sidecar/internal/UpstreamDirectory.cpp
@@ -80,6 +80,15 @@
   return Found;
 }
 
+/// A node that accepts no connection is tried again when it is heard of anew:
+/// in a large fleet it counts as alive for much longer than it takes to notice.
+bool UpstreamDirectory::seemsDown(const UpstreamStats &Item,
+                                  SteadyTime HeardAt) const {
+  const SteadyTime Now = Context_.now();
+  return Item.AvoidUntil > Now || (Item.ConnectFailedAt != SteadyTime() &&
+                                   HeardAt <= Item.ConnectFailedAt);
+}
+
 /// Without reports and answers the instance may be frozen or disconnected. Its
 /// connections stay open, so requests sent there would wait without an answer.
 bool UpstreamDirectory::seemsUnresponsive(const UpstreamStats &Item,
@@ -100,8 +109,8 @@
         !mesh::isAlive(Context_.KnownNodes, Known, Now))
       continue;
     const UpstreamStats &Item = Stats_[Id];
-    const bool IsAvoided =
-        Item.AvoidUntil > Now || seemsUnresponsive(Item, Known.HeardAt);
+    const bool IsAvoided = seemsDown(Item, Known.HeardAt) ||
+                           seemsUnresponsive(Item, Known.HeardAt);
     auto &List = IsAvoided ? Avoided : Found;
     List.push_back(describe(Known.LastReport, Known.HeardAt));
   }
@@ -157,10 +166,12 @@
   if (HopIsDown) {
     const std::int32_t Doublings =
         std::min(Item.ConnectFailures++, MaxDoublings);
+    Item.ConnectFailedAt = Now;
     Item.AvoidUntil =
         after(Now, std::min(MaxAvoidance, MinAvoidance * (1 << Doublings)));
   } else {
     Item.ConnectFailures = 0;
+    Item.ConnectFailedAt = SteadyTime();
   }
   const bool Failed = Outcome.End == HopResult::Failed ||
                       (Outcome.End == HopResult::NotRun && Outcome.Reached) ||
--- a/src/sidecar/internal/UpstreamDirectory.h
+++ b/src/sidecar/internal/UpstreamDirectory.h
@@ -40,12 +40,15 @@
     SteadyTime FailureAt;
     std::int32_t ConnectFailures = 0;
     SteadyTime AvoidUntil;
+    /// When a connection failed last; cleared by an answer.
+    SteadyTime ConnectFailedAt;
   };
 
   bool isUsable(const mesh::NodeReport &Report,
                 const ServiceName &Service) const;
   mesh::Candidate describe(const mesh::NodeReport &Report, SteadyTime HeardAt);
   double decayedFailureRate(UpstreamStats &Item) const;
+  bool seemsDown(const UpstreamStats &Item, SteadyTime HeardAt) const;
   bool seemsUnresponsive(const UpstreamStats &Item, SteadyTime HeardAt) const;
 
   NodeContext &Context_;
