Keep a long report from holding up all later changes

Cause, by reading the diff: a report longer than half a datagram stayed first in the queue of changed states, so no other change was forwarded, and the node would have relayed every 60 ms. Change: it is left to those who ask for it. Tests: longReportDoesNotHoldUpTheOthers, forwardedReportKeepsTheEvidence.

--- a/src/mesh/internal/ComposeGossip.cpp
+++ b/src/mesh/internal/ComposeGossip.cpp
@@ -32,6 +32,11 @@
     }
     NodeReport Report = forwardedReport(Found->second, Now);
     const std::size_t Size = Plan.ReportBytes(Report);
+    if (Size > Room) {
+      // It must not hold up the others; whoever lacks it asks for it.
+      Found->second.StateForwards = MaxStateForwards;
+      continue;
+    }
     if (Used + Size > Room)
       break;
     Used += Size;
--- a/src/mesh/tests/NodeTableTest.cpp
+++ b/src/mesh/tests/NodeTableTest.cpp
@@ -144,6 +144,51 @@
   }
 }
 
+// Guards against a long report that keeps all later changes from spreading.
+BOOST_AUTO_TEST_CASE(longReportDoesNotHoldUpTheOthers) {
+  NodeTable Known;
+  Known.Self = NodeId("self");
+  for (const char *Id : {"short", "long"}) {
+    NodeReport Item = report(Id, 1, 1);
+    Item.State = Sequence(1);
+    mergeReport(Known, Item, SteadyTime(1));
+    Item.State = Sequence(2);
+    Item.Number = Sequence(2);
+    mergeReport(Known, Item, SteadyTime(2));
+  }
+  GossipPlan Plan;
+  Plan.Bytes = 1000;
+  Plan.BeatBytes = 20;
+  Plan.ReportBytes = [](const NodeReport &Item) -> std::size_t {
+    return Item.Id.str() == "long" ? 600 : 100;
+  };
+  BOOST_TEST(hasUrgentState(Known));
+  const GossipContent Content = composeGossip(Known, Plan, SteadyTime(3));
+  BOOST_REQUIRE(Content.Reports.size() == 1U);
+  BOOST_TEST(Content.Reports.front().Id.str() == "short");
+  BOOST_TEST(!hasUrgentState(Known));
+  // The load shows that there is a newer state.
+  BOOST_TEST(Content.Beats.size() == 2U);
+}
+
+// Guards against a forwarded report that removes the evidence of a node.
+BOOST_AUTO_TEST_CASE(forwardedReportKeepsTheEvidence) {
+  NodeTable Known;
+  Known.Self = NodeId("self");
+  NodeReport Direct = report("a", 1, 1);
+  Direct.State = Sequence(1);
+  Direct.Evidence.push_back(
+      {Offset(4), RouteName("r"), 5, 1, 5, Milliseconds(100)});
+  mergeReport(Known, Direct, SteadyTime(1));
+  NodeReport Forwarded =
+      forwardedReport(Known.Nodes.at(NodeId("a")), SteadyTime(2));
+  BOOST_TEST(Forwarded.Evidence.empty());
+  Forwarded.State = Sequence(2);
+  Forwarded.Number = Sequence(2);
+  mergeReport(Known, Forwarded, SteadyTime(3));
+  BOOST_TEST(Known.Nodes.at(NodeId("a")).LastReport.Evidence.size() == 1U);
+}
+
 // Guards against a new node that is ready before it knows a node that joined
 // just before it: an even newer one that it has heard of proves nothing.
 BOOST_AUTO_TEST_CASE(newNodeWaitsForThoseBeforeIt) {
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -339,10 +339,9 @@
   // The upstream may reject a request before it has read the id. On a
   // connection that was used before, it may be a late copy of an earlier
   // rejection, and this request may be running.
-  if (Job.Connection->wasUsedBefore())
-    return false;
-  return Head.has(Names.NotExecuted) ||
-         Head.getStatus() == HTTPResponse::HTTP_MISDIRECTED_REQUEST;
+  return !Job.Connection->wasUsedBefore() &&
+         (Head.has(Names.NotExecuted) ||
+          Head.getStatus() == HTTPResponse::HTTP_MISDIRECTED_REQUEST);
 }
 
 void UpstreamHop::onAnswer(const RunningPtr &Job, ClientAnswer Answer) {
