Test that changed bounds are applied without a restart

The reload applied them already; nothing showed it. With the call left out, the test fails: the node goes on with its stop for longer than the new grace time.

--- a/tests/platform/ConfigurationTest.cpp
+++ b/tests/platform/ConfigurationTest.cpp
@@ -2,6 +2,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <fstream>
+#include <future>
+#include <iterator>
+
 using namespace lycheethread::platformtest;
 
 namespace {
@@ -73,6 +77,49 @@
   BOOST_TEST(Mesh.at(1).get("/new/x").Status == 200);
 }
 
+// Guards against bounds that are read at the start only: the node would keep a
+// stop going that the platform ends by killing it.
+BOOST_AUTO_TEST_CASE(changedBoundsAreAppliedWithoutARestart) {
+  constexpr milliseconds WorkTime{6000};
+  constexpr milliseconds ShortGrace{2000};
+  TestMesh Mesh({{"k1"}});
+  Mesh.Store.put(
+      "keyed.op", "config",
+      configuration(
+          2, R"(,{"name":"slow","type":"non_idempotent","match":)"
+             R"({"path_prefix":"/slow/"},"action":{"backend_service":"desk",)"
+             R"("timeout_s":9}})"));
+  Instance &Only = Mesh.at(0);
+  BOOST_REQUIRE(holdsWithin([&] { return Only.get("/slow/x").Status == 200; },
+                            ApplyLimit));
+  Only.writeSettings("grace_s=2,drain_s=2.5");
+  BOOST_REQUIRE(holdsWithin(
+      [&] {
+        std::ifstream Log(Only.logFile());
+        const std::string Text{std::istreambuf_iterator<char>(Log), {}};
+        return Text.find("event=reload changed=yes") != std::string::npos;
+      },
+      ApplyLimit));
+  Only.upstream().setBehaviour([WorkTime](const ReceivedRequest &Request) {
+    RawResponse Response = completeResponse(Request);
+    Response.Delay = WorkTime;
+    return Response;
+  });
+  auto Running = std::async(std::launch::async, [&] {
+    return Only.post("/slow/y", "x", "y", milliseconds(9000)).Status;
+  });
+  BOOST_REQUIRE(holdsWithin(
+      [&] {
+        const auto Received = Only.upstream().receivedRequests();
+        return !Received.empty() &&
+               Received.back().Headers.at("x-attempt-id") == "y";
+      },
+      ApplyLimit));
+  Only.node().terminate();
+  BOOST_TEST(Only.node().waitFor(ShortGrace).has_value());
+  Running.wait();
+}
+
 // Guards against a race at startup: nodes that start at the same time each read
 // the list of nodes before the others are registered in it, and then know only
 // their own upstream.
--- a/tests/platform/TestMesh.cpp
+++ b/tests/platform/TestMesh.cpp
@@ -38,24 +38,29 @@
   SettingsFile_ = Directory + "/" + Spec.Name + ".ini";
   LogFile_ = Directory + "/" + Spec.Name + ".log";
   std::ofstream(LogFile_).close();
+  writeSettings("grace_s=6,drain_s=2.5");
+  startNode();
+  CheckInThread_ = std::thread([this] { runCheckIns(); });
+}
+
+Instance::~Instance() {
+  Stopping_ = true;
+  CheckInThread_.join();
+}
+
+void Instance::writeSettings(const std::string &Bounds) {
   std::ofstream(SettingsFile_)
-      << "[node]\nid = " << Spec.Name << "\nregion = east\nzone = " << Spec.Zone
+      << "[node]\nid = " << Spec_.Name
+      << "\nregion = east\nzone = " << Spec_.Zone
       << "\n[listen]\noutbound = " << endpoint(OutboundPort_)
       << "\ninbound = " << endpoint(InboundPort_)
       << "\nreadiness = " << endpoint(ReadinessPort_)
       << "\ncheck_ins = " << endpoint(CheckInPort_)
       << "\ngossip = " << endpoint(GossipPort_)
       << "\n[upstream]\naddress = " << endpoint(Upstream_->port())
-      << "\nservice = " << Spec.Service << "\ncheck_in_s = 1\n[store]\n"
+      << "\nservice = " << Spec_.Service << "\ncheck_in_s = 1\n[store]\n"
       << "address = " << endpoint(StorePort_)
-      << "\n[platform]\nbounds = grace_s=6,drain_s=2.5\n";
-  startNode();
-  CheckInThread_ = std::thread([this] { runCheckIns(); });
-}
-
-Instance::~Instance() {
-  Stopping_ = true;
-  CheckInThread_.join();
+      << "\n[platform]\nbounds = " << Bounds << "\n";
 }
 
 void Instance::startNode() {
--- a/tests/platform/TestMesh.h
+++ b/tests/platform/TestMesh.h
@@ -38,6 +38,8 @@
   std::uint16_t outboundPort() const { return OutboundPort_; }
 
   void startNode();
+  /// Writes the settings file; a running node reads it again within a second.
+  void writeSettings(const std::string &Bounds);
   /// Sends a GET request for \p Path to the host of the tests through this
   /// node.
   harness::HttpAnswer get(const std::string &Path, const std::string &Id = "");
