Spread the first reads of the store by the list that was read

The record of a completed rollout was due first at a node chosen by another subject than the judges, so a node that sees no comparison could record the end of a rollout that the judges still compare.

Change: firstReadDelay, a pure function of the listed nodes and the response time of the store; the recorder is chosen in the order of the judges.

--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -197,6 +197,11 @@
 bool hasJoined(const JoinState &State, const NodeTable &Known,
                Milliseconds Waited);
 
+/// Returns when a node that has found \p Listed nodes on the list within
+/// \p ResponseTime reads the records from the store, unless a peer sends them
+/// before.
+FirstReadDelay firstReadDelay(std::size_t Listed, Milliseconds ResponseTime);
+
 /// Returns the position of this node, from 0, in a rendezvous hash order of the
 /// living nodes. The order depends on \p Subject only.
 std::size_t rendezvousRank(const NodeTable &Known, const std::string &Subject,
--- a/src/mesh/tests/ChooseCandidateTest.cpp
+++ b/src/mesh/tests/ChooseCandidateTest.cpp
@@ -66,7 +66,7 @@
   std::array<SimulatedUpstream, 2> Upstreams;
   std::deque<std::array<std::int32_t, 2>> Reports;
   RegionResult Result;
-  const auto Place = [&](std::size_t Own, std::int64_t Now) {
+  const auto Place = [&](std::size_t Own) {
     PlacementRequest Request = Small;
     Request.IsServedLast = IsServedLast;
     Request.LongestWait = longestWait(Request.Objective);
@@ -108,7 +108,7 @@
       if (!std::bernoulli_distribution(PerMs)(Random))
         continue;
       ++Result.Offered;
-      Place(Region, Now);
+      Place(Region);
     }
   }
   return Result;
--- a/src/mesh/tests/NodeTableTest.cpp
+++ b/src/mesh/tests/NodeTableTest.cpp
@@ -214,6 +214,18 @@
       hasJoined({true, true, Offset(1), 0}, NodeTable(), Milliseconds(1)));
 }
 
+// Guards against a read of the whole store by each node when all of them start.
+BOOST_AUTO_TEST_CASE(firstReadsOfManyNodesAreSpread) {
+  constexpr Milliseconds Near{10};
+  constexpr Milliseconds Remote{120};
+  BOOST_TEST(firstReadDelay(0, Near).Most.count() == 0);
+  BOOST_TEST(firstReadDelay(2, Near).Most.count() < 10);
+  BOOST_TEST(firstReadDelay(195, Near).Least.count() == 0);
+  BOOST_TEST(firstReadDelay(195, Near).Most.count() > 300);
+  BOOST_TEST(firstReadDelay(1000, Near).Most.count() <= 500);
+  BOOST_TEST(firstReadDelay(2, Remote).Least.count() > 300);
+}
+
 // Guards against a datagram for each pair of nodes when all of them start.
 BOOST_AUTO_TEST_CASE(contactsAtAStartDoNotGrowWithTheFleet) {
   std::mt19937_64 Random(3);
--- a/src/mesh/types/JoinState.h
+++ b/src/mesh/types/JoinState.h
@@ -20,6 +20,12 @@
   std::size_t Others = 0;
 };
 
+/// Bounds of the random time after which a starting node reads the records.
+struct FirstReadDelay {
+  Milliseconds Least{0};
+  Milliseconds Most{0};
+};
+
 } // namespace lycheethread::mesh
 
 #endif // LYCHEETHREAD_MESH_TYPES_JOINSTATE_H
--- a/src/sidecar/internal/OperatorFeed.cpp
+++ b/src/sidecar/internal/OperatorFeed.cpp
@@ -21,12 +21,8 @@
 constexpr Milliseconds MaxStartBackoff{1000};
 constexpr Milliseconds FetchTimeout{1000};
 constexpr Milliseconds ConnectTimeout{250};
-/// The store answers a node of its own region within this time, even if the
-/// node has only a tenth of a core. The round trip to the other region takes 60
-/// ms, and connecting takes another.
-constexpr Milliseconds NearStoreResponseTime{80};
-constexpr Milliseconds NearNodeWaitTime{400};
-constexpr Milliseconds SpreadPerNode{2};
+/// A starting node whose list of nodes has not come by now reads the records.
+constexpr Milliseconds MembersWaitTime{400};
 /// Time for ready nodes to report how the rollouts stand.
 constexpr Milliseconds StatusWaitTime{300};
 /// A starting node that has waited this long for the store uses the records of
@@ -53,22 +49,13 @@
 
 void OperatorFeed::start() {
   loadMembers();
-  scheduleReload(NearNodeWaitTime);
+  scheduleReload(MembersWaitTime);
 }
 
-// When all nodes start at once, the configuration would cross the region link
-// once for each node of the remote region. A node that gets slow answers from
-// the store first waits for nodes near the store to pass the records on.
-void OperatorFeed::onFirstMembers() {
-  const bool IsNear =
-      elapsed(StartedAt_, Context_.now()) < NearStoreResponseTime;
-  // Of many nodes near the store that start together, the first ones read it
-  // and the others take the records from them.
-  const Milliseconds Spread =
-      std::min(NearNodeWaitTime,
-               SpreadPerNode * static_cast<std::int64_t>(Context_.Join.Others));
-  scheduleReload(IsNear ? randomBetween(Milliseconds(0), Spread)
-                        : NearNodeWaitTime);
+void OperatorFeed::onFirstMembers(std::size_t Listed) {
+  const mesh::FirstReadDelay Delay =
+      mesh::firstReadDelay(Listed, elapsed(StartedAt_, Context_.now()));
+  scheduleReload(randomBetween(Delay.Least, Delay.Most));
 }
 
 void OperatorFeed::scheduleReload(Milliseconds Pause) {
@@ -118,7 +105,7 @@
       MembersKnown_ = true;
       Callbacks_.OnMembers(Read);
       if (IsFirst && Context_.Records.Position == Offset() && !Busy_)
-        onFirstMembers();
+        onFirstMembers(Read.Items.size());
       Callbacks_.OnProgress();
     } else if (Context_.KnownNodes.Nodes.empty()) {
       Context_.Loop.runAfter(
--- a/src/sidecar/internal/OperatorFeed.h
+++ b/src/sidecar/internal/OperatorFeed.h
@@ -44,7 +44,7 @@
   bool hasOrders() const;
   void loadStatus();
   void loadMembers();
-  void onFirstMembers();
+  void onFirstMembers(std::size_t Listed);
   bool peersKnowOrders() const;
   bool hasReadyPeer() const;
   void scheduleReload(Milliseconds Pause);
--- a/src/sidecar/internal/Rollouts.cpp
+++ b/src/sidecar/internal/Rollouts.cpp
@@ -315,8 +315,10 @@
   const SteadyTime Now = Context_.now();
   if (Current.Writing || Now < Current.NextWrite || Context_.Stopping)
     return;
+  // A judge records first: the other nodes do not see a comparison that may
+  // still be going on.
   const std::size_t Rank = mesh::rendezvousRank(
-      Context_.KnownNodes, Current.Order.Service.str(), Now);
+      Context_.KnownNodes, judgeSubject(Current.Order.Service), Now);
   if (Current.NextWrite == SteadyTime() && Rank > 0) {
     Current.NextWrite =
         after(Now, RecordDelayPerRank * static_cast<std::int64_t>(Rank));
