--- a/src/sidecar/internal/OutboundProxy.cpp
+++ b/src/sidecar/internal/OutboundProxy.cpp
@@ -399,7 +399,9 @@
 void OutboundProxy::onOutcome(const CallPtr &Item, HopOutcome Outcome) {
   Item->Active = false;
   Directory_.onOutcome(Item->Node, Outcome);
-  if (Outcome.End != HopResult::NotRun)
+  if (Outcome.End == HopResult::NotRun)
+    recordRefusal(Item, Outcome);
+  else
     ++Item->Runs;
   if (mayRetry(Item, Outcome)) {
     Item->Excluded.insert(Item->Node);
@@ -418,6 +420,16 @@
     endUnanswered(Item, Outcome.Reason, Outcome.RetryDelay);
 }
 
+void OutboundProxy::recordRefusal(const CallPtr &Item,
+                                  const HopOutcome &Outcome) {
+  ++Item->Refusals;
+  if (Outcome.Reason != RefusalReason::QueueFull)
+    return;
+  Item->OwnRegionIsFull = Item->OwnRegionIsFull || Item->IsOwnRegion;
+  Item->RetryDelay = std::min(Outcome.RetryDelay,
+                              Item->RetryDelay.value_or(Outcome.RetryDelay));
+}
+
 bool OutboundProxy::mayRetry(const CallPtr &Item, const HopOutcome &Outcome) {
   const bool Answered = Outcome.End == HopResult::Answered;
   if (Answered && !http::isServerError(Outcome.Answer.Head.getStatus()))
@@ -429,12 +441,6 @@
     return false;
   mesh::MeshRetryBudget &Budget = Budgets_[Item->Info.Service];
   if (Outcome.End == HopResult::NotRun) {
-    ++Item->Refusals;
-    if (Outcome.Reason == RefusalReason::QueueFull) {
-      Item->OwnRegionIsFull = Item->OwnRegionIsFull || Item->IsOwnRegion;
-      Item->RetryDelay = std::min(
-          Outcome.RetryDelay, Item->RetryDelay.value_or(Outcome.RetryDelay));
-    }
     const bool TookLong = elapsed(Item->ArrivedAt, Context_.now()) >
                           std::max(MinRefusalTime, Item->Info.Objective /
                                                        RefusalObjectiveDivisor);
--- a/src/sidecar/internal/OutboundProxy.h
+++ b/src/sidecar/internal/OutboundProxy.h
@@ -38,6 +38,7 @@
   std::optional<mesh::Candidate> choose(const CallPtr &Item);
   void send(const CallPtr &Item, const mesh::Candidate &To);
   void onOutcome(const CallPtr &Item, HopOutcome Outcome);
+  static void recordRefusal(const CallPtr &Item, const HopOutcome &Outcome);
   bool mayRetry(const CallPtr &Item, const HopOutcome &Outcome);
   void deliver(const CallPtr &Item, HopOutcome Outcome);
   void endUnanswered(const CallPtr &Item, RefusalReason Reason,
