Log what upstreams say of themselves in their answers

Change: the headers are read in one place and each change is logged as upstream-states; no decision uses them yet.

--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/internal/UpstreamHop.h"
 
+#include <Poco/NumberFormatter.h>
+
 #include <algorithm>
 
 namespace lycheethread::sidecar {
@@ -63,6 +65,8 @@
   bool CallerDone = false;
   bool Ended = false;
   SteadyTime SentAt;
+  /// The upstream process to which it was sent.
+  mesh::Upstream Target;
   ClientConnectionPtr Connection;
   reactor::TimerId Timer;
 };
@@ -300,6 +304,7 @@
   }
   Job->Sent = true;
   Job->SentAt = Context_.now();
+  Job->Target = Context_.Registered.Current;
   const auto Granted = std::move(Job->Job.OnGranted);
   Job->Job.OnGranted = nullptr;
   if (Granted)
@@ -350,6 +355,7 @@
   const Milliseconds Took = elapsed(Job->SentAt, Context_.now());
   if (Answer.Head.has(Names.NotExecuted) ||
       Status == HTTPResponse::HTTP_MISDIRECTED_REQUEST) {
+    onStatement(*Job, Answer.Head);
     HopOutcome Outcome = notRun(RefusalReason::Shed);
     Outcome.Reached = true;
     finish(Job, std::move(Outcome));
@@ -365,6 +371,7 @@
     finish(Job, failed(RefusalReason::UpstreamFailed));
     return;
   }
+  onStatement(*Job, Answer.Head);
   const bool Good = !http::isServerError(Status);
   recordEvidence(*Job, Good, Took);
   if (Good) {
@@ -385,6 +392,26 @@
   }
 }
 
+void UpstreamHop::onStatement(const Running &Job, const HTTPResponse &Head) {
+  // A late answer of a process that this one has replaced.
+  if (!mesh::isSameProcess(Job.Target, Context_.Registered.Current))
+    return;
+  const UpstreamStatement Read = readStatement(Head, Context_.Platform.Headers);
+  const bool IsSame = Read.PerSecond == Stated_.PerSecond &&
+                      Read.IsUnreadable == Stated_.IsUnreadable &&
+                      Read.IsLeaving == Stated_.IsLeaving;
+  Stated_ = Read;
+  if (IsSame)
+    return;
+  Context_.Log.write(
+      LogClass::State, Context_.now(), "upstream-states",
+      {{"upstream", Job.Target.Id.str()},
+       {"limit_per_s", Read.PerSecond
+                           ? Poco::NumberFormatter::format(*Read.PerSecond)
+                           : (Read.IsUnreadable ? "unreadable" : "none")},
+       {"leaving", Read.IsLeaving ? "yes" : "no"}});
+}
+
 void UpstreamHop::onFailure(const RunningPtr &Job, ClientFailure Why) {
   if (Job->Ended)
     return;
@@ -524,6 +551,7 @@
   if (Known.Current.Id != CurrentUpstream_) {
     CurrentUpstream_ = Known.Current.Id;
     DownUntil_ = SteadyTime();
+    Stated_ = {};
     Service_ = {};
     ServiceByRoute_.clear();
     Crashes_.reset();
--- a/src/sidecar/internal/UpstreamHop.h
+++ b/src/sidecar/internal/UpstreamHop.h
@@ -5,6 +5,7 @@
 #include "sidecar/internal/CrashProbe.h"
 #include "sidecar/internal/HopJob.h"
 #include "sidecar/internal/NodeContext.h"
+#include "sidecar/internal/UpstreamStatement.h"
 
 #include <deque>
 #include <unordered_map>
@@ -55,6 +56,7 @@
   ClientRequest makeRequest(const RunningPtr &Job) const;
   bool belongsTo(const Running &Job, const Poco::Net::HTTPResponse &Head) const;
   void onAnswer(const RunningPtr &Job, ClientAnswer Answer);
+  void onStatement(const Running &Job, const Poco::Net::HTTPResponse &Head);
   void onFailure(const RunningPtr &Job, ClientFailure Why);
   void onDeadline(const RunningPtr &Job);
   void finish(const RunningPtr &Job, HopOutcome Outcome);
@@ -80,6 +82,8 @@
   mesh::UploadBacklog UploadBacklog_;
   std::deque<RunningPtr> UploadQueue_;
   mesh::UpstreamId CurrentUpstream_;
+  /// What the upstream said in its last answer.
+  UpstreamStatement Stated_;
   /// After a failed connection the upstream counts as down until this time.
   SteadyTime DownUntil_;
   mesh::ServiceTime Service_;
--- /dev/null
+++ b/src/sidecar/internal/UpstreamStatement.h
@@ -0,0 +1,28 @@
+#ifndef LYCHEETHREAD_SIDECAR_INTERNAL_UPSTREAMSTATEMENT_H
+#define LYCHEETHREAD_SIDECAR_INTERNAL_UPSTREAMSTATEMENT_H
+
+#include "sidecar/types/PlatformProtocol.h"
+
+#include <Poco/Net/HTTPResponse.h>
+
+#include <optional>
+
+namespace lycheethread::sidecar {
+
+/// What an upstream says of itself in an answer, apart from the answer.
+struct UpstreamStatement {
+  /// Requests a second that it takes from all nodes together; empty if it
+  /// states no limit.
+  std::optional<double> PerSecond;
+  /// It states a limit that is not a number.
+  bool IsUnreadable = false;
+  /// It is about to end and takes no new work.
+  bool IsLeaving = false;
+};
+
+UpstreamStatement readStatement(const Poco::Net::HTTPResponse &Head,
+                                const HeaderNames &Names);
+
+} // namespace lycheethread::sidecar
+
+#endif // LYCHEETHREAD_SIDECAR_INTERNAL_UPSTREAMSTATEMENT_H
--- a/src/sidecar/types/PlatformProtocol.h
+++ b/src/sidecar/types/PlatformProtocol.h
@@ -23,6 +23,11 @@
   std::string NotExecuted;
   /// Service from whose instance a request originated.
   std::string CallerService;
+  /// Requests a second that an upstream takes from all nodes together; in its
+  /// answers for as long as that holds.
+  std::string Limit;
+  /// "1" in the answers of an upstream that is about to end.
+  std::string Leaving;
 };
 
 /// A request to the store, without the headers common to all requests.
