--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -72,6 +72,11 @@
 Milliseconds expectedWait(std::int32_t Outstanding, std::int32_t Capacity,
                           Milliseconds ServiceTime);
 
+/// Returns the time until the limit in \p Load permits one more request, when
+/// \p Sent requests have been sent in the time \p Since the load was reported.
+Milliseconds permitWaitSince(const LoadReport &Load, std::int32_t Sent,
+                             Milliseconds Since);
+
 /// Returns the candidate with the least expected cost to the caller, or nothing
 /// without candidates.
 std::optional<ChosenCandidate>
@@ -101,7 +106,11 @@
 /// returns their ids.
 std::vector<JobId> removeOverdue(HopQueue &Queue, SteadyTime Now);
 
-/// Moves the next waiting request to a free slot, if both exist.
+/// Counts a request as started that was admitted with QueueDecision::Run.
+void startNow(HopQueue &Queue, SteadyTime Now);
+
+/// Moves the next waiting request to a free slot, if both exist and the limit
+/// of the upstream permits it.
 std::optional<JobId> startNext(HopQueue &Queue, SteadyTime Now);
 
 /// Returns false when the request is not in the queue.
--- a/src/mesh/internal/ChooseCandidate.cpp
+++ b/src/mesh/internal/ChooseCandidate.cpp
@@ -37,6 +37,8 @@
 /// request while the others have free slots.
 constexpr double ExplorationShare = 0.03;
 constexpr double MaxExplorationFailureRate = 0.2;
+/// No request waits longer for a permit.
+constexpr Milliseconds MaxPermitWait{60000};
 /// Longer bodies queue for the link of the upstream's instance.
 constexpr std::int64_t LongBodyBytes = 32 * 1024;
 /// A request that is served last crosses to another region if the wait there is
@@ -53,11 +55,27 @@
   return Milliseconds(ServiceTime.count() * Ahead / Capacity);
 }
 
+Milliseconds permitWaitSince(const LoadReport &Load, std::int32_t Sent,
+                             Milliseconds Since) {
+  if (!Load.LimitPerSecond)
+    return Milliseconds(0);
+  constexpr double MillisecondsPerSecond = 1000;
+  const double Most = static_cast<double>(MaxPermitWait.count());
+  const double Added = *Load.LimitPerSecond > 0
+                           ? Sent * MillisecondsPerSecond / *Load.LimitPerSecond
+                           : (Sent > 0 ? Most : 0);
+  const Milliseconds Wait =
+      Load.PermitWait - Since +
+      Milliseconds(static_cast<std::int64_t>(std::min(Added, Most)));
+  return std::max(Milliseconds(0), Wait);
+}
+
 namespace {
 
 bool isSuitableForExploration(const Candidate &Item) {
   return Item.Distance <= Proximity::SameZone &&
-         Item.Outstanding < Item.Capacity &&
+         Item.Outstanding < Item.Capacity && !Item.IsBeyondShare &&
+         Item.PermitWait == Milliseconds(0) &&
          Item.FailureRate < MaxExplorationFailureRate;
 }
 
@@ -80,7 +98,8 @@
 }
 
 Milliseconds waitAt(const Candidate &Item) {
-  return expectedWait(Item.Outstanding, Item.Capacity, Item.ServiceTime);
+  return std::max(Item.PermitWait, expectedWait(Item.Outstanding, Item.Capacity,
+                                                Item.ServiceTime));
 }
 
 /// Returns the longest wait at an upstream of another region for which
@@ -116,10 +135,15 @@
   std::uniform_real_distribution<double> Jitter(0, JitterShare);
   const Milliseconds LongestBeyondLink =
       longestWaitBeyondLink(Candidates, Request);
+  // A request that crosses the link to be refused there is told so late.
+  const bool HasOwnRegion =
+      Request.OwnRegionIsFull ||
+      std::any_of(Candidates.begin(), Candidates.end(), isOwnRegion);
   for (std::size_t At = 0; At < Candidates.size(); ++At) {
     const Candidate &Item = Candidates[At];
     const Milliseconds Wait = waitAt(Item);
-    if (!isOwnRegion(Item) && Wait > LongestBeyondLink)
+    if (!isOwnRegion(Item) &&
+        (Wait > LongestBeyondLink || (Item.IsBeyondShare && HasOwnRegion)))
       continue;
     const auto Distance = static_cast<std::size_t>(Item.Distance);
     const auto Service = static_cast<double>(
@@ -142,7 +166,8 @@
                    std::max(0.0, Utilisation - RiskyUtilisation) /
                        (1 - RiskyUtilisation) +
                    Jitter(Random)) +
-        (Wait > Request.LongestWait ? RefusalPenaltyMs : 0);
+        (Wait > Request.LongestWait || Item.IsBeyondShare ? RefusalPenaltyMs
+                                                          : 0);
     if (Best && Cost >= BestCost)
       continue;
     BestCost = Cost;
--- a/src/mesh/internal/HopQueue.cpp
+++ b/src/mesh/internal/HopQueue.cpp
@@ -43,6 +43,16 @@
       [&](const QueuedJob &Other) { return runsBefore(Other, Job, Now); }));
 }
 
+/// Returns the time until a request with \p Ahead requests before it gets a
+/// slot.
+Milliseconds slotWait(const HopQueue &Queue, std::int64_t Ahead,
+                      Milliseconds MeanService) {
+  // With a limit, requests wait while there are free slots.
+  if (Queue.Limit.PerSecond && Queue.Running + Ahead < Queue.Slots)
+    return Milliseconds(0);
+  return Milliseconds(MeanService.count() * (Ahead + 1) / Queue.Slots);
+}
+
 } // namespace
 
 bool runsBefore(const QueuedJob &First, const QueuedJob &Second,
@@ -68,10 +78,14 @@
                        Milliseconds MeanService, SteadyTime Now) {
   if (elapsed(Now, Job.DeadlineAt) <= Milliseconds(0) || Queue.Slots <= 0)
     return {QueueDecision::Action::Refuse, Milliseconds(0)};
-  if (Queue.Running < Queue.Slots && Queue.Waiting.empty())
+  if (Queue.Running < Queue.Slots && Queue.Waiting.empty() &&
+      requests::permitDelay(Queue.Limit, 0, Now) == Milliseconds(0))
     return {QueueDecision::Action::Run, Milliseconds(0)};
-  const auto Ahead = static_cast<std::int64_t>(jobsAhead(Queue, Job, Now)) + 1;
-  const Milliseconds Wait(MeanService.count() * Ahead / Queue.Slots);
+  const auto Ahead = static_cast<std::int64_t>(jobsAhead(Queue, Job, Now));
+  const Milliseconds PermitWait =
+      requests::permitDelay(Queue.Limit, Ahead, Now);
+  const Milliseconds SlotWait = slotWait(Queue, Ahead, MeanService);
+  const Milliseconds Wait = std::max(SlotWait, PermitWait);
   const Milliseconds InTime =
       elapsed(Now, Job.ObjectiveAt) -
       std::max(Job.ServiceTime, Milliseconds(1)) * MinServiceTimesLeft;
@@ -79,7 +93,12 @@
       std::min(InTime, longestWait(Job.Objective)), MaxLateRequestWait);
   if (Wait <= Allowed)
     return {QueueDecision::Action::Wait, Milliseconds(0)};
-  return {QueueDecision::Action::Refuse, Wait - Allowed};
+  return {QueueDecision::Action::Refuse, Wait - Allowed, PermitWait > SlotWait};
+}
+
+void startNow(HopQueue &Queue, SteadyTime Now) {
+  ++Queue.Running;
+  requests::takePermit(Queue.Limit, Now);
 }
 
 // The last hop decides admission by the requests that it serves before this
@@ -119,7 +138,8 @@
 }
 
 std::optional<JobId> startNext(HopQueue &Queue, SteadyTime Now) {
-  if (Queue.Running >= Queue.Slots || Queue.Waiting.empty())
+  if (Queue.Running >= Queue.Slots || Queue.Waiting.empty() ||
+      requests::permitDelay(Queue.Limit, 0, Now) > Milliseconds(0))
     return std::nullopt;
   const auto Next =
       std::min_element(Queue.Waiting.begin(), Queue.Waiting.end(),
@@ -128,7 +148,7 @@
                        });
   const JobId Id = Next->Id;
   Queue.Waiting.erase(Next);
-  ++Queue.Running;
+  startNow(Queue, Now);
   return Id;
 }
 
--- a/src/mesh/tests/ChooseCandidateTest.cpp
+++ b/src/mesh/tests/ChooseCandidateTest.cpp
@@ -122,6 +122,35 @@
   BOOST_TEST(chosen({}, Small) == "");
 }
 
+// Guards against requests that cross a link only to be refused for the limit of
+// an upstream there, of which this node has used its part.
+BOOST_AUTO_TEST_CASE(requestsDoNotCrossALinkBeyondTheirShare) {
+  Candidate Own = candidate("own", Proximity::SameZone, 12);
+  Own.IsBeyondShare = true;
+  Candidate Far = candidate("far", Proximity::OtherRegion);
+  Far.IsBeyondShare = true;
+  BOOST_TEST(chosen({Own, Far}, Small) == "own");
+  PlacementRequest Refused = Small;
+  Refused.OwnRegionIsFull = true;
+  BOOST_TEST(chosen({Far}, Refused) == "");
+  // Without an upstream in its own region, a request has to cross.
+  BOOST_TEST(chosen({Far}, Small) == "far");
+  Far.IsBeyondShare = false;
+  BOOST_TEST(chosen({Own, Far}, Small) == "far");
+}
+
+// Guards against a limited upstream that looks idle and gets all requests.
+BOOST_AUTO_TEST_CASE(limitedUpstreamIsUsedWithinItsShare) {
+  Candidate Limited = candidate("limited", Proximity::SameZone);
+  Limited.IsBeyondShare = true;
+  BOOST_TEST(chosen({Limited, candidate("busy", Proximity::SameZone, 8)},
+                    Small) == "busy");
+  Limited.IsBeyondShare = false;
+  Limited.PermitWait = Milliseconds(150);
+  BOOST_TEST(chosen({Limited, candidate("busy", Proximity::SameZone, 8)},
+                    Small) == "busy");
+}
+
 BOOST_AUTO_TEST_CASE(nearUpstreamIsPreferred) {
   BOOST_TEST(chosen({candidate("far", Proximity::OtherRegion),
                      candidate("zone", Proximity::SameZone),
--- a/src/mesh/types/HopQueue.h
+++ b/src/mesh/types/HopQueue.h
@@ -1,7 +1,7 @@
 #ifndef LYCHEETHREAD_MESH_TYPES_HOPQUEUE_H
 #define LYCHEETHREAD_MESH_TYPES_HOPQUEUE_H
 
-#include "model/Model.h"
+#include "requests/Requests.h"
 
 #include <cstddef>
 #include <vector>
@@ -44,6 +44,8 @@
   std::int32_t Slots = 0;
   std::int32_t Running = 0;
   std::vector<QueuedJob> Waiting;
+  /// The rate at which the upstream takes requests.
+  requests::RateLimit Limit;
 };
 
 /// Result of the admission check of an arriving request.
@@ -52,6 +54,8 @@
   Action Choice = Action::Refuse;
   /// With Refuse: the time after which a retry is expected to be admitted.
   Milliseconds RetryDelay{0};
+  /// With Refuse: there are slots, but the limit of the upstream is used up.
+  bool IsRateLimited = false;
 };
 
 } // namespace lycheethread::mesh
--- a/src/mesh/types/NodeReport.h
+++ b/src/mesh/types/NodeReport.h
@@ -46,6 +46,10 @@
   Milliseconds ServiceTime{0};
   /// Time until the pending long bodies have been received.
   Milliseconds BodyWait{0};
+  /// Requests a second that the upstream takes, and the time until its last hop
+  /// may send one more; empty while the upstream states no limit.
+  std::optional<double> LimitPerSecond = std::nullopt;
+  Milliseconds PermitWait{0};
 };
 
 /// Outcomes of one route at one upstream since a rollout was ordered.
--- a/src/mesh/types/Placement.h
+++ b/src/mesh/types/Placement.h
@@ -22,6 +22,10 @@
   Milliseconds ServiceTime{0};
   /// Time until it has received its pending long bodies.
   Milliseconds BodyWait{0};
+  /// Time until the limit of the upstream permits one more request.
+  Milliseconds PermitWait{0};
+  /// This node has used its part of that limit.
+  bool IsBeyondShare = false;
   /// Still in the slower phase after its start.
   bool IsCold = false;
   /// Share of its recent requests that failed or were rejected, 0 to 1.
--- a/src/model/internal/Names.cpp
+++ b/src/model/internal/Names.cpp
@@ -48,7 +48,7 @@
     {MemberState::Dead, "dead"},
 }};
 
-constexpr std::array<NamePair<RefusalReason>, 18> ReasonNames{{
+constexpr std::array<NamePair<RefusalReason>, 19> ReasonNames{{
     {RefusalReason::NoRoute, "no-route"},
     {RefusalReason::NoUpstream, "no-upstream"},
     {RefusalReason::Draining, "draining"},
@@ -66,6 +66,7 @@
     {RefusalReason::LogUnavailable, "log-unavailable"},
     {RefusalReason::AlreadyAccepted, "already-accepted"},
     {RefusalReason::CrashSuspect, "crash-suspect"},
+    {RefusalReason::RateLimited, "rate-limited"},
     {RefusalReason::NotReady, "not-ready"},
 }};
 
--- a/src/model/types/RefusalReason.h
+++ b/src/model/types/RefusalReason.h
@@ -26,6 +26,7 @@
   AlreadyAccepted,
   CrashSuspect,
   NotReady,
+  RateLimited,
 };
 
 /// Whether an upstream executed the refused request.
--- a/src/proxy/internal/Attempt.cpp
+++ b/src/proxy/internal/Attempt.cpp
@@ -63,6 +63,7 @@
   case RefusalReason::ConnectionsFull:
   case RefusalReason::CallerLimit:
   case RefusalReason::QueueFull:
+  case RefusalReason::RateLimited:
   case RefusalReason::Shed:
   case RefusalReason::LogUnavailable:
   case RefusalReason::NotReady:
--- a/src/requests/Requests.h
+++ b/src/requests/Requests.h
@@ -7,6 +7,7 @@
 #include "requests/types/Admission.h"
 #include "requests/types/Claims.h"
 #include "requests/types/CrashSuspects.h"
+#include "requests/types/RateLimit.h"
 #include "requests/types/Retry.h"
 #include "requests/types/RoutingView.h"
 #include "requests/types/Selection.h"
@@ -66,6 +67,39 @@
 /// queued.
 bool removeQueued(AdmissionState &State, std::int64_t Ticket);
 
+/// Takes what an upstream states in an answer to a request that was sent at
+/// \p SentAt: its limit in requests a second, or that it has none.
+void recordStatedLimit(RateLimit &Limit, std::optional<double> PerSecond,
+                       SteadyTime SentAt, SteadyTime Now);
+
+/// Takes a limit that another node knows of, unless the upstream has stated one
+/// since this node started.
+void restoreLimit(RateLimit &Limit, double PerSecond, SteadyTime Now);
+
+/// Returns the time until a request with \p Ahead requests before it may be
+/// sent; 0 without a limit.
+Milliseconds permitDelay(const RateLimit &Limit, std::int64_t Ahead,
+                         SteadyTime Now);
+
+/// Takes the permit for one request; returns false if there is none now.
+bool takePermit(RateLimit &Limit, SteadyTime Now);
+
+/// Adapts the share of an entry to a limit of \p PerSecond that \p Nodes
+/// entries share. A new share starts with \p FirstTokens, 0 to 1, which should
+/// differ from entry to entry so that they do not all send at once.
+void setShareBounds(LimitShare &Share, double PerSecond, std::size_t Nodes,
+                    double FirstTokens, SteadyTime Now);
+
+/// Whether the last hop can be expected to admit a request of this entry now.
+bool isWithinShare(const LimitShare &Share, SteadyTime Now);
+
+void recordSent(LimitShare &Share, SteadyTime Now);
+
+void recordAdmitted(LimitShare &Share, double PerSecond);
+
+void recordRefused(LimitShare &Share, double PerSecond, std::size_t Nodes,
+                   SteadyTime Now);
+
 /// Returns whether the upstream has executed the request, or Unknown when the
 /// progress of the attempt proves neither.
 Executed deduceExecuted(const AttemptProgress &Progress);
--- a/src/sidecar/gen/gossip_types.cpp
+++ b/src/sidecar/gen/gossip_types.cpp
@@ -909,6 +909,16 @@
   this->place = val;
 __isset.place = true;
 }
+
+void NewsMessage::__set_limitMilli(const int64_t val) {
+  this->limitMilli = val;
+__isset.limitMilli = true;
+}
+
+void NewsMessage::__set_permitWaitMs(const int64_t val) {
+  this->permitWaitMs = val;
+__isset.permitWaitMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const NewsMessage& obj)
 {
   obj.printTo(out);
@@ -1141,6 +1151,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->limitMilli);
+          this->__isset.limitMilli = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->permitWaitMs);
+          this->__isset.permitWaitMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1272,6 +1298,16 @@
     xfer += oprot->writeI64(this->place);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.limitMilli) {
+    xfer += oprot->writeFieldBegin("limitMilli", ::apache::thrift::protocol::T_I64, 22);
+    xfer += oprot->writeI64(this->limitMilli);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.permitWaitMs) {
+    xfer += oprot->writeFieldBegin("permitWaitMs", ::apache::thrift::protocol::T_I64, 23);
+    xfer += oprot->writeI64(this->permitWaitMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1300,6 +1336,8 @@
   swap(a.bodyWaitMs, b.bodyWaitMs);
   swap(a.state, b.state);
   swap(a.place, b.place);
+  swap(a.limitMilli, b.limitMilli);
+  swap(a.permitWaitMs, b.permitWaitMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -1325,6 +1363,8 @@
   bodyWaitMs = other28.bodyWaitMs;
   state = other28.state;
   place = other28.place;
+  limitMilli = other28.limitMilli;
+  permitWaitMs = other28.permitWaitMs;
   __isset = other28.__isset;
 }
 NewsMessage& NewsMessage::operator=(const NewsMessage& other29) {
@@ -1349,6 +1389,8 @@
   bodyWaitMs = other29.bodyWaitMs;
   state = other29.state;
   place = other29.place;
+  limitMilli = other29.limitMilli;
+  permitWaitMs = other29.permitWaitMs;
   __isset = other29.__isset;
   return *this;
 }
@@ -1376,6 +1418,8 @@
   out << ", " << "bodyWaitMs=" << to_string(bodyWaitMs);
   out << ", " << "state=" << to_string(state);
   out << ", " << "place="; (__isset.place ? (out << to_string(place)) : (out << "<null>"));
+  out << ", " << "limitMilli="; (__isset.limitMilli ? (out << to_string(limitMilli)) : (out << "<null>"));
+  out << ", " << "permitWaitMs="; (__isset.permitWaitMs ? (out << to_string(permitWaitMs)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1415,6 +1459,16 @@
   this->bodyWaitMs = val;
 __isset.bodyWaitMs = true;
 }
+
+void BeatMessage::__set_limitMilli(const int64_t val) {
+  this->limitMilli = val;
+__isset.limitMilli = true;
+}
+
+void BeatMessage::__set_permitWaitMs(const int32_t val) {
+  this->permitWaitMs = val;
+__isset.permitWaitMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const BeatMessage& obj)
 {
   obj.printTo(out);
@@ -1499,6 +1553,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->limitMilli);
+          this->__isset.limitMilli = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->permitWaitMs);
+          this->__isset.permitWaitMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1548,6 +1618,16 @@
     xfer += oprot->writeI32(this->bodyWaitMs);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.limitMilli) {
+    xfer += oprot->writeFieldBegin("limitMilli", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->limitMilli);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.permitWaitMs) {
+    xfer += oprot->writeFieldBegin("permitWaitMs", ::apache::thrift::protocol::T_I32, 9);
+    xfer += oprot->writeI32(this->permitWaitMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1562,6 +1642,8 @@
   swap(a.waiting, b.waiting);
   swap(a.serviceTimeMs, b.serviceTimeMs);
   swap(a.bodyWaitMs, b.bodyWaitMs);
+  swap(a.limitMilli, b.limitMilli);
+  swap(a.permitWaitMs, b.permitWaitMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -1573,6 +1655,8 @@
   waiting = other30.waiting;
   serviceTimeMs = other30.serviceTimeMs;
   bodyWaitMs = other30.bodyWaitMs;
+  limitMilli = other30.limitMilli;
+  permitWaitMs = other30.permitWaitMs;
   __isset = other30.__isset;
 }
 BeatMessage& BeatMessage::operator=(const BeatMessage& other31) noexcept {
@@ -1583,6 +1667,8 @@
   waiting = other31.waiting;
   serviceTimeMs = other31.serviceTimeMs;
   bodyWaitMs = other31.bodyWaitMs;
+  limitMilli = other31.limitMilli;
+  permitWaitMs = other31.permitWaitMs;
   __isset = other31.__isset;
   return *this;
 }
@@ -1596,6 +1682,8 @@
   out << ", " << "waiting="; (__isset.waiting ? (out << to_string(waiting)) : (out << "<null>"));
   out << ", " << "serviceTimeMs="; (__isset.serviceTimeMs ? (out << to_string(serviceTimeMs)) : (out << "<null>"));
   out << ", " << "bodyWaitMs="; (__isset.bodyWaitMs ? (out << to_string(bodyWaitMs)) : (out << "<null>"));
+  out << ", " << "limitMilli="; (__isset.limitMilli ? (out << to_string(limitMilli)) : (out << "<null>"));
+  out << ", " << "permitWaitMs="; (__isset.permitWaitMs ? (out << to_string(permitWaitMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/sidecar/gen/gossip_types.h
+++ b/src/sidecar/gen/gossip_types.h
@@ -378,7 +378,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashMessage& obj);
 
 typedef struct _NewsMessage__isset {
-  _NewsMessage__isset() : id(false), life(false), number(false), region(false), zone(false), hop(false), gossip(false), ready(false), stopping(false), own(false), running(false), waiting(false), serviceTimeMs(false), operatorPosition(false), confirmedAgeMs(false), rollouts(false), evidence(false), crashes(false), bodyWaitMs(false), state(false), place(false) {}
+  _NewsMessage__isset() : id(false), life(false), number(false), region(false), zone(false), hop(false), gossip(false), ready(false), stopping(false), own(false), running(false), waiting(false), serviceTimeMs(false), operatorPosition(false), confirmedAgeMs(false), rollouts(false), evidence(false), crashes(false), bodyWaitMs(false), state(false), place(false), limitMilli(false), permitWaitMs(false) {}
   bool id :1;
   bool life :1;
   bool number :1;
@@ -400,6 +400,8 @@
   bool bodyWaitMs :1;
   bool state :1;
   bool place :1;
+  bool limitMilli :1;
+  bool permitWaitMs :1;
 } _NewsMessage__isset;
 
 class NewsMessage : public virtual ::apache::thrift::TBase {
@@ -422,7 +424,9 @@
                 confirmedAgeMs(0),
                 bodyWaitMs(0),
                 state(0),
-                place(0) {
+                place(0),
+                limitMilli(0),
+                permitWaitMs(0) {
   }
 
   virtual ~NewsMessage() noexcept;
@@ -447,6 +451,8 @@
   int64_t bodyWaitMs;
   int64_t state;
   int64_t place;
+  int64_t limitMilli;
+  int64_t permitWaitMs;
 
   _NewsMessage__isset __isset;
 
@@ -492,6 +498,10 @@
 
   void __set_place(const int64_t val);
 
+  void __set_limitMilli(const int64_t val);
+
+  void __set_permitWaitMs(const int64_t val);
+
   bool operator == (const NewsMessage & rhs) const
   {
     if (!(id == rhs.id))
@@ -548,6 +558,14 @@
       return false;
     else if (__isset.place && !(place == rhs.place))
       return false;
+    if (__isset.limitMilli != rhs.__isset.limitMilli)
+      return false;
+    else if (__isset.limitMilli && !(limitMilli == rhs.limitMilli))
+      return false;
+    if (__isset.permitWaitMs != rhs.__isset.permitWaitMs)
+      return false;
+    else if (__isset.permitWaitMs && !(permitWaitMs == rhs.permitWaitMs))
+      return false;
     return true;
   }
   bool operator != (const NewsMessage &rhs) const {
@@ -567,7 +585,7 @@
 std::ostream& operator<<(std::ostream& out, const NewsMessage& obj);
 
 typedef struct _BeatMessage__isset {
-  _BeatMessage__isset() : node(false), state(false), number(false), running(false), waiting(false), serviceTimeMs(false), bodyWaitMs(false) {}
+  _BeatMessage__isset() : node(false), state(false), number(false), running(false), waiting(false), serviceTimeMs(false), bodyWaitMs(false), limitMilli(false), permitWaitMs(false) {}
   bool node :1;
   bool state :1;
   bool number :1;
@@ -575,6 +593,8 @@
   bool waiting :1;
   bool serviceTimeMs :1;
   bool bodyWaitMs :1;
+  bool limitMilli :1;
+  bool permitWaitMs :1;
 } _BeatMessage__isset;
 
 class BeatMessage : public virtual ::apache::thrift::TBase {
@@ -589,7 +609,9 @@
                 running(0),
                 waiting(0),
                 serviceTimeMs(0),
-                bodyWaitMs(0) {
+                bodyWaitMs(0),
+                limitMilli(0),
+                permitWaitMs(0) {
   }
 
   virtual ~BeatMessage() noexcept;
@@ -600,6 +622,8 @@
   int32_t waiting;
   int32_t serviceTimeMs;
   int32_t bodyWaitMs;
+  int64_t limitMilli;
+  int32_t permitWaitMs;
 
   _BeatMessage__isset __isset;
 
@@ -617,6 +641,10 @@
 
   void __set_bodyWaitMs(const int32_t val);
 
+  void __set_limitMilli(const int64_t val);
+
+  void __set_permitWaitMs(const int32_t val);
+
   bool operator == (const BeatMessage & rhs) const
   {
     if (!(node == rhs.node))
@@ -641,6 +669,14 @@
       return false;
     else if (__isset.bodyWaitMs && !(bodyWaitMs == rhs.bodyWaitMs))
       return false;
+    if (__isset.limitMilli != rhs.__isset.limitMilli)
+      return false;
+    else if (__isset.limitMilli && !(limitMilli == rhs.limitMilli))
+      return false;
+    if (__isset.permitWaitMs != rhs.__isset.permitWaitMs)
+      return false;
+    else if (__isset.permitWaitMs && !(permitWaitMs == rhs.permitWaitMs))
+      return false;
     return true;
   }
   bool operator != (const BeatMessage &rhs) const {
--- a/src/sidecar/gossip.thrift
+++ b/src/sidecar/gossip.thrift
@@ -62,6 +62,8 @@
   19: i64 bodyWaitMs
   20: i64 state          // grows when more than the load has changed
   21: optional i64 place // on the list of nodes, from 1
+  22: optional i64 limitMilli // requests in 1000 s; absent without a limit
+  23: optional i64 permitWaitMs
 }
 
 // The load of a node whose report the receiver may know. Numbers that are 0 are
@@ -74,6 +76,8 @@
   5: optional i32 waiting
   6: optional i32 serviceTimeMs
   7: optional i32 bodyWaitMs
+  8: optional i64 limitMilli // requests in 1000 s; absent without a limit
+  9: optional i32 permitWaitMs
 }
 
 // One datagram. The first report is that of the sender.
--- a/src/sidecar/internal/Gossip.cpp
+++ b/src/sidecar/internal/Gossip.cpp
@@ -36,6 +36,13 @@
   return encodeGossip({{Report}, {}, {}});
 }
 
+bool knowsLimit(const mesh::NodeTable &Known) {
+  return std::any_of(
+      Known.Nodes.begin(), Known.Nodes.end(), [](const auto &Item) {
+        return Item.second.LastReport.Load.LimitPerSecond.has_value();
+      });
+}
+
 } // namespace
 
 Gossip::Gossip(NodeContext &Context,
@@ -112,7 +119,8 @@
   Plan.Scope = Scope;
   const std::size_t Own = encodedSize(Message.Reports.front()) + FrameBytes;
   Plan.Bytes = Own < MaxDatagramBytes ? MaxDatagramBytes - Own : 0;
-  Plan.BeatBytes = UsualBeatBytes;
+  Plan.BeatBytes =
+      knowsLimit(Context_.KnownNodes) ? LimitedBeatBytes : UsualBeatBytes;
   Plan.ReportBytes = encodedSize;
   mesh::GossipContent Others =
       mesh::composeGossip(Context_.KnownNodes, Plan, Context_.now());
--- a/src/sidecar/internal/GossipCodec.cpp
+++ b/src/sidecar/internal/GossipCodec.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <limits>
 #include <sstream>
 
@@ -22,6 +23,7 @@
 constexpr std::int32_t MaxPort = 65'535;
 /// Fast; higher levels reduce the size only slightly further.
 constexpr int DeflateLevel = 3;
+constexpr double MilliPerUnit = 1000;
 
 wire::EndpointMessage toWire(const Endpoint &From) {
   wire::EndpointMessage To;
@@ -90,6 +92,21 @@
   return To;
 }
 
+std::int64_t toMilli(double PerSecond) {
+  // Beyond this, no upstream notices the limit.
+  constexpr double Most = 1e12;
+  return std::llround(std::min(PerSecond * MilliPerUnit, Most));
+}
+
+/// Reads the limit of an upstream, whose absence means that there is none.
+template <typename Wire>
+void readLimit(const Wire &From, mesh::LoadReport &Into) {
+  if (!From.__isset.limitMilli || From.limitMilli < 0)
+    return;
+  Into.LimitPerSecond = static_cast<double>(From.limitMilli) / MilliPerUnit;
+  Into.PermitWait = Milliseconds(std::max<std::int64_t>(0, From.permitWaitMs));
+}
+
 wire::NewsMessage toWire(const mesh::NodeReport &From);
 wire::BeatMessage toWire(const mesh::LoadBeat &From);
 
@@ -122,6 +139,10 @@
   To.__set_waiting(From.Load.Waiting);
   To.__set_serviceTimeMs(From.Load.ServiceTime.count());
   To.__set_bodyWaitMs(From.Load.BodyWait.count());
+  if (From.Load.LimitPerSecond) {
+    To.__set_limitMilli(toMilli(*From.Load.LimitPerSecond));
+    To.__set_permitWaitMs(From.Load.PermitWait.count());
+  }
   To.__set_operatorPosition(From.OperatorPosition.value());
   if (From.ConfirmedAge)
     To.__set_confirmedAgeMs(From.ConfirmedAge->count());
@@ -159,8 +180,11 @@
   To.Stopping = From.stopping;
   if (From.__isset.own)
     To.LocalUpstream = fromWire(From.own);
-  To.Load = {From.running, From.waiting, Milliseconds(From.serviceTimeMs),
-             Milliseconds(From.bodyWaitMs)};
+  To.Load.Running = From.running;
+  To.Load.Waiting = From.waiting;
+  To.Load.ServiceTime = Milliseconds(From.serviceTimeMs);
+  To.Load.BodyWait = Milliseconds(From.bodyWaitMs);
+  readLimit(From, To.Load);
   To.OperatorPosition = Offset(From.operatorPosition);
   if (From.__isset.confirmedAgeMs)
     To.ConfirmedAge = Milliseconds(From.confirmedAgeMs);
@@ -199,6 +223,10 @@
     To.__set_serviceTimeMs(saturated(From.Load.ServiceTime));
   if (From.Load.BodyWait != Milliseconds(0))
     To.__set_bodyWaitMs(saturated(From.Load.BodyWait));
+  if (From.Load.LimitPerSecond) {
+    To.__set_limitMilli(toMilli(*From.Load.LimitPerSecond));
+    To.__set_permitWaitMs(saturated(From.Load.PermitWait));
+  }
   return To;
 }
 
@@ -207,8 +235,11 @@
   To.Node = mesh::NodeKey(From.node);
   To.State = Sequence(From.state);
   To.Number = Sequence(From.number);
-  To.Load = {From.running, From.waiting, Milliseconds(From.serviceTimeMs),
-             Milliseconds(From.bodyWaitMs)};
+  To.Load.Running = From.running;
+  To.Load.Waiting = From.waiting;
+  To.Load.ServiceTime = Milliseconds(From.serviceTimeMs);
+  To.Load.BodyWait = Milliseconds(From.bodyWaitMs);
+  readLimit(From, To.Load);
   return To;
 }
 
--- a/src/sidecar/internal/GossipCodec.h
+++ b/src/sidecar/internal/GossipCodec.h
@@ -16,6 +16,8 @@
 
 /// Size of an encoded load; few are longer.
 inline constexpr std::size_t UsualBeatBytes = 20;
+/// The same with the limit of an upstream.
+inline constexpr std::size_t LimitedBeatBytes = 28;
 
 /// The content of one datagram.
 struct GossipMessage {
--- a/src/sidecar/internal/HopHeaders.cpp
+++ b/src/sidecar/internal/HopHeaders.cpp
@@ -1,8 +1,12 @@
 #include "sidecar/internal/HopHeaders.h"
 
+#include <Poco/NumberFormatter.h>
 #include <Poco/NumberParser.h>
 #include <Poco/StringTokenizer.h>
 
+#include <algorithm>
+#include <cmath>
+
 namespace lycheethread::sidecar {
 
 namespace {
@@ -12,6 +16,8 @@
 constexpr std::size_t InfoFields = 10;
 constexpr std::size_t LoadFields = 4;
 constexpr std::size_t RefusalFields = 4;
+constexpr std::size_t LimitFields = 2;
+constexpr std::size_t StatedFields = 3;
 
 std::string join(std::initializer_list<std::string> Parts) {
   std::string Text;
@@ -28,6 +34,16 @@
   return Value;
 }
 
+/// Reads a number of requests a second.
+std::optional<double> rateAt(const Poco::StringTokenizer &Parts,
+                             std::size_t Index) {
+  double Value = 0;
+  if (!Poco::NumberParser::tryParseFloat(Parts[Index], Value) ||
+      !std::isfinite(Value) || Value < 0)
+    return std::nullopt;
+  return Value;
+}
+
 } // namespace
 
 std::string encodeInfo(const HopInfo &Info, SteadyTime Now) {
@@ -85,6 +101,39 @@
                           Milliseconds(*Service), Milliseconds(*BodyWait)};
 }
 
+std::string encodeLimit(const mesh::LoadReport &Load) {
+  return join({Poco::NumberFormatter::format(*Load.LimitPerSecond),
+               std::to_string(Load.PermitWait.count())});
+}
+
+void decodeLimit(const std::string &Text, mesh::LoadReport &Load) {
+  const Poco::StringTokenizer Parts(Text, Separator);
+  if (Parts.count() != LimitFields)
+    return;
+  const auto Rate = rateAt(Parts, 0);
+  const auto Wait = numberAt(Parts, 1);
+  if (!Rate || !Wait)
+    return;
+  Load.LimitPerSecond = Rate;
+  Load.PermitWait = Milliseconds(std::max<std::int64_t>(0, *Wait));
+}
+
+std::string encodeStated(const StatedLimit &Limit) {
+  return join({Limit.By.str(), std::to_string(Limit.StartedAtUnixMs),
+               Poco::NumberFormatter::format(Limit.PerSecond)});
+}
+
+std::optional<StatedLimit> decodeStated(const std::string &Text) {
+  const Poco::StringTokenizer Parts(Text, Separator);
+  if (Parts.count() != StatedFields)
+    return std::nullopt;
+  const auto Started = numberAt(Parts, 1);
+  const auto Rate = rateAt(Parts, 2);
+  if (!Started || !Rate)
+    return std::nullopt;
+  return StatedLimit{mesh::UpstreamId(Parts[0]), *Started, *Rate};
+}
+
 std::string encodeRefusal(const HopOutcome &Outcome) {
   return join({std::string(toString(Outcome.Reason)),
                std::string(toString(Outcome.End == HopResult::NotRun
--- a/src/sidecar/internal/HopJob.h
+++ b/src/sidecar/internal/HopJob.h
@@ -46,9 +46,19 @@
   requests::Fingerprint RequestFingerprint;
 };
 
+/// The limit that an upstream process stated in an answer.
+struct StatedLimit {
+  mesh::UpstreamId By;
+  std::int64_t StartedAtUnixMs = 0;
+  /// Requests a second.
+  double PerSecond = 0;
+};
+
 /// A request on its way to an upstream.
 struct HopJob {
   HopInfo Info;
+  /// What the entry knows of the upstream's limit.
+  std::optional<StatedLimit> KnownLimit;
   RequestId Id;
   /// As received; hop-by-hop headers are not forwarded.
   Poco::Net::HTTPRequest Head;
--- a/src/sidecar/internal/HopServer.cpp
+++ b/src/sidecar/internal/HopServer.cpp
@@ -44,6 +44,9 @@
   Job.Id = RequestId(Head.get(Context_.Platform.Headers.RequestId, ""));
   Job.Head = Head;
   Job.Head.erase(HopInfoName);
+  Job.Head.erase(HopStatedName);
+  if (Head.has(HopStatedName))
+    Job.KnownLimit = decodeStated(Head.get(HopStatedName));
   Job.Framing = Request->framing();
   Job.Body = Request->body();
   if (Head.has("Expect"))
@@ -77,11 +80,17 @@
 
 void HopServer::answerOutcome(const ServerRequestPtr &Request,
                               HopOutcome Outcome) {
-  const std::string Load = encodeLoad(Outcome.Load.value_or(Hop_.load()));
+  const mesh::LoadReport Load = Outcome.Load.value_or(Hop_.load());
+  const auto SetLoad = [&Load](HTTPResponse &Head) {
+    Head.set(HopLoadName, encodeLoad(Load));
+    Head.erase(HopLimitName);
+    if (Load.LimitPerSecond)
+      Head.set(HopLimitName, encodeLimit(Load));
+  };
   if (Outcome.End != HopResult::Answered) {
     HTTPResponse Head(HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
     Head.set(HopRefusalName, encodeRefusal(Outcome));
-    Head.set(HopLoadName, Load);
+    SetLoad(Head);
     Request->answer(Head, BodyPipe::complete(""));
     return;
   }
@@ -89,7 +98,7 @@
   HTTPResponse Head(From.getStatus(), From.getReason());
   http::copyEndToEndHeaders(From, Head);
   Head.erase(HopRefusalName);
-  Head.set(HopLoadName, Load);
+  SetLoad(Head);
   Request->answer(Head, Outcome.Answer.Body, Outcome.Answer.KnownLength);
 }
 
--- a/src/sidecar/internal/OutboundProxy.cpp
+++ b/src/sidecar/internal/OutboundProxy.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/internal/OutboundProxy.h"
 #include "sidecar/internal/HopHeaders.h"
+#include "sidecar/internal/UpstreamStatement.h"
 
 #include <Poco/NumberFormatter.h>
 #include <Poco/NumberParser.h>
@@ -89,6 +90,8 @@
   bool OwnRegionIsFull = false;
   /// The shortest delay that a refusal has stated; empty without one.
   std::optional<Milliseconds> RetryDelay;
+  /// Why the last upstream that stated a delay was too full.
+  RefusalReason FullReason = RefusalReason::QueueFull;
   /// Upstreams on which the request may have run.
   std::int32_t Runs = 0;
   /// An error answer of an upstream, which is delivered if a retry brings no
@@ -99,6 +102,8 @@
   bool IsLocal = false;
   bool IsOwnRegion = false;
   NodeId Node;
+  /// The upstream beside Node to which the request was sent.
+  mesh::UpstreamId Instance;
   mesh::JobId Job;
   reactor::TimerId Timer;
   std::string Trace;
@@ -307,10 +312,9 @@
   const auto Chosen =
       mesh::chooseCandidate(Candidates, Wanted, Context_.Random);
   if (!Chosen) {
-    endUnanswered(Item,
-                  Item->RetryDelay ? RefusalReason::QueueFull
-                                   : RefusalReason::NoUpstream,
-                  Item->RetryDelay.value_or(Milliseconds(0)));
+    endUnanswered(
+        Item, Item->RetryDelay ? Item->FullReason : RefusalReason::NoUpstream,
+        Item->RetryDelay.value_or(Milliseconds(0)));
     return std::nullopt;
   }
   const mesh::Candidate &Best = Candidates[Chosen->Index];
@@ -327,7 +331,10 @@
                                    Wanted.ObjectiveLeft, Best.ServiceTime};
   const Milliseconds Excess = mesh::excessWaitAtEntry(AtEntry, Chosen->Wait);
   if (Excess > Milliseconds(0)) {
-    endUnanswered(Item, RefusalReason::QueueFull, Excess);
+    const bool IsLimited = Best.PermitWait >= Chosen->Wait;
+    endUnanswered(
+        Item, IsLimited ? RefusalReason::RateLimited : RefusalReason::QueueFull,
+        Excess);
     return std::nullopt;
   }
   return Best;
@@ -345,6 +352,7 @@
 void OutboundProxy::send(const CallPtr &Item, const mesh::Candidate &To) {
   ++Item->Attempt;
   Item->Node = To.Node;
+  Item->Instance = To.Instance;
   Item->IsLocal = To.Node == Context_.Settings.Id;
   Item->IsOwnRegion = To.Distance < mesh::Proximity::OtherRegion;
   Item->Active = true;
@@ -355,6 +363,8 @@
   Job.Id = Item->Id;
   Job.Head = Item->Request->head();
   Job.Head.erase(HopInfoName);
+  Job.Head.erase(HopStatedName);
+  Job.KnownLimit = Directory_.knownLimit(To.Node);
   Job.Framing = Item->Request->framing();
   if (Item->BufferedBody) {
     Job.Body = BodyPipe::complete(*Item->BufferedBody);
@@ -399,6 +409,10 @@
 void OutboundProxy::onOutcome(const CallPtr &Item, HopOutcome Outcome) {
   Item->Active = false;
   Directory_.onOutcome(Item->Node, Outcome);
+  if (Outcome.End == HopResult::Answered)
+    Directory_.onStatement(
+        Item->Node, Item->Instance,
+        readStatement(Outcome.Answer.Head, Context_.Platform.Headers));
   if (Outcome.End == HopResult::NotRun)
     recordRefusal(Item, Outcome);
   else
@@ -423,8 +437,10 @@
 void OutboundProxy::recordRefusal(const CallPtr &Item,
                                   const HopOutcome &Outcome) {
   ++Item->Refusals;
-  if (Outcome.Reason != RefusalReason::QueueFull)
+  if (Outcome.Reason != RefusalReason::QueueFull &&
+      Outcome.Reason != RefusalReason::RateLimited)
     return;
+  Item->FullReason = Outcome.Reason;
   Item->OwnRegionIsFull = Item->OwnRegionIsFull || Item->IsOwnRegion;
   Item->RetryDelay = std::min(Outcome.RetryDelay,
                               Item->RetryDelay.value_or(Outcome.RetryDelay));
--- a/src/sidecar/internal/RemoteHop.cpp
+++ b/src/sidecar/internal/RemoteHop.cpp
@@ -77,6 +77,8 @@
                    HTTPMessage::HTTP_1_1);
   http::copyEndToEndHeaders(Job.Head, Head);
   Head.set(HopInfoName, encodeInfo(Job.Info, Context_.now()));
+  if (Job.KnownLimit)
+    Head.set(HopStatedName, encodeStated(*Job.KnownLimit));
   http::Framing Body = Job.Framing;
   if (Body.Kind == http::FramingKind::Chunked && Job.Body->isEnded())
     Body = {http::FramingKind::Fixed,
@@ -130,7 +132,9 @@
     const auto Found = Weak.lock();
     if (!Found || Found->Reported)
       return;
-    const auto Load = decodeLoad(Answer.Head.get(HopLoadName, ""));
+    auto Load = decodeLoad(Answer.Head.get(HopLoadName, ""));
+    if (Load)
+      decodeLimit(Answer.Head.get(HopLimitName, ""), *Load);
     HopOutcome Outcome;
     if (Answer.Head.has(HopRefusalName)) {
       Outcome.End = HopResult::Failed;
@@ -141,6 +145,7 @@
       Outcome.End = HopResult::Answered;
       Outcome.Reached = true;
       Answer.Head.erase(HopLoadName);
+      Answer.Head.erase(HopLimitName);
       Outcome.Answer = std::move(Answer);
     }
     Outcome.Load = Load;
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -129,9 +129,9 @@
   void build() {
     Store = std::make_unique<StoreClient>(Context);
     Hop = std::make_unique<UpstreamHop>(
-        Context, [this](const ServiceName &Service) {
+        Context, UpstreamHop::Callbacks{[this](const ServiceName &Service) {
           return ActiveRollouts->activeOrder(Service);
-        });
+        }});
     const auto OwnLoad = [this] { return Hop->load(); };
     ActiveRollouts = std::make_unique<Rollouts>(
         Context, *Store,
--- a/src/sidecar/internal/UpstreamDirectory.cpp
+++ b/src/sidecar/internal/UpstreamDirectory.cpp
@@ -75,11 +75,40 @@
                                Item.Outstanding);
   Found.ServiceTime = Load.ServiceTime;
   Found.BodyWait = Load.BodyWait;
+  describeLimit(Item, Load, HasNewerLoad ? Item.LoadAt : HeardAt,
+                HasNewerLoad ? Item.SentSince : 0, Found);
   Found.IsCold = Report.LocalUpstream.ColdRemaining > Milliseconds(0);
   Found.FailureRate = decayedFailureRate(Item);
   return Found;
 }
 
+std::size_t UpstreamDirectory::entries() const {
+  return Context_.KnownNodes.Nodes.size() + 1;
+}
+
+void UpstreamDirectory::describeLimit(UpstreamStats &Item,
+                                      const mesh::LoadReport &Load,
+                                      SteadyTime LoadAt, std::int32_t SentSince,
+                                      mesh::Candidate &Into) {
+  if (!Load.LimitPerSecond) {
+    Item.Share = {};
+    return;
+  }
+  const SteadyTime Now = Context_.now();
+  std::uniform_real_distribution<double> FirstTokens(0, 1);
+  requests::setShareBounds(Item.Share, *Load.LimitPerSecond, entries(),
+                           FirstTokens(Context_.Random), Now);
+  Into.PermitWait =
+      mesh::permitWaitSince(Load, SentSince, elapsed(LoadAt, Now));
+  Into.IsBeyondShare = !requests::isWithinShare(Item.Share, Now);
+}
+
+std::optional<StatedLimit>
+UpstreamDirectory::knownLimit(const NodeId &Node) const {
+  const auto Found = Stats_.find(Node);
+  return Found == Stats_.end() ? std::nullopt : Found->second.Stated;
+}
+
 /// A node that accepts no connection is tried again when it is heard of anew:
 /// in a large fleet it counts as alive for much longer than it takes to notice.
 bool UpstreamDirectory::seemsDown(const UpstreamStats &Item,
@@ -144,6 +173,7 @@
   if (Item.Outstanding++ == 0)
     Item.WaitingSince = Context_.now();
   ++Item.SentSince;
+  requests::recordSent(Item.Share, Context_.now());
 }
 
 void UpstreamDirectory::onCancelled(const NodeId &Node) {
@@ -162,6 +192,7 @@
     Item.LoadAt = Now;
     Item.SentSince = 0;
   }
+  updateShare(Item, Outcome);
   const bool HopIsDown = Outcome.End == HopResult::NotRun && !Outcome.Load;
   if (HopIsDown) {
     const std::int32_t Doublings =
@@ -185,4 +216,34 @@
   Item.FailureAt = Now;
 }
 
+void UpstreamDirectory::updateShare(UpstreamStats &Item,
+                                    const HopOutcome &Outcome) {
+  if (!Outcome.Load || !Outcome.Load->LimitPerSecond ||
+      Item.Share.PerSecond <= 0)
+    return;
+  const double Limit = *Outcome.Load->LimitPerSecond;
+  if (Outcome.End == HopResult::NotRun &&
+      Outcome.Reason == RefusalReason::RateLimited)
+    requests::recordRefused(Item.Share, Limit, entries(), Context_.now());
+  else if (Outcome.End == HopResult::Answered)
+    requests::recordAdmitted(Item.Share, Limit);
+}
+
+void UpstreamDirectory::onStatement(const NodeId &Node,
+                                    const mesh::UpstreamId &By,
+                                    const UpstreamStatement &Stated) {
+  const auto Found = Context_.KnownNodes.Nodes.find(Node);
+  if (Found == Context_.KnownNodes.Nodes.end())
+    return;
+  const mesh::Upstream &Upstream = Found->second.LastReport.LocalUpstream;
+  // Its report may already describe the process that has replaced it.
+  if (Upstream.Id != By)
+    return;
+  if (Stated.PerSecond)
+    Stats_[Node].Stated =
+        StatedLimit{By, Upstream.StartedAtUnixMs, *Stated.PerSecond};
+  else if (!Stated.IsUnreadable)
+    Stats_[Node].Stated = std::nullopt;
+}
+
 } // namespace lycheethread::sidecar
--- a/src/sidecar/internal/UpstreamDirectory.h
+++ b/src/sidecar/internal/UpstreamDirectory.h
@@ -3,6 +3,7 @@
 
 #include "sidecar/internal/HopJob.h"
 #include "sidecar/internal/NodeContext.h"
+#include "sidecar/internal/UpstreamStatement.h"
 
 #include <set>
 
@@ -25,6 +26,14 @@
   void onSent(const NodeId &Node);
   void onCancelled(const NodeId &Node);
   void onOutcome(const NodeId &Node, const HopOutcome &Outcome);
+  /// Takes what the upstream \p By beside \p Node says of itself in an answer
+  /// that this node passes on.
+  void onStatement(const NodeId &Node, const mesh::UpstreamId &By,
+                   const UpstreamStatement &Stated);
+
+  /// Returns the limit that the upstream beside \p Node has stated in an answer
+  /// which this node has passed on.
+  std::optional<StatedLimit> knownLimit(const NodeId &Node) const;
 
 private:
   struct UpstreamStats {
@@ -36,6 +45,8 @@
     std::optional<mesh::LoadReport> Load;
     SteadyTime LoadAt;
     std::int32_t SentSince = 0;
+    requests::LimitShare Share;
+    std::optional<StatedLimit> Stated;
     double FailureRate = 0;
     SteadyTime FailureAt;
     std::int32_t ConnectFailures = 0;
@@ -47,6 +58,12 @@
   bool isUsable(const mesh::NodeReport &Report,
                 const ServiceName &Service) const;
   mesh::Candidate describe(const mesh::NodeReport &Report, SteadyTime HeardAt);
+  void describeLimit(UpstreamStats &Item, const mesh::LoadReport &Load,
+                     SteadyTime LoadAt, std::int32_t SentSince,
+                     mesh::Candidate &Into);
+  void updateShare(UpstreamStats &Item, const HopOutcome &Outcome);
+  /// Entries among which the limit of an upstream is shared.
+  std::size_t entries() const;
   double decayedFailureRate(UpstreamStats &Item) const;
   bool seemsDown(const UpstreamStats &Item, SteadyTime HeardAt) const;
   bool seemsUnresponsive(const UpstreamStats &Item, SteadyTime HeardAt) const;
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -71,13 +71,10 @@
   reactor::TimerId Timer;
 };
 
-UpstreamHop::UpstreamHop(
-    NodeContext &Context,
-    std::function<std::optional<Offset>(const ServiceName &)> ActiveOrder)
-    : Context_(Context), ActiveOrder_(std::move(ActiveOrder)),
-      Pool_(Context.Loop), Crashes_(Context, Pool_, [this] {
-        DownUntil_ = after(Context_.now(), DownTime);
-      }) {}
+UpstreamHop::UpstreamHop(NodeContext &Context, Callbacks Handlers)
+    : Context_(Context), Callbacks_(std::move(Handlers)), Pool_(Context.Loop),
+      Crashes_(Context, Pool_,
+               [this] { DownUntil_ = after(Context_.now(), DownTime); }) {}
 
 UpstreamHop::~UpstreamHop() { Context_.Loop.cancel(Timer_); }
 
@@ -106,6 +103,11 @@
   Item->Id = LastJob_ = LastJob_.next();
   Item->Job = std::move(Job);
   const HopInfo &Info = Item->Job.Info;
+  const mesh::Upstream &Current = Context_.Registered.Current;
+  const auto &Known = Item->Job.KnownLimit;
+  if (Known && !HasAnswered_ && Known->By == Current.Id &&
+      Known->StartedAtUnixMs == Current.StartedAtUnixMs)
+    requests::restoreLimit(Queue_.Limit, Known->PerSecond, Context_.now());
   if (const auto Reason = checkTarget(Info)) {
     Item->Job.OnEnd(notRun(*Reason));
     return Item->Id;
@@ -133,9 +135,12 @@
   const Milliseconds RetryDelay = mesh::uploadDelay(
       UploadBacklog_, Job->PendingBytes, expectedService(Info),
       elapsed(Context_.now(), Info.ObjectiveAt));
-  if (RetryDelay > Milliseconds(0)) {
+  const Milliseconds Excess = permitExcess(Info);
+  if (RetryDelay > Milliseconds(0) || Excess > Milliseconds(0)) {
     Job->PendingBytes = 0;
-    finish(Job, notRun(RefusalReason::QueueFull, RetryDelay));
+    finish(Job, notRun(Excess > RetryDelay ? RefusalReason::RateLimited
+                                           : RefusalReason::QueueFull,
+                       std::max(RetryDelay, Excess)));
     return;
   }
   UploadBacklog_.PendingBytes += Job->PendingBytes;
@@ -149,6 +154,18 @@
   receiveNext();
 }
 
+Milliseconds UpstreamHop::permitExcess(const HopInfo &Info) const {
+  const auto Ahead = static_cast<std::int64_t>(
+      Queue_.Waiting.size() + UploadQueue_.size() +
+      static_cast<std::size_t>(UploadBacklog_.Receiving));
+  const Milliseconds Wait =
+      requests::permitDelay(Queue_.Limit, Ahead, Context_.now());
+  // Permits come while the body is being received.
+  const Milliseconds Allowed = mesh::uploadBacklogTime(UploadBacklog_) +
+                               mesh::longestWait(Info.Objective);
+  return std::max(Milliseconds(0), Wait - Allowed);
+}
+
 void UpstreamHop::receiveNext() {
   while (!UploadQueue_.empty() &&
          UploadBacklog_.Receiving <
@@ -212,10 +229,12 @@
       Queue_, Queued, mesh::meanServiceTime(Service_), Context_.now());
   switch (Admission.Choice) {
   case QueueDecision::Action::Refuse:
-    finish(Job, notRun(RefusalReason::QueueFull, Admission.RetryDelay));
+    finish(Job, notRun(Admission.IsRateLimited ? RefusalReason::RateLimited
+                                               : RefusalReason::QueueFull,
+                       Admission.RetryDelay));
     return;
   case QueueDecision::Action::Run:
-    ++Queue_.Running;
+    mesh::startNow(Queue_, Context_.now());
     grant(Job);
     return;
   case QueueDecision::Action::Wait:
@@ -223,9 +242,19 @@
   }
   Queue_.Waiting.push_back(Queued);
   runWaiting();
-  if (Timer_ == reactor::TimerId())
-    Timer_ =
-        Context_.Loop.runAfter(ExpiryInterval, [this] { expireWaiting(); });
+  scheduleExpiry();
+}
+
+void UpstreamHop::scheduleExpiry() {
+  if (Timer_ != reactor::TimerId() || Queue_.Waiting.empty())
+    return;
+  Milliseconds Next = ExpiryInterval;
+  // No other event tells when the next permit is there.
+  const Milliseconds Permit =
+      requests::permitDelay(Queue_.Limit, 0, Context_.now());
+  if (Permit > Milliseconds(0))
+    Next = std::min(Next, Permit);
+  Timer_ = Context_.Loop.runAfter(Next, [this] { expireWaiting(); });
 }
 
 void UpstreamHop::grant(const RunningPtr &Job) {
@@ -401,6 +430,10 @@
                       Read.IsUnreadable == Stated_.IsUnreadable &&
                       Read.IsLeaving == Stated_.IsLeaving;
   Stated_ = Read;
+  HasAnswered_ = true;
+  if (!Read.IsUnreadable)
+    requests::recordStatedLimit(Queue_.Limit, Read.PerSecond, Job.SentAt,
+                                Context_.now());
   if (IsSame)
     return;
   Context_.Log.write(
@@ -461,6 +494,9 @@
        {"waiting", std::to_string(Queue_.Waiting.size())},
        {"service_ms", std::to_string(mesh::meanServiceTime(Service_).count())},
        {"room_in_ms", std::to_string(Outcome.RetryDelay.count())},
+       {"limit_per_s", Queue_.Limit.PerSecond ? Poco::NumberFormatter::format(
+                                                    *Queue_.Limit.PerSecond)
+                                              : "none"},
        {"left_ms",
         std::to_string(elapsed(Now, Job.Job.Info.DeadlineAt).count())}});
 }
@@ -511,9 +547,7 @@
            notRun(RefusalReason::QueueFull, mesh::meanServiceTime(Service_)));
   }
   runWaiting();
-  if (!Queue_.Waiting.empty())
-    Timer_ =
-        Context_.Loop.runAfter(ExpiryInterval, [this] { expireWaiting(); });
+  scheduleExpiry();
 }
 
 void UpstreamHop::refuseWaiting(RefusalReason Reason) {
@@ -548,10 +582,12 @@
 
 void UpstreamHop::onRegistrationChanged() {
   const mesh::Registration &Known = Context_.Registered;
-  if (Known.Current.Id != CurrentUpstream_) {
-    CurrentUpstream_ = Known.Current.Id;
+  if (!mesh::isSameProcess(Known.Current, CurrentUpstream_)) {
+    CurrentUpstream_ = Known.Current;
     DownUntil_ = SteadyTime();
     Stated_ = {};
+    HasAnswered_ = false;
+    Queue_.Limit = {};
     Service_ = {};
     ServiceByRoute_.clear();
     Crashes_.reset();
@@ -576,12 +612,17 @@
           static_cast<std::int32_t>(Queue_.Waiting.size()) +
               UploadBacklog_.Receiving,
           mesh::meanServiceTime(Service_),
-          mesh::uploadBacklogTime(UploadBacklog_)};
+          mesh::uploadBacklogTime(UploadBacklog_),
+          Queue_.Limit.PerSecond,
+          requests::permitDelay(
+              Queue_.Limit, static_cast<std::int64_t>(Queue_.Waiting.size()),
+              Context_.now())};
 }
 
 std::vector<mesh::RouteEvidence> UpstreamHop::evidence() const {
   std::vector<mesh::RouteEvidence> All;
-  const auto Order = ActiveOrder_(Context_.Registered.Current.Service);
+  const auto Order =
+      Callbacks_.ActiveOrder(Context_.Registered.Current.Service);
   for (const auto &[Key, Item] : Evidence_)
     if (Order && Key.first == *Order)
       All.push_back(Item);
@@ -591,7 +632,7 @@
 void UpstreamHop::recordEvidence(const Running &Job, bool Good,
                                  Milliseconds Took) {
   const mesh::Upstream &Current = Context_.Registered.Current;
-  const auto Order = ActiveOrder_(Current.Service);
+  const auto Order = Callbacks_.ActiveOrder(Current.Service);
   if (!Order) {
     Evidence_.clear();
     return;
--- a/src/sidecar/internal/UpstreamHop.h
+++ b/src/sidecar/internal/UpstreamHop.h
@@ -17,11 +17,13 @@
 /// sending stops as soon as the upstream leaves.
 class UpstreamHop {
 public:
-  /// \p ActiveOrder returns the running rollout of a service, for which
-  /// outcomes are counted.
-  UpstreamHop(
-      NodeContext &Context,
-      std::function<std::optional<Offset>(const ServiceName &)> ActiveOrder);
+  struct Callbacks {
+    /// Returns the running rollout of a service, for which outcomes are
+    /// counted.
+    std::function<std::optional<Offset>(const ServiceName &)> ActiveOrder;
+  };
+
+  UpstreamHop(NodeContext &Context, Callbacks Handlers);
   ~UpstreamHop();
 
   /// OnEnd may be called before this returns.
@@ -63,6 +65,10 @@
   void logOutcome(const Running &Job, const HopOutcome &Outcome);
   void release(const RunningPtr &Job);
   void runWaiting();
+  void scheduleExpiry();
+  /// Returns by how much the limit of the upstream is too low for an upload
+  /// whose body has not arrived yet.
+  Milliseconds permitExcess(const HopInfo &Info) const;
   void expireWaiting();
   void refuseWaiting(RefusalReason Reason);
   void recordEvidence(const Running &Job, bool Good, Milliseconds Took);
@@ -72,7 +78,7 @@
   Milliseconds expectedService(const HopInfo &Info);
 
   NodeContext &Context_;
-  std::function<std::optional<Offset>(const ServiceName &)> ActiveOrder_;
+  Callbacks Callbacks_;
   ConnectionPool Pool_;
   CrashProbe Crashes_;
   mesh::HopQueue Queue_;
@@ -81,9 +87,10 @@
   /// Requests whose long body has not arrived yet; they hold no slot.
   mesh::UploadBacklog UploadBacklog_;
   std::deque<RunningPtr> UploadQueue_;
-  mesh::UpstreamId CurrentUpstream_;
+  mesh::Upstream CurrentUpstream_;
   /// What the upstream said in its last answer.
   UpstreamStatement Stated_;
+  bool HasAnswered_ = false;
   /// After a failed connection the upstream counts as down until this time.
   SteadyTime DownUntil_;
   mesh::ServiceTime Service_;
--- a/src/sidecar/tests/CodecTest.cpp
+++ b/src/sidecar/tests/CodecTest.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE Sidecar
 #include "sidecar/internal/GossipCodec.h"
 #include "sidecar/internal/HopHeaders.h"
+#include "sidecar/internal/UpstreamStatement.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -131,6 +132,56 @@
   BOOST_TEST(!decodeInfo("desk;v1;r;upload", SteadyTime(1)).has_value());
 }
 
+// Guards against an upstream's limit that other nodes do not learn of, or take
+// for none.
+BOOST_AUTO_TEST_CASE(limitsRoundTrip) {
+  mesh::NodeReport Report = fullReport();
+  BOOST_TEST(!decodeGossip(encodeGossip({{Report}, {}, {}}))
+                  ->Reports.front()
+                  .Load.LimitPerSecond.has_value());
+  for (const double PerSecond : {0.0, 7.6, 88.25}) {
+    Report.Load.LimitPerSecond = PerSecond;
+    Report.Load.PermitWait = Milliseconds(130);
+    const auto Read =
+        decodeGossip(encodeGossip({{Report}, {mesh::beatOf(Report)}, {}}));
+    BOOST_REQUIRE(Read.has_value());
+    BOOST_TEST(Read->Reports.front().Load.LimitPerSecond.value() == PerSecond);
+    BOOST_TEST(Read->Beats.front().Load.LimitPerSecond.value() == PerSecond);
+    BOOST_TEST(Read->Beats.front().Load.PermitWait.count() == 130);
+    mesh::LoadReport Load;
+    decodeLimit(encodeLimit(Report.Load), Load);
+    BOOST_TEST(Load.LimitPerSecond.value() == PerSecond);
+    BOOST_TEST(Load.PermitWait.count() == 130);
+    const auto Stated =
+        decodeStated(encodeStated({mesh::UpstreamId("i-1"), 17, PerSecond}));
+    BOOST_REQUIRE(Stated.has_value());
+    BOOST_TEST(Stated->By.str() == "i-1");
+    BOOST_TEST(Stated->StartedAtUnixMs == 17);
+    BOOST_TEST(Stated->PerSecond == PerSecond);
+  }
+}
+
+// Guards against a malformed statement that is taken for the end of a limit.
+BOOST_AUTO_TEST_CASE(statementsAreReadStrictly) {
+  HeaderNames Names;
+  Names.Limit = "limit";
+  Names.Leaving = "leaving";
+  Poco::Net::HTTPResponse Head;
+  BOOST_TEST(!readStatement(Head, Names).PerSecond.has_value());
+  BOOST_TEST(!readStatement(Head, Names).IsUnreadable);
+  for (const char *const Text : {"", "many", "-3", "nan", "inf", "1e999"}) {
+    Head.set("limit", Text);
+    BOOST_TEST(!readStatement(Head, Names).PerSecond.has_value());
+    BOOST_TEST(readStatement(Head, Names).IsUnreadable);
+  }
+  Head.set("limit", "7.25");
+  BOOST_TEST(readStatement(Head, Names).PerSecond.value() == 7.25);
+  Head.set("leaving", "0");
+  BOOST_TEST(!readStatement(Head, Names).IsLeaving);
+  Head.set("leaving", "1");
+  BOOST_TEST(readStatement(Head, Names).IsLeaving);
+}
+
 // Guards against a refusal whose outcome changes in transit.
 BOOST_AUTO_TEST_CASE(refusalsRoundTrip) {
   for (const HopResult End : {HopResult::NotRun, HopResult::Failed}) {
--- a/tests/robustness/MeshInputTest.cpp
+++ b/tests/robustness/MeshInputTest.cpp
@@ -152,6 +152,20 @@
                 4, [](const std::string &Text) {
                   return sidecar::decodeLoad(Text).has_value();
                 });
+  mesh::LoadReport Limited;
+  Limited.LimitPerSecond = 7.25;
+  Limited.PermitWait = Milliseconds(120);
+  readMalformed("hop limit", sidecar::encodeLimit(Limited), 8,
+                [](const std::string &Text) {
+                  mesh::LoadReport Read;
+                  sidecar::decodeLimit(Text, Read);
+                  return Read.LimitPerSecond.has_value();
+                });
+  readMalformed("stated limit",
+                sidecar::encodeStated({mesh::UpstreamId("i-1"), 17, 7.25}), 9,
+                [](const std::string &Text) {
+                  return sidecar::decodeStated(Text).has_value();
+                });
   sidecar::HopOutcome Refusal;
   Refusal.Reason = RefusalReason::QueueFull;
   Refusal.RetryDelay = Milliseconds(70);
