Stop sending to upstreams that say in their answers that they leave

What callers saw: requests went to an upstream that had said in its answers that it leaves, until its check-in said so too. Cause: Server-Leaving was read by nobody, only check-ins ended the use of an upstream.

Change: such an answer counts like a check-in that says draining: the last hop sends nothing more, tells the other nodes, and a later check-in of the same process does not make it ready again. An entry that has passed on such an answer avoids the process by itself, and tells the node beside it when that one has been restarted.

--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -151,6 +151,10 @@
 /// An upstream process that has left does not become ready again.
 bool mergeReport(NodeTable &Known, const NodeReport &Report, SteadyTime Now);
 
+/// Records that the process \p Process beside the node says in its answers that
+/// it leaves, as a report of the node would. Returns false if that is known.
+bool recordLeaving(NodeTable &Known, const NodeId &Id, Upstream Process);
+
 NodeKey nodeKey(const NodeId &Id, Incarnation Number);
 
 /// Stores a load that is newer than the known one. Returns false if the full
@@ -258,6 +262,10 @@
 /// upstream has changed.
 bool restoreLeave(Registration &Known, const Upstream &Past, SteadyTime Now);
 
+/// Records that the registered process says in its answers that it leaves.
+/// Returns true if the registered upstream has changed.
+bool applyStatedLeaving(Registration &Known);
+
 /// Whether the upstream has missed several check-ins.
 bool isSilent(const Registration &Known, Milliseconds Interval, SteadyTime Now);
 
--- a/src/mesh/internal/NodeTable.cpp
+++ b/src/mesh/internal/NodeTable.cpp
@@ -118,6 +118,19 @@
   return IsNews;
 }
 
+bool recordLeaving(NodeTable &Known, const NodeId &Id, Upstream Process) {
+  const auto Found = Known.Nodes.find(Id);
+  if (Found == Known.Nodes.end() || isLeaving(Process))
+    return false;
+  KnownNode &Node = Found->second;
+  Process.State = UpstreamState::Draining;
+  if (isSameProcess(Node.LastReport.LocalUpstream, Process))
+    Node.LastReport.LocalUpstream.State = UpstreamState::Draining;
+  if (Process.StartedAtUnixMs > 0)
+    Node.Left = Process;
+  return true;
+}
+
 NodeKey nodeKey(const NodeId &Id, Incarnation Number) {
   // 40 bits are short on the wire and still tell a few thousand nodes apart.
   constexpr unsigned DroppedBits = 24;
--- a/src/mesh/internal/Registration.cpp
+++ b/src/mesh/internal/Registration.cpp
@@ -75,6 +75,13 @@
   return IsRegistered;
 }
 
+bool applyStatedLeaving(Registration &Known) {
+  if (Known.Current.Id.empty() || isLeaving(Known.Current))
+    return false;
+  Known.Current.State = UpstreamState::Draining;
+  return true;
+}
+
 bool isSilent(const Registration &Known, Milliseconds Interval,
               SteadyTime Now) {
   return !Known.Current.Id.empty() &&
--- a/src/mesh/tests/NodeTableTest.cpp
+++ b/src/mesh/tests/NodeTableTest.cpp
@@ -67,6 +67,30 @@
   BOOST_TEST((Node.LastReport.LocalUpstream.State == UpstreamState::Ready));
 }
 
+// Guards against an upstream that gets requests of a node which has passed on
+// its answer that it leaves, as long as the node beside it reports otherwise.
+BOOST_AUTO_TEST_CASE(upstreamThatSaysItLeavesIsAvoidedAtOnce) {
+  NodeTable Known;
+  Known.Self = NodeId("self");
+  NodeReport Report = report("a", 5, 7);
+  Report.LocalUpstream.Id = UpstreamId("i-1");
+  Report.LocalUpstream.StartedAtUnixMs = 1000;
+  Report.LocalUpstream.State = UpstreamState::Ready;
+  mergeReport(Known, Report, SteadyTime(1));
+  BOOST_TEST(recordLeaving(Known, NodeId("a"), Report.LocalUpstream));
+  const KnownNode &Node = Known.Nodes.at(NodeId("a"));
+  BOOST_TEST((Node.LastReport.LocalUpstream.State == UpstreamState::Draining));
+  BOOST_TEST(!recordLeaving(Known, NodeId("a"), Node.LastReport.LocalUpstream));
+  BOOST_TEST(!recordLeaving(Known, NodeId("b"), Report.LocalUpstream));
+  // Reports from before the node knew of it, also of its next incarnation.
+  Report.Number = Sequence(8);
+  mergeReport(Known, Report, SteadyTime(2));
+  BOOST_TEST((Node.LastReport.LocalUpstream.State == UpstreamState::Draining));
+  Report.IncarnationNumber = Incarnation(6);
+  mergeReport(Known, Report, SteadyTime(3));
+  BOOST_TEST((Node.LastReport.LocalUpstream.State == UpstreamState::Draining));
+}
+
 // Guards against a load that overtakes the state it belongs to, and against a
 // missing state that nobody asks for.
 BOOST_AUTO_TEST_CASE(loadsAreTakenAndMissingStatesAreNoticed) {
--- a/src/mesh/tests/RegistrationTest.cpp
+++ b/src/mesh/tests/RegistrationTest.cpp
@@ -53,6 +53,21 @@
   BOOST_TEST(!applyCheckIn(Known, checkIn("a", 100, 4), SteadyTime(5)));
 }
 
+// Guards against new requests for an upstream that says in its answers that it
+// leaves, while its check-ins say that it is ready.
+BOOST_AUTO_TEST_CASE(statedLeavingIsFinal) {
+  Registration Known;
+  BOOST_TEST(!applyStatedLeaving(Known));
+  applyCheckIn(Known, checkIn("a", 100, 1), SteadyTime(1));
+  BOOST_TEST(applyStatedLeaving(Known));
+  BOOST_TEST(!applyStatedLeaving(Known));
+  applyCheckIn(Known, checkIn("a", 100, 2), SteadyTime(2));
+  BOOST_TEST((Known.Current.State == UpstreamState::Draining));
+  // Its successor is ready.
+  applyCheckIn(Known, checkIn("a", 200, 1), SteadyTime(3));
+  BOOST_TEST((Known.Current.State == UpstreamState::Ready));
+}
+
 // Guards against new requests for an upstream whose leave message a node
 // acknowledged just after its own start, before any check-in: a late check-in
 // registered it again.
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -129,9 +129,12 @@
   void build() {
     Store = std::make_unique<StoreClient>(Context);
     Hop = std::make_unique<UpstreamHop>(
-        Context, UpstreamHop::Callbacks{[this](const ServiceName &Service) {
-          return ActiveRollouts->activeOrder(Service);
-        }});
+        Context, UpstreamHop::Callbacks{
+                     [this](const ServiceName &Service) {
+                       return ActiveRollouts->activeOrder(Service);
+                     },
+                     // Its answer is passed on first.
+                     [this] { Loop.defer([this] { onStatedLeaving(); }); }});
     const auto OwnLoad = [this] { return Hop->load(); };
     ActiveRollouts = std::make_unique<Rollouts>(
         Context, *Store,
@@ -364,6 +367,16 @@
       onRegistration();
   }
 
+  /// The upstream says in its answers that it leaves.
+  void onStatedLeaving() {
+    if (!mesh::applyStatedLeaving(Context.Registered))
+      return;
+    Context.Log.write(LogClass::State, Context.now(), "upstream-leaves",
+                      {{"upstream", Context.Registered.Current.Id.str()},
+                       {"reason", "it says so in its answers"}});
+    onRegistration();
+  }
+
   /// Another node remembers that the upstream was leaving before this node was
   /// restarted; the acknowledgement given then still binds.
   void onOwnPast(const mesh::Upstream &Past) {
--- a/src/sidecar/internal/UpstreamDirectory.cpp
+++ b/src/sidecar/internal/UpstreamDirectory.cpp
@@ -244,6 +244,12 @@
         StatedLimit{By, Upstream.StartedAtUnixMs, *Stated.PerSecond};
   else if (!Stated.IsUnreadable)
     Stats_[Node].Stated = std::nullopt;
+  if (Stated.IsLeaving &&
+      mesh::recordLeaving(Context_.KnownNodes, Node, Upstream))
+    Context_.Log.write(LogClass::State, Context_.now(), "upstream-avoided",
+                       {{"node", Node.str()},
+                        {"upstream", By.str()},
+                        {"reason", "it says that it leaves"}});
 }
 
 } // namespace lycheethread::sidecar
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -443,6 +443,8 @@
                            ? Poco::NumberFormatter::format(*Read.PerSecond)
                            : (Read.IsUnreadable ? "unreadable" : "none")},
        {"leaving", Read.IsLeaving ? "yes" : "no"}});
+  if (Read.IsLeaving)
+    Callbacks_.OnLeaving();
 }
 
 void UpstreamHop::onFailure(const RunningPtr &Job, ClientFailure Why) {
--- a/src/sidecar/internal/UpstreamHop.h
+++ b/src/sidecar/internal/UpstreamHop.h
@@ -21,6 +21,9 @@
     /// Returns the running rollout of a service, for which outcomes are
     /// counted.
     std::function<std::optional<Offset>(const ServiceName &)> ActiveOrder;
+    /// The upstream says in an answer that it leaves; Registered is not changed
+    /// yet.
+    std::function<void()> OnLeaving;
   };
 
   UpstreamHop(NodeContext &Context, Callbacks Handlers);
