Keep to stated limits on the data path of the log too

The same cause elsewhere: on the path of src/proxy an upstream had no way to say what it takes, and its last hop sent whatever had a slot. Change: lt-limit in its answers sets the token bucket of requests::RateLimit in the admission state; requests wait for a permit within their deadline, in order, or are refused at once as rate-limited, not executed. The header ends at the last hop, so that an upstream which relays an answer does not state the limit of another.

--- a/src/proxy/internal/AdmissionGate.cpp
+++ b/src/proxy/internal/AdmissionGate.cpp
@@ -38,8 +38,10 @@
 
   void release(const requests::AdmissionRequest &Item,
                const ServiceLimits &Limits, std::chrono::microseconds Held) {
-    const requests::ReleaseActions Next =
-        requests::release(State, Limits, Item, Held, steadyNow());
+    wakeAll(requests::release(State, Limits, Item, Held, steadyNow()));
+  }
+
+  void wakeAll(const requests::ReleaseActions &Next) {
     for (const std::int64_t Ticket : Next.Run)
       wake(Ticket, WaitState::Run);
     for (const std::int64_t Ticket : Next.Drop)
@@ -48,11 +50,15 @@
 
   WaitState waitForAdmission(std::unique_lock<std::mutex> &Guard, Waiter &Self,
                              const requests::AdmissionRequest &Item,
+                             const ServiceLimits &Limits,
                              const HttpConnection &Caller) {
     while (Self.State == WaitState::Waiting) {
       if (Self.Changed.wait_for(Guard, CallerCheckInterval) ==
           std::cv_status::no_timeout)
         continue;
+      // No other event tells when the next permit is there.
+      if (State.Limit.PerSecond)
+        wakeAll(requests::startWaiting(State, Limits, steadyNow()));
       if (Self.State != WaitState::Waiting)
         break;
       const bool IsLate = timeLeft(Item.Deadline) <= Milliseconds(0);
@@ -89,7 +95,7 @@
   Impl_->Waiters[Item.Ticket] = &Self;
   WaitState End = WaitState::Drop;
   try {
-    End = Impl_->waitForAdmission(Guard, Self, Item, Caller);
+    End = Impl_->waitForAdmission(Guard, Self, Item, Limits, Caller);
   } catch (...) {
     Impl_->Waiters.erase(Item.Ticket);
     throw;
@@ -107,6 +113,13 @@
   Impl_->release(Item, Limits, Held);
 }
 
+void AdmissionGate::recordLimit(std::optional<double> PerSecond,
+                                SteadyTime SentAt) {
+  const std::lock_guard<std::mutex> Guard(Impl_->Lock);
+  requests::recordStatedLimit(Impl_->State.Limit, PerSecond, SentAt,
+                              steadyNow());
+}
+
 void AdmissionGate::beginDrain() {
   const std::lock_guard<std::mutex> Guard(Impl_->Lock);
   Impl_->State.Draining = true;
--- a/src/proxy/internal/AdmissionGate.h
+++ b/src/proxy/internal/AdmissionGate.h
@@ -27,6 +27,10 @@
   void releaseSlot(const requests::AdmissionRequest &Item,
                    const ServiceLimits &Limits, std::chrono::microseconds Held);
 
+  /// Takes the limit in requests a second that the upstream states in an answer
+  /// to a request which was sent at \p SentAt; empty if it states none.
+  void recordLimit(std::optional<double> PerSecond, SteadyTime SentAt);
+
   /// Refuses new requests from now on.
   void beginDrain();
 
--- a/src/proxy/internal/CallContext.h
+++ b/src/proxy/internal/CallContext.h
@@ -25,6 +25,8 @@
 inline const std::string ExecutedName = "lt-executed";
 inline const std::string RetryAfterName = "retry-after";
 inline const std::string ShedName = "lt-shed";
+/// In the answers of an upstream in need: the requests a second that it takes.
+inline const std::string LimitName = "lt-limit";
 /// Used only between nodes: upstream failure that the last hop detected.
 inline const std::string UpstreamName = "lt-upstream";
 
--- a/src/proxy/internal/LastHop.cpp
+++ b/src/proxy/internal/LastHop.cpp
@@ -87,7 +87,9 @@
     // caller gets its outcome when it repeats the request.
     Out->setCancelOnDisconnect(Copy == nullptr);
     HTTPRequest Forwarded = makeForwardedRequest(Request, Call);
+    const SteadyTime SentAt = steadyNow();
     Out->run(Forwarded, Body, false, Call.Deadline);
+    recordStatement(Out->response(), SentAt);
     if (isShed(Out->response())) {
       discardBody(*Out, Call.Deadline);
       return refused(RefusalReason::Shed, Executed::No,
@@ -97,6 +99,16 @@
     return relayResponse(*Out, To, Call.Match.Found->Timeout, Copy);
   }
 
+  /// Takes what the upstream says of itself beside its answer. A caller that is
+  /// an upstream too must not pass it on as its own statement.
+  void recordStatement(HTTPResponse &Response, SteadyTime SentAt) {
+    const std::string Text = Response.get(headers::LimitName, "");
+    Response.erase(headers::LimitName);
+    const auto Limit = requests::parseRate(Text);
+    if (Limit || Text.empty())
+      Gate.recordLimit(Limit, SentAt);
+  }
+
   void detectCrash(AttemptResult &Result, std::int64_t Ticket,
                    bool WasConnected) {
     if (!WasConnected) {
--- a/src/proxy/tests/ProxyFailureTest.cpp
+++ b/src/proxy/tests/ProxyFailureTest.cpp
@@ -184,3 +184,48 @@
   BOOST_TEST(Answer.header("lt-executed") == "no");
   BOOST_TEST(Answer.header("retry-after") == "1");
 }
+
+// Guards against requests beyond the limit that an upstream states in its
+// answers, and against refusals for it that wait until their deadline.
+BOOST_AUTO_TEST_CASE(StatedLimitIsKeptAtTheLastHop) {
+  ThreeNodes Nodes;
+  Nodes.A.get("/control?limit=4");
+  Nodes.B.get("/control?limit=4");
+  TestClient Client = Nodes.client();
+  for (int I = 0; I < 6; ++I)
+    BOOST_TEST(Client.get("/work").header("lt-limit") == "");
+  // The permits of both are used up by now; 8 requests a second follow.
+  const Poco::Timestamp Start;
+  for (int I = 0; I < 8; ++I)
+    BOOST_TEST(Client.get("/work").Status == 200);
+  BOOST_TEST(Start.elapsed() > 700'000);
+  // More at once than both upstreams have permits for.
+  Client.Headers["lt-deadline-ms"] = "200";
+  std::vector<std::future<TestAnswer>> Burst;
+  const Poco::Timestamp RefusedAt;
+  for (int I = 0; I < 10; ++I)
+    Burst.push_back(
+        std::async(std::launch::async, [&] { return Client.get("/work"); }));
+  int RefusedCount = 0;
+  for (auto &Call : Burst) {
+    const TestAnswer Answer = Call.get();
+    if (Answer.Status == 200)
+      continue;
+    ++RefusedCount;
+    BOOST_TEST(Answer.header("lt-reason") == "rate-limited");
+    BOOST_TEST(Answer.header("lt-executed") == "no");
+    BOOST_TEST(Answer.header("retry-after") == "1");
+  }
+  BOOST_TEST(RefusedAt.elapsed() < 150'000);
+  BOOST_TEST(RefusedCount >= 5);
+  // The limit ends with the statement.
+  Client.Headers.clear();
+  Nodes.A.get("/control?limit=");
+  Nodes.B.get("/control?limit=");
+  for (int I = 0; I < 4; ++I)
+    BOOST_TEST(Client.get("/work").Status == 200);
+  const Poco::Timestamp FreeAt;
+  for (int I = 0; I < 20; ++I)
+    BOOST_TEST(Client.get("/work").Status == 200);
+  BOOST_TEST(FreeAt.elapsed() < 1'000'000);
+}
--- a/src/requests/Requests.h
+++ b/src/requests/Requests.h
@@ -63,10 +63,18 @@
                        const AdmissionRequest &Done,
                        std::chrono::microseconds ServiceTime, SteadyTime Now);
 
+/// Returns the waiting requests to start or to drop now. With a limit, requests
+/// may start although none has finished.
+ReleaseActions startWaiting(AdmissionState &State, const ServiceLimits &Limits,
+                            SteadyTime Now);
+
 /// Removes a waiting request from the queue; returns false when it is not
 /// queued.
 bool removeQueued(AdmissionState &State, std::int64_t Ticket);
 
+/// Parses a number of requests a second; returns nothing if it is not one.
+std::optional<double> parseRate(const std::string &Text);
+
 /// Takes what an upstream states in an answer to a request that was sent at
 /// \p SentAt: its limit in requests a second, or that it has none.
 void recordStatedLimit(RateLimit &Limit, std::optional<double> PerSecond,
--- a/src/requests/internal/Admission.cpp
+++ b/src/requests/internal/Admission.cpp
@@ -33,15 +33,18 @@
 }
 
 bool canStart(const AdmissionState &State, const ServiceLimits &Limits,
-              const AdmissionRequest &Item) {
-  if (State.Running >= Limits.Slots)
+              const AdmissionRequest &Item, SteadyTime Now) {
+  if (State.Running >= Limits.Slots ||
+      permitDelay(State.Limit, 0, Now) > Milliseconds(0))
     return false;
   if (Item.Class == RequestClass::Upload && !hasFreeUploadSlot(State, Limits))
     return false;
   return runningCount(State, Item.Caller) < maxPerCaller(Limits.Slots, Limits);
 }
 
-void occupySlot(AdmissionState &State, const AdmissionRequest &Item) {
+void occupySlot(AdmissionState &State, const AdmissionRequest &Item,
+                SteadyTime Now) {
+  takePermit(State.Limit, Now);
   ++State.Running;
   State.RunningUploads += Item.Class == RequestClass::Upload ? 1 : 0;
   ++State.RunningByCaller[Item.Caller];
@@ -83,7 +86,10 @@
 
 RefusalReason fullReason(const AdmissionState &State,
                          const ServiceLimits &Limits,
-                         const AdmissionRequest &Item) {
+                         const AdmissionRequest &Item, SteadyTime Now) {
+  if (State.Running < Limits.Slots &&
+      permitDelay(State.Limit, 0, Now) > Milliseconds(0))
+    return RefusalReason::RateLimited;
   if (runningCount(State, Item.Caller) >= maxPerCaller(Limits.Slots, Limits))
     return RefusalReason::CallerLimit;
   return Limits.Queue == 0 ? RefusalReason::SlotsFull
@@ -93,10 +99,11 @@
 /// Returns the waiting request whose caller has the fewest running requests;
 /// on a tie, the request that arrived first.
 std::deque<AdmissionRequest>::iterator
-selectNextWaiting(AdmissionState &State, const ServiceLimits &Limits) {
+selectNextWaiting(AdmissionState &State, const ServiceLimits &Limits,
+                  SteadyTime Now) {
   auto Best = State.Queue.end();
   for (auto It = State.Queue.begin(); It != State.Queue.end(); ++It) {
-    if (!canStart(State, Limits, *It))
+    if (!canStart(State, Limits, *It, Now))
       continue;
     if (Best == State.Queue.end() ||
         runningCount(State, It->Caller) < runningCount(State, Best->Caller))
@@ -136,17 +143,22 @@
   const auto Waiting = static_cast<std::int32_t>(State.Queue.size());
   if (State.Running + Waiting >= Limits.Connections)
     return {AdmitAction::Refuse, RefusalReason::ConnectionsFull};
-  if (canStart(State, Limits, Item)) {
-    occupySlot(State, Item);
+  // Those that wait for a permit come first.
+  const bool MustQueue = State.Limit.PerSecond && !State.Queue.empty();
+  if (!MustQueue && canStart(State, Limits, Item, Now)) {
+    occupySlot(State, Item, Now);
     return {AdmitAction::Run, RefusalReason::SlotsFull};
   }
   if (Waiting >= Limits.Queue)
-    return {AdmitAction::Refuse, fullReason(State, Limits, Item)};
+    return {AdmitAction::Refuse, fullReason(State, Limits, Item, Now)};
   const std::int32_t Own = waitingCount(State, Item.Caller);
   if (Own >= maxPerCaller(Limits.Queue, Limits))
     return {AdmitAction::Refuse, RefusalReason::CallerLimit};
   if (after(Now, expectedTime(State, Limits, Waiting, Own)) >= Item.Deadline)
     return {AdmitAction::Refuse, RefusalReason::Deadline};
+  const Milliseconds PermitWait = permitDelay(State.Limit, Waiting, Now);
+  if (!canFinish(State, Item, after(Now, PermitWait)))
+    return {AdmitAction::Refuse, RefusalReason::RateLimited};
   State.Queue.push_back(Item);
   return {AdmitAction::Wait, RefusalReason::SlotsFull};
 }
@@ -157,14 +169,19 @@
   freeSlot(State, Done);
   if (Done.Class != RequestClass::Upload)
     updateServiceTime(State, ServiceTime);
+  return startWaiting(State, Limits, Now);
+}
+
+ReleaseActions startWaiting(AdmissionState &State, const ServiceLimits &Limits,
+                            SteadyTime Now) {
   ReleaseActions Actions;
   dropOverdue(State, Now, Actions);
-  auto Next = selectNextWaiting(State, Limits);
+  auto Next = selectNextWaiting(State, Limits, Now);
   while (Next != State.Queue.end()) {
-    occupySlot(State, *Next);
+    occupySlot(State, *Next, Now);
     Actions.Run.push_back(Next->Ticket);
     State.Queue.erase(Next);
-    Next = selectNextWaiting(State, Limits);
+    Next = selectNextWaiting(State, Limits, Now);
   }
   return Actions;
 }
--- a/src/requests/internal/RateLimit.cpp
+++ b/src/requests/internal/RateLimit.cpp
@@ -1,5 +1,7 @@
 #include "requests/Requests.h"
 
+#include <Poco/NumberParser.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -50,6 +52,14 @@
 
 } // namespace
 
+std::optional<double> parseRate(const std::string &Text) {
+  double Rate = 0;
+  if (!Poco::NumberParser::tryParseFloat(Text, Rate) || !std::isfinite(Rate) ||
+      Rate < 0)
+    return std::nullopt;
+  return Rate;
+}
+
 void recordStatedLimit(RateLimit &Limit, std::optional<double> PerSecond,
                        SteadyTime SentAt, SteadyTime Now) {
   if (PerSecond) {
--- a/src/requests/internal/Retry.cpp
+++ b/src/requests/internal/Retry.cpp
@@ -18,6 +18,7 @@
   case RefusalReason::SlotsFull:
   case RefusalReason::ConnectionsFull:
   case RefusalReason::QueueFull:
+  case RefusalReason::RateLimited:
   case RefusalReason::Shed:
   case RefusalReason::UpstreamFailed:
   case RefusalReason::UpstreamTimeout:
--- a/src/requests/types/Admission.h
+++ b/src/requests/types/Admission.h
@@ -1,7 +1,7 @@
 #ifndef LYCHEETHREAD_REQUESTS_TYPES_ADMISSION_H
 #define LYCHEETHREAD_REQUESTS_TYPES_ADMISSION_H
 
-#include "model/Model.h"
+#include "requests/types/RateLimit.h"
 
 #include <chrono>
 #include <cstdint>
@@ -30,6 +30,8 @@
   /// Moving average of the time that a request holds its slot, without uploads;
   /// 0 before the first sample.
   std::chrono::microseconds ServiceTime{0};
+  /// The rate at which the upstream takes requests.
+  RateLimit Limit;
 };
 
 enum class AdmitAction { Run, Wait, Refuse };
--- a/src/sidecar/internal/HopHeaders.cpp
+++ b/src/sidecar/internal/HopHeaders.cpp
@@ -5,7 +5,6 @@
 #include <Poco/StringTokenizer.h>
 
 #include <algorithm>
-#include <cmath>
 
 namespace lycheethread::sidecar {
 
@@ -34,16 +33,6 @@
   return Value;
 }
 
-/// Reads a number of requests a second.
-std::optional<double> rateAt(const Poco::StringTokenizer &Parts,
-                             std::size_t Index) {
-  double Value = 0;
-  if (!Poco::NumberParser::tryParseFloat(Parts[Index], Value) ||
-      !std::isfinite(Value) || Value < 0)
-    return std::nullopt;
-  return Value;
-}
-
 } // namespace
 
 std::string encodeInfo(const HopInfo &Info, SteadyTime Now) {
@@ -110,7 +99,7 @@
   const Poco::StringTokenizer Parts(Text, Separator);
   if (Parts.count() != LimitFields)
     return;
-  const auto Rate = rateAt(Parts, 0);
+  const auto Rate = requests::parseRate(Parts[0]);
   const auto Wait = numberAt(Parts, 1);
   if (!Rate || !Wait)
     return;
@@ -128,7 +117,7 @@
   if (Parts.count() != StatedFields)
     return std::nullopt;
   const auto Started = numberAt(Parts, 1);
-  const auto Rate = rateAt(Parts, 2);
+  const auto Rate = requests::parseRate(Parts[2]);
   if (!Started || !Rate)
     return std::nullopt;
   return StatedLimit{mesh::UpstreamId(Parts[0]), *Started, *Rate};
--- a/src/sidecar/internal/UpstreamStatement.cpp
+++ b/src/sidecar/internal/UpstreamStatement.cpp
@@ -1,9 +1,5 @@
 #include "sidecar/internal/UpstreamStatement.h"
 
-#include <Poco/NumberParser.h>
-
-#include <cmath>
-
 namespace lycheethread::sidecar {
 
 UpstreamStatement readStatement(const Poco::Net::HTTPResponse &Head,
@@ -12,12 +8,8 @@
   Read.IsLeaving = Head.get(Names.Leaving, "") == "1";
   if (!Head.has(Names.Limit))
     return Read;
-  double PerSecond = 0;
-  if (Poco::NumberParser::tryParseFloat(Head.get(Names.Limit), PerSecond) &&
-      std::isfinite(PerSecond) && PerSecond >= 0)
-    Read.PerSecond = PerSecond;
-  else
-    Read.IsUnreadable = true;
+  Read.PerSecond = requests::parseRate(Head.get(Names.Limit));
+  Read.IsUnreadable = !Read.PerSecond.has_value();
   return Read;
 }
 
--- a/tests/standins/upstream/Faults.cpp
+++ b/tests/standins/upstream/Faults.cpp
@@ -37,6 +37,10 @@
       ReportsHealth_ = Value != "bad";
     else if (Name == "drain")
       Draining_ = Value == "1";
+    else if (Name == "limit")
+      StatedLimit_ = Value;
+    else if (Name == "leaving")
+      SaysItLeaves_ = Value == "1";
   }
 }
 
@@ -111,6 +115,16 @@
   return Text;
 }
 
+std::string Faults::statedLimit() {
+  const std::lock_guard<std::mutex> Guard(Lock_);
+  return StatedLimit_;
+}
+
+bool Faults::saysItLeaves() {
+  const std::lock_guard<std::mutex> Guard(Lock_);
+  return SaysItLeaves_;
+}
+
 bool Faults::isHealthy() {
   const std::lock_guard<std::mutex> Guard(Lock_);
   return ReportsHealth_;
--- a/tests/standins/upstream/Faults.h
+++ b/tests/standins/upstream/Faults.h
@@ -59,6 +59,10 @@
   /// Returns a line "key count" for each idempotency key.
   std::string executions();
   bool isHealthy();
+  /// The limit that the upstream states in its answers; empty for none.
+  std::string statedLimit();
+  /// Whether it says in its answers that it leaves.
+  bool saysItLeaves();
 
 private:
   bool isActive(const std::string &Path) const;
@@ -75,6 +79,8 @@
   std::chrono::steady_clock::time_point ActiveFrom_;
   bool ReportsHealth_ = true;
   bool Draining_ = false;
+  std::string StatedLimit_;
+  bool SaysItLeaves_ = false;
   std::uint64_t MatchedRequests_ = 0;
   std::map<std::string, int> Executions_;
   std::ofstream Runs_;
--- a/tests/standins/upstream/Handler.cpp
+++ b/tests/standins/upstream/Handler.cpp
@@ -88,6 +88,11 @@
 void Handler::answer(HTTPServerResponse &Response,
                      const std::string &Body) const {
   Response.set("x-version", Options_.Version);
+  const std::string Limit = Faults_.statedLimit();
+  if (!Limit.empty())
+    Response.set("lt-limit", Limit);
+  if (Faults_.saysItLeaves())
+    Response.set("lt-leaving", "1");
   Response.sendBuffer(Body.data(), Body.size());
 }
 
