End the use of upstreams that say lt-leaving

Change: lt-leaving in an answer makes the last hop refuse new work as draining and announce that state until the process accepts no connection any more; its successor starts without a limit. A process that was replaced between two checks is asked again after a minute.

Evidence: UpstreamThatSaysItLeavesGetsNoWork; its first run failed, since the state was checked only after a second and the restart was missed.

--- a/src/proxy/internal/AdmissionGate.cpp
+++ b/src/proxy/internal/AdmissionGate.cpp
@@ -120,6 +120,12 @@
                               steadyNow());
 }
 
+void AdmissionGate::endDrain() {
+  const std::lock_guard<std::mutex> Guard(Impl_->Lock);
+  Impl_->State.Draining = false;
+  Impl_->State.Limit = {};
+}
+
 void AdmissionGate::beginDrain() {
   const std::lock_guard<std::mutex> Guard(Impl_->Lock);
   Impl_->State.Draining = true;
--- a/src/proxy/internal/AdmissionGate.h
+++ b/src/proxy/internal/AdmissionGate.h
@@ -33,6 +33,9 @@
 
   /// Refuses new requests from now on.
   void beginDrain();
+  /// Admits requests to the next process of the upstream, whose limit is not
+  /// known yet.
+  void endDrain();
 
 private:
   struct Impl;
--- a/src/proxy/internal/CallContext.h
+++ b/src/proxy/internal/CallContext.h
@@ -27,6 +27,8 @@
 inline const std::string ShedName = "lt-shed";
 /// In the answers of an upstream in need: the requests a second that it takes.
 inline const std::string LimitName = "lt-limit";
+/// "1" in the answers of an upstream that is about to end.
+inline const std::string LeavingName = "lt-leaving";
 /// Used only between nodes: upstream failure that the last hop detected.
 inline const std::string UpstreamName = "lt-upstream";
 
--- a/src/proxy/internal/LastHop.cpp
+++ b/src/proxy/internal/LastHop.cpp
@@ -69,7 +69,8 @@
       : Services(Node), Crashes(Node.Peers, Node.Settings->Upstream),
         Claims(Node.Log, Node.Settings->Service,
                randomPrefix(Node.Settings->Id)),
-        UpstreamReadiness(Node.Peers, Node.Settings->Upstream) {}
+        UpstreamReadiness(Node.Peers, Node.Settings->Upstream,
+                          [this] { Gate.endDrain(); }) {}
 
   NodeServices Services;
   ConnectionPool Pool;
@@ -103,10 +104,16 @@
   /// an upstream too must not pass it on as its own statement.
   void recordStatement(HTTPResponse &Response, SteadyTime SentAt) {
     const std::string Text = Response.get(headers::LimitName, "");
+    const bool IsLeaving = Response.get(headers::LeavingName, "") == "1";
     Response.erase(headers::LimitName);
+    Response.erase(headers::LeavingName);
     const auto Limit = requests::parseRate(Text);
     if (Limit || Text.empty())
       Gate.recordLimit(Limit, SentAt);
+    if (!IsLeaving)
+      return;
+    Gate.beginDrain();
+    UpstreamReadiness.beginLeaving();
   }
 
   void detectCrash(AttemptResult &Result, std::int64_t Ticket,
@@ -264,8 +271,9 @@
 }
 
 void LastHop::beginDrain() {
-  Impl_->Gate.beginDrain();
+  // After this, the end of a leaving process admits no requests again.
   Impl_->UpstreamReadiness.beginDrain();
+  Impl_->Gate.beginDrain();
 }
 
 std::int64_t LastHop::inProgress() const { return Impl_->InProgress.load(); }
--- a/src/proxy/internal/Readiness.cpp
+++ b/src/proxy/internal/Readiness.cpp
@@ -16,6 +16,9 @@
 constexpr Milliseconds ReadyCheckInterval{1000};
 constexpr Milliseconds StartingCheckInterval{200};
 constexpr Milliseconds CheckTimeout{500};
+/// A process that was replaced between two checks counts as leaving for this
+/// long; one that still leaves says so again in its next answer.
+constexpr Milliseconds MaxLeavingTime{60000};
 
 } // namespace
 
@@ -26,6 +29,10 @@
   std::condition_variable Changed;
   bool Stopping = false;
   bool Draining = false;
+  /// The upstream has said that it leaves, and its process has not ended.
+  bool Leaving = false;
+  SteadyTime LeavingSince;
+  std::function<void()> OnEnded;
   bool CheckRequested = false;
   std::optional<MemberState> Announced;
   std::thread Checker;
@@ -56,19 +63,27 @@
       Guard.unlock();
       const MemberState State = check();
       Guard.lock();
-      announce(State);
+      const bool HasEnded = State != MemberState::Ready ||
+                            elapsed(LeavingSince, steadyNow()) > MaxLeavingTime;
+      if (Leaving && !Draining && HasEnded) {
+        Leaving = false;
+        OnEnded();
+      }
+      if (!Leaving)
+        announce(State);
       Changed.wait_for(
           Guard,
-          State == MemberState::Ready ? ReadyCheckInterval
-                                      : StartingCheckInterval,
+          State == MemberState::Ready && !Leaving ? ReadyCheckInterval
+                                                  : StartingCheckInterval,
           [this] { return Stopping || Draining || CheckRequested; });
     }
   }
 };
 
 Readiness::Readiness(std::shared_ptr<peer::PeerControl> Peers,
-                     Endpoint Upstream)
+                     Endpoint Upstream, std::function<void()> OnEnded)
     : Impl_(std::make_unique<Impl>()) {
+  Impl_->OnEnded = std::move(OnEnded);
   Impl_->Peers = std::move(Peers);
   Impl_->Upstream = std::move(Upstream);
   Impl_->Checker = std::thread([this] { Impl_->run(); });
@@ -89,6 +104,17 @@
   Impl_->Changed.notify_one();
 }
 
+void Readiness::beginLeaving() {
+  const std::lock_guard<std::mutex> Guard(Impl_->Lock);
+  if (Impl_->Leaving || Impl_->Draining)
+    return;
+  Impl_->announce(MemberState::Draining);
+  Impl_->Leaving = true;
+  Impl_->LeavingSince = steadyNow();
+  Impl_->CheckRequested = true;
+  Impl_->Changed.notify_one();
+}
+
 void Readiness::beginDrain() {
   const std::lock_guard<std::mutex> Guard(Impl_->Lock);
   Impl_->Draining = true;
--- a/src/proxy/internal/Readiness.h
+++ b/src/proxy/internal/Readiness.h
@@ -3,6 +3,7 @@
 
 #include "peer/types/PeerControl.h"
 
+#include <functional>
 #include <memory>
 
 namespace lycheethread::proxy {
@@ -11,11 +12,16 @@
 /// announces the result.
 class Readiness {
 public:
-  Readiness(std::shared_ptr<peer::PeerControl> Peers, Endpoint Upstream);
+  /// \p OnEnded is called when a process that was leaving accepts no connection
+  /// any more.
+  Readiness(std::shared_ptr<peer::PeerControl> Peers, Endpoint Upstream,
+            std::function<void()> OnEnded);
   ~Readiness();
 
   /// Triggers an immediate check.
   void triggerCheck();
+  /// Announces the draining state until the process of the upstream has ended.
+  void beginLeaving();
   /// Announces the draining state; no other state is announced afterwards.
   void beginDrain();
 
--- a/src/proxy/tests/ProxyFailureTest.cpp
+++ b/src/proxy/tests/ProxyFailureTest.cpp
@@ -229,3 +229,32 @@
     BOOST_TEST(Client.get("/work").Status == 200);
   BOOST_TEST(FreeAt.elapsed() < 1'000'000);
 }
+
+// Guards against requests to an upstream that says in its answers that it
+// leaves, and against a successor at the same address that gets none.
+BOOST_AUTO_TEST_CASE(UpstreamThatSaysItLeavesGetsNoWork) {
+  UpstreamProcess Upstream;
+  TestCluster Cluster;
+  TestNode &Node = Cluster.add("a", "shop", Upstream.endpoint());
+  Cluster.publish();
+  const TestClient Client(Node.Settings->Listen.Port);
+  BOOST_TEST(Client.get("/work").Status == 200);
+  Upstream.get("/control?leaving=1");
+  BOOST_TEST(Client.get("/work").Status == 200);
+  const TestAnswer Refused = Client.get("/work");
+  BOOST_TEST(Refused.header("lt-reason") == "draining");
+  BOOST_TEST(Refused.header("lt-executed") == "no");
+  {
+    const std::lock_guard<std::mutex> Guard(Node.Lock);
+    BOOST_TEST((Node.State == MemberState::Draining));
+  }
+  Upstream.kill();
+  Poco::Thread::sleep(600);
+  Upstream.start();
+  bool IsServed = false;
+  for (int I = 0; I < 100 && !IsServed; ++I) {
+    IsServed = Client.get("/work").Status == 200;
+    Poco::Thread::sleep(20);
+  }
+  BOOST_TEST(IsServed);
+}
