Log the era of the store

Change: the header is read from each answer and a higher number is logged as store-era; no decision uses it yet.

--- a/src/sidecar/internal/StoreClient.cpp
+++ b/src/sidecar/internal/StoreClient.cpp
@@ -3,6 +3,7 @@
 #include "settings/Settings.h"
 
 #include <Poco/Net/HTTPRequest.h>
+#include <Poco/NumberParser.h>
 
 namespace lycheethread::sidecar {
 
@@ -34,6 +35,19 @@
                      {{"status", std::to_string(Status)}});
 }
 
+void StoreClient::readEra(const Poco::Net::HTTPResponse &Head) {
+  Poco::Int64 Stated = 0;
+  if (!Poco::NumberParser::tryParse64(
+          Head.get(Context_.Platform.Store.EraHeader, ""), Stated) ||
+      StoreEra(Stated) <= Era_)
+    return;
+  const bool IsFirst = Era_ == StoreEra();
+  Era_ = StoreEra(Stated);
+  Context_.Log.write(LogClass::State, Context_.now(), "store-era",
+                     {{"era", std::to_string(Stated)},
+                      {"restored", IsFirst ? "unknown" : "yes"}});
+}
+
 void StoreClient::call(const StoreCall &Call, Milliseconds Timeout,
                        AnswerCallback Done) {
   struct Pending {
@@ -78,8 +92,9 @@
   auto Status = std::make_shared<int>(0);
   ClientCallbacks Callbacks;
   // The body of a large configuration arrives in parts.
-  Callbacks.OnAnswer = [Body, Status](const ClientAnswer &Answer) {
+  Callbacks.OnAnswer = [this, Body, Status](const ClientAnswer &Answer) {
     *Status = Answer.Head.getStatus();
+    readEra(Answer.Head);
     collectBody(Answer, Body);
   };
   Callbacks.OnComplete = [End, Body, Status] { End(*Status, *Body); };
--- a/src/sidecar/internal/StoreClient.h
+++ b/src/sidecar/internal/StoreClient.h
@@ -32,11 +32,14 @@
   void readPage(StoreTopic Topic, const std::string &After,
                 std::shared_ptr<StoreRead> Sum,
                 std::function<void(StoreRead)> Done);
+  void readEra(const Poco::Net::HTTPResponse &Head);
   void updateReachable(bool Reachable, int Status);
 
   NodeContext &Context_;
   ConnectionPool Pool_;
   bool Reachable_ = true;
+  /// The newest era in an answer; 0 before the first that states one.
+  StoreEra Era_;
 };
 
 } // namespace lycheethread::sidecar
--- a/src/sidecar/types/PlatformProtocol.h
+++ b/src/sidecar/types/PlatformProtocol.h
@@ -30,6 +30,9 @@
   std::string Leaving;
 };
 
+/// Counts how often the store has come back from an older copy.
+using StoreEra = StrongNumber<struct StoreEraTag>;
+
 /// A request to the store, without the headers common to all requests.
 struct StoreCall {
   std::string Method;
@@ -80,8 +83,11 @@
   Offset End;
 };
 
-/// The protocol of the store. All functions are pure.
+/// The protocol of the store. The functions are pure.
 struct StoreProtocol {
+  /// Header in all answers, with a number that rises when the store comes back
+  /// from an older copy: offsets after that copy are given out again.
+  std::string EraHeader;
   std::function<StoreCall(StoreTopic, Offset From, Milliseconds Wait)> Read;
   std::function<StoreRead(int Status, const std::string &Body)> ParseRead;
   /// Requests the newest record of each key after the key \p After.
