--- a/tests/platform/StoreStandIn.cpp
+++ b/tests/platform/StoreStandIn.cpp
@@ -67,6 +67,8 @@
   mutable std::mutex Lock;
   std::condition_variable Changed;
   std::map<std::string, TopicLog> Topics;
+  std::map<std::string, TopicLog> Copy;
+  int Era = 1;
   bool Unavailable = false;
   bool Stopping = false;
 };
@@ -86,8 +88,10 @@
     std::string Body;
     Poco::StreamCopier::copyToString(Request.stream(), Body);
     int Status = 200;
+    int Era = 0;
     const std::string ResponseBody =
-        run(Target.getPath(), Parameters, Body, Status);
+        run(Target.getPath(), Parameters, Body, Status, Era);
+    Response.set("Store-Era", std::to_string(Era));
     Response.setStatus(
         static_cast<Poco::Net::HTTPResponse::HTTPStatus>(Status));
     Response.setContentLength64(static_cast<std::int64_t>(ResponseBody.size()));
@@ -96,8 +100,9 @@
 
 private:
   std::string run(const std::string &Path, Query &Parameters,
-                  const std::string &Body, int &Status) {
+                  const std::string &Body, int &Status, int &Era) {
     std::unique_lock<std::mutex> Guard(State_.Lock);
+    Era = State_.Era;
     if (State_.Unavailable) {
       Status = 503;
       return "";
@@ -147,14 +152,14 @@
     State_.Changed.wait_for(
         Guard, std::chrono::milliseconds(std::stoll(Parameters["wait_ms"])),
         [&] {
-          return Log.endOffset() > From || State_.Unavailable ||
+          return Log.endOffset() != From || State_.Unavailable ||
                  State_.Stopping;
         });
     if (State_.Unavailable) {
       Status = 503;
       return "";
     }
-    if (From < Log.FirstOffset) {
+    if (From < Log.FirstOffset || From > Log.endOffset()) {
       Status = 410;
       return "{\"first_offset\":" + std::to_string(Log.FirstOffset) + "}";
     }
@@ -237,6 +242,20 @@
   }
 }
 
+void StoreStandIn::saveCopy() {
+  const std::lock_guard<std::mutex> Guard(Impl_->Shared.Lock);
+  Impl_->Shared.Copy = Impl_->Shared.Topics;
+}
+
+void StoreStandIn::restoreCopy() {
+  const std::lock_guard<std::mutex> Guard(Impl_->Shared.Lock);
+  // Calls that wait hold a reference to their topic.
+  for (auto &[Name, Log] : Impl_->Shared.Topics)
+    Log = Impl_->Shared.Copy[Name];
+  ++Impl_->Shared.Era;
+  Impl_->Shared.Changed.notify_all();
+}
+
 void StoreStandIn::setUnavailable(bool Unavailable) {
   const std::lock_guard<std::mutex> Guard(Impl_->Shared.Lock);
   Impl_->Shared.Unavailable = Unavailable;
--- a/tests/platform/StoreStandIn.h
+++ b/tests/platform/StoreStandIn.h
@@ -24,6 +24,11 @@
                      const std::string &Key) const;
   /// Drops all records; the newest value of each key stays readable.
   void dropHistory();
+  /// Remembers the records as a copy of the store.
+  void saveCopy();
+  /// Comes back from that copy, in the next era; what was written since is
+  /// lost, and offsets are given out again.
+  void restoreCopy();
   /// Switches an outage on or off; during it, every call is answered with 503.
   void setUnavailable(bool Unavailable);
 
