Tell the eras of the store apart in positions

Cause: nodes remember offsets of the store as if each named one record for ever. After a restore offsets are given out again.

Change: StoreClient turns offsets into positions that hold the era, so that every place that keeps, compares or sends one counts a later era as newer: the reader's position, records handed to peers, gossip, orders of rollouts. An answer of another era says nothing about the records asked for; they are read anew, and a conditional append that another era has answered counts as a conflict. Records that the store has lost are kept until the operator writes them again: the configuration by its version, orders by their content. Nodes report how many they keep, so that one that was restarted since takes them from its peers before it serves. An order that is written again keeps its progress, ends of rollouts and entries of nodes that are lost are recorded again.

--- a/src/mesh/types/NodeReport.h
+++ b/src/mesh/types/NodeReport.h
@@ -109,6 +109,8 @@
   /// before the first confirmation.
   Offset OperatorPosition;
   std::optional<Milliseconds> ConfirmedAge;
+  /// Records that the node keeps although the store has lost them.
+  std::int32_t KeptRecords = 0;
   std::vector<RolloutReport> Rollouts;
   std::vector<RouteEvidence> Evidence;
   std::vector<CrashSuspectReport> Crashes;
--- a/src/sidecar/gen/gossip_types.cpp
+++ b/src/sidecar/gen/gossip_types.cpp
@@ -919,6 +919,11 @@
   this->permitWaitMs = val;
 __isset.permitWaitMs = true;
 }
+
+void NewsMessage::__set_keptRecords(const int32_t val) {
+  this->keptRecords = val;
+__isset.keptRecords = true;
+}
 std::ostream& operator<<(std::ostream& out, const NewsMessage& obj)
 {
   obj.printTo(out);
@@ -1167,6 +1172,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->keptRecords);
+          this->__isset.keptRecords = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1308,6 +1321,11 @@
     xfer += oprot->writeI64(this->permitWaitMs);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.keptRecords) {
+    xfer += oprot->writeFieldBegin("keptRecords", ::apache::thrift::protocol::T_I32, 24);
+    xfer += oprot->writeI32(this->keptRecords);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1338,6 +1356,7 @@
   swap(a.place, b.place);
   swap(a.limitMilli, b.limitMilli);
   swap(a.permitWaitMs, b.permitWaitMs);
+  swap(a.keptRecords, b.keptRecords);
   swap(a.__isset, b.__isset);
 }
 
@@ -1365,6 +1384,7 @@
   place = other28.place;
   limitMilli = other28.limitMilli;
   permitWaitMs = other28.permitWaitMs;
+  keptRecords = other28.keptRecords;
   __isset = other28.__isset;
 }
 NewsMessage& NewsMessage::operator=(const NewsMessage& other29) {
@@ -1391,6 +1411,7 @@
   place = other29.place;
   limitMilli = other29.limitMilli;
   permitWaitMs = other29.permitWaitMs;
+  keptRecords = other29.keptRecords;
   __isset = other29.__isset;
   return *this;
 }
@@ -1420,6 +1441,7 @@
   out << ", " << "place="; (__isset.place ? (out << to_string(place)) : (out << "<null>"));
   out << ", " << "limitMilli="; (__isset.limitMilli ? (out << to_string(limitMilli)) : (out << "<null>"));
   out << ", " << "permitWaitMs="; (__isset.permitWaitMs ? (out << to_string(permitWaitMs)) : (out << "<null>"));
+  out << ", " << "keptRecords="; (__isset.keptRecords ? (out << to_string(keptRecords)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/sidecar/gen/gossip_types.h
+++ b/src/sidecar/gen/gossip_types.h
@@ -378,7 +378,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashMessage& obj);
 
 typedef struct _NewsMessage__isset {
-  _NewsMessage__isset() : id(false), life(false), number(false), region(false), zone(false), hop(false), gossip(false), ready(false), stopping(false), own(false), running(false), waiting(false), serviceTimeMs(false), operatorPosition(false), confirmedAgeMs(false), rollouts(false), evidence(false), crashes(false), bodyWaitMs(false), state(false), place(false), limitMilli(false), permitWaitMs(false) {}
+  _NewsMessage__isset() : id(false), life(false), number(false), region(false), zone(false), hop(false), gossip(false), ready(false), stopping(false), own(false), running(false), waiting(false), serviceTimeMs(false), operatorPosition(false), confirmedAgeMs(false), rollouts(false), evidence(false), crashes(false), bodyWaitMs(false), state(false), place(false), limitMilli(false), permitWaitMs(false), keptRecords(false) {}
   bool id :1;
   bool life :1;
   bool number :1;
@@ -402,6 +402,7 @@
   bool place :1;
   bool limitMilli :1;
   bool permitWaitMs :1;
+  bool keptRecords :1;
 } _NewsMessage__isset;
 
 class NewsMessage : public virtual ::apache::thrift::TBase {
@@ -426,7 +427,8 @@
                 state(0),
                 place(0),
                 limitMilli(0),
-                permitWaitMs(0) {
+                permitWaitMs(0),
+                keptRecords(0) {
   }
 
   virtual ~NewsMessage() noexcept;
@@ -453,6 +455,7 @@
   int64_t place;
   int64_t limitMilli;
   int64_t permitWaitMs;
+  int32_t keptRecords;
 
   _NewsMessage__isset __isset;
 
@@ -502,6 +505,8 @@
 
   void __set_permitWaitMs(const int64_t val);
 
+  void __set_keptRecords(const int32_t val);
+
   bool operator == (const NewsMessage & rhs) const
   {
     if (!(id == rhs.id))
@@ -566,6 +571,10 @@
       return false;
     else if (__isset.permitWaitMs && !(permitWaitMs == rhs.permitWaitMs))
       return false;
+    if (__isset.keptRecords != rhs.__isset.keptRecords)
+      return false;
+    else if (__isset.keptRecords && !(keptRecords == rhs.keptRecords))
+      return false;
     return true;
   }
   bool operator != (const NewsMessage &rhs) const {
--- a/src/sidecar/gossip.thrift
+++ b/src/sidecar/gossip.thrift
@@ -64,6 +64,7 @@
   21: optional i64 place // on the list of nodes, from 1
   22: optional i64 limitMilli // requests in 1000 s; absent without a limit
   23: optional i64 permitWaitMs
+  24: optional i32 keptRecords // that the store has lost
 }
 
 // The load of a node whose report the receiver may know. Numbers that are 0 are
--- a/src/sidecar/internal/GossipCodec.cpp
+++ b/src/sidecar/internal/GossipCodec.cpp
@@ -146,6 +146,8 @@
   To.__set_operatorPosition(From.OperatorPosition.value());
   if (From.ConfirmedAge)
     To.__set_confirmedAgeMs(From.ConfirmedAge->count());
+  if (From.KeptRecords > 0)
+    To.__set_keptRecords(From.KeptRecords);
   if (!From.Rollouts.empty())
     To.__set_rollouts(listToWire<wire::RolloutMessage>(From.Rollouts));
   if (!From.Evidence.empty())
@@ -188,6 +190,7 @@
   To.OperatorPosition = Offset(From.operatorPosition);
   if (From.__isset.confirmedAgeMs)
     To.ConfirmedAge = Milliseconds(From.confirmedAgeMs);
+  To.KeptRecords = From.keptRecords;
   for (const wire::RolloutMessage &Item : From.rollouts)
     To.Rollouts.push_back({Offset(Item.order), Milliseconds(Item.ageMs),
                            Item.condemned, rolloutStateFrom(Item.state)});
--- a/src/sidecar/internal/HopServer.cpp
+++ b/src/sidecar/internal/HopServer.cpp
@@ -64,16 +64,16 @@
   Poco::Int64 From = 0;
   Poco::NumberParser::tryParse64(
       Request->head().getURI().substr(RecordsPath.size()), From);
-  const std::pair<Offset, Offset> Range{Offset(From),
-                                        Context_.Records.Position};
-  if (Range != EncodedRange_ || Encoded_.empty()) {
+  if (EncodedFrom_ != Offset(From) ||
+      EncodedRevision_ != Context_.Records.Revision) {
     OperatorRecords Newer;
-    Newer.Position = Range.second;
+    Newer.Position = Context_.Records.Position;
     for (const auto &[Key, Record] : Context_.Records.Items)
-      if (Record.At >= Range.first)
+      if (Record.At >= Offset(From))
         Newer.Items.emplace(Key, Record);
     Encoded_ = encodeRecords(Newer);
-    EncodedRange_ = Range;
+    EncodedFrom_ = Offset(From);
+    EncodedRevision_ = Context_.Records.Revision;
   }
   Request->answer(HTTPResponse::HTTP_OK, Encoded_, "application/octet-stream");
 }
--- a/src/sidecar/internal/HopServer.h
+++ b/src/sidecar/internal/HopServer.h
@@ -22,7 +22,8 @@
   UpstreamHop &Hop_;
   /// The last encoded records: after a change many nodes request the same
   /// range.
-  std::pair<Offset, Offset> EncodedRange_;
+  Offset EncodedFrom_;
+  std::int64_t EncodedRevision_ = -1;
   std::string Encoded_;
 };
 
--- a/src/sidecar/internal/OperatorFeed.cpp
+++ b/src/sidecar/internal/OperatorFeed.cpp
@@ -31,6 +31,8 @@
 /// How often the first reader checks the member list for nodes that are not
 /// known yet.
 constexpr Milliseconds MembersInterval{5000};
+/// Pause between two requests for records that only other nodes keep.
+constexpr Milliseconds KeptAskInterval{500};
 
 } // namespace
 
@@ -214,6 +216,16 @@
     for (const StoreItem &Item : Read.Items)
       New.Items[Item.Key] = {Item.Value, Item.At};
     applyRecords(New, "store");
+    if (Context_.Records.Position > Read.End) {
+      // Also a store that states no era may have lost its newest records, and
+      // an answer may be from before it did.
+      Context_.Log.write(
+          LogClass::State, Context_.now(), "store-behind",
+          {{"end", std::to_string(plainOffset(Read.End).value())},
+           {"era", std::to_string(eraOf(Read.End).value())}});
+      scheduleReaderCheck(nextBackoff());
+      return;
+    }
     Context_.ConfirmedAt = Context_.now();
     Callbacks_.OnProgress();
     Callbacks_.OnRead();
@@ -225,8 +237,11 @@
                                 const char *Source) {
   const std::size_t Before = Context_.Records.Items.size();
   const Offset PositionBefore = Context_.Records.Position;
-  if (!mergeRecords(Context_.Records, From))
+  if (!mergeRecords(Context_.Records, From,
+                    Context_.Platform.Operator.Replaces))
     return;
+  if (eraOf(PositionBefore) < eraOf(Context_.Records.Position))
+    EarlierPosition_ = std::max(EarlierPosition_, PositionBefore);
   BehindSince_ = SteadyTime();
   if (!StatusRequested_) {
     StatusRequested_ = true;
@@ -235,8 +250,11 @@
   Context_.Log.write(
       LogClass::State, Context_.now(), "records-taken",
       {{"source", Source},
-       {"from", std::to_string(PositionBefore.value())},
-       {"position", std::to_string(Context_.Records.Position.value())},
+       {"from", std::to_string(plainOffset(PositionBefore).value())},
+       {"position",
+        std::to_string(plainOffset(Context_.Records.Position).value())},
+       {"era", std::to_string(eraOf(Context_.Records.Position).value())},
+       {"kept", std::to_string(countKept(Context_.Records))},
        {"keys_before", std::to_string(Before)},
        {"keys", std::to_string(Context_.Records.Items.size())}});
   applyConfig();
@@ -255,15 +273,17 @@
       return;
     mesh::updateLeastUrgent(*Read);
     Context_.Config = Read;
-    Context_.Log.write(LogClass::State, Context_.now(), "config-in-force",
-                       {{"version", std::to_string(Read->Version.value())},
-                        {"offset", std::to_string(Found->second.At.value())},
-                        {"hosts", std::to_string(Read->Hosts.size())},
-                        {"services", std::to_string(Read->Services.size())}});
+    Context_.Log.write(
+        LogClass::State, Context_.now(), "config-in-force",
+        {{"version", std::to_string(Read->Version.value())},
+         {"offset", std::to_string(plainOffset(Found->second.At).value())},
+         {"hosts", std::to_string(Read->Hosts.size())},
+         {"services", std::to_string(Read->Services.size())}});
   } catch (const std::exception &Error) {
-    Context_.Log.write(LogClass::State, Context_.now(), "config-unreadable",
-                       {{"offset", std::to_string(Found->second.At.value())},
-                        {"problem", Error.what()}});
+    Context_.Log.write(
+        LogClass::State, Context_.now(), "config-unreadable",
+        {{"offset", std::to_string(plainOffset(Found->second.At).value())},
+         {"problem", Error.what()}});
   }
 }
 
@@ -274,7 +294,7 @@
     const mesh::NodeReport &Report = Known.LastReport;
     if (!mesh::isAlive(Context_.KnownNodes, Known, Now))
       continue;
-    if (Report.OperatorPosition > Context_.Records.Position)
+    if (lacksRecordsOf(Report))
       Behind = true;
     if (Report.OperatorPosition != Context_.Records.Position ||
         !Report.ConfirmedAge)
@@ -287,6 +307,23 @@
     fetchFromPeer();
 }
 
+/// Whether the node holds records that this one lacks: later ones, or such as
+/// the store has lost and the operator has not written again.
+bool OperatorFeed::lacksRecordsOf(const mesh::NodeReport &Report) const {
+  const Offset Own = Context_.Records.Position;
+  if (Report.OperatorPosition > Own)
+    return true;
+  // A node that was asked just now reports later what it has told.
+  const bool MayAsk = KeptAskedAt_ == SteadyTime() ||
+                      elapsed(KeptAskedAt_, Context_.now()) > KeptAskInterval;
+  if (!MayAsk)
+    return false;
+  if (Report.OperatorPosition == Own)
+    return Report.KeptRecords > countKept(Context_.Records);
+  return eraOf(Report.OperatorPosition) < eraOf(Own) &&
+         Report.OperatorPosition > EarlierPosition_;
+}
+
 void OperatorFeed::fetchFromPeer() {
   if (FetchConnection_)
     return;
@@ -296,7 +333,7 @@
   std::uint64_t Equal = 0;
   for (const auto &[Id, Known] : Context_.KnownNodes.Nodes) {
     if (!mesh::isAlive(Context_.KnownNodes, Known, Context_.now()) ||
-        Known.LastReport.OperatorPosition <= Context_.Records.Position)
+        !lacksRecordsOf(Known.LastReport))
       continue;
     const auto Distance = [&](const mesh::NodeReport &Report) {
       return mesh::proximityOf(Context_.Settings.At, Context_.Settings.Id,
@@ -333,9 +370,13 @@
     return;
   }
   const Endpoint From = Best->Hop;
+  // Kept records may have any position.
+  const bool IsOnlyKept = Best->OperatorPosition <= Context_.Records.Position;
+  const Offset First = IsOnlyKept ? Offset() : Context_.Records.Position;
+  if (IsOnlyKept)
+    KeptAskedAt_ = Now;
   HTTPRequest Head(HTTPRequest::HTTP_GET,
-                   "/records?from=" +
-                       std::to_string(Context_.Records.Position.value()),
+                   "/records?from=" + std::to_string(First.value()),
                    HTTPMessage::HTTP_1_1);
   Head.set(HTTPRequest::HOST, settings::toString(From));
   FetchConnection_ =
@@ -360,6 +401,8 @@
     const auto Records = decodeRecords(*Body);
     if (Records) {
       const bool IsFirst = Context_.Records.Position == Offset();
+      if (eraOf(Records->Position) < eraOf(Context_.Records.Position))
+        EarlierPosition_ = std::max(EarlierPosition_, Records->Position);
       applyRecords(*Records, "peer");
       Callbacks_.OnFetched();
       // The known reports may confirm the position that has just been reached.
@@ -413,12 +456,35 @@
                      });
 }
 
+/// Whether a node keeps records which the store has lost and this one has not
+/// got; not for longer than a change may take.
+bool OperatorFeed::lacksKeptRecords() const {
+  const SteadyTime Now = Context_.now();
+  if (elapsed(StartedAt_, Now) > Context_.Bounds.ConfigApplyTime)
+    return false;
+  const Offset Own = Context_.Records.Position;
+  return std::any_of(
+      Context_.KnownNodes.Nodes.begin(), Context_.KnownNodes.Nodes.end(),
+      [&](const auto &Item) {
+        const mesh::NodeReport &Report = Item.second.LastReport;
+        const bool IsOfEarlierEra =
+            Report.OperatorPosition > EarlierPosition_ &&
+            eraOf(Report.OperatorPosition) < eraOf(Own);
+        return Report.Ready &&
+               mesh::isAlive(Context_.KnownNodes, Item.second, Now) &&
+               (IsOfEarlierEra ||
+                Report.KeptRecords > countKept(Context_.Records));
+      });
+}
+
 bool OperatorFeed::isCurrent() const {
   if (!Context_.Config)
     return false;
   // A confirmation given after this node started is at least as new as any
-  // configuration that the node served before its restart.
-  const bool IsConfirmed = Context_.ConfirmedAt >= StartedAt_;
+  // configuration that the node served before its restart, unless the store has
+  // lost that one.
+  const bool IsConfirmed =
+      Context_.ConfirmedAt >= StartedAt_ && !lacksKeptRecords();
   const bool KnowsNodes = mesh::hasJoined(Context_.Join, Context_.KnownNodes,
                                           elapsed(StartedAt_, Context_.now()));
   if (IsConfirmed && KnowsNodes && (StatusKnown_ || peersKnowOrders()))
--- a/src/sidecar/internal/OperatorFeed.h
+++ b/src/sidecar/internal/OperatorFeed.h
@@ -55,6 +55,8 @@
   void scheduleReaderCheck(Milliseconds Pause);
   void applyRecords(const OperatorRecords &From, const char *Source);
   void applyConfig();
+  bool lacksRecordsOf(const mesh::NodeReport &Report) const;
+  bool lacksKeptRecords() const;
   void fetchFromPeer();
   Milliseconds randomBetween(Milliseconds Least, Milliseconds Most);
   Milliseconds nextBackoff();
@@ -66,6 +68,10 @@
   ClientConnectionPtr FetchConnection_;
   reactor::TimerId FetchTimeoutTimer_;
   reactor::TimerId FetchDelayTimer_;
+  /// The highest position of an earlier era of the store up to which this node
+  /// has all records.
+  Offset EarlierPosition_;
+  SteadyTime KeptAskedAt_;
   /// Time since which another node is known to have newer records.
   SteadyTime BehindSince_;
   reactor::TimerId Timer_;
--- a/src/sidecar/internal/Rollouts.cpp
+++ b/src/sidecar/internal/Rollouts.cpp
@@ -58,6 +58,13 @@
   return Now;
 }
 
+/// Whether \p Read is the order \p Known, which the store has lost since.
+bool isWrittenAgain(const mesh::RolloutOrder &Known,
+                    const mesh::RolloutOrder &Read) {
+  return eraOf(Known.At) < eraOf(Read.At) && Known.Service == Read.Service &&
+         Known.Target == Read.Target && Known.Duration == Read.Duration;
+}
+
 const char *nameOf(RolloutState State) {
   switch (State) {
   case RolloutState::Completed:
@@ -79,7 +86,41 @@
 
 Rollouts::~Rollouts() { Context_.Loop.cancel(Timer_); }
 
+/// The order of a rollout has been written again after the store had lost it:
+/// it keeps its progress under its new position.
+void Rollouts::moveOrder(Item &Current, Offset To) {
+  const Offset From = Current.Order.At;
+  Current.Order.At = To;
+  for (auto &[Id, Counted] : Current.EvidenceBefore)
+    for (mesh::RouteEvidence &Route : Counted)
+      if (Route.Order == From)
+        Route.Order = To;
+  Callbacks_.OnOrderMoved(From, To);
+  Context_.Log.write(LogClass::State, Context_.now(), "rollout-order-moved",
+                     {{"service", Current.Order.Service.str()},
+                      {"from", std::to_string(From.value())},
+                      {"to", std::to_string(To.value())},
+                      {"state", nameOf(Current.State)}});
+}
+
+/// What was recorded of the rollouts may be lost with the records of the
+/// operator.
+void Rollouts::onStoreEra(StoreEra Era) {
+  const bool IsRestored = Era_.has_value();
+  Era_ = Era;
+  if (!IsRestored)
+    return;
+  for (auto &[Service, Current] : Items_) {
+    Current.RunningRecorded = false;
+    Current.MustRecordEnd = isEnd(Current.State);
+    Current.NextWrite = SteadyTime();
+  }
+}
+
 void Rollouts::onRecordsChanged() {
+  const StoreEra Era = eraOf(Context_.Records.Position);
+  if (!Era_ || Era > *Era_)
+    onStoreEra(Era);
   for (const auto &[Key, Record] : Context_.Records.Items) {
     std::optional<mesh::RolloutOrder> Order;
     try {
@@ -95,6 +136,10 @@
     Item &Current = Items_[Order->Service];
     if (Current.Order.At == Order->At && !Current.Order.Service.empty())
       continue;
+    if (isWrittenAgain(Current.Order, *Order)) {
+      moveOrder(Current, Order->At);
+      continue;
+    }
     Current = {};
     Current.Order = *Order;
     Current.SeenAt = Context_.now();
@@ -221,8 +266,11 @@
       if (isEnd(Reported.State) && !isEnd(Current.State))
         finishRollout(Current, Reported.State, Id.str().c_str());
     }
-  if (isEnd(Current.State))
+  if (isEnd(Current.State)) {
+    if (Current.MustRecordEnd)
+      recordProgress(Current);
     return;
+  }
   const mesh::RolloutView View = viewOf(Current);
   const mesh::RolloutDecision Decided = mesh::decideRollout(View);
   if (Decided.Repeatable != Current.Decision.Repeatable)
@@ -319,6 +367,8 @@
   // still be going on.
   const std::size_t Rank = mesh::rendezvousRank(
       Context_.KnownNodes, judgeSubject(Current.Order.Service), Now);
+  if (Current.MustRecordEnd && Rank >= Judges)
+    return;
   if (Current.NextWrite == SteadyTime() && Rank > 0) {
     Current.NextWrite =
         after(Now, RecordDelayPerRank * static_cast<std::int64_t>(Rank));
@@ -333,17 +383,37 @@
                       if (Same == nullptr || Read.Outcome != StoreOutcome::Done)
                         return;
                       onStatus(Read.Items);
-                      if (isEnd(Same->State))
-                        return;
-                      const RolloutState State =
-                          Same->Decision.End.value_or(RolloutState::Running);
-                      if (!isEnd(State) && Same->RunningRecorded)
+                      const auto State = stateToRecord(*Same, Read.Items);
+                      if (!State)
                         return;
                       Same->Writing = true;
-                      append(Service, Order, State, Read.End);
+                      append(Service, Order, *State, Read.End);
                     });
 }
 
+/// Returns what to record of a rollout whose status reads \p Items; nothing if
+/// that is recorded.
+std::optional<RolloutState>
+Rollouts::stateToRecord(Item &Current, const std::vector<StoreItem> &Items) {
+  const OperatorFormat &Format = Context_.Platform.Operator;
+  if (!isEnd(Current.State)) {
+    const RolloutState State =
+        Current.Decision.End.value_or(RolloutState::Running);
+    return isEnd(State) || !Current.RunningRecorded ? std::optional(State)
+                                                    : std::nullopt;
+  }
+  if (!Current.MustRecordEnd)
+    return std::nullopt;
+  const std::string Key = Format.StatusKey(Current.Order.Service);
+  for (const StoreItem &Read : Items)
+    if (Read.Key == Key &&
+        Format.ParseStatus(Current.Order, Read.Value) == Current.State) {
+      Current.MustRecordEnd = false;
+      return std::nullopt;
+    }
+  return Current.State;
+}
+
 Rollouts::Item *Rollouts::onStoreCallEnded(const ServiceName &Service,
                                            Offset Order) {
   const auto Found = Items_.find(Service);
@@ -366,6 +436,7 @@
                   if (Same == nullptr || Written.Outcome != StoreOutcome::Done)
                     return;
                   Same->RunningRecorded = true;
+                  Same->MustRecordEnd = false;
                   if (isEnd(State))
                     finishRollout(*Same, State, "own record");
                 });
--- a/src/sidecar/internal/Rollouts.h
+++ b/src/sidecar/internal/Rollouts.h
@@ -19,6 +19,8 @@
     /// The state of a rollout has changed; all nodes should learn of it at
     /// once.
     std::function<void()> OnChange;
+    /// The order at the first position is now known by the second one.
+    std::function<void(Offset From, Offset To)> OnOrderMoved;
   };
 
   Rollouts(NodeContext &Context, StoreClient &Store, Callbacks Handlers);
@@ -56,10 +58,16 @@
     /// A random start spreads the first such requests of the nodes over time.
     std::int64_t Credit[2] = {0, 0};
     bool RunningRecorded = false;
+    /// The rollout has ended, and the store may have lost the record of that.
+    bool MustRecordEnd = false;
     bool Writing = false;
     SteadyTime NextWrite;
   };
 
+  void moveOrder(Item &Current, Offset To);
+  void onStoreEra(StoreEra Era);
+  std::optional<mesh::RolloutState>
+  stateToRecord(Item &Current, const std::vector<StoreItem> &Items);
   void tick();
   void sendEvidence();
   void update(Item &Current);
@@ -82,6 +90,8 @@
   Callbacks Callbacks_;
   std::map<ServiceName, Item> Items_;
   std::map<std::string, std::string> Status_;
+  /// Era of the store as of the records; empty before the first.
+  std::optional<StoreEra> Era_;
   reactor::TimerId Timer_;
   SteadyTime EvidenceSentAt_;
 };
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/log/trivial.hpp>
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
@@ -104,6 +105,8 @@
   SteadyTime DroppedAt;
   /// The record that adds this node to the list is being written.
   bool JoinRequested = false;
+  /// Era of the store in which the list of nodes was last read.
+  std::optional<StoreEra> MembersEra;
 
   Impl(std::string Path, NodeDependencies Dependencies)
       : SettingsPath(std::move(Path)), SettingsText(readText(SettingsPath)),
@@ -141,7 +144,8 @@
         Rollouts::Callbacks{
             [this] { return Hop->evidence(); }, OwnLoad,
             [this](const auto &Judges) { NodeGossip->sendTo(Judges); },
-            [this] { NodeGossip->sendToAll(); }});
+            [this] { NodeGossip->sendToAll(); },
+            [this](Offset From, Offset To) { Hop->moveEvidence(From, To); }});
     Remote = std::make_unique<RemoteHop>(Context);
     Directory = std::make_unique<UpstreamDirectory>(Context, OwnLoad);
     Outbound = std::make_unique<OutboundProxy>(Context, *Hop, *Remote,
@@ -216,6 +220,7 @@
     Own.LocalUpstream = Context.Registered.Current;
     Own.Load = Hop->load();
     Own.OperatorPosition = Context.Records.Position;
+    Own.KeptRecords = countKept(Context.Records);
     if (Context.ConfirmedAt != SteadyTime())
       Own.ConfirmedAge = elapsed(Context.ConfirmedAt, Context.now());
     Own.Rollouts = ActiveRollouts->reports();
@@ -239,9 +244,13 @@
         continue;
       Found.push_back(*Node);
       if (Node->Gossip == Own)
-        Place = Item.At.next();
+        Place = plainOffset(Item.At).next();
     }
     NodeGossip->addSeeds(Found);
+    const StoreEra Era = eraOf(Read.End);
+    if (MembersEra && *MembersEra < Era)
+      restoreMembers(Found);
+    MembersEra = Era;
     if (Place == Offset()) {
       joinMembers();
       return;
@@ -250,6 +259,26 @@
       Context.Join = {true, false, Place, Found.size() - 1};
   }
 
+  /// Writes the entries again that the store has lost. One call each, by the
+  /// node that reads the list; the other nodes do not notice.
+  void restoreMembers(const std::vector<mesh::ListedNode> &Listed) {
+    for (const auto &[Id, Known] : Context.KnownNodes.Nodes) {
+      const mesh::NodeReport &Report = Known.LastReport;
+      const bool IsListed = std::any_of(Listed.begin(), Listed.end(),
+                                        [&](const mesh::ListedNode &Item) {
+                                          return Item.Gossip == Report.Gossip;
+                                        });
+      if (IsListed || !mesh::isAlive(Context.KnownNodes, Known, Context.now()))
+        continue;
+      Context.Log.write(LogClass::State, Context.now(), "member-restored",
+                        {{"node", Id.str()}});
+      Store->append(
+          StoreTopic::Members, Id.str(),
+          Context.Platform.Operator.Member({Report.Gossip, Report.At.Zone}),
+          std::nullopt, [](const StoreAppend &) {});
+    }
+  }
+
   void joinMembers() {
     if (JoinRequested)
       return;
@@ -269,7 +298,8 @@
 
   /// The end of the list after the own record tells how many nodes joined
   /// before this one, also those that joined after the list was read.
-  void onJoined(Offset End) {
+  void onJoined(Offset Position) {
+    const Offset End = plainOffset(Position);
     Context.Join = {
         true, true, End,
         static_cast<std::size_t>(std::max<std::int64_t>(0, End.value() - 1))};
--- a/src/sidecar/internal/StoreClient.cpp
+++ b/src/sidecar/internal/StoreClient.cpp
@@ -35,17 +35,21 @@
                      {{"status", std::to_string(Status)}});
 }
 
-void StoreClient::readEra(const Poco::Net::HTTPResponse &Head) {
+/// Returns the era in an answer; a store that states none is in era 0.
+StoreEra StoreClient::readEra(const Poco::Net::HTTPResponse &Head) {
   Poco::Int64 Stated = 0;
   if (!Poco::NumberParser::tryParse64(
           Head.get(Context_.Platform.Store.EraHeader, ""), Stated) ||
-      StoreEra(Stated) <= Era_)
-    return;
-  const bool IsFirst = Era_ == StoreEra();
-  Era_ = StoreEra(Stated);
+      Stated < 0)
+    return Era_.value_or(StoreEra());
+  const StoreEra Era(Stated);
+  if (Era_ && Era <= *Era_)
+    return Era;
   Context_.Log.write(LogClass::State, Context_.now(), "store-era",
                      {{"era", std::to_string(Stated)},
-                      {"restored", IsFirst ? "unknown" : "yes"}});
+                      {"restored", Era_ ? "yes" : "unknown"}});
+  Era_ = Era;
+  return Era;
 }
 
 void StoreClient::call(const StoreCall &Call, Milliseconds Timeout,
@@ -73,46 +77,57 @@
     Request.Body = BodyPipe::complete(Call.Body);
   }
   Request.Head = http::serialize(Head);
-  const auto End = [this, Item](int Status, const std::string &Body) {
+  const auto End = [this, Item](const Answer &Read) {
     if (Item->Ended)
       return;
     Item->Ended = true;
     Context_.Loop.cancel(Item->Timer);
-    updateReachable(Status != 0, Status);
+    updateReachable(Read.Status != 0, Read.Status);
     const ClientConnectionPtr Used = std::move(Item->Connection);
     const auto Callback = std::move(Item->Done);
-    if (Status == 0)
+    if (Read.Status == 0)
       Used->close();
     else
       Pool_.recycle(Used);
-    Callback(Status, Body);
+    Callback(Read);
   };
-  Item->Timer = Context_.Loop.runAfter(Timeout, [End] { End(0, ""); });
+  Item->Timer = Context_.Loop.runAfter(Timeout, [End] { End({}); });
   auto Body = std::make_shared<std::string>();
-  auto Status = std::make_shared<int>(0);
+  auto Read = std::make_shared<Answer>();
   ClientCallbacks Callbacks;
   // The body of a large configuration arrives in parts.
-  Callbacks.OnAnswer = [this, Body, Status](const ClientAnswer &Answer) {
-    *Status = Answer.Head.getStatus();
-    readEra(Answer.Head);
-    collectBody(Answer, Body);
+  Callbacks.OnAnswer = [this, Body, Read](const ClientAnswer &Received) {
+    Read->Status = Received.Head.getStatus();
+    Read->Era = readEra(Received.Head);
+    collectBody(Received, Body);
+  };
+  Callbacks.OnComplete = [End, Body, Read] {
+    Read->Body = std::move(*Body);
+    End(*Read);
   };
-  Callbacks.OnComplete = [End, Body, Status] { End(*Status, *Body); };
-  Callbacks.OnFailure = [End](ClientFailure) { End(0, ""); };
+  Callbacks.OnFailure = [End](ClientFailure) { End({}); };
   Item->Connection->start(std::move(Request), std::move(Callbacks));
 }
 
 void StoreClient::read(StoreTopic Topic, Offset From, Milliseconds Wait,
                        std::function<void(StoreRead)> Done) {
-  call(Context_.Platform.Store.Read(Topic, From, Wait), Wait + CallTimeout,
-       [this, From, Done = std::move(Done)](int Status,
-                                            const std::string &Body) {
-         StoreRead Result = Context_.Platform.Store.ParseRead(Status, Body);
+  const StoreProtocol &Store = Context_.Platform.Store;
+  call(Store.Read(Topic, plainOffset(From), Wait), Wait + CallTimeout,
+       [&Store, From, Done = std::move(Done)](const Answer &Read) {
+         StoreRead Result = Store.ParseRead(Read.Status, Read.Body);
+         // Only an answer of the store itself tells its era.
+         const bool IsOtherEra =
+             Result.Outcome == StoreOutcome::Done && Read.Era != eraOf(From);
+         if (IsOtherEra) {
+           Result = {};
+           Result.Outcome = StoreOutcome::Trimmed;
+         }
          Offset At = From;
          for (StoreItem &Item : Result.Items) {
            Item.At = At;
            At = At.next();
          }
+         Result.End = positionOf(Read.Era, Result.End);
          Done(std::move(Result));
        });
 }
@@ -120,19 +135,24 @@
 void StoreClient::readPage(StoreTopic Topic, const std::string &After,
                            std::shared_ptr<StoreRead> Sum,
                            std::function<void(StoreRead)> Done) {
-  call(Context_.Platform.Store.Newest(Topic, After), CallTimeout,
-       [this, Topic, After, Sum,
-        Done = std::move(Done)](int Status, const std::string &Body) {
-         const StoreRead Page =
-             Context_.Platform.Store.ParseNewest(Status, Body);
+  const StoreProtocol &Store = Context_.Platform.Store;
+  call(Store.Newest(Topic, After), CallTimeout,
+       [this, &Store, Topic, After, Sum,
+        Done = std::move(Done)](const Answer &Read) {
+         const StoreRead Page = Store.ParseNewest(Read.Status, Read.Body);
          Sum->Outcome = Page.Outcome;
          // Records that are added while pages are read lie after this end, so
          // reading on from it misses none.
          if (After.empty())
-           Sum->End = Page.End;
-         Sum->Items.insert(Sum->Items.end(), Page.Items.begin(),
-                           Page.Items.end());
-         if (Page.Outcome == StoreOutcome::Done && Page.HasMore &&
+           Sum->End = positionOf(Read.Era, Page.End);
+         // Pages of two eras do not belong together; they are read again.
+         if (Page.Outcome == StoreOutcome::Done && Read.Era != eraOf(Sum->End))
+           Sum->Outcome = StoreOutcome::Unavailable;
+         for (StoreItem Item : Page.Items) {
+           Item.At = positionOf(Read.Era, Item.At);
+           Sum->Items.push_back(std::move(Item));
+         }
+         if (Sum->Outcome == StoreOutcome::Done && Page.HasMore &&
              !Page.Items.empty())
            readPage(Topic, Page.Items.back().Key, Sum, Done);
          else
@@ -148,9 +168,20 @@
 void StoreClient::append(StoreTopic Topic, const std::string &Key,
                          const std::string &Value, std::optional<Offset> At,
                          std::function<void(StoreAppend)> Done) {
-  call(Context_.Platform.Store.Append(Topic, Key, Value, At), CallTimeout,
-       [this, Done = std::move(Done)](int Status, const std::string &Body) {
-         Done(Context_.Platform.Store.ParseAppend(Status, Body));
+  const StoreProtocol &Store = Context_.Platform.Store;
+  std::optional<Offset> Plain;
+  if (At)
+    Plain = plainOffset(*At);
+  call(Store.Append(Topic, Key, Value, Plain), CallTimeout,
+       [&Store, At, Done = std::move(Done)](const Answer &Read) {
+         StoreAppend Result = Store.ParseAppend(Read.Status, Read.Body);
+         Result.End = positionOf(Read.Era, Result.End);
+         // The condition was about a topic that no longer exists like that, so
+         // the caller has to read it again.
+         if (At && Result.Outcome == StoreOutcome::Done &&
+             Read.Era != eraOf(*At))
+           Result.Outcome = StoreOutcome::Conflict;
+         Done(std::move(Result));
        });
 }
 
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -631,6 +631,16 @@
   return All;
 }
 
+void UpstreamHop::moveEvidence(Offset From, Offset To) {
+  std::map<std::pair<Offset, RouteName>, mesh::RouteEvidence> Moved;
+  for (auto &[Key, Item] : Evidence_) {
+    if (Item.Order == From)
+      Item.Order = To;
+    Moved.emplace(std::pair(Item.Order, Key.second), std::move(Item));
+  }
+  Evidence_ = std::move(Moved);
+}
+
 void UpstreamHop::recordEvidence(const Running &Job, bool Good,
                                  Milliseconds Took) {
   const mesh::Upstream &Current = Context_.Registered.Current;
--- a/src/sidecar/internal/UpstreamHop.h
+++ b/src/sidecar/internal/UpstreamHop.h
@@ -41,6 +41,8 @@
 
   mesh::LoadReport load() const;
   std::vector<mesh::RouteEvidence> evidence() const;
+  /// The order at the position \p From is now known by \p To.
+  void moveEvidence(Offset From, Offset To);
   std::size_t inProgress() const { return Jobs_.size(); }
 
 private:
--- a/src/sidecar/tests/CodecTest.cpp
+++ b/src/sidecar/tests/CodecTest.cpp
@@ -38,6 +38,11 @@
   return Report;
 }
 
+bool neverReplaces(const std::string &, const OperatorRecord &,
+                   const OperatorRecord &) {
+  return false;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Codecs)
@@ -105,13 +110,60 @@
   OperatorRecords Old;
   Old.Position = Offset(5);
   Old.Items["config"] = {"old", Offset(4)};
-  BOOST_TEST(!mergeRecords(Known, Old));
+  BOOST_TEST(!mergeRecords(Known, Old, neverReplaces));
   BOOST_TEST(Known.Items.at("config").Value == "new");
   Old.Items["rollout/x"] = {"order", Offset(3)};
-  BOOST_TEST(mergeRecords(Known, Old));
+  BOOST_TEST(mergeRecords(Known, Old, neverReplaces));
   BOOST_TEST(Known.Position.value() == 9);
 }
 
+// Guards against records of a restored store that are taken for old because of
+// their offsets, and against records from its copy that replace newer ones.
+BOOST_AUTO_TEST_CASE(recordsOfALaterEraAreMergedByTheirAge) {
+  const auto At = [](std::int64_t Era, std::int64_t Plain) {
+    return positionOf(StoreEra(Era), Offset(Plain));
+  };
+  const ReplacesAcrossEras ByValue =
+      [](const std::string &, const OperatorRecord &Known,
+         const OperatorRecord &Newer) { return Newer.Value >= Known.Value; };
+  OperatorRecords Lived;
+  Lived.Position = At(1, 20);
+  Lived.Items["config"] = {"v16", At(1, 19)};
+  OperatorRecords Copy;
+  Copy.Position = At(2, 14);
+  Copy.Items["config"] = {"v11", At(2, 12)};
+  OperatorRecords Started = Copy;
+  BOOST_TEST(mergeRecords(Lived, Copy, ByValue));
+  BOOST_TEST((Lived.Position == At(2, 14)));
+  BOOST_TEST(Lived.Items.at("config").Value == "v16");
+  BOOST_TEST(countKept(Lived) == 1);
+  // A node that was started since gets the kept record, at the same position.
+  BOOST_TEST(countKept(Started) == 0);
+  BOOST_TEST(mergeRecords(Started, Lived, ByValue));
+  BOOST_TEST(Started.Items.at("config").Value == "v16");
+  BOOST_TEST(countKept(Started) == 1);
+  BOOST_TEST(!mergeRecords(Started, Copy, ByValue));
+  // The operator writes it again, then a later one at an offset that was used.
+  OperatorRecords Later;
+  Later.Position = At(2, 15);
+  Later.Items["config"] = {"v16", At(2, 14)};
+  BOOST_TEST(mergeRecords(Started, Later, ByValue));
+  BOOST_TEST(countKept(Started) == 0);
+  Later.Position = At(2, 16);
+  Later.Items["config"] = {"v17", At(2, 15)};
+  BOOST_TEST(mergeRecords(Started, Later, ByValue));
+  BOOST_TEST(Started.Items.at("config").Value == "v17");
+}
+
+BOOST_AUTO_TEST_CASE(positionsHoldEraAndOffset) {
+  const Offset Position = positionOf(StoreEra(3), Offset(77));
+  BOOST_TEST(eraOf(Position).value() == 3);
+  BOOST_TEST(plainOffset(Position).value() == 77);
+  BOOST_TEST((positionOf(StoreEra(2), Offset(1'000'000)) < Position));
+  // A store that states no era keeps its plain offsets.
+  BOOST_TEST(positionOf(StoreEra(), Offset(5)).value() == 5);
+}
+
 BOOST_AUTO_TEST_CASE(hopHeadersRoundTrip) {
   HopInfo Info;
   Info.Service = ServiceName("desk");
--- a/src/sidecar/types/PlatformProtocol.h
+++ b/src/sidecar/types/PlatformProtocol.h
@@ -2,6 +2,8 @@
 #define LYCHEETHREAD_SIDECAR_TYPES_PLATFORMPROTOCOL_H
 
 #include "mesh/Mesh.h"
+#include "sidecar/types/OperatorRecords.h"
+#include "sidecar/types/StorePosition.h"
 
 #include <functional>
 #include <optional>
@@ -30,9 +32,6 @@
   std::string Leaving;
 };
 
-/// Counts how often the store has come back from an older copy.
-using StoreEra = StrongNumber<struct StoreEraTag>;
-
 /// A request to the store, without the headers common to all requests.
 struct StoreCall {
   std::string Method;
@@ -116,6 +115,12 @@
   std::string ConfigKey;
   /// Throws std::runtime_error if the value is not a complete configuration.
   std::function<mesh::MeshConfig(const std::string &Value)> Config;
+  /// Whether the record \p Newer, of a later era of the store, replaces
+  /// \p Known of an earlier one: it does not if it comes from the copy and is
+  /// older.
+  std::function<bool(const std::string &Key, const OperatorRecord &Known,
+                     const OperatorRecord &Newer)>
+      Replaces;
   /// Returns the order in the record, or nothing if the key is not that of an
   /// order. Throws std::runtime_error if the value is not a valid order.
   std::function<std::optional<mesh::RolloutOrder>(const StoreItem &)> Rollout;
