Split the last hop: outcomes, the upstream request and results

Evidence on rollouts (OutcomeRecorder), the request as the upstream gets it (UpstreamRequest) and the results of attempts (HopOutcome, used by RemoteHop too) have files of their own; whether an upload is worth receiving under a limit is a pure function of mesh with a test.

--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -128,6 +128,14 @@
 Milliseconds uploadDelay(const UploadBacklog &Backlog, std::int64_t Bytes,
                          Milliseconds Service, Milliseconds ObjectiveLeft);
 
+/// Returns by how much the wait for a permit is too long for an upload whose
+/// body has not arrived yet; 0 if it may be received. \p Queued uploads wait to
+/// be received before it.
+Milliseconds uploadPermitExcess(const HopQueue &Queue,
+                                const UploadBacklog &Backlog,
+                                std::size_t Queued, Milliseconds Objective,
+                                SteadyTime Now);
+
 /// Returns the time until a long body may be sent; 0 when it may be sent now.
 Milliseconds sendDelay(LinkBudget &Budget, SteadyTime Now);
 
--- a/src/mesh/internal/UploadBacklog.cpp
+++ b/src/mesh/internal/UploadBacklog.cpp
@@ -41,4 +41,17 @@
   return std::max(Milliseconds(0), uploadBacklogTime(Updated) - Allowed);
 }
 
+Milliseconds uploadPermitExcess(const HopQueue &Queue,
+                                const UploadBacklog &Backlog,
+                                std::size_t Queued, Milliseconds Objective,
+                                SteadyTime Now) {
+  const auto Ahead = static_cast<std::int64_t>(Queue.Waiting.size() + Queued) +
+                     Backlog.Receiving;
+  // Permits come while the body is being received.
+  const Milliseconds Allowed =
+      uploadBacklogTime(Backlog) + longestWait(Objective);
+  return std::max(Milliseconds(0),
+                  requests::permitDelay(Queue.Limit, Ahead, Now) - Allowed);
+}
+
 } // namespace lycheethread::mesh
--- a/src/mesh/tests/UploadBacklogTest.cpp
+++ b/src/mesh/tests/UploadBacklogTest.cpp
@@ -48,4 +48,23 @@
           .count() == 0);
 }
 
+// Guards against a long body that crosses a link although the limit of the
+// upstream is used up by the time it has arrived.
+BOOST_AUTO_TEST_CASE(uploadsBeyondTheLimitAreNotReceived) {
+  HopQueue Queue;
+  UploadBacklog Backlog;
+  constexpr Milliseconds Objective{500};
+  BOOST_TEST(uploadPermitExcess(Queue, Backlog, 50, Objective, SteadyTime(0))
+                 .count() == 0);
+  requests::recordStatedLimit(Queue.Limit, 2, SteadyTime(0), SteadyTime(0));
+  BOOST_TEST(
+      uploadPermitExcess(Queue, Backlog, 0, Objective, SteadyTime(0)).count() ==
+      0);
+  Backlog.Receiving = 1;
+  // The next permit comes after 500 ms, of which 100 may pass.
+  BOOST_TEST(
+      uploadPermitExcess(Queue, Backlog, 0, Objective, SteadyTime(0)).count() ==
+      400);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/sidecar/internal/HopJob.h
+++ b/src/sidecar/internal/HopJob.h
@@ -30,6 +30,12 @@
   std::optional<mesh::LoadReport> Load;
 };
 
+/// An attempt that has not run and will not run.
+HopOutcome notRun(RefusalReason Reason, Milliseconds RetryDelay = {});
+
+/// An attempt that reached the upstream and brought no usable answer.
+HopOutcome failed(RefusalReason Reason);
+
 /// Properties of a request that the last hop needs in addition to the message.
 struct HopInfo {
   ServiceName Service;
--- a/src/sidecar/internal/RemoteHop.cpp
+++ b/src/sidecar/internal/RemoteHop.cpp
@@ -63,10 +63,7 @@
     const auto Found = Weak.lock();
     if (!Found || Found->Ended)
       return;
-    HopOutcome Outcome;
-    Outcome.End = HopResult::NotRun;
-    Outcome.Reason = RefusalReason::NoUpstream;
-    finish(Found, std::move(Outcome));
+    finish(Found, notRun(RefusalReason::NoUpstream));
   };
   return Item->Id;
 }
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -1,6 +1,5 @@
 #include "sidecar/internal/UpstreamHop.h"
-
-#include <Poco/NumberFormatter.h>
+#include "sidecar/internal/UpstreamRequest.h"
 
 #include <algorithm>
 
@@ -10,8 +9,6 @@
 
 using mesh::QueueDecision;
 using mesh::UpstreamState;
-using Poco::Net::HTTPMessage;
-using Poco::Net::HTTPRequest;
 using Poco::Net::HTTPResponse;
 
 /// The upstream runs on the same instance.
@@ -34,22 +31,6 @@
 /// Assumed for a body without a stated length.
 constexpr std::int64_t UnknownBodyBytes = 64 * 1024;
 
-HopOutcome notRun(RefusalReason Reason, Milliseconds RetryDelay = {}) {
-  HopOutcome Outcome;
-  Outcome.End = HopResult::NotRun;
-  Outcome.Reason = Reason;
-  Outcome.RetryDelay = RetryDelay;
-  return Outcome;
-}
-
-HopOutcome failed(RefusalReason Reason) {
-  HopOutcome Outcome;
-  Outcome.End = HopResult::Failed;
-  Outcome.Reason = Reason;
-  Outcome.Reached = true;
-  return Outcome;
-}
-
 } // namespace
 
 struct UpstreamHop::Running {
@@ -135,7 +116,9 @@
   const Milliseconds RetryDelay = mesh::uploadDelay(
       UploadBacklog_, Job->PendingBytes, expectedService(Info),
       elapsed(Context_.now(), Info.ObjectiveAt));
-  const Milliseconds Excess = permitExcess(Info);
+  const Milliseconds Excess =
+      mesh::uploadPermitExcess(Queue_, UploadBacklog_, UploadQueue_.size(),
+                               Info.Objective, Context_.now());
   if (RetryDelay > Milliseconds(0) || Excess > Milliseconds(0)) {
     Job->PendingBytes = 0;
     finish(Job, notRun(Excess > RetryDelay ? RefusalReason::RateLimited
@@ -154,18 +137,6 @@
   receiveNext();
 }
 
-Milliseconds UpstreamHop::permitExcess(const HopInfo &Info) const {
-  const auto Ahead = static_cast<std::int64_t>(
-      Queue_.Waiting.size() + UploadQueue_.size() +
-      static_cast<std::size_t>(UploadBacklog_.Receiving));
-  const Milliseconds Wait =
-      requests::permitDelay(Queue_.Limit, Ahead, Context_.now());
-  // Permits come while the body is being received.
-  const Milliseconds Allowed = mesh::uploadBacklogTime(UploadBacklog_) +
-                               mesh::longestWait(Info.Objective);
-  return std::max(Milliseconds(0), Wait - Allowed);
-}
-
 void UpstreamHop::receiveNext() {
   while (!UploadQueue_.empty() &&
          UploadBacklog_.Receiving <
@@ -300,31 +271,6 @@
   };
 }
 
-ClientRequest UpstreamHop::makeRequest(const RunningPtr &Job) const {
-  const HopJob &From = Job->Job;
-  const HeaderNames &Names = Context_.Platform.Headers;
-  HTTPRequest Head(From.Head.getMethod(), From.Head.getURI(),
-                   HTTPMessage::HTTP_1_1);
-  http::copyEndToEndHeaders(From.Head, Head);
-  const Milliseconds Left = elapsed(Context_.now(), From.Info.DeadlineAt);
-  Head.set(Names.Deadline,
-           std::to_string(std::max<std::int64_t>(1, Left.count())));
-  Head.set(Names.ExpectInstance, Context_.Registered.Current.Id.str());
-  Head.set(Names.CallerService, From.Info.Caller.str());
-  ClientRequest Request;
-  Request.Method = From.Head.getMethod();
-  http::Framing Body = From.Framing;
-  if (Body.Kind == http::FramingKind::Chunked && From.Body->isEnded())
-    Body = {http::FramingKind::Fixed,
-            static_cast<std::int64_t>(From.Body->size())};
-  http::setFraming(Head, Body);
-  Request.Chunked = Body.Kind == http::FramingKind::Chunked;
-  Request.Head = http::serialize(Head);
-  if (Body.Kind != http::FramingKind::None)
-    Request.Body = From.Body;
-  return Request;
-}
-
 void UpstreamHop::send(const RunningPtr &Job) {
   const Milliseconds Left = elapsed(Context_.now(), Job->Job.Info.DeadlineAt);
   if (Left <= Milliseconds(0)) {
@@ -360,7 +306,8 @@
     if (const auto Item = Weak.lock())
       release(Item);
   };
-  Job->Connection->start(makeRequest(Job), std::move(Callbacks));
+  Job->Connection->start(makeUpstreamRequest(Context_, Job->Job),
+                         std::move(Callbacks));
 }
 
 bool UpstreamHop::belongsTo(const Running &Job,
@@ -439,9 +386,8 @@
   Context_.Log.write(
       LogClass::State, Context_.now(), "upstream-states",
       {{"upstream", Job.Target.Id.str()},
-       {"limit_per_s", Read.PerSecond
-                           ? Poco::NumberFormatter::format(*Read.PerSecond)
-                           : (Read.IsUnreadable ? "unreadable" : "none")},
+       {"limit_per_s",
+        Read.IsUnreadable ? "unreadable" : rateText(Read.PerSecond)},
        {"leaving", Read.IsLeaving ? "yes" : "no"}});
   if (Read.IsLeaving)
     Callbacks_.OnLeaving();
@@ -496,9 +442,7 @@
        {"waiting", std::to_string(Queue_.Waiting.size())},
        {"service_ms", std::to_string(mesh::meanServiceTime(Service_).count())},
        {"room_in_ms", std::to_string(Outcome.RetryDelay.count())},
-       {"limit_per_s", Queue_.Limit.PerSecond ? Poco::NumberFormatter::format(
-                                                    *Queue_.Limit.PerSecond)
-                                              : "none"},
+       {"limit_per_s", rateText(Queue_.Limit.PerSecond)},
        {"left_ms",
         std::to_string(elapsed(Now, Job.Job.Info.DeadlineAt).count())}});
 }
@@ -622,46 +566,22 @@
 }
 
 std::vector<mesh::RouteEvidence> UpstreamHop::evidence() const {
-  std::vector<mesh::RouteEvidence> All;
   const auto Order =
       Callbacks_.ActiveOrder(Context_.Registered.Current.Service);
-  for (const auto &[Key, Item] : Evidence_)
-    if (Order && Key.first == *Order)
-      All.push_back(Item);
-  return All;
-}
-
-void UpstreamHop::moveEvidence(Offset From, Offset To) {
-  std::map<std::pair<Offset, RouteName>, mesh::RouteEvidence> Moved;
-  for (auto &[Key, Item] : Evidence_) {
-    if (Item.Order == From)
-      Item.Order = To;
-    Moved.emplace(std::pair(Item.Order, Key.second), std::move(Item));
-  }
-  Evidence_ = std::move(Moved);
+  return Order ? Outcomes_.evidence(*Order)
+               : std::vector<mesh::RouteEvidence>();
 }
 
 void UpstreamHop::recordEvidence(const Running &Job, bool Good,
                                  Milliseconds Took) {
-  const mesh::Upstream &Current = Context_.Registered.Current;
-  const auto Order = Callbacks_.ActiveOrder(Current.Service);
-  if (!Order) {
-    Evidence_.clear();
-    return;
-  }
-  const RouteName &Route = Job.Job.Info.Route;
-  mesh::RouteEvidence &Item = Evidence_[{*Order, Route}];
-  Item.Order = *Order;
-  Item.Route = Route;
-  if (Good) {
-    ++Item.Good;
-    if (!isCold()) {
-      ++Item.Timed;
-      Item.TotalTime += Took;
-    }
-  } else {
-    ++Item.Bad;
-  }
+  const auto Order =
+      Callbacks_.ActiveOrder(Context_.Registered.Current.Service);
+  if (!Order)
+    Outcomes_.clear();
+  else if (Good)
+    Outcomes_.recordGood(*Order, Job.Job.Info.Route, Took, !isCold());
+  else
+    Outcomes_.recordBad(*Order, Job.Job.Info.Route);
 }
 
 bool UpstreamHop::isCold() const {
--- a/src/sidecar/internal/UpstreamHop.h
+++ b/src/sidecar/internal/UpstreamHop.h
@@ -5,6 +5,7 @@
 #include "sidecar/internal/CrashProbe.h"
 #include "sidecar/internal/HopJob.h"
 #include "sidecar/internal/NodeContext.h"
+#include "sidecar/internal/OutcomeRecorder.h"
 #include "sidecar/internal/UpstreamStatement.h"
 
 #include <deque>
@@ -42,7 +43,7 @@
   mesh::LoadReport load() const;
   std::vector<mesh::RouteEvidence> evidence() const;
   /// The order at the position \p From is now known by \p To.
-  void moveEvidence(Offset From, Offset To);
+  void moveEvidence(Offset From, Offset To) { Outcomes_.moveOrder(From, To); }
   std::size_t inProgress() const { return Jobs_.size(); }
 
 private:
@@ -60,7 +61,6 @@
   void grant(const RunningPtr &Job);
   void connect(const RunningPtr &Job);
   void send(const RunningPtr &Job);
-  ClientRequest makeRequest(const RunningPtr &Job) const;
   bool belongsTo(const Running &Job, const Poco::Net::HTTPResponse &Head) const;
   void onAnswer(const RunningPtr &Job, ClientAnswer Answer);
   void onStatement(const Running &Job, const Poco::Net::HTTPResponse &Head);
@@ -71,9 +71,6 @@
   void release(const RunningPtr &Job);
   void runWaiting();
   void scheduleExpiry();
-  /// Returns by how much the limit of the upstream is too low for an upload
-  /// whose body has not arrived yet.
-  Milliseconds permitExcess(const HopInfo &Info) const;
   void expireWaiting();
   void refuseWaiting(RefusalReason Reason);
   void recordEvidence(const Running &Job, bool Good, Milliseconds Took);
@@ -100,7 +97,7 @@
   SteadyTime DownUntil_;
   mesh::ServiceTime Service_;
   std::unordered_map<RouteName, mesh::ServiceTime> ServiceByRoute_;
-  std::map<std::pair<Offset, RouteName>, mesh::RouteEvidence> Evidence_;
+  OutcomeRecorder Outcomes_;
   reactor::TimerId Timer_;
 };
 
--- a/src/sidecar/internal/UpstreamStatement.cpp
+++ b/src/sidecar/internal/UpstreamStatement.cpp
@@ -1,7 +1,13 @@
 #include "sidecar/internal/UpstreamStatement.h"
 
+#include <Poco/NumberFormatter.h>
+
 namespace lycheethread::sidecar {
 
+std::string rateText(const std::optional<double> &PerSecond) {
+  return PerSecond ? Poco::NumberFormatter::format(*PerSecond) : "none";
+}
+
 UpstreamStatement readStatement(const Poco::Net::HTTPResponse &Head,
                                 const HeaderNames &Names) {
   UpstreamStatement Read;
--- a/src/sidecar/internal/UpstreamStatement.h
+++ b/src/sidecar/internal/UpstreamStatement.h
@@ -20,6 +20,9 @@
   bool IsLeaving = false;
 };
 
+/// Returns a number of requests a second, or "none", for log lines.
+std::string rateText(const std::optional<double> &PerSecond);
+
 UpstreamStatement readStatement(const Poco::Net::HTTPResponse &Head,
                                 const HeaderNames &Names);
 
