--- a/src/proxy/internal/ClaimStore.cpp
+++ b/src/proxy/internal/ClaimStore.cpp
@@ -145,9 +145,23 @@
       throw streamlog::LogUnavailable(
           "timed out waiting to read the claims stream");
     readThrough(At);
+    if (Table.ClaimByKey.count(Claim.Key) == 0)
+      readAnew(At);
     return requests::resolveClaim(Table, Claim);
   }
 
+  /// Reads the stream from its start. A claim that is not in the table although
+  /// its offset has been read means that the log has lost records and gives
+  /// their offsets out again; the claims of other nodes at these are unknown
+  /// too.
+  void readAnew(Offset Target) {
+    BOOST_LOG_TRIVIAL(warning)
+        << "proxy: " << Stream << " has gone back: offset " << Target
+        << " was given out again, " << Position << " was the next one";
+    Position = Log->Bounds(Stream).First;
+    readThrough(Target);
+  }
+
   /// Continues to read until the outcome of the claim that holds the key is
   /// known or the time is up. Returns the current decision if the log fails.
   requests::ClaimDecision awaitOutcome(const requests::ClaimEntry &Claim,
--- a/src/proxy/tests/ProxyTest.cpp
+++ b/src/proxy/tests/ProxyTest.cpp
@@ -143,6 +143,35 @@
              "release-9 1\n");
 }
 
+// Guards against keys that are refused, or taken for unknown, after the log has
+// lost its newest records and gives their offsets out again.
+BOOST_AUTO_TEST_CASE(KeysAreHonouredAfterTheLogHasLostRecords) {
+  TwoNodes Nodes;
+  TestClient Client = Nodes.client();
+  const auto Order = [&](const std::string &Key) {
+    Client.Headers["idempotency-key"] = Key;
+    TestAnswer Answer;
+    for (int I = 0; I < 100 && Answer.Status != 200; ++I) {
+      Answer = Client.post("/work/order", "plates");
+      Poco::Thread::sleep(10);
+    }
+    return Answer;
+  };
+  for (int I = 0; I < 4; ++I)
+    BOOST_TEST(Order("early-" + std::to_string(I)).Status == 200);
+  {
+    FakeLog &Log = Nodes.Cluster.log();
+    const std::lock_guard<std::mutex> Guard(Log.Lock);
+    Log.Streams[StreamName("claims.shop")].clear();
+  }
+  Client.Headers["idempotency-key"] = "late";
+  BOOST_TEST(Client.post("/work/order", "plates").Status == 200);
+  BOOST_TEST(Order("late").header("lt-executed") == "yes");
+  BOOST_TEST(Order("early-0").header("lt-executed") == "yes");
+  BOOST_TEST(Nodes.Upstream.get("/control/executions") ==
+             "early-0 1\nearly-1 1\nearly-2 1\nearly-3 1\nlate 1\n");
+}
+
 // Guards against the execution of a request whose claim cannot be read, and
 // against a key that stays blocked after a refusal reported "not executed".
 BOOST_AUTO_TEST_CASE(UnavailableLogCausesRefusalAndKeyStaysUsable) {
--- a/src/proxy/tests/TestCluster.cpp
+++ b/src/proxy/tests/TestCluster.cpp
@@ -76,6 +76,13 @@
       Batch.Records.push_back({Offset(I), Data[static_cast<std::size_t>(I)]});
     return Batch;
   };
+  Client->Bounds = [this](const StreamName &Stream) {
+    const std::lock_guard<std::mutex> Guard(Lock);
+    if (IsDown)
+      throw streamlog::LogUnavailable("the log is down");
+    const auto Next = static_cast<std::int64_t>(Streams[Stream].size());
+    return streamlog::StreamBounds{Offset(0), Offset(Next)};
+  };
   return Client;
 }
 
