--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -374,7 +374,7 @@
             "limits.link_mbps": "1000.0",
             "platform.address": mesh.store.endpoint,
             "seeds": "",
-            "bounds": BOUNDS,
+            "bounds": mesh.bounds,
         }
         with open(os.path.join(ROOT, "deploy/node.ini"), encoding="utf-8") as file:
             text = file.read()
@@ -442,7 +442,7 @@
 class Mesh:
     """A small deployment: a store and machines with their backends."""
 
-    def __init__(self, record, routes):
+    def __init__(self, record, routes, bounds=BOUNDS):
         if not os.access(BINARY, os.X_OK):
             raise CannotRun("target/src/app/lycheethread is not built")
         self.record = record
@@ -451,6 +451,7 @@
         self.machines = []
         self.store = Store()
         self.routes = routes
+        self.bounds = bounds
         self.ports = None
         self._next = 0
 
