--- a/review/2/case.py
+++ b/review/2/case.py
@@ -126,4 +126,4 @@
         mesh.close()
 
 
-run_case(case, HERE)
+run_case(case, os.path.join(HERE, "record.txt"))
--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -555,13 +555,13 @@
             stream.close()
 
 
-def run_case(case, folder):
+def run_case(case, record_file):
     """Runs case(record, trouble); the process ends with 0, 1 or 2.
 
     The case returns a list of what broke the rule, each a line of text.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(os.path.join(folder, "record.txt"))
+    record = Record(record_file)
     record.write("with the disruption" if trouble else "without the disruption")
     try:
         broken = case(record, trouble)
