Keep header values as they came on the wire

Cause: heads were checked as raw text and then read by POCO, whose reader decodes encoded words. The decoded values, with their line breaks, were written to upstreams, nodes and callers. Both data paths use these functions. The reader's own limits (8,192 bytes a value, 100 lines) also refused heads that the configuration allows.

Change: src/http reads the lines itself and keeps values byte for byte. Names in headers between nodes, which come from check-ins and records, are percent-encoded; a recorded content type with a control character is left out.

Ruled out: StoreClient, OperatorFeed, HttpLog and the admin port pass nothing of a head on.

--- a/src/http/internal/Head.cpp
+++ b/src/http/internal/Head.cpp
@@ -1,7 +1,5 @@
 #include "http/Http.h"
 
-#include <Poco/Exception.h>
-#include <Poco/MemoryStream.h>
 #include <Poco/String.h>
 
 #include <algorithm>
@@ -16,7 +14,10 @@
 using Poco::Net::HTTPResponse;
 
 constexpr std::size_t MaxLengthDigits = 15;
+constexpr std::size_t StatusDigits = 3;
 constexpr std::size_t HeadReserve = 1024;
+/// Adding a field takes time in proportion to the number of fields before it.
+constexpr std::size_t MaxFields = 1000;
 
 constexpr std::array<const char *, 10> HeadersNotForwarded{"Connection",
                                                            "Keep-Alive",
@@ -41,42 +42,64 @@
   return Code == '\t' || (Code >= 0x20 && Code != 0x7f);
 }
 
-void checkField(std::string_view Line) {
-  const std::size_t Colon = Line.find(':');
-  if (Colon == std::string_view::npos || Colon == 0)
-    throw BadMessage("a header line has no field name");
-  const std::string_view Name = Line.substr(0, Colon);
-  if (!std::all_of(Name.begin(), Name.end(), isTokenCharacter))
-    throw BadMessage("a header name contains an invalid character");
-}
-
-/// Checks more strictly than POCO's parser: a proxy must not forward a head
-/// that two parsers could interpret differently (request smuggling).
-void checkHead(std::string_view Head) {
-  bool First = true;
-  while (Head.size() > 2) {
-    const std::size_t End = Head.find("\r\n");
-    const std::string_view Line = Head.substr(0, End);
-    if (!std::all_of(Line.begin(), Line.end(), isFieldValueByte))
-      throw BadMessage("the head contains a control character");
-    if (!First)
-      checkField(Line);
-    First = false;
-    Head.remove_prefix(End + 2);
-  }
+bool isToken(std::string_view Text) {
+  return !Text.empty() &&
+         std::all_of(Text.begin(), Text.end(), isTokenCharacter);
+}
+
+bool isDigit(char Byte) { return Byte >= '0' && Byte <= '9'; }
+
+std::string_view trimSpace(std::string_view Text) {
+  constexpr std::string_view Space = " \t";
+  const std::size_t Begin = Text.find_first_not_of(Space);
+  if (Begin == std::string_view::npos)
+    return {};
+  return Text.substr(Begin, Text.find_last_not_of(Space) - Begin + 1);
+}
+
+/// Removes the first line, with its end, from \p Rest.
+std::string_view takeLine(std::string_view &Rest) {
+  const std::size_t End = std::min(Rest.find("\r\n"), Rest.size());
+  const std::string_view Line = Rest.substr(0, End);
+  Rest.remove_prefix(std::min(End + 2, Rest.size()));
+  if (!isFieldValue(Line))
+    throw BadMessage("the head contains a control character");
+  return Line;
+}
+
+/// Removes the text before the next space, and the space, from \p Rest.
+std::string_view takeWord(std::string_view &Rest) {
+  const std::size_t End = std::min(Rest.find(' '), Rest.size());
+  const std::string_view Word = Rest.substr(0, End);
+  Rest.remove_prefix(std::min(End + 1, Rest.size()));
+  return Word;
 }
 
-template <typename Message> void parse(std::string_view Head, Message &To) {
-  checkHead(Head);
-  Poco::MemoryInputStream In(Head.data(),
-                             static_cast<std::streamsize>(Head.size()));
-  try {
-    To.read(In);
-  } catch (const Poco::Exception &Error) {
-    throw BadMessage(Error.displayText());
+/// POCO's reader is not used: it decodes encoded words (RFC 2047), so that a
+/// value which is valid on the wire may contain line breaks in memory, and its
+/// limits are constants.
+void parseFields(std::string_view Rest, HTTPMessage &Into) {
+  std::size_t Count = 0;
+  while (!Rest.empty()) {
+    const std::string_view Line = takeLine(Rest);
+    if (Line.empty())
+      return;
+    const std::size_t Colon = Line.find(':');
+    if (Colon == std::string_view::npos || Colon == 0)
+      throw BadMessage("a header line has no field name");
+    const std::string_view Name = Line.substr(0, Colon);
+    if (!isToken(Name))
+      throw BadMessage("a header name contains an invalid character");
+    if (++Count > MaxFields)
+      throw BadMessage("the head has too many header lines");
+    Into.add(std::string(Name), std::string(trimSpace(Line.substr(Colon + 1))));
   }
 }
 
+bool isSupportedVersion(std::string_view Version) {
+  return Version == HTTPMessage::HTTP_1_1 || Version == HTTPMessage::HTTP_1_0;
+}
+
 std::size_t countOf(const HTTPMessage &Message, const std::string &Name) {
   std::size_t Count = 0;
   for (auto It = Message.find(Name);
@@ -86,9 +109,8 @@
 }
 
 std::int64_t parseLength(const std::string &Text) {
-  const auto IsDigit = [](char Byte) { return Byte >= '0' && Byte <= '9'; };
   if (Text.empty() || Text.size() > MaxLengthDigits ||
-      !std::all_of(Text.begin(), Text.end(), IsDigit))
+      !std::all_of(Text.begin(), Text.end(), isDigit))
     throw BadMessage("Content-Length is not a number");
   return std::stoll(Text);
 }
@@ -131,22 +153,45 @@
 
 } // namespace
 
+bool isFieldValue(std::string_view Text) {
+  return std::all_of(Text.begin(), Text.end(), isFieldValueByte);
+}
+
+// Stricter than the standard demands of a receiver: a proxy must not forward a
+// head that two parsers could interpret differently (request smuggling).
 void parseRequest(std::string_view Head, HTTPRequest &Request) {
-  parse(Head, Request);
-  const std::string &Version = Request.getVersion();
-  if (Version != HTTPMessage::HTTP_1_1 && Version != HTTPMessage::HTTP_1_0)
-    throw BadMessage("the HTTP version is not supported");
-  const std::string &Method = Request.getMethod();
-  if (!std::all_of(Method.begin(), Method.end(), isTokenCharacter))
+  std::string_view Line = takeLine(Head);
+  const std::string_view Method = takeWord(Line);
+  const std::string_view Target = takeWord(Line);
+  if (!isToken(Method))
     throw BadMessage("the method contains an invalid character");
-  if (Request.getURI().empty() || Request.getURI().front() != '/')
+  if (Target.empty() || Target.front() != '/' ||
+      Target.find('\t') != std::string_view::npos)
     throw BadMessage("the target is not a path");
+  if (!isSupportedVersion(Line))
+    throw BadMessage("the HTTP version is not supported");
+  Request.setMethod(std::string(Method));
+  Request.setURI(std::string(Target));
+  Request.setVersion(std::string(Line));
+  parseFields(Head, Request);
   if (countOf(Request, HTTPRequest::HOST) > 1)
     throw BadMessage("more than one Host header");
 }
 
 void parseResponse(std::string_view Head, HTTPResponse &Response) {
-  parse(Head, Response);
+  std::string_view Line = takeLine(Head);
+  const std::string_view Version = takeWord(Line);
+  if (!isSupportedVersion(Version))
+    throw BadMessage("the HTTP version is not supported");
+  const std::string_view Status = takeWord(Line);
+  if (Status.size() != StatusDigits || Status.front() == '0' ||
+      !std::all_of(Status.begin(), Status.end(), isDigit))
+    throw BadMessage("the status is not a number of three digits");
+  Response.setVersion(std::string(Version));
+  Response.setStatus(
+      static_cast<HTTPResponse::HTTPStatus>(std::stoi(std::string(Status))));
+  Response.setReason(std::string(Line));
+  parseFields(Head, Response);
 }
 
 Framing bodyFraming(const HTTPRequest &Request) {
--- a/src/http/types/Head.h
+++ b/src/http/types/Head.h
@@ -32,7 +32,11 @@
 /// Returns whether the status is a server error (5xx).
 inline bool isServerError(int Status) { return Status >= 500; }
 
-/// Parse a head up to and including its empty line. Throw BadMessage when it is
+/// Whether the text may stand in a head: it has no control characters but tabs.
+bool isFieldValue(std::string_view Text);
+
+/// Parse a head up to and including its empty line. Values are kept as they
+/// came, without the space around them. Throw BadMessage when the head is
 /// malformed.
 void parseRequest(std::string_view Head, Poco::Net::HTTPRequest &Request);
 void parseResponse(std::string_view Head, Poco::Net::HTTPResponse &Response);
--- a/src/proxy/internal/Reply.cpp
+++ b/src/proxy/internal/Reply.cpp
@@ -230,7 +230,8 @@
                    static_cast<HTTPResponse::HTTPStatus>(Answer.Status)));
   Head.set(headers::ExecutedName, std::string(toString(Executed::Yes)));
   prependToPath(Head, To.Node);
-  if (!Answer.ContentType.empty())
+  // The record comes from the log.
+  if (!Answer.ContentType.empty() && http::isFieldValue(Answer.ContentType))
     Head.setContentType(Answer.ContentType);
   writeWithBody(To, Head, Answer.Body.value_or(EmptyText));
 }
--- a/src/proxy/tests/BadInputTest.cpp
+++ b/src/proxy/tests/BadInputTest.cpp
@@ -1,6 +1,8 @@
 #include "TestClient.h"
 #include "TestCluster.h"
 
+#include <Poco/Thread.h>
+
 #include <boost/test/unit_test.hpp>
 
 #include <fstream>
@@ -137,6 +139,23 @@
   BOOST_TEST(Node.Refusals.size() == 7U);
 }
 
+// Guards against an encoded word (RFC 2047) in a header value that is decoded
+// and sent on with its line breaks: the request hidden in it runs.
+BOOST_AUTO_TEST_CASE(EncodedWordRunsNoHiddenRequest) {
+  UpstreamProcess Upstream;
+  TestCluster Cluster;
+  TestNode &Node = Cluster.add("last", "shop", Upstream.endpoint());
+  Cluster.publish();
+  TestClient Client(Node.Settings->Listen.Port);
+  Client.Headers["x-note"] =
+      "=?UTF-8?Q?note=0D=0A=0D=0APOST_/work/order_HTTP/1.1=0D=0AHost:_shop="
+      "0D=0AIdempotency-Key:_hidden=0D=0AContent-Length:_0?=";
+  BOOST_TEST(Client.get("/work").Status == 200);
+  Poco::Thread::sleep(300);
+  BOOST_TEST(Upstream.get("/control/executions").find("hidden") ==
+             std::string::npos);
+}
+
 // Guards against a client that blocks a thread by sending a head byte by byte.
 BOOST_AUTO_TEST_CASE(SlowHeadIsTimedOut) {
   TestCluster Cluster;
--- a/src/sidecar/internal/HopHeaders.cpp
+++ b/src/sidecar/internal/HopHeaders.cpp
@@ -3,6 +3,7 @@
 #include <Poco/NumberFormatter.h>
 #include <Poco/NumberParser.h>
 #include <Poco/StringTokenizer.h>
+#include <Poco/URI.h>
 
 #include <algorithm>
 
@@ -10,7 +11,7 @@
 
 namespace {
 
-/// A character that no name of the model may contain.
+/// Escaped in names.
 constexpr const char *Separator = ";";
 constexpr std::size_t InfoFields = 10;
 constexpr std::size_t LoadFields = 4;
@@ -25,6 +26,23 @@
   return Text;
 }
 
+/// Names come from records and check-ins, which may hold any character.
+std::string escape(const std::string &Name) {
+  std::string Text;
+  Poco::URI::encode(Name, Separator, Text);
+  return Text;
+}
+
+std::optional<std::string> unescape(const std::string &Text) {
+  try {
+    std::string Name;
+    Poco::URI::decode(Text, Name);
+    return Name;
+  } catch (const Poco::URISyntaxException &) {
+    return std::nullopt;
+  }
+}
+
 std::optional<std::int64_t> numberAt(const Poco::StringTokenizer &Parts,
                                      std::size_t Index) {
   Poco::Int64 Value = 0;
@@ -36,11 +54,12 @@
 } // namespace
 
 std::string encodeInfo(const HopInfo &Info, SteadyTime Now) {
-  return join({Info.Service.str(), Info.Version.str(), Info.Route.str(),
-               std::string(toString(Info.Class)), std::to_string(Info.Rank),
+  return join({escape(Info.Service.str()), escape(Info.Version.str()),
+               escape(Info.Route.str()), std::string(toString(Info.Class)),
+               std::to_string(Info.Rank),
                std::to_string(elapsed(Now, Info.ObjectiveAt).count()),
                std::to_string(elapsed(Now, Info.DeadlineAt).count()),
-               Info.Caller.str(), Info.RequestFingerprint.str(),
+               escape(Info.Caller.str()), Info.RequestFingerprint.str(),
                std::to_string(Info.Objective.count())});
 }
 
@@ -53,17 +72,22 @@
   const auto Objective = numberAt(Parts, 5);
   const auto Deadline = numberAt(Parts, 6);
   const auto FullObjective = numberAt(Parts, 9);
-  if (!Class || !Rank || !Objective || !Deadline || !FullObjective)
+  const auto Service = unescape(Parts[0]);
+  const auto Version = unescape(Parts[1]);
+  const auto Route = unescape(Parts[2]);
+  const auto Caller = unescape(Parts[7]);
+  if (!Class || !Rank || !Objective || !Deadline || !FullObjective ||
+      !Service || !Version || !Route || !Caller)
     return std::nullopt;
   HopInfo Info;
-  Info.Service = ServiceName(Parts[0]);
-  Info.Version = VersionName(Parts[1]);
-  Info.Route = RouteName(Parts[2]);
+  Info.Service = ServiceName(*Service);
+  Info.Version = VersionName(*Version);
+  Info.Route = RouteName(*Route);
   Info.Class = *Class;
   Info.Rank = static_cast<std::int32_t>(*Rank);
   Info.ObjectiveAt = after(Now, Milliseconds(*Objective));
   Info.DeadlineAt = after(Now, Milliseconds(*Deadline));
-  Info.Caller = ServiceName(Parts[7]);
+  Info.Caller = ServiceName(*Caller);
   Info.RequestFingerprint = requests::Fingerprint(Parts[8]);
   Info.Objective = Milliseconds(*FullObjective);
   return Info;
@@ -108,7 +132,7 @@
 }
 
 std::string encodeStated(const StatedLimit &Limit) {
-  return join({Limit.By.str(), std::to_string(Limit.StartedAtUnixMs),
+  return join({escape(Limit.By.str()), std::to_string(Limit.StartedAtUnixMs),
                Poco::NumberFormatter::format(Limit.PerSecond)});
 }
 
@@ -118,9 +142,10 @@
     return std::nullopt;
   const auto Started = numberAt(Parts, 1);
   const auto Rate = requests::parseRate(Parts[2]);
-  if (!Started || !Rate)
+  const auto By = unescape(Parts[0]);
+  if (!Started || !Rate || !By)
     return std::nullopt;
-  return StatedLimit{mesh::UpstreamId(Parts[0]), *Started, *Rate};
+  return StatedLimit{mesh::UpstreamId(*By), *Started, *Rate};
 }
 
 std::string encodeRefusal(const HopOutcome &Outcome) {
--- a/src/sidecar/tests/CodecTest.cpp
+++ b/src/sidecar/tests/CodecTest.cpp
@@ -184,6 +184,30 @@
   BOOST_TEST(!decodeInfo("desk;v1;r;upload", SteadyTime(1)).has_value());
 }
 
+// Guards against a name from a record or a check-in that ends the header line
+// of a request between nodes, or cannot be read by the last hop.
+BOOST_AUTO_TEST_CASE(namesInHopHeadersMayHoldAnyCharacter) {
+  const std::string Name = "v1;\r\nX-Caller-Service: payroll%3B\x01 \xc3\xa4";
+  HopInfo Info;
+  Info.Service = ServiceName("desk" + Name);
+  Info.Version = VersionName(Name);
+  Info.Route = RouteName("r" + Name);
+  Info.Caller = ServiceName("c" + Name);
+  const std::string Text = encodeInfo(Info, SteadyTime(1000));
+  BOOST_TEST(http::isFieldValue(Text));
+  const auto Read = decodeInfo(Text, SteadyTime(1000));
+  BOOST_REQUIRE(Read.has_value());
+  BOOST_TEST(Read->Service.str() == "desk" + Name);
+  BOOST_TEST(Read->Version.str() == Name);
+  BOOST_TEST(Read->Route.str() == "r" + Name);
+  BOOST_TEST(Read->Caller.str() == "c" + Name);
+  const std::string Limit = encodeStated({mesh::UpstreamId(Name), 17, 2});
+  BOOST_TEST(http::isFieldValue(Limit));
+  BOOST_TEST(decodeStated(Limit).value().By.str() == Name);
+  BOOST_TEST(
+      !decodeInfo("desk%;v1;r;upload;1;2;3;c;F;4", SteadyTime(1)).has_value());
+}
+
 // Guards against an upstream's limit that other nodes do not learn of, or take
 // for none.
 BOOST_AUTO_TEST_CASE(limitsRoundTrip) {
--- a/tests/platform/UpstreamStandIn.cpp
+++ b/tests/platform/UpstreamStandIn.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <iterator>
 #include <list>
 #include <mutex>
 #include <thread>
@@ -41,6 +42,7 @@
   while (LineEnd < End) {
     const std::size_t Next = Buffer.find("\r\n", LineEnd + 2);
     const std::string Field = Buffer.substr(LineEnd + 2, Next - LineEnd - 2);
+    Request.HeaderLines.push_back(Field);
     const std::size_t Colon = Field.find(':');
     Request.Headers[Poco::toLower(Field.substr(0, Colon))] =
         Poco::trim(Field.substr(Colon + 1));
@@ -60,6 +62,16 @@
 
 } // namespace
 
+std::vector<std::string>
+ReceivedRequest::linesOf(const std::string &Name) const {
+  std::vector<std::string> Found;
+  std::copy_if(HeaderLines.begin(), HeaderLines.end(),
+               std::back_inserter(Found), [&](const std::string &Line) {
+                 return Poco::toLower(Line.substr(0, Line.find(':'))) == Name;
+               });
+  return Found;
+}
+
 struct UpstreamStandIn::Impl {
   Poco::Net::ServerSocket Socket{
       Poco::Net::SocketAddress("127.0.0.1", Poco::UInt16(0)), Backlog};
--- a/tests/platform/UpstreamStandIn.h
+++ b/tests/platform/UpstreamStandIn.h
@@ -15,7 +15,12 @@
 struct ReceivedRequest {
   std::string RequestLine;
   std::map<std::string, std::string> Headers;
+  /// The header lines as they came.
+  std::vector<std::string> HeaderLines;
   std::string Body;
+
+  /// Returns the lines with this name, which is in lower case.
+  std::vector<std::string> linesOf(const std::string &Name) const;
 };
 
 /// The bytes that the upstream sends back unchanged.
