Record departures of upstreams before they are acknowledged

Cause: the leaving, by DELETE or as draining, was kept only in the memory of the nodes. A restarted node took any check-in as the first one, and after a loss of all nodes nobody told it otherwise.

A node that may have run before reads its departures before it believes a check-in; without the store it believes a process once a newer check-in follows. A restored store gets the records again. Check-ins moved from SidecarNode to CheckIns, which had to grow.

Ruled out: acknowledging first (a loss in between forgets it); holding check-ins after every start (each upstream idle for up to 1.5 s more).

--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -272,7 +272,29 @@
 
 /// Records that the registered process says in its answers that it leaves.
 /// Returns true if the registered upstream has changed.
-bool applyStatedLeaving(Registration &Known);
+bool applyStatedLeaving(Registration &Known, SteadyTime Now);
+
+/// Returns the departures that the store does not hold yet.
+std::vector<Departure> unrecordedDepartures(const Registration &Known);
+
+/// Whether the leaving of \p Id is known and the store does not hold it yet.
+bool isUnrecorded(const Registration &Known, const UpstreamId &Id);
+
+/// Records that the store holds the departure.
+void markRecorded(Registration &Known, const Departure &Item);
+
+/// Records that the store has lost the departures of \p Id.
+void markLost(Registration &Known, const UpstreamId &Id);
+
+/// Takes a departure that an earlier incarnation of this node has recorded.
+/// Returns true if the registered upstream has changed.
+bool restoreDeparture(Registration &Known, const Departure &Item,
+                      SteadyTime Now);
+
+/// Whether check-ins of one process show that it runs, although the node does
+/// not know yet which processes have left.
+bool confirmsProcess(UnverifiedCheckIns &Known, const CheckIn &Item,
+                     Milliseconds Interval, SteadyTime Now);
 
 /// Whether the upstream has missed several check-ins.
 bool isSilent(const Registration &Known, Milliseconds Interval, SteadyTime Now);
--- a/src/mesh/tests/RegistrationTest.cpp
+++ b/src/mesh/tests/RegistrationTest.cpp
@@ -57,10 +57,10 @@
 // leaves, while its check-ins say that it is ready.
 BOOST_AUTO_TEST_CASE(statedLeavingIsFinal) {
   Registration Known;
-  BOOST_TEST(!applyStatedLeaving(Known));
+  BOOST_TEST(!applyStatedLeaving(Known, SteadyTime(1)));
   applyCheckIn(Known, checkIn("a", 100, 1), SteadyTime(1));
-  BOOST_TEST(applyStatedLeaving(Known));
-  BOOST_TEST(!applyStatedLeaving(Known));
+  BOOST_TEST(applyStatedLeaving(Known, SteadyTime(1)));
+  BOOST_TEST(!applyStatedLeaving(Known, SteadyTime(1)));
   applyCheckIn(Known, checkIn("a", 100, 2), SteadyTime(2));
   BOOST_TEST((Known.Current.State == UpstreamState::Draining));
   // Its successor is ready.
@@ -106,6 +106,104 @@
   BOOST_TEST(!restoreLeave(Registered, Past, SteadyTime(11)));
 }
 
+// Guards against an acknowledged leaving that is kept only in memory: each way
+// to leave has to be recorded, once for each process.
+BOOST_AUTO_TEST_CASE(eachLeavingHasToBeRecorded) {
+  Registration Known;
+  applyCheckIn(Known, checkIn("a", 100, 1), SteadyTime(1));
+  BOOST_TEST(unrecordedDepartures(Known).empty());
+  BOOST_TEST(!isUnrecorded(Known, UpstreamId("a")));
+  applyCheckIn(Known, checkIn("a", 100, 2, UpstreamState::Draining),
+               SteadyTime(2));
+  BOOST_REQUIRE(unrecordedDepartures(Known).size() == 1U);
+  const Departure Item = unrecordedDepartures(Known).front();
+  BOOST_TEST(Item.Id.str() == "a");
+  BOOST_TEST(Item.StartedUpTo == 100);
+  BOOST_TEST(Item.IsStartKnown);
+  BOOST_TEST(isUnrecorded(Known, UpstreamId("a")));
+  markRecorded(Known, Item);
+  // The same process leaves for good.
+  applyLeave(Known, UpstreamId("a"), 500, SteadyTime(3));
+  BOOST_TEST(unrecordedDepartures(Known).empty());
+  // A later process with the same id, which says so in its answers.
+  applyCheckIn(Known, checkIn("a", 600, 1), SteadyTime(4));
+  applyStatedLeaving(Known, SteadyTime(5));
+  BOOST_TEST(isUnrecorded(Known, UpstreamId("a")));
+  // What was written of the earlier one does not cover it.
+  markRecorded(Known, Item);
+  BOOST_TEST(isUnrecorded(Known, UpstreamId("a")));
+  // A process that was never registered.
+  applyLeave(Known, UpstreamId("b"), 700, SteadyTime(6));
+  BOOST_TEST(isUnrecorded(Known, UpstreamId("b")));
+  BOOST_TEST(unrecordedDepartures(Known).size() == 2U);
+  BOOST_TEST(!unrecordedDepartures(Known).back().IsStartKnown);
+}
+
+// Guards against a late check-in that brings back an upstream which left before
+// all nodes were lost, and against a successor that is not used.
+BOOST_AUTO_TEST_CASE(recordedDeparturesAreRestored) {
+  Registration Known;
+  const Departure Item{UpstreamId("a"), 100, true};
+  BOOST_TEST(!restoreDeparture(Known, Item, SteadyTime(10)));
+  BOOST_TEST(!isUnrecorded(Known, UpstreamId("a")));
+  BOOST_TEST(!applyCheckIn(Known, checkIn("a", 100, 19), SteadyTime(90'000)));
+  BOOST_TEST(applyCheckIn(Known, checkIn("a", 101, 1), SteadyTime(90'000)));
+  // An earlier record does not end the later process.
+  BOOST_TEST(!restoreDeparture(Known, Item, SteadyTime(90'001)));
+  BOOST_TEST((Known.Current.State == UpstreamState::Ready));
+  // The process was believed before the record could be read.
+  Registration Believed;
+  applyCheckIn(Believed, checkIn("a", 100, 18), SteadyTime(5));
+  BOOST_TEST(restoreDeparture(Believed, Item, SteadyTime(10)));
+  BOOST_TEST((Believed.Current.State == UpstreamState::Gone));
+  // Without a known start, a process with the same id is accepted later.
+  Registration Other;
+  restoreDeparture(Other, {UpstreamId("a"), 500, false}, SteadyTime(10));
+  BOOST_TEST(!applyCheckIn(Other, checkIn("a", 100, 3), SteadyTime(20'000)));
+  BOOST_TEST(applyCheckIn(Other, checkIn("a", 100, 4), SteadyTime(30'010)));
+  BOOST_TEST(applyCheckIn(Other, checkIn("a", 501, 1), SteadyTime(30'011)));
+}
+
+// Guards against records that a restored store has lost and nobody writes.
+BOOST_AUTO_TEST_CASE(lostDeparturesAreRecordedAgain) {
+  Registration Known;
+  restoreDeparture(Known, {UpstreamId("a"), 100, true}, SteadyTime(10));
+  markLost(Known, UpstreamId("a"));
+  BOOST_TEST(isUnrecorded(Known, UpstreamId("a")));
+  BOOST_TEST(unrecordedDepartures(Known).size() == 1U);
+  markLost(Known, UpstreamId("b"));
+  BOOST_TEST(unrecordedDepartures(Known).size() == 1U);
+}
+
+// Guards against a late check-in that is believed while the node cannot learn
+// what has left, and against a process that runs and is not used then.
+BOOST_AUTO_TEST_CASE(lateCheckInConfirmsNoProcess) {
+  const Milliseconds Interval(1500);
+  UnverifiedCheckIns Known;
+  BOOST_TEST(
+      !confirmsProcess(Known, checkIn("a", 100, 7), Interval, SteadyTime(0)));
+  // The same or an older one, and late ones that come together.
+  BOOST_TEST(!confirmsProcess(Known, checkIn("a", 100, 7), Interval,
+                              SteadyTime(1500)));
+  BOOST_TEST(!confirmsProcess(Known, checkIn("a", 100, 6), Interval,
+                              SteadyTime(1500)));
+  UnverifiedCheckIns Together;
+  confirmsProcess(Together, checkIn("a", 100, 7), Interval, SteadyTime(0));
+  BOOST_TEST(!confirmsProcess(Together, checkIn("a", 100, 8), Interval,
+                              SteadyTime(200)));
+  BOOST_TEST(confirmsProcess(Together, checkIn("a", 100, 9), Interval,
+                             SteadyTime(1600)));
+  // A later process starts anew; an earlier one changes nothing.
+  UnverifiedCheckIns Replaced;
+  confirmsProcess(Replaced, checkIn("a", 100, 7), Interval, SteadyTime(0));
+  BOOST_TEST(!confirmsProcess(Replaced, checkIn("b", 200, 8), Interval,
+                              SteadyTime(1500)));
+  BOOST_TEST(!confirmsProcess(Replaced, checkIn("a", 100, 9), Interval,
+                              SteadyTime(3000)));
+  BOOST_TEST(confirmsProcess(Replaced, checkIn("b", 200, 9), Interval,
+                             SteadyTime(3000)));
+}
+
 BOOST_AUTO_TEST_CASE(missedCheckInsMeanSilence) {
   Registration Known;
   applyCheckIn(Known, checkIn("b", 200, 1), SteadyTime(1000));
--- /dev/null
+++ b/src/sidecar/internal/CheckIns.h
@@ -0,0 +1,48 @@
+#ifndef LYCHEETHREAD_SIDECAR_INTERNAL_CHECKINS_H
+#define LYCHEETHREAD_SIDECAR_INTERNAL_CHECKINS_H
+
+#include "sidecar/internal/DepartureLog.h"
+#include "sidecar/internal/HttpServer.h"
+
+namespace lycheethread::sidecar {
+
+/// Takes what the upstream beside the node says of itself, and keeps the
+/// registration in NodeContext::Registered.
+class CheckIns {
+public:
+  CheckIns(NodeContext &Context, StoreClient &Store,
+           std::function<void()> OnRegistration);
+
+  /// Answers a check-in or a leave message.
+  void handle(const ServerRequestPtr &Request);
+
+  /// The upstream says in its answers that it leaves.
+  void onStatedLeaving();
+
+  /// Another node remembers that the upstream was leaving before this node was
+  /// restarted; the acknowledgement given then still binds.
+  void onOwnPast(const mesh::Upstream &Past);
+
+  void checkSilence();
+
+  DepartureLog &departures() { return Departures_; }
+
+private:
+  void onMessage(const ServerRequestPtr &Request);
+  void acknowledge(const ServerRequestPtr &Request) const;
+  void onLeave(const mesh::UpstreamId &Id);
+  void onCheckIn(const mesh::CheckIn &Item);
+  bool mayHaveLeft(const mesh::CheckIn &Item);
+  void onDeparturesKnown();
+  void logRegistered() const;
+
+  NodeContext &Context_;
+  std::function<void()> OnRegistration_;
+  /// Check-ins that came before the departures were known.
+  mesh::UnverifiedCheckIns Unverified_;
+  DepartureLog Departures_;
+};
+
+} // namespace lycheethread::sidecar
+
+#endif // LYCHEETHREAD_SIDECAR_INTERNAL_CHECKINS_H
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -1,5 +1,5 @@
 #include "sidecar/internal/SidecarNode.h"
-#include "kernel/Clock.h"
+#include "sidecar/internal/CheckIns.h"
 #include "sidecar/internal/Gossip.h"
 #include "sidecar/internal/HopServer.h"
 #include "sidecar/internal/OperatorFeed.h"
@@ -16,7 +16,6 @@
 
 namespace {
 
-using Poco::Net::HTTPRequest;
 using Poco::Net::HTTPResponse;
 
 /// Callers stop sending after two missed readiness probes, sent once per
@@ -92,6 +91,7 @@
   std::unique_ptr<OutboundProxy> Outbound;
   std::unique_ptr<HopServer> Inbound;
   std::unique_ptr<Gossip> NodeGossip;
+  std::unique_ptr<CheckIns> UpstreamCheckIns;
   std::unique_ptr<OperatorFeed> Feed;
   std::unique_ptr<HttpServer> OutboundServer;
   std::unique_ptr<HttpServer> InboundServer;
@@ -132,12 +132,16 @@
   void build() {
     Store = std::make_unique<StoreClient>(Context);
     Hop = std::make_unique<UpstreamHop>(
-        Context, UpstreamHop::Callbacks{
-                     [this](const ServiceName &Service) {
-                       return ActiveRollouts->activeOrder(Service);
-                     },
-                     // Its answer is passed on first.
-                     [this] { Loop.defer([this] { onStatedLeaving(); }); }});
+        Context,
+        UpstreamHop::Callbacks{[this](const ServiceName &Service) {
+                                 return ActiveRollouts->activeOrder(Service);
+                               },
+                               // Its answer is passed on first.
+                               [this] {
+                                 Loop.defer([this] {
+                                   UpstreamCheckIns->onStatedLeaving();
+                                 });
+                               }});
     const auto OwnLoad = [this] { return Hop->load(); };
     ActiveRollouts = std::make_unique<Rollouts>(
         Context, *Store,
@@ -158,8 +162,12 @@
           if (!Context.Ready)
             updateReadiness();
         },
-        [this](const mesh::Upstream &Past) { onOwnPast(Past); });
+        [this](const mesh::Upstream &Past) {
+          UpstreamCheckIns->onOwnPast(Past);
+        });
     addSeeds();
+    UpstreamCheckIns = std::make_unique<CheckIns>(Context, *Store,
+                                                  [this] { onRegistration(); });
     Feed = std::make_unique<OperatorFeed>(
         Context, *Store,
         OperatorFeed::Callbacks{
@@ -195,7 +203,7 @@
     CheckInServer = std::make_unique<HttpServer>(
         Loop, At.CheckIns,
         HttpServerOptions{checkInLimits, [this](const auto &Request) {
-                            onUpstreamRequest(Request);
+                            UpstreamCheckIns->handle(Request);
                           }});
     if (At.Metrics.Port != 0)
       MetricsServer = std::make_unique<HttpServer>(
@@ -231,6 +239,7 @@
   void onRecords() {
     ActiveRollouts->onRecordsChanged();
     Hop->onRegistrationChanged();
+    UpstreamCheckIns->departures().onRecords();
     updateReadiness();
   }
 
@@ -251,12 +260,14 @@
     if (MembersEra && *MembersEra < Era)
       restoreMembers(Found);
     MembersEra = Era;
+    UpstreamCheckIns->departures().onListRead(Place != Offset());
     if (Place == Offset()) {
       joinMembers();
       return;
     }
     if (!Context.Join.IsNew)
       Context.Join = {true, false, Place, Found.size() - 1};
+    UpstreamCheckIns->departures().update();
   }
 
   /// Writes the entries again that the store has lost. One call each, by the
@@ -303,6 +314,7 @@
     Context.Join = {
         true, true, End,
         static_cast<std::size_t>(std::max<std::int64_t>(0, End.value() - 1))};
+    UpstreamCheckIns->departures().update();
     updateReadiness();
     // Among many nodes gossip needs longer; it saves a call to the store.
     const Milliseconds Delay = std::min(
@@ -348,128 +360,15 @@
       Request->answer(HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "not ready");
   }
 
-  void onUpstreamRequest(const ServerRequestPtr &Request) {
-    const BodyPipePtr Body = Request->body();
-    if (Body->isEnded()) {
-      onUpstreamMessage(Request);
-      return;
-    }
-    Body->OnChange = [this, Weak = std::weak_ptr<ServerRequest>(Request)] {
-      const auto Found = Weak.lock();
-      if (!Found || !Found->body()->isEnded())
-        return;
-      const BodyPipePtr Done = Found->body();
-      Done->OnChange = nullptr;
-      onUpstreamMessage(Found);
-    };
-  }
-
-  void onUpstreamMessage(const ServerRequestPtr &Request) {
-    const HTTPRequest &Head = Request->head();
-    const UpstreamMessage Message = Context.Platform.Upstream(
-        Head.getMethod(), Head.getURI(), Request->body()->take());
-    switch (Message.Type) {
-    case UpstreamMessage::Kind::Invalid:
-      Context.Log.write(
-          LogClass::State, Context.now(), "check-in-invalid",
-          {{"target", Head.getURI()}, {"problem", Message.Problem}});
-      Request->answer(HTTPResponse::HTTP_BAD_REQUEST, Message.Problem);
-      return;
-    case UpstreamMessage::Kind::Leave:
-      onLeave(Message.Id);
-      break;
-    case UpstreamMessage::Kind::CheckIn:
-      onCheckIn(Message.ReceivedCheckIn);
-      break;
-    }
-    Request->answer(HTTPResponse::HTTP_OK, Context.Platform.CheckInAnswer,
-                    Context.Platform.CheckInAnswerType);
-  }
-
-  void onLeave(const mesh::UpstreamId &Id) {
-    const bool IsApplied = mesh::applyLeave(
-        Context.Registered, Id, kernel::wallNow().value(), Context.now());
-    Context.Log.write(LogClass::State, Context.now(), "upstream-leaves",
-                      {{"upstream", Id.str()},
-                       {"registered", Context.Registered.Current.Id.str()},
-                       {"taken", IsApplied ? "yes" : "no"}});
-    if (IsApplied)
-      onRegistration();
-  }
-
-  /// The upstream says in its answers that it leaves.
-  void onStatedLeaving() {
-    if (!mesh::applyStatedLeaving(Context.Registered))
-      return;
-    Context.Log.write(LogClass::State, Context.now(), "upstream-leaves",
-                      {{"upstream", Context.Registered.Current.Id.str()},
-                       {"reason", "it says so in its answers"}});
-    onRegistration();
-  }
-
-  /// Another node remembers that the upstream was leaving before this node was
-  /// restarted; the acknowledgement given then still binds.
-  void onOwnPast(const mesh::Upstream &Past) {
-    const bool IsKnown = Context.Registered.Left.count(Past.Id) != 0;
-    const bool IsChanged =
-        mesh::restoreLeave(Context.Registered, Past, Context.now());
-    if (!IsKnown)
-      Context.Log.write(LogClass::State, Context.now(), "upstream-had-left",
-                        {{"upstream", Past.Id.str()},
-                         {"registered", IsChanged ? "yes" : "no"}});
-    if (IsChanged)
-      onRegistration();
-  }
-
-  void onCheckIn(const mesh::CheckIn &Item) {
-    const mesh::Upstream Before = Context.Registered.Current;
-    // A different service at this address means that the settings belong to
-    // another instance.
-    const bool IsOurs = Item.From.Service == Context.Settings.Service;
-    if (!IsOurs ||
-        !mesh::applyCheckIn(Context.Registered, Item, Context.now())) {
-      Context.Log.write(LogClass::State, Context.now(), "check-in-ignored",
-                        {{"upstream", Item.From.Id.str()},
-                         {"service", Item.From.Service.str()},
-                         {"sequence", std::to_string(Item.Number.value())}});
-      return;
-    }
-    const mesh::Upstream &Current = Context.Registered.Current;
-    if (Before.Id == Current.Id &&
-        Before.StartedAtUnixMs == Current.StartedAtUnixMs &&
-        Before.State == Current.State && Before.Capacity == Current.Capacity)
-      return;
-    Context.Log.write(
-        LogClass::State, Context.now(), "upstream-registered",
-        {{"upstream", Current.Id.str()},
-         {"service", Current.Service.str()},
-         {"version", Current.Version.str()},
-         {"state", std::to_string(static_cast<int>(Current.State))},
-         {"capacity", std::to_string(Current.Capacity)},
-         {"address", settings::toString(Context.Registered.Address)},
-         {"sequence", std::to_string(Item.Number.value())}});
-    onRegistration();
-  }
-
   void onRegistration() {
+    UpstreamCheckIns->departures().update();
     Hop->onRegistrationChanged();
     NodeGossip->sendToAll();
   }
 
-  void checkSilence() {
-    mesh::Registration &Known = Context.Registered;
-    if (Known.Current.State != mesh::UpstreamState::Ready ||
-        !mesh::isSilent(Known, Context.Settings.CheckInInterval, Context.now()))
-      return;
-    Known.Current.State = mesh::UpstreamState::Unknown;
-    Context.Log.write(LogClass::State, Context.now(), "upstream-silent",
-                      {{"upstream", Known.Current.Id.str()}});
-    onRegistration();
-  }
-
   void housekeep() {
     const SteadyTime Now = Context.now();
-    checkSilence();
+    UpstreamCheckIns->checkSilence();
     updateReadiness();
     if (elapsed(SettingsAt, Now) >= SettingsInterval)
       reload(false);
--- a/src/sidecar/internal/StoreClient.cpp
+++ b/src/sidecar/internal/StoreClient.cpp
@@ -133,17 +133,17 @@
 }
 
 void StoreClient::readPage(StoreTopic Topic, const std::string &After,
-                           std::shared_ptr<StoreRead> Sum,
+                           std::shared_ptr<StoreRead> Sum, bool ReadsAll,
                            std::function<void(StoreRead)> Done) {
   const StoreProtocol &Store = Context_.Platform.Store;
   call(Store.Newest(Topic, After), CallTimeout,
-       [this, &Store, Topic, After, Sum,
+       [this, &Store, Topic, Sum, ReadsAll,
         Done = std::move(Done)](const Answer &Read) {
          const StoreRead Page = Store.ParseNewest(Read.Status, Read.Body);
          Sum->Outcome = Page.Outcome;
          // Records that are added while pages are read lie after this end, so
          // reading on from it misses none.
-         if (After.empty())
+         if (Sum->Items.empty())
            Sum->End = positionOf(Read.Era, Page.End);
          // Pages of two eras do not belong together; they are read again.
          if (Page.Outcome == StoreOutcome::Done && Read.Era != eraOf(Sum->End))
@@ -152,9 +152,9 @@
            Item.At = positionOf(Read.Era, Item.At);
            Sum->Items.push_back(std::move(Item));
          }
-         if (Sum->Outcome == StoreOutcome::Done && Page.HasMore &&
+         if (Sum->Outcome == StoreOutcome::Done && ReadsAll && Page.HasMore &&
              !Page.Items.empty())
-           readPage(Topic, Page.Items.back().Key, Sum, Done);
+           readPage(Topic, Page.Items.back().Key, Sum, ReadsAll, Done);
          else
            Done(std::move(*Sum));
        });
@@ -162,7 +162,12 @@
 
 void StoreClient::readNewest(StoreTopic Topic,
                              std::function<void(StoreRead)> Done) {
-  readPage(Topic, "", std::make_shared<StoreRead>(), std::move(Done));
+  readPage(Topic, "", std::make_shared<StoreRead>(), true, std::move(Done));
+}
+
+void StoreClient::readNewestAfter(StoreTopic Topic, const std::string &After,
+                                  std::function<void(StoreRead)> Done) {
+  readPage(Topic, After, std::make_shared<StoreRead>(), false, std::move(Done));
 }
 
 void StoreClient::append(StoreTopic Topic, const std::string &Key,
--- a/src/sidecar/internal/StoreClient.h
+++ b/src/sidecar/internal/StoreClient.h
@@ -22,6 +22,9 @@
   /// Reads the newest record of every key, and the end of the topic before the
   /// first of them was read.
   void readNewest(StoreTopic Topic, std::function<void(StoreRead)> Done);
+  /// Reads the newest records of the first keys after \p After.
+  void readNewestAfter(StoreTopic Topic, const std::string &After,
+                       std::function<void(StoreRead)> Done);
   void append(StoreTopic Topic, const std::string &Key,
               const std::string &Value, std::optional<Offset> At,
               std::function<void(StoreAppend)> Done);
@@ -36,7 +39,7 @@
   using AnswerCallback = std::function<void(const Answer &)>;
   void call(const StoreCall &Call, Milliseconds Timeout, AnswerCallback Done);
   void readPage(StoreTopic Topic, const std::string &After,
-                std::shared_ptr<StoreRead> Sum,
+                std::shared_ptr<StoreRead> Sum, bool ReadsAll,
                 std::function<void(StoreRead)> Done);
   StoreEra readEra(const Poco::Net::HTTPResponse &Head);
   void updateReachable(bool Reachable, int Status);
--- a/src/sidecar/types/PlatformProtocol.h
+++ b/src/sidecar/types/PlatformProtocol.h
@@ -57,7 +57,9 @@
   /// Progress of rollouts, written by the nodes.
   Status,
   /// Endpoints of the nodes, written by the nodes.
-  Members
+  Members,
+  /// Upstreams that have left, written by the nodes beside them.
+  Departures
 };
 
 struct StoreItem {
@@ -136,6 +138,10 @@
   std::function<std::string(const mesh::ListedNode &)> Member;
   std::function<std::optional<mesh::ListedNode>(const std::string &Value)>
       ParseMember;
+  /// Formats a record of StoreTopic::Departures.
+  std::function<std::string(const mesh::Departure &)> Departure;
+  std::function<std::optional<mesh::Departure>(const std::string &Value)>
+      ParseDeparture;
 };
 
 /// The platform-specific protocols and formats that a node uses.
@@ -150,6 +156,8 @@
   /// Body and content type of the answer to a check-in.
   std::string CheckInAnswer;
   std::string CheckInAnswerType;
+  /// An answer to a check-in that comes later acknowledges nothing.
+  Milliseconds CheckInTimeout{1000};
   StoreProtocol Store;
   OperatorFormat Operator;
 };
--- a/tests/platform/LeavingTest.cpp
+++ b/tests/platform/LeavingTest.cpp
@@ -66,6 +66,23 @@
   return Upstream.receivedRequests().size();
 }
 
+/// Kills all nodes at once and starts them again.
+void restartAll(TestMesh &Mesh) {
+  for (const auto &Item : Mesh.Instances)
+    Item->node().kill();
+  for (const auto &Item : Mesh.Instances)
+    Item->startNode();
+  for (const auto &Item : Mesh.Instances)
+    BOOST_REQUIRE(
+        holdsWithin([&] { return Item->isReady(); }, milliseconds(8000)));
+}
+
+void sendFromAll(TestMesh &Mesh, int Count) {
+  for (int Index = 0; Index < Count; ++Index)
+    for (const auto &Item : Mesh.Instances)
+      Item->get("/read/x");
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Leaving)
@@ -156,6 +173,97 @@
   BOOST_TEST(requestCount(Left.upstream()) == Before);
 }
 
+// Guards against an upstream that left and is in use again after all nodes were
+// killed at once: only the store still knew of it.
+BOOST_AUTO_TEST_CASE(acknowledgedLeavingOutlastsTheLossOfAllNodes) {
+  TestMesh Mesh({{"o1"}, {"o2"}, {"o3"}, {"o4", "store"}});
+  Instance &Gone = Mesh.at(0);
+  Instance &Draining = Mesh.at(1);
+  for (Instance *const Item : {&Gone, &Draining})
+    Item->stopCheckIns();
+  std::this_thread::sleep_for(milliseconds(250));
+  const std::int64_t GoneSequence = Gone.lastSequence();
+  const std::int64_t DrainingSequence = Draining.lastSequence();
+  BOOST_REQUIRE(Gone.leave() == 200);
+  BOOST_REQUIRE(Draining.checkIn("draining") == 200);
+  restartAll(Mesh);
+  const std::size_t AtGone = requestCount(Gone.upstream());
+  const std::size_t AtDraining = requestCount(Draining.upstream());
+  BOOST_TEST(Gone.checkInLate(GoneSequence, Gone.startTimeMs()) == 200);
+  BOOST_TEST(Draining.checkInLate(DrainingSequence, Draining.startTimeMs()) ==
+             200);
+  sendFromAll(Mesh, 60);
+  BOOST_TEST(requestCount(Gone.upstream()) == AtGone);
+  BOOST_TEST(requestCount(Draining.upstream()) == AtDraining);
+  // A new process with the same id is used.
+  BOOST_TEST(Gone.checkInLate(1, Gone.startTimeMs() + 5000) == 200);
+  BOOST_TEST(holdsWithin(
+      [&] {
+        sendFromAll(Mesh, 1);
+        return requestCount(Gone.upstream()) > AtGone;
+      },
+      milliseconds(3000)));
+}
+
+// Guards against a leaving that is acknowledged while it cannot be kept: the
+// store is away, and a loss of all nodes would make it forgotten.
+BOOST_AUTO_TEST_CASE(leavingIsAcknowledgedOnlyOnceItIsRecorded) {
+  TestMesh Mesh({{"k1"}, {"k2"}, {"k3", "store"}});
+  Instance &Left = Mesh.at(0);
+  Left.stopCheckIns();
+  std::this_thread::sleep_for(milliseconds(250));
+  const std::int64_t Sequence = Left.lastSequence();
+  Mesh.Store.setUnavailable(true);
+  BOOST_TEST(Left.leave() == 503);
+  // It gets no more requests all the same.
+  std::this_thread::sleep_for(milliseconds(300));
+  const std::size_t Before = requestCount(Left.upstream());
+  sendFromAll(Mesh, 20);
+  BOOST_TEST(requestCount(Left.upstream()) == Before);
+  Mesh.Store.setUnavailable(false);
+  BOOST_TEST(
+      holdsWithin([&] { return Left.leave() == 200; }, milliseconds(4000)));
+  restartAll(Mesh);
+  BOOST_TEST(Left.checkInLate(Sequence, Left.startTimeMs()) == 200);
+  sendFromAll(Mesh, 60);
+  BOOST_TEST(requestCount(Left.upstream()) == Before);
+}
+
+// Guards against a leaving that is forgotten with the records that a restored
+// store has lost.
+BOOST_AUTO_TEST_CASE(leavingOutlastsARestoredStoreAndTheLossOfAllNodes) {
+  TestMesh Mesh({{"j1"}, {"j2"}, {"j3", "store"}});
+  Instance &Left = Mesh.at(0);
+  Left.stopCheckIns();
+  std::this_thread::sleep_for(milliseconds(250));
+  const std::int64_t Sequence = Left.lastSequence();
+  Mesh.Store.saveCopy();
+  BOOST_REQUIRE(Left.leave() == 200);
+  const std::string Key = "j1/0";
+  BOOST_TEST(!Mesh.Store.newest("keyed.departures", Key).empty());
+  Mesh.Store.restoreCopy();
+  BOOST_TEST(holdsWithin(
+      [&] { return !Mesh.Store.newest("keyed.departures", Key).empty(); },
+      milliseconds(5000)));
+  restartAll(Mesh);
+  const std::size_t Before = requestCount(Left.upstream());
+  BOOST_TEST(Left.checkInLate(Sequence, Left.startTimeMs()) == 200);
+  sendFromAll(Mesh, 60);
+  BOOST_TEST(requestCount(Left.upstream()) == Before);
+}
+
+// Guards against an upstream that is not used any more because its node, which
+// was restarted, cannot ask the store whether it has left.
+BOOST_AUTO_TEST_CASE(upstreamIsUsedAfterARestartWithoutTheStore) {
+  TestMesh Mesh({{"i1"}, {"i2", "store"}, {"i3", "store"}});
+  Mesh.Store.setUnavailable(true);
+  Mesh.at(0).node().kill();
+  Mesh.at(0).startNode();
+  BOOST_TEST(
+      holdsWithin([&] { return Mesh.at(1).get("/read/x").Status == 200; },
+                  milliseconds(5000)));
+}
+
 // Guards against a planned stop under load that cuts off requests which were
 // accepted: callers keep and use their connections until the node has ended.
 BOOST_AUTO_TEST_CASE(stopUnderLoadAnswersWhatReachedAnUpstream) {
--- a/tests/platform/TestMesh.cpp
+++ b/tests/platform/TestMesh.cpp
@@ -100,22 +100,38 @@
   return harness::send(Request).Status == 200;
 }
 
-int Instance::checkIn(const std::string &State) {
+int Instance::tell(const std::string &Method, const std::string &Body) const {
   HttpCall Request;
   Request.Port = CheckInPort_;
-  Request.Method = "PUT";
+  Request.Method = Method;
   Request.Path = "/instances/i-" + Spec_.Name;
-  Request.Headers = {{"Content-Type", "application/json"}};
-  Request.Body =
-      R"({"backend_service":")" + Spec_.Service + R"(","address":")" +
-      endpoint(Upstream_->port()) + R"(","zone":")" + Spec_.Zone +
-      R"(","version":")" + Spec_.Version + R"(","capacity":)" +
-      std::to_string(Spec_.Capacity) + R"(,"state":")" + State +
-      R"(","cold_remaining_s":0,"sequence":)" + std::to_string(++Sequence_) +
-      R"(,"born":)" + std::to_string(StartTimeMs_) + "}";
+  Request.Body = Body;
+  if (!Body.empty())
+    Request.Headers = {{"Content-Type", "application/json"}};
   return harness::send(Request).Status;
 }
 
+std::string Instance::checkInBody(const std::string &State,
+                                  std::int64_t Sequence,
+                                  std::int64_t StartTimeMs) const {
+  return R"({"backend_service":")" + Spec_.Service + R"(","address":")" +
+         endpoint(Upstream_->port()) + R"(","zone":")" + Spec_.Zone +
+         R"(","version":")" + Spec_.Version + R"(","capacity":)" +
+         std::to_string(Spec_.Capacity) + R"(,"state":")" + State +
+         R"(","cold_remaining_s":0,"sequence":)" + std::to_string(Sequence) +
+         R"(,"born":)" + std::to_string(StartTimeMs) + "}";
+}
+
+int Instance::checkIn(const std::string &State) {
+  return tell("PUT", checkInBody(State, ++Sequence_, StartTimeMs_));
+}
+
+int Instance::checkInLate(std::int64_t Sequence, std::int64_t StartTimeMs) {
+  return tell("PUT", checkInBody("ready", Sequence, StartTimeMs));
+}
+
+int Instance::leave() { return tell("DELETE", ""); }
+
 void Instance::runCheckIns() {
   while (!Stopping_) {
     if (CheckInsEnabled_)
--- a/tests/platform/TestMesh.h
+++ b/tests/platform/TestMesh.h
@@ -50,12 +50,22 @@
   bool isReady();
   /// Sends a check-in with \p State; returns the status of the response.
   int checkIn(const std::string &State);
+  /// Sends a check-in again that may be late: with the sequence and the start
+  /// time that it had when it was written.
+  int checkInLate(std::int64_t Sequence, std::int64_t StartTimeMs);
+  /// Says that the upstream leaves, as one does that never reports "draining".
+  int leave();
+  std::int64_t lastSequence() const { return Sequence_; }
+  std::int64_t startTimeMs() const { return StartTimeMs_; }
   /// Sets the state that later check-ins report.
   void setState(const std::string &State) { State_ = State; }
   void stopCheckIns() { CheckInsEnabled_ = false; }
 
 private:
   harness::HttpCall call(const std::string &Path, const std::string &Id) const;
+  int tell(const std::string &Method, const std::string &Body) const;
+  std::string checkInBody(const std::string &State, std::int64_t Sequence,
+                          std::int64_t StartTimeMs) const;
   void runCheckIns();
 
   InstanceSpec Spec_;
--- a/tests/robustness/MeshInputTest.cpp
+++ b/tests/robustness/MeshInputTest.cpp
@@ -205,6 +205,16 @@
       [&](const std::string &Text) {
         return Protocol.Operator.ParseMember(Text).has_value();
       });
+  readMalformed(
+      "departure",
+      Protocol.Operator.Departure({mesh::UpstreamId("i-1"), 1'790'000, true}),
+      10, [&](const std::string &Text) {
+        const auto Left = Protocol.Operator.ParseDeparture(Text);
+        mesh::Registration Known;
+        if (Left)
+          mesh::restoreDeparture(Known, *Left, SteadyTime(1));
+        return Left.has_value();
+      });
 }
 
 // Guards against a chunked body that is decoded beyond its end, or whose
