Derive the phases of a stop from the grace time

Cause: the time until new requests are refused (2.6 s) and the margin at the end (0.7 s) were constants; below grace_s 3.3 the end came first, up to 4.2 it came before upstreams had to be done.

Change: mesh::planStop derives the phases from the grace time, each with a timer. While a node stops, what is expected to outlast it is refused at once, and what still waits for a slot at the end is refused instead of cut. Requests of other nodes are refused from the same time on as those of callers.

--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -18,6 +18,7 @@
 #include "mesh/types/RetryBudget.h"
 #include "mesh/types/Rollout.h"
 #include "mesh/types/ServiceTime.h"
+#include "mesh/types/StopPlan.h"
 #include "mesh/types/UploadBacklog.h"
 
 #include <optional>
@@ -299,6 +300,14 @@
 /// Whether the upstream has missed several check-ins.
 bool isSilent(const Registration &Known, Milliseconds Interval, SteadyTime Now);
 
+/// Returns the phases of a stop that ends within the grace time.
+StopPlan planStop(const MeshBounds &Bounds);
+
+/// Whether a request that is sent now, \p SinceStop after the stop was
+/// requested, is expected to be answered before the node ends.
+bool canFinish(const StopPlan &Plan, Milliseconds SinceStop, Milliseconds Wait,
+               Milliseconds ServiceTime);
+
 /// Returns this node's part of the retries that \p Nodes nodes may make.
 RetryLimits retryLimits(const MeshBounds &Bounds, std::size_t Nodes);
 
--- a/src/sidecar/internal/HopServer.cpp
+++ b/src/sidecar/internal/HopServer.cpp
@@ -31,6 +31,11 @@
   // The entry has given the request up; its connection ends next.
   if (Request->hasPeerClosed())
     return;
+  if (Context_.Stopping && !Context_.Serving) {
+    // It could not be finished before the node ends.
+    answerOutcome(Request, notRun(RefusalReason::Draining));
+    return;
+  }
   const auto Info = decodeInfo(Head.get(HopInfoName), Context_.arrival());
   if (!Info) {
     Context_.Log.write(LogClass::Failure, Context_.now(), "hop-unreadable",
--- a/src/sidecar/internal/NodeContext.h
+++ b/src/sidecar/internal/NodeContext.h
@@ -45,6 +45,8 @@
   /// Requests are served; in contrast to Ready, also while the node stops.
   bool Serving = false;
   bool Stopping = false;
+  /// When the stop was requested.
+  SteadyTime StopAt;
 
   std::shared_ptr<metrics::RequestRecorder> Metrics;
   EventLog Log;
--- a/src/sidecar/internal/OutboundProxy.cpp
+++ b/src/sidecar/internal/OutboundProxy.cpp
@@ -325,6 +325,15 @@
       return std::nullopt;
     }
   }
+  const bool EndsFirst =
+      Context_.Stopping &&
+      !mesh::canFinish(mesh::planStop(Context_.Bounds),
+                       elapsed(Context_.StopAt, Context_.now()), Chosen->Wait,
+                       Best.ServiceTime);
+  if (EndsFirst) {
+    endUnanswered(Item, RefusalReason::Draining, Milliseconds(0));
+    return std::nullopt;
+  }
   // Requests without a chance are refused before they cross the mesh.
   const mesh::EntryRequest AtEntry{Wanted.IsServedLast,
                                    Item->TimeSinceFirstAttempt, Info.Objective,
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -18,11 +18,6 @@
 
 using Poco::Net::HTTPResponse;
 
-/// Callers stop sending after two missed readiness probes, sent once per
-/// second; until then a stopping node keeps serving.
-constexpr Milliseconds CallerDrainTime{2600};
-/// Reserved at the end of the grace time for shutting down.
-constexpr Milliseconds ExitMargin{700};
 constexpr Milliseconds HousekeepingInterval{200};
 /// How often the settings file is checked for changes that come without a
 /// signal.
@@ -100,7 +95,6 @@
   std::unique_ptr<HttpServer> MetricsServer;
 
   SteadyTime LastRound;
-  SteadyTime StopAt;
   SteadyTime SettingsAt;
   SteadyTime DroppedAt;
   /// The record that adds this node to the list is being written.
@@ -377,7 +371,7 @@
       Context.Log.reportDropped(Now);
     }
     if (Context.Stopping)
-      tryExit();
+      continueStop();
     Loop.runAfter(HousekeepingInterval, [this] { housekeep(); });
   }
 
@@ -415,26 +409,33 @@
     if (Context.Stopping)
       return;
     Context.Stopping = true;
-    StopAt = Context.now();
+    Context.StopAt = Context.now();
     updateReadiness();
     OutboundServer->announceClose();
     InboundServer->announceClose();
     NodeGossip->sendToAll();
+    const mesh::StopPlan Plan = mesh::planStop(Context.Bounds);
+    for (const Milliseconds Phase :
+         {Plan.AcceptUntil, Plan.SendUntil, Plan.EndAt})
+      Loop.runAfter(Phase, [this] { continueStop(); });
     Context.Log.write(
         LogClass::State, Context.now(), "stopping",
         {{"requests", std::to_string(Outbound->inProgress())},
          {"grace_ms", std::to_string(Context.Bounds.GraceTime.count())}});
   }
 
-  void tryExit() {
-    const Milliseconds Since = elapsed(StopAt, Context.now());
+  void continueStop() {
+    const mesh::StopPlan Plan = mesh::planStop(Context.Bounds);
+    const Milliseconds Since = elapsed(Context.StopAt, Context.now());
     // Callers without another node keep sending. A request accepted now could
     // not be finished, so it is refused as not run.
-    if (Since >= CallerDrainTime)
+    if (Since >= Plan.AcceptUntil)
       Context.Serving = false;
-    const bool Quiet = Since >= CallerDrainTime && OutboundServer->isQuiet() &&
+    if (Since >= Plan.SendUntil)
+      Hop->refuseUnsent();
+    const bool Quiet = Since >= Plan.AcceptUntil && OutboundServer->isQuiet() &&
                        InboundServer->isQuiet() && Hop->inProgress() == 0;
-    if (!Quiet && Since < Context.Bounds.GraceTime - ExitMargin)
+    if (!Quiet && Since < Plan.EndAt)
       return;
     OutboundServer->closeIdle();
     InboundServer->closeIdle();
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -2,6 +2,7 @@
 #include "sidecar/internal/UpstreamRequest.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lycheethread::sidecar {
 
@@ -71,8 +72,7 @@
 
 std::optional<RefusalReason> UpstreamHop::checkUpstream() const {
   const mesh::Upstream &Current = Context_.Registered.Current;
-  if (Current.State == UpstreamState::Draining ||
-      Current.State == UpstreamState::Gone)
+  if (mesh::isLeaving(Current))
     return RefusalReason::Draining;
   if (Current.State != UpstreamState::Ready || Context_.now() < DownUntil_)
     return RefusalReason::NoUpstream;
@@ -471,12 +471,10 @@
     return;
   while (const auto Next = mesh::startNext(Queue_, Context_.now())) {
     const auto Found = Jobs_.find(Next->value());
-    if (Found == Jobs_.end()) {
+    if (Found != Jobs_.end())
+      grant(RunningPtr(Found->second));
+    else
       --Queue_.Running;
-      continue;
-    }
-    const RunningPtr Job = Found->second;
-    grant(Job);
   }
 }
 
@@ -486,28 +484,30 @@
     refuseWaiting(*Reason);
   for (const mesh::JobId Id : mesh::removeOverdue(Queue_, Context_.now())) {
     const auto Found = Jobs_.find(Id.value());
-    if (Found == Jobs_.end())
-      continue;
-    const RunningPtr Job = Found->second;
-    finish(Job,
-           notRun(RefusalReason::QueueFull, mesh::meanServiceTime(Service_)));
+    if (Found != Jobs_.end())
+      finish(RunningPtr(Found->second),
+             notRun(RefusalReason::QueueFull, mesh::meanServiceTime(Service_)));
   }
   runWaiting();
   scheduleExpiry();
 }
 
 void UpstreamHop::refuseWaiting(RefusalReason Reason) {
-  const std::vector<mesh::QueuedJob> Waiting = std::move(Queue_.Waiting);
-  Queue_.Waiting.clear();
-  for (const mesh::QueuedJob &Queued : Waiting) {
+  for (const mesh::QueuedJob &Queued : std::exchange(Queue_.Waiting, {})) {
     const auto Found = Jobs_.find(Queued.Id.value());
-    if (Found == Jobs_.end())
-      continue;
-    const RunningPtr Job = Found->second;
-    finish(Job, notRun(Reason));
+    if (Found != Jobs_.end())
+      finish(RunningPtr(Found->second), notRun(Reason));
   }
 }
 
+void UpstreamHop::refuseUnsent() {
+  Queue_.Waiting.clear();
+  const auto Copy = Jobs_;
+  for (const auto &[Id, Job] : Copy)
+    if (!Job->Sent && !Job->Ended)
+      finish(Job, notRun(RefusalReason::Draining));
+}
+
 void UpstreamHop::cancel(mesh::JobId Id) {
   const auto Found = Jobs_.find(Id.value());
   if (Found == Jobs_.end())
--- a/src/sidecar/internal/UpstreamHop.h
+++ b/src/sidecar/internal/UpstreamHop.h
@@ -37,6 +37,9 @@
   /// been sent runs to its end, and its answer is dropped. No callback follows.
   void cancel(mesh::JobId Id);
 
+  /// Refuses the requests that have not been sent to the upstream.
+  void refuseUnsent();
+
   /// To be called after Registered has changed.
   void onRegistrationChanged();
 
--- a/tests/platform/LeavingTest.cpp
+++ b/tests/platform/LeavingTest.cpp
@@ -300,6 +300,57 @@
       BOOST_TEST(Unanswered.count(Received.Headers.at("x-attempt-id")) == 0U);
 }
 
+// Guards against a stop that cuts off accepted requests where the grace time is
+// short: the node took new ones until it ended, and ended too early.
+BOOST_AUTO_TEST_CASE(stopWithAShortGraceTimeAnswersWhatWasAccepted) {
+  constexpr milliseconds Work{100};
+  for (const int GraceSeconds : {1, 2, 3}) {
+    BOOST_TEST_CONTEXT("grace_s " << GraceSeconds) {
+      const std::string Prefix = "g" + std::to_string(GraceSeconds);
+      TestMesh Mesh({{Prefix + "a"}, {Prefix + "b"}});
+      for (const std::size_t Index : {0U, 1U})
+        Mesh.at(Index).upstream().setBehaviour([&](const ReceivedRequest &Got) {
+          RawResponse Response = completeResponse(Got);
+          Response.Delay = Work;
+          return Response;
+        });
+      Mesh.at(0).writeSettings("grace_s=" + std::to_string(GraceSeconds));
+      // The node reads changed settings again within a second.
+      std::this_thread::sleep_for(milliseconds(1400));
+      std::atomic<bool> HasEnded{false};
+      std::vector<std::future<CallerRecord>> Callers;
+      for (int Caller = 0; Caller < 8; ++Caller)
+        Callers.push_back(std::async(std::launch::async, [&, Caller] {
+          return keepSending(Mesh.at(0).outboundPort(),
+                             Prefix + std::to_string(Caller) + "-", HasEnded);
+        }));
+      std::this_thread::sleep_for(milliseconds(400));
+      const auto StoppedAt = std::chrono::steady_clock::now();
+      Mesh.at(0).node().terminate();
+      const milliseconds Grace(GraceSeconds * 1000);
+      BOOST_TEST((Mesh.at(0).node().waitFor(Grace) == std::optional<int>(0)));
+      HasEnded = true;
+      std::set<std::string> Unanswered;
+      for (auto &Caller : Callers) {
+        const CallerRecord Record = Caller.get();
+        Unanswered.insert(Record.Unanswered.begin(), Record.Unanswered.end());
+      }
+      int Cut = 0;
+      for (const std::size_t Index : {0U, 1U})
+        for (const ReceivedRequest &Got :
+             Mesh.at(Index).upstream().receivedRequests()) {
+          const bool IsDoneInTime =
+              Got.ReceivedAt + Work < StoppedAt + Grace * 5 / 6;
+          Cut += IsDoneInTime &&
+                         Unanswered.count(Got.Headers.at("x-attempt-id")) != 0
+                     ? 1
+                     : 0;
+        }
+      BOOST_TEST(Cut == 0);
+    }
+  }
+}
+
 // Guards against a killed node whose upstream receives no requests after the
 // node has restarted.
 BOOST_AUTO_TEST_CASE(restartedNodeServesRequests) {
--- a/tests/platform/UpstreamStandIn.cpp
+++ b/tests/platform/UpstreamStandIn.cpp
@@ -56,6 +56,7 @@
     if (!ReceiveMore())
       return false;
   Request.Body = Buffer.substr(0, Size);
+  Request.ReceivedAt = std::chrono::steady_clock::now();
   Buffer.erase(0, Size);
   return true;
 }
--- a/tests/platform/UpstreamStandIn.h
+++ b/tests/platform/UpstreamStandIn.h
@@ -18,6 +18,7 @@
   /// The header lines as they came.
   std::vector<std::string> HeaderLines;
   std::string Body;
+  std::chrono::steady_clock::time_point ReceivedAt;
 
   /// Returns the lines with this name, which is in lower case.
   std::vector<std::string> linesOf(const std::string &Name) const;
