Divide the drain timeout so that callers are not cut

Change: planDrain divides the limit; where the last hop does not become idle in its part, the port closes all the same and callers have the rest to finish. A second signal ends the node at once, as before.

--- a/src/app/internal/NodeCommand.cpp
+++ b/src/app/internal/NodeCommand.cpp
@@ -1,5 +1,6 @@
 #include "admin/Admin.h"
 #include "app/internal/Commands.h"
+#include "app/internal/DrainPlan.h"
 #include "app/internal/Logging.h"
 #include "kernel/Kernel.h"
 #include "metrics/Metrics.h"
@@ -31,13 +32,6 @@
 /// Interval between checks of the number of requests in progress while
 /// draining.
 constexpr Milliseconds DrainPollInterval{50};
-/// Before the port for callers closes, requests that were in transit when the
-/// drain began must have arrived, and the other nodes must have learnt of the
-/// drain.
-constexpr Milliseconds DrainIdleTime{3000};
-/// Leaves a caller that connected just before the port closed enough time to
-/// send its request.
-constexpr Milliseconds ListenIdleTime{1000};
 
 sigset_t terminationSignals() {
   sigset_t Signals;
@@ -86,42 +80,47 @@
   Node.add(admin::makeAdminModule());
 }
 
-/// Waits until no request has been in progress for \p IdleTime and subtracts
-/// the time that it waited from \p Remaining. Returns false when \p Remaining
-/// is used up, or after a second termination signal, which requests an
-/// immediate stop.
-bool waitUntilIdle(const std::function<std::int64_t()> &InProgress,
-                   Milliseconds IdleTime, Milliseconds &Remaining) {
+enum class DrainWait { Idle, TimedOut, StopRequested };
+
+/// Waits until no request has been in progress for \p IdleTime, for at most
+/// \p Limit, which is reduced by the time that it waited. A second termination
+/// signal requests an immediate stop.
+DrainWait waitUntilIdle(const std::function<std::int64_t()> &InProgress,
+                        Milliseconds IdleTime, Milliseconds &Limit) {
   Milliseconds IdleFor{0};
   while (IdleFor < IdleTime) {
     if (terminationSignalWithin(DrainPollInterval)) {
       BOOST_LOG_TRIVIAL(warning)
           << "node: second termination signal, stopping with " << InProgress()
           << " requests in progress";
-      return false;
+      return DrainWait::StopRequested;
     }
-    Remaining -= DrainPollInterval;
-    if (Remaining <= Milliseconds(0))
-      return false;
+    Limit -= DrainPollInterval;
+    if (Limit <= Milliseconds(0))
+      return DrainWait::TimedOut;
     IdleFor = InProgress() == 0 ? IdleFor + DrainPollInterval : Milliseconds(0);
   }
-  return true;
+  return DrainWait::Idle;
 }
 
-/// Drains the node in at most \p Remaining. The port for callers closes once
-/// the last hop has had no requests in progress for DrainIdleTime; otherwise
-/// callers that stay connected could prevent the node from ever becoming idle.
-void drain(kernel::ServiceRegistry &Registry, Milliseconds Remaining) {
+/// Drains the node in at most \p Timeout. The port for callers closes once the
+/// last hop has been idle; otherwise callers that stay connected could prevent
+/// the node from ever becoming idle.
+void drain(kernel::ServiceRegistry &Registry, Milliseconds Timeout) {
   const auto Drain =
       Registry.find<proxy::DrainControl>(kernel::service_names::Drain);
   const auto Peers =
       Registry.find<peer::PeerControl>(kernel::service_names::Peers);
+  const DrainPlan Plan = planDrain(Timeout);
   Drain->Begin();
   Peers->Announce(MemberState::Draining);
-  if (!waitUntilIdle(Drain->LastHopInProgress, DrainIdleTime, Remaining))
+  Milliseconds LastHopLimit = Plan.LastHopLimit;
+  if (waitUntilIdle(Drain->LastHopInProgress, Plan.LastHopIdle, LastHopLimit) ==
+      DrainWait::StopRequested)
     return;
   Drain->StopListening();
-  waitUntilIdle(Drain->InProgress, ListenIdleTime, Remaining);
+  Milliseconds Remaining = Timeout - (Plan.LastHopLimit - LastHopLimit);
+  waitUntilIdle(Drain->InProgress, Plan.ListenIdle, Remaining);
 }
 
 std::string readFile(const std::string &Path) {
--- a/src/proxy/types/DrainControl.h
+++ b/src/proxy/types/DrainControl.h
@@ -19,8 +19,8 @@
   std::function<std::int64_t()> LastHopInProgress;
   /// Refuses new connections of callers from now on; open connections close
   /// after their next response. The calls of the local upstream arrive here
-  /// too, so this must only be called when the last hop has no request in
-  /// progress.
+  /// too, so this should only be called when the last hop has no request in
+  /// progress, or when the time for the drain runs out.
   std::function<void()> StopListening;
 };
 
--- a/tests/failures/requests/ShutdownTest.cpp
+++ b/tests/failures/requests/ShutdownTest.cpp
@@ -216,6 +216,38 @@
   BOOST_TEST(Lookups.Complete > 100);
 }
 
+// Guards against a drain that ends before it has closed the port for callers,
+// so that requests of connected callers are cut: its times were constants that
+// a short limit does not leave room for.
+BOOST_AUTO_TEST_CASE(AShortDrainTimeoutCutsNoRequest) {
+  TestCluster Cluster("leave-soon");
+  addSixNodes(Cluster);
+  std::string ShutDown;
+  Tally Lookups;
+  for (const int Seconds : {1, 2, 3}) {
+    NodeProcess &Leaving =
+        Cluster.addWithoutUpstream("soon-" + std::to_string(Seconds), "west",
+                                   "west-a", std::chrono::seconds(Seconds));
+    Cluster.waitUntilReady();
+    std::vector<KeptConnection> Connections;
+    for (int Caller = 0; Caller < 6; ++Caller)
+      Connections.emplace_back(Leaving.RequestPort,
+                               Cluster.Nodes[3]->RequestPort);
+    WorkerThreads Load(6, [&](int Caller, int) {
+      Connections[static_cast<std::size_t>(Caller)].sendLookup(Caller, Lookups);
+    });
+    pause(500);
+    ShutDown += shutDownNode(Cluster, Leaving);
+    pause(300);
+    Load.stop();
+    Cluster.Nodes.pop_back();
+  }
+  report("4 shutdown", "an entry node leaves within 1, 2 and 3 s",
+         ShutDown + "lookups " + Lookups.text());
+  BOOST_TEST(Lookups.Failed == 0);
+  BOOST_TEST(Lookups.Complete > 100);
+}
+
 // Guards against requests that are cut because their entry node shuts down
 // while callers are connected, and against a node that never exits because of
 // connected callers.
--- a/tests/failures/requests/TestCluster.cpp
+++ b/tests/failures/requests/TestCluster.cpp
@@ -146,10 +146,11 @@
   return start(Spec);
 }
 
-NodeProcess &TestCluster::addWithoutUpstream(const std::string &Id,
-                                             const std::string &Region,
-                                             const std::string &Zone) {
+NodeProcess &TestCluster::addWithoutUpstream(
+    const std::string &Id, const std::string &Region, const std::string &Zone,
+    std::chrono::seconds DrainTimeout) {
   NodeSpec Spec;
+  Spec.DrainTimeout = DrainTimeout;
   Spec.Id = Id;
   Spec.Region = Region;
   Spec.Zone = Zone;
--- a/tests/failures/requests/TestCluster.h
+++ b/tests/failures/requests/TestCluster.h
@@ -50,10 +50,12 @@
   addForService(const std::string &Service, const std::string &Id,
                 const std::vector<std::string> &UpstreamArgs,
                 bool WithFaultProxy = false);
-  /// Starts a node without an upstream.
-  harness::NodeProcess &addWithoutUpstream(const std::string &Id,
-                                           const std::string &Region,
-                                           const std::string &Zone);
+  /// Starts a node without an upstream. Without \p DrainTimeout it has the
+  /// default of the node.
+  harness::NodeProcess &
+  addWithoutUpstream(const std::string &Id, const std::string &Region,
+                     const std::string &Zone,
+                     std::chrono::seconds DrainTimeout = {});
   /// Starts two nodes in each of two regions (west-1, west-2, east-1, east-2)
   /// and waits until they are ready. With \p WithFaultProxy the upstream of the
   /// first node of each region is behind a fault proxy.
--- a/tests/harness/Mesh.cpp
+++ b/tests/harness/Mesh.cpp
@@ -73,6 +73,9 @@
   Out << "\n[log]\nurl = " << Spec.LogUrl << "\n";
   if (!Seeds.empty())
     Out << "\n[peers]\nseeds = " << Seeds << "\n";
+  if (Spec.DrainTimeout.count() > 0)
+    Out << "\n[limits]\ndrain_timeout_s = " << Spec.DrainTimeout.count()
+        << "\n";
   Out << "\n[log_output]\nlevel = debug\n";
   return Out.str();
 }
--- a/tests/harness/Mesh.h
+++ b/tests/harness/Mesh.h
@@ -33,6 +33,8 @@
   std::string ControlAddress = "127.0.0.1";
   /// Whether other nodes reach the control endpoint through a fault proxy.
   bool ForwardControl = false;
+  /// Limit for a drain; the default of the node without one.
+  std::chrono::seconds DrainTimeout{0};
 };
 
 /// A process that listens on one port.
