--- a/src/http/tests/HeadTest.cpp
+++ b/src/http/tests/HeadTest.cpp
@@ -3,7 +3,6 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace lycheethread::http;
-using Poco::Net::HTTPMessage;
 using Poco::Net::HTTPRequest;
 using Poco::Net::HTTPResponse;
 
