--- a/src/http/internal/Head.cpp
+++ b/src/http/internal/Head.cpp
@@ -100,14 +100,6 @@
   return Version == HTTPMessage::HTTP_1_1 || Version == HTTPMessage::HTTP_1_0;
 }
 
-std::size_t countOf(const HTTPMessage &Message, const std::string &Name) {
-  std::size_t Count = 0;
-  for (auto It = Message.find(Name);
-       It != Message.end() && Poco::icompare(It->first, Name) == 0; ++It)
-    ++Count;
-  return Count;
-}
-
 std::int64_t parseLength(const std::string &Text) {
   if (Text.empty() || Text.size() > MaxLengthDigits ||
       !std::all_of(Text.begin(), Text.end(), isDigit))
@@ -143,6 +135,15 @@
   return false;
 }
 
+/// Returns the lines of a field as the list that they form.
+std::string listOf(const HTTPMessage &Message, const std::string &Name) {
+  std::string List;
+  for (auto It = Message.find(Name);
+       It != Message.end() && Poco::icompare(It->first, Name) == 0; ++It)
+    List.append(List.empty() ? "" : ",").append(It->second);
+  return List;
+}
+
 /// Replaces POCO's writer, whose stream costs more than the rest of building a
 /// head.
 void appendFields(const HTTPMessage &From, std::string &To) {
@@ -208,8 +209,32 @@
   return explicitFraming(Response, {FramingKind::UntilClose, 0});
 }
 
+// Lines of one name stand together in a message, also those that differ in
+// case.
+std::size_t countOf(const HTTPMessage &Message, const std::string &Name) {
+  std::size_t Count = 0;
+  for (auto It = Message.find(Name);
+       It != Message.end() && Poco::icompare(It->first, Name) == 0; ++It)
+    ++Count;
+  return Count;
+}
+
+void setField(HTTPMessage &Message, const std::string &Name,
+              const std::string &Value) {
+  Message.erase(Name);
+  Message.add(Name, Value);
+}
+
+bool keepsConnection(const HTTPMessage &Message) {
+  const std::string Options = listOf(Message, HTTPMessage::CONNECTION);
+  if (isListed(Options, HTTPMessage::CONNECTION_CLOSE))
+    return false;
+  return Message.getVersion() == HTTPMessage::HTTP_1_1 ||
+         isListed(Options, HTTPMessage::CONNECTION_KEEP_ALIVE);
+}
+
 void copyEndToEndHeaders(const HTTPMessage &From, HTTPMessage &To) {
-  const std::string Listed = From.get(HTTPMessage::CONNECTION, "");
+  const std::string Listed = listOf(From, HTTPMessage::CONNECTION);
   for (const auto &[Name, Value] : From) {
     const auto IsName = [&Name = Name](const char *Other) {
       return Poco::icompare(Name, Other) == 0;
--- a/src/http/tests/HeadTest.cpp
+++ b/src/http/tests/HeadTest.cpp
@@ -103,6 +103,43 @@
   BOOST_TEST(Read.get("host") == "h");
 }
 
+// Guards against a field that a proxy sets and that stands twice, since only
+// the first of several lines was replaced.
+BOOST_AUTO_TEST_CASE(settingAFieldReplacesAllItsLines) {
+  HTTPRequest Head;
+  parseRequest("GET /x HTTP/1.1\r\nHost: h\r\nX-Caller: a\r\nX-Other: o\r\n"
+               "x-caller: b\r\nX-CALLER: c\r\n\r\n",
+               Head);
+  setField(Head, "X-Caller", "desk");
+  BOOST_TEST(serialize(Head) ==
+             "GET /x HTTP/1.1\r\nHost: h\r\nX-Other: o\r\nX-Caller: desk"
+             "\r\n\r\n");
+}
+
+// Guards against options of the second of two Connection lines that are not
+// obeyed: lines of one name are one list.
+BOOST_AUTO_TEST_CASE(allConnectionLinesAreObeyed) {
+  const std::string Start = "GET /x HTTP/1.1\r\nHost: h\r\n";
+  BOOST_TEST(forwardedRequest(Start + "Connection: x-a\r\nX-A: 1\r\n"
+                                      "Connection: x-b , X-C\r\nX-B: 2\r\n"
+                                      "X-C: 3\r\nX-D: 4\r\n\r\n") ==
+             Start + "X-D: 4\r\n\r\n");
+  const auto Keeps = [](const std::string &Version, const std::string &Fields) {
+    HTTPRequest Head;
+    parseRequest("GET /x " + Version + "\r\n" + Fields + "\r\n", Head);
+    return keepsConnection(Head);
+  };
+  BOOST_TEST(Keeps("HTTP/1.1", ""));
+  BOOST_TEST(Keeps("HTTP/1.1", "Connection: Keep-Alive\r\n"));
+  BOOST_TEST(!Keeps("HTTP/1.1", "Connection: Close\r\n"));
+  BOOST_TEST(!Keeps("HTTP/1.1", "Connection: x-a, close\r\n"));
+  BOOST_TEST(!Keeps("HTTP/1.1", "Connection: x-a\r\nConnection: close\r\n"));
+  BOOST_TEST(!Keeps("HTTP/1.0", ""));
+  BOOST_TEST(!Keeps("HTTP/1.0", "Connection: x-a\r\n"));
+  BOOST_TEST(Keeps("HTTP/1.0", "Connection: keep-alive\r\n"));
+  BOOST_TEST(!Keeps("HTTP/1.0", "Connection: keep-alive, close\r\n"));
+}
+
 // Guards against request lines that two parsers interpret differently.
 BOOST_AUTO_TEST_CASE(ambiguousRequestLinesAreRejected) {
   const std::string Rest = "\r\nHost: h\r\n\r\n";
--- a/src/http/types/Head.h
+++ b/src/http/types/Head.h
@@ -47,6 +47,19 @@
 Framing bodyFraming(const Poco::Net::HTTPResponse &Response,
                     const std::string &RequestMethod);
 
+/// Sets the field in place of all its lines. NameValueCollection::set()
+/// replaces only the first of several.
+void setField(Poco::Net::HTTPMessage &Message, const std::string &Name,
+              const std::string &Value);
+
+/// Whether the sender keeps the connection open after the message. Obeys all
+/// Connection lines, unlike HTTPMessage::getKeepAlive().
+bool keepsConnection(const Poco::Net::HTTPMessage &Message);
+
+/// Returns the number of lines of a field.
+std::size_t countOf(const Poco::Net::HTTPMessage &Message,
+                    const std::string &Name);
+
 /// Copies all header fields except hop-by-hop fields, Expect and
 /// Content-Length.
 void copyEndToEndHeaders(const Poco::Net::HTTPMessage &From,
--- a/src/proxy/internal/CallContext.cpp
+++ b/src/proxy/internal/CallContext.cpp
@@ -60,6 +60,9 @@
   Call.Deadline = after(ReceivedAt, MaxDuration);
   Call.Id = RequestId(readId(Request, headers::RequestIdName));
   Call.Caller = CallerId(readId(Request, headers::CallerName));
+  // The upstream may go by another line than this node.
+  if (http::countOf(Request, headers::KeyName) > 1)
+    throw BadMessage(headers::KeyName + " stands more than once");
   Call.Key = IdempotencyKey(readId(Request, headers::KeyName));
   const std::int64_t Depth = readNumber(Request, headers::DepthName, 0);
   Call.Depth = static_cast<std::int32_t>(std::min<std::int64_t>(Depth, 1000));
--- a/src/proxy/internal/Entry.cpp
+++ b/src/proxy/internal/Entry.cpp
@@ -87,7 +87,7 @@
   return {To,
           Request.getMethod(),
           Request.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0,
-          Request.getKeepAlive(),
+          http::keepsConnection(Request),
           Node,
           false};
 }
--- a/src/proxy/internal/Exchange.cpp
+++ b/src/proxy/internal/Exchange.cpp
@@ -118,7 +118,7 @@
 
 void Exchange::finish() {
   if (!SentAll_ || !Body_ || !Body_->isComplete() ||
-      !Response_.getKeepAlive() ||
+      !http::keepsConnection(Response_) ||
       Body_->framing().Kind == FramingKind::UntilClose)
     return;
   Pool_.release(Target_, std::move(Connection_));
--- a/src/proxy/internal/Reply.cpp
+++ b/src/proxy/internal/Reply.cpp
@@ -29,9 +29,9 @@
 
 void prependToPath(HTTPResponse &Head, const NodeId &Node) {
   const std::string DownstreamPath = Head.get(headers::PathName, EmptyText);
-  Head.set(headers::PathName, DownstreamPath.empty()
-                                  ? Node.str()
-                                  : Node.str() + ", " + DownstreamPath);
+  http::setField(Head, headers::PathName,
+                 DownstreamPath.empty() ? Node.str()
+                                        : Node.str() + ", " + DownstreamPath);
 }
 
 void writeAll(Reply &To, const std::string &Data) {
--- a/src/proxy/tests/BadInputTest.cpp
+++ b/src/proxy/tests/BadInputTest.cpp
@@ -156,6 +156,24 @@
              std::string::npos);
 }
 
+// Guards against a request with two keys: the node goes by the first one, and
+// its upstream may go by the other.
+BOOST_AUTO_TEST_CASE(RequestWithTwoKeysIsRefused) {
+  UpstreamProcess Upstream;
+  TestCluster Cluster;
+  TestNode &Node = Cluster.add("last", "shop", Upstream.endpoint());
+  Cluster.publish();
+  Poco::Net::StreamSocket Socket =
+      TestClient(Node.Settings->Listen.Port).connect();
+  const std::string Text =
+      "POST /work/order HTTP/1.1\r\nHost: shop\r\nIdempotency-Key: one\r\n"
+      "idempotency-key: two\r\nContent-Length: 1\r\nConnection: close\r\n\r\nx";
+  Socket.sendBytes(Text.data(), static_cast<int>(Text.size()));
+  const std::string Answer = TestClient::readAll(Socket);
+  BOOST_TEST(Answer.find("lt-reason: bad-request") != std::string::npos);
+  BOOST_TEST(Upstream.get("/control/executions").empty());
+}
+
 // Guards against a client that blocks a thread by sending a head byte by byte.
 BOOST_AUTO_TEST_CASE(SlowHeadIsTimedOut) {
   TestCluster Cluster;
--- a/src/sidecar/internal/ClientConnection.cpp
+++ b/src/sidecar/internal/ClientConnection.cpp
@@ -209,7 +209,8 @@
   Decoder_ = http::BodyDecoder(Framing);
   HasHead_ = true;
   Skipping_ = Callbacks_.Accept && !Callbacks_.Accept(Head);
-  if (Framing.Kind == http::FramingKind::UntilClose || !Head.getKeepAlive())
+  if (Framing.Kind == http::FramingKind::UntilClose ||
+      !http::keepsConnection(Head))
     Reusable_ = false;
   IdleLimit_ = statedIdleLimit(Head);
   Answer_.Head = std::move(Head);
--- a/src/sidecar/internal/HopServer.cpp
+++ b/src/sidecar/internal/HopServer.cpp
@@ -87,10 +87,10 @@
                               HopOutcome Outcome) {
   const mesh::LoadReport Load = Outcome.Load.value_or(Hop_.load());
   const auto SetLoad = [&Load](HTTPResponse &Head) {
-    Head.set(HopLoadName, encodeLoad(Load));
+    http::setField(Head, HopLoadName, encodeLoad(Load));
     Head.erase(HopLimitName);
     if (Load.LimitPerSecond)
-      Head.set(HopLimitName, encodeLimit(Load));
+      Head.add(HopLimitName, encodeLimit(Load));
   };
   if (Outcome.End != HopResult::Answered) {
     HTTPResponse Head(HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
--- a/src/sidecar/internal/HttpServer.cpp
+++ b/src/sidecar/internal/HttpServer.cpp
@@ -229,7 +229,7 @@
   ++Server_.InProgress;
   Decoder_ = http::BodyDecoder(Opened->Shared->Body);
   BodyBytes_ = 0;
-  KeepAlive_ = Opened->Shared->Head.getKeepAlive();
+  KeepAlive_ = http::keepsConnection(Opened->Shared->Head);
   Opened->Shared->Pipe->OnDrained = [Weak = weak_from_this()] {
     if (const auto Self = Weak.lock()) {
       Self->Stream_->setReadingPaused(false);
@@ -302,9 +302,10 @@
     const auto Seconds =
         std::chrono::duration_cast<std::chrono::seconds>(AnnouncedIdle_)
             .count();
-    Head.set("Keep-Alive", "timeout=" + std::to_string(Seconds));
+    http::setField(Head, "Keep-Alive", "timeout=" + std::to_string(Seconds));
   } else {
-    Head.set(HTTPMessage::CONNECTION, HTTPMessage::CONNECTION_CLOSE);
+    http::setField(Head, HTTPMessage::CONNECTION,
+                   HTTPMessage::CONNECTION_CLOSE);
     KeepAlive_ = false;
   }
   Answer_ = HasBody ? Body : BodyPipe::complete("");
--- a/src/sidecar/internal/OutboundProxy.cpp
+++ b/src/sidecar/internal/OutboundProxy.cpp
@@ -488,6 +488,9 @@
   HTTPResponse &From = Outcome.Answer.Head;
   HTTPResponse Head(From.getStatus(), From.getReason());
   http::copyEndToEndHeaders(From, Head);
+  // An upstream beside this node may send what only nodes exchange.
+  for (const std::string &Name : {HopLoadName, HopLimitName, HopRefusalName})
+    Head.erase(Name);
   const int Status = Head.getStatus();
   end(Item, Status, "answered");
   // The caller may leave while a long answer is still being forwarded.
--- a/src/sidecar/internal/RemoteHop.cpp
+++ b/src/sidecar/internal/RemoteHop.cpp
@@ -73,9 +73,9 @@
   HTTPRequest Head(Job.Head.getMethod(), Job.Head.getURI(),
                    HTTPMessage::HTTP_1_1);
   http::copyEndToEndHeaders(Job.Head, Head);
-  Head.set(HopInfoName, encodeInfo(Job.Info, Context_.now()));
+  http::setField(Head, HopInfoName, encodeInfo(Job.Info, Context_.now()));
   if (Job.KnownLimit)
-    Head.set(HopStatedName, encodeStated(*Job.KnownLimit));
+    http::setField(Head, HopStatedName, encodeStated(*Job.KnownLimit));
   http::Framing Body = Job.Framing;
   if (Body.Kind == http::FramingKind::Chunked && Job.Body->isEnded())
     Body = {http::FramingKind::Fixed,
@@ -88,7 +88,7 @@
       Request.Chunked || (Body.Kind == http::FramingKind::Fixed &&
                           Body.Length > MaxUnrequestedBytes);
   if (Request.ExpectContinue)
-    Head.set("Expect", "100-continue");
+    http::setField(Head, "Expect", "100-continue");
   Request.Head = http::serialize(Head);
   if (Body.Kind != http::FramingKind::None)
     Request.Body = Job.Body;
--- a/src/sidecar/internal/UpstreamRequest.cpp
+++ b/src/sidecar/internal/UpstreamRequest.cpp
@@ -14,10 +14,11 @@
                    HTTPMessage::HTTP_1_1);
   http::copyEndToEndHeaders(From.Head, Head);
   const Milliseconds Left = elapsed(Context.now(), From.Info.DeadlineAt);
-  Head.set(Names.Deadline,
-           std::to_string(std::max<std::int64_t>(1, Left.count())));
-  Head.set(Names.ExpectInstance, Context.Registered.Current.Id.str());
-  Head.set(Names.CallerService, From.Info.Caller.str());
+  http::setField(Head, Names.Deadline,
+                 std::to_string(std::max<std::int64_t>(1, Left.count())));
+  http::setField(Head, Names.ExpectInstance,
+                 Context.Registered.Current.Id.str());
+  http::setField(Head, Names.CallerService, From.Info.Caller.str());
   ClientRequest Request;
   Request.Method = From.Head.getMethod();
   http::Framing Body = From.Framing;
