Set the headers of the node from one table

The headers were replaced in one place and removed in two others, by lists of their own.

Change: ReservedHeaders holds the only table of the headers that callers may not set. It is applied where an entry builds a request, where a last hop takes one from another node and where the request for the upstream is built.

--- a/src/sidecar/internal/HopServer.cpp
+++ b/src/sidecar/internal/HopServer.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/internal/HopServer.h"
 #include "sidecar/internal/GossipCodec.h"
 #include "sidecar/internal/HopHeaders.h"
+#include "sidecar/internal/ReservedHeaders.h"
 
 #include <Poco/NumberParser.h>
 
@@ -48,8 +49,7 @@
   Job.Info = *Info;
   Job.Id = RequestId(Head.get(Context_.Platform.Headers.RequestId, ""));
   Job.Head = Head;
-  Job.Head.erase(HopInfoName);
-  Job.Head.erase(HopStatedName);
+  removeReservedHeaders(Context_.Platform.Headers, Job.Head);
   if (Head.has(HopStatedName))
     Job.KnownLimit = decodeStated(Head.get(HopStatedName));
   Job.Framing = Request->framing();
--- a/src/sidecar/internal/OutboundProxy.cpp
+++ b/src/sidecar/internal/OutboundProxy.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/internal/OutboundProxy.h"
 #include "sidecar/internal/HopHeaders.h"
+#include "sidecar/internal/ReservedHeaders.h"
 #include "sidecar/internal/UpstreamStatement.h"
 
 #include <Poco/NumberFormatter.h>
@@ -371,8 +372,7 @@
   Job.Info.Version = To.Version;
   Job.Id = Item->Id;
   Job.Head = Item->Request->head();
-  Job.Head.erase(HopInfoName);
-  Job.Head.erase(HopStatedName);
+  removeReservedHeaders(Context_.Platform.Headers, Job.Head);
   Job.KnownLimit = Directory_.knownLimit(To.Node);
   Job.Framing = Item->Request->framing();
   if (Item->BufferedBody) {
--- a/src/sidecar/internal/UpstreamRequest.cpp
+++ b/src/sidecar/internal/UpstreamRequest.cpp
@@ -1,6 +1,5 @@
 #include "sidecar/internal/UpstreamRequest.h"
-
-#include <algorithm>
+#include "sidecar/internal/ReservedHeaders.h"
 
 namespace lycheethread::sidecar {
 
@@ -9,16 +8,11 @@
 
 ClientRequest makeUpstreamRequest(const NodeContext &Context,
                                   const HopJob &From) {
-  const HeaderNames &Names = Context.Platform.Headers;
   HTTPRequest Head(From.Head.getMethod(), From.Head.getURI(),
                    HTTPMessage::HTTP_1_1);
   http::copyEndToEndHeaders(From.Head, Head);
-  const Milliseconds Left = elapsed(Context.now(), From.Info.DeadlineAt);
-  http::setField(Head, Names.Deadline,
-                 std::to_string(std::max<std::int64_t>(1, Left.count())));
-  http::setField(Head, Names.ExpectInstance,
-                 Context.Registered.Current.Id.str());
-  http::setField(Head, Names.CallerService, From.Info.Caller.str());
+  setUpstreamHeaders(Context.Platform.Headers, From.Info,
+                     Context.Registered.Current.Id, Context.now(), Head);
   ClientRequest Request;
   Request.Method = From.Head.getMethod();
   http::Framing Body = From.Framing;
