Read organisations, keys and allowed regions; accept keys only while confirmed

Change: the configuration holds organisations, keys by HMAC digest and allowed regions. The entry identifies the caller, withholds the key, names the organisation to the upstream and offers the request in allowed regions only.

--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -38,13 +38,13 @@
 Milliseconds objectiveOf(const MeshRoute &Route);
 
 /// Computes the least urgent rank and objective of every service from the
-/// routes.
+/// routes and organisations.
 void updateLeastUrgent(MeshConfig &Config);
 
-/// Returns whether a queue at \p Service serves all other routes before
-/// \p Route.
+/// Returns whether a queue at \p Service serves all other requests before one
+/// of \p Route with the rank \p Rank.
 bool isServedLast(const MeshConfig &Config, const ServiceName &Service,
-                  const MeshRoute &Route);
+                  const MeshRoute &Route, std::int32_t Rank);
 
 /// Position of one node in the sequence by which it spreads the requests of a
 /// route over the parts.
--- a/src/mesh/internal/FindRoute.cpp
+++ b/src/mesh/internal/FindRoute.cpp
@@ -46,6 +46,19 @@
                                                   : Route.Timeout;
 }
 
+namespace {
+
+/// Returns the rank of the least urgent requests of \p Route.
+std::int32_t largestRank(const MeshConfig &Config, const MeshRoute &Route) {
+  const organisations::Organisation *Last = nullptr;
+  for (const organisations::Organisation &Item : Config.Organisations)
+    if (Last == nullptr || Item.Rank > Last->Rank)
+      Last = &Item;
+  return organisations::rankOf(Route.IsPublic ? nullptr : Last, Route.Rank);
+}
+
+} // namespace
+
 void updateLeastUrgent(MeshConfig &Config) {
   for (const auto &[Host, Routes] : Config.Hosts)
     for (const auto &[Prefix, Route] : Routes)
@@ -57,15 +70,15 @@
         std::tie(Service.LeastUrgentRank, Service.LeastUrgentObjective) =
             std::max(std::pair(Service.LeastUrgentRank,
                                Service.LeastUrgentObjective),
-                     std::pair(Route.Rank, objectiveOf(Route)));
+                     std::pair(largestRank(Config, Route), objectiveOf(Route)));
       }
 }
 
 bool isServedLast(const MeshConfig &Config, const ServiceName &Service,
-                  const MeshRoute &Route) {
+                  const MeshRoute &Route, std::int32_t Rank) {
   const auto Found = Config.Services.find(Service);
   return Found == Config.Services.end() ||
-         std::pair(Route.Rank, objectiveOf(Route)) >=
+         std::pair(Rank, objectiveOf(Route)) >=
              std::pair(Found->second.LeastUrgentRank,
                        Found->second.LeastUrgentObjective);
 }
--- a/src/mesh/tests/HopQueueTest.cpp
+++ b/src/mesh/tests/HopQueueTest.cpp
@@ -104,9 +104,10 @@
     Item.Arrived = SteadyTime(Now);
     Jobs[Id] = {Class, Item};
     ++Result.Offered[Class];
-    const EntryRequest AtEntry{
-        isServedLast(Config, ServiceName("s"), Routes[Class]), Milliseconds(0),
-        Item.Objective, Item.Objective, Item.ServiceTime};
+    const EntryRequest AtEntry{isServedLast(Config, ServiceName("s"),
+                                            Routes[Class], Routes[Class].Rank),
+                               Milliseconds(0), Item.Objective, Item.Objective,
+                               Item.ServiceTime};
     const auto Held =
         Queue.Running + static_cast<std::int32_t>(Queue.Waiting.size());
     if (excessWaitAtEntry(AtEntry, expectedWait(Held, Slots, MeanService)) >
--- a/src/mesh/tests/RouteTest.cpp
+++ b/src/mesh/tests/RouteTest.cpp
@@ -57,9 +57,12 @@
   Routes["/call/"].LatencyObjective = Milliseconds(120);
   Routes["/lookup/"].Rank = 1;
   updateLeastUrgent(Config);
-  BOOST_TEST(!isServedLast(Config, Service, Routes["/call/"]));
-  BOOST_TEST(isServedLast(Config, Service, Routes["/lookup/"]));
-  BOOST_TEST(!isServedLast(Config, Service, Routes["/order/"]));
+  BOOST_TEST(
+      !isServedLast(Config, Service, Routes["/call/"], Routes["/call/"].Rank));
+  BOOST_TEST(isServedLast(Config, Service, Routes["/lookup/"],
+                          Routes["/lookup/"].Rank));
+  BOOST_TEST(!isServedLast(Config, Service, Routes["/order/"],
+                           Routes["/order/"].Rank));
 }
 
 BOOST_AUTO_TEST_CASE(noRouteIsNull) {
--- a/src/mesh/types/MeshBounds.h
+++ b/src/mesh/types/MeshBounds.h
@@ -2,6 +2,7 @@
 #define LYCHEETHREAD_MESH_TYPES_MESHBOUNDS_H
 
 #include "model/Model.h"
+#include "organisations/Organisations.h"
 
 namespace lycheethread::mesh {
 
@@ -18,6 +19,19 @@
   double RetrySlack = 50;
   /// Part of a service's requests that a bad version may get in total.
   double ExposureShare = 0.1;
+  organisations::RevocationBounds Revocation;
+  /// Requests of an organisation in any QuotaWindow may exceed its quota by
+  /// this part, and by a number on top.
+  Milliseconds QuotaWindow{5000};
+  double QuotaOverage = 0.1;
+  double QuotaSlack = 20;
+  /// The same for the requests that a cold upstream gets in any second: a
+  /// factor on its rate, and a number on top.
+  double ColdOverage = 1.5;
+  double ColdSlack = 8;
+  /// Time from the acknowledgement of an evacuation until the zone gets no more
+  /// requests.
+  Milliseconds EvacuationTime{5000};
 };
 
 /// What the settings say, with the defaults for values that cannot be used.
--- a/src/mesh/types/MeshConfig.h
+++ b/src/mesh/types/MeshConfig.h
@@ -2,9 +2,11 @@
 #define LYCHEETHREAD_MESH_TYPES_MESHCONFIG_H
 
 #include "model/Model.h"
+#include "organisations/Organisations.h"
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -35,6 +37,9 @@
   std::int32_t MaxAttempts = 1;
   /// Rank 0 is served first.
   std::int32_t Rank = 0;
+  /// Requests need no key.
+  bool IsPublic = false;
+  organisations::RegionList AllowedRegions;
 };
 
 /// Limits on the size and duration of the requests of callers.
@@ -49,8 +54,10 @@
   ServiceName Name;
   /// Connections that one upstream accepts from all callers together.
   std::int32_t MaxConnections = 0;
-  /// The largest rank of any route to the service, and the longest objective of
-  /// its routes with that rank; see updateLeastUrgent().
+  /// Requests a second that a cold upstream takes; empty if it takes any.
+  std::optional<double> ColdPerSecond;
+  /// The largest rank of any request for the service, and the longest objective
+  /// of its routes with that rank; see updateLeastUrgent().
   std::int32_t LeastUrgentRank = 0;
   Milliseconds LeastUrgentObjective{0};
 };
@@ -65,6 +72,11 @@
   /// Host names in lower case.
   std::unordered_map<std::string, HostRoutes> Hosts;
   std::map<ServiceName, MeshService> Services;
+  /// Empty if requests need no keys.
+  std::vector<organisations::Organisation> Organisations;
+  organisations::KeyTable Keys;
+  /// The keys as parsed; empty once they are in Keys.
+  std::vector<organisations::StatedKey> StatedKeys;
 };
 
 using MeshConfigPtr = std::shared_ptr<const MeshConfig>;
--- a/src/mesh/types/Placement.h
+++ b/src/mesh/types/Placement.h
@@ -15,6 +15,7 @@
   NodeId Node;
   UpstreamId Instance;
   VersionName Version;
+  Location At;
   Proximity Distance = Proximity::SameZone;
   std::int32_t Capacity = 1;
   /// Requests that it runs or queues, as far as this node knows.
--- a/src/model/internal/Names.cpp
+++ b/src/model/internal/Names.cpp
@@ -48,7 +48,7 @@
     {MemberState::Dead, "dead"},
 }};
 
-constexpr std::array<NamePair<RefusalReason>, 19> ReasonNames{{
+constexpr std::array<NamePair<RefusalReason>, 23> ReasonNames{{
     {RefusalReason::NoRoute, "no-route"},
     {RefusalReason::NoUpstream, "no-upstream"},
     {RefusalReason::Draining, "draining"},
@@ -68,6 +68,10 @@
     {RefusalReason::CrashSuspect, "crash-suspect"},
     {RefusalReason::RateLimited, "rate-limited"},
     {RefusalReason::NotReady, "not-ready"},
+    {RefusalReason::UnknownKey, "unknown-key"},
+    {RefusalReason::KeysUnconfirmed, "keys-unconfirmed"},
+    {RefusalReason::OverQuota, "over-quota"},
+    {RefusalReason::NoAllowedRegion, "no-allowed-region"},
 }};
 
 } // namespace
--- a/src/model/types/RefusalReason.h
+++ b/src/model/types/RefusalReason.h
@@ -27,6 +27,10 @@
   CrashSuspect,
   NotReady,
   RateLimited,
+  UnknownKey,
+  KeysUnconfirmed,
+  OverQuota,
+  NoAllowedRegion,
 };
 
 /// Whether an upstream executed the refused request.
--- a/src/sidecar/internal/Gossip.cpp
+++ b/src/sidecar/internal/Gossip.cpp
@@ -297,7 +297,7 @@
 }
 
 void Gossip::onDatagram(std::string_view Data) {
-  const auto Message = decodeGossip(Data);
+  auto Message = decodeGossip(Data);
   if (!Message || Message->Reports.empty()) {
     Context_.Log.write(LogClass::State, Context_.now(), "news-unreadable",
                        {{"bytes", std::to_string(Data.size())}});
@@ -309,8 +309,14 @@
       Known == Context_.KnownNodes.Nodes.end() ||
       Known->second.LastReport.IncarnationNumber < Sender.IncarnationNumber;
   bool Changed = false;
-  for (const mesh::NodeReport &Item : Message->Reports)
+  for (mesh::NodeReport &Item : Message->Reports) {
+    // The datagram may have waited in the socket during a suspension. A
+    // confirmation that looks too new would keep revoked keys in use.
+    if (Item.ConfirmedAge)
+      *Item.ConfirmedAge +=
+          elapsed(Context_.sentBy(Context_.now()), Context_.now());
     Changed = onReport(Item) || Changed;
+  }
   std::vector<mesh::LoadBeat> Missing;
   for (const mesh::LoadBeat &Beat : Message->Beats)
     if (Beat.Node != mesh::nodeKey(Context_.Settings.Id, Incarnation_) &&
--- a/src/sidecar/internal/HopHeaders.cpp
+++ b/src/sidecar/internal/HopHeaders.cpp
@@ -14,6 +14,9 @@
 /// Escaped in names.
 constexpr const char *Separator = ";";
 constexpr std::size_t InfoFields = 10;
+/// Only where the configuration has organisations: nodes of earlier builds
+/// reject further fields.
+constexpr std::size_t InfoFieldsWithOrganisation = 11;
 constexpr std::size_t LoadFields = 4;
 constexpr std::size_t RefusalFields = 4;
 constexpr std::size_t LimitFields = 2;
@@ -54,18 +57,23 @@
 } // namespace
 
 std::string encodeInfo(const HopInfo &Info, SteadyTime Now) {
-  return join({escape(Info.Service.str()), escape(Info.Version.str()),
-               escape(Info.Route.str()), std::string(toString(Info.Class)),
-               std::to_string(Info.Rank),
-               std::to_string(elapsed(Now, Info.ObjectiveAt).count()),
-               std::to_string(elapsed(Now, Info.DeadlineAt).count()),
-               escape(Info.Caller.str()), Info.RequestFingerprint.str(),
-               std::to_string(Info.Objective.count())});
+  std::string Text =
+      join({escape(Info.Service.str()), escape(Info.Version.str()),
+            escape(Info.Route.str()), std::string(toString(Info.Class)),
+            std::to_string(Info.Rank),
+            std::to_string(elapsed(Now, Info.ObjectiveAt).count()),
+            std::to_string(elapsed(Now, Info.DeadlineAt).count()),
+            escape(Info.Caller.str()), Info.RequestFingerprint.str(),
+            std::to_string(Info.Objective.count())});
+  if (Info.HasOrganisations)
+    Text.append(Separator).append(escape(Info.Organisation.str()));
+  return Text;
 }
 
 std::optional<HopInfo> decodeInfo(const std::string &Text, SteadyTime Now) {
   const Poco::StringTokenizer Parts(Text, Separator);
-  if (Parts.count() != InfoFields)
+  if (Parts.count() != InfoFields &&
+      Parts.count() != InfoFieldsWithOrganisation)
     return std::nullopt;
   const auto Class = parseRequestClass(Parts[3]);
   const auto Rank = numberAt(Parts, 4);
@@ -90,6 +98,13 @@
   Info.Caller = ServiceName(*Caller);
   Info.RequestFingerprint = requests::Fingerprint(Parts[8]);
   Info.Objective = Milliseconds(*FullObjective);
+  if (Parts.count() == InfoFieldsWithOrganisation) {
+    const auto Organisation = unescape(Parts[10]);
+    if (!Organisation)
+      return std::nullopt;
+    Info.HasOrganisations = true;
+    Info.Organisation = organisations::OrganisationId(*Organisation);
+  }
   return Info;
 }
 
--- a/src/sidecar/internal/HopJob.h
+++ b/src/sidecar/internal/HopJob.h
@@ -50,6 +50,10 @@
   /// Service on the instance where the request originated.
   ServiceName Caller;
   requests::Fingerprint RequestFingerprint;
+  /// The configuration has organisations, so that callers may not name one.
+  bool HasOrganisations = false;
+  /// Empty for a request without a key.
+  organisations::OrganisationId Organisation;
 };
 
 /// The limit that an upstream process stated in an answer.
--- a/src/sidecar/internal/HopServer.cpp
+++ b/src/sidecar/internal/HopServer.cpp
@@ -49,7 +49,7 @@
   Job.Info = *Info;
   Job.Id = RequestId(Head.get(Context_.Platform.Headers.RequestId, ""));
   Job.Head = Head;
-  removeReservedHeaders(Context_.Platform.Headers, Job.Head);
+  removeReservedHeaders(Context_.Platform.Headers, Job.Info, Job.Head);
   if (Head.has(HopStatedName))
     Job.KnownLimit = decodeStated(Head.get(HopStatedName));
   Job.Framing = Request->framing();
--- a/src/sidecar/internal/NodeContext.h
+++ b/src/sidecar/internal/NodeContext.h
@@ -9,6 +9,7 @@
 #include "sidecar/types/OperatorRecords.h"
 #include "sidecar/types/PlatformProtocol.h"
 
+#include <optional>
 #include <random>
 #include <utility>
 
@@ -29,6 +30,9 @@
   /// Null until a configuration is known.
   mesh::MeshConfigPtr Config;
   OperatorRecords Records;
+  /// The newest configuration of the operator could not be read; an older one
+  /// is in force.
+  bool IsConfigUnreadable = false;
   /// When the store last confirmed, to this or another node, that Records was
   /// complete; zero before the first confirmation.
   SteadyTime ConfirmedAt;
@@ -66,8 +70,29 @@
     return JustResumed ? after(now(), -LastPause) : now();
   }
 
+  /// Whether a key that the configuration in force holds may be accepted.
+  bool mayTrustKeys() const {
+    if (!Bounds.Revocation.IsStrict)
+      return true;
+    std::optional<Milliseconds> Age;
+    if (ConfirmedAt != SteadyTime() && !IsConfigUnreadable)
+      Age = elapsed(ConfirmedAt, now());
+    return organisations::mayTrustKeys(Bounds.Revocation, Age);
+  }
+
+  /// Returns when a message that was read at \p ReadAt was sent at the latest,
+  /// but for its time in the network.
+  SteadyTime sentBy(SteadyTime ReadAt) const {
+    const Milliseconds Since = elapsed(ResumedAt, ReadAt);
+    const bool MayHaveWaited =
+        Since >= Milliseconds(0) && Since < DatagramCatchUpTime;
+    return MayHaveWaited ? after(ReadAt, -LastPause) : ReadAt;
+  }
+
   /// Time within which everything that arrived during a suspension is read.
   static constexpr Milliseconds CatchUpTime{150};
+  /// The same for datagrams, of which a socket holds many.
+  static constexpr Milliseconds DatagramCatchUpTime{1000};
 };
 
 } // namespace lycheethread::sidecar
--- a/src/sidecar/internal/OperatorFeed.cpp
+++ b/src/sidecar/internal/OperatorFeed.cpp
@@ -2,6 +2,7 @@
 #include "sidecar/internal/GossipCodec.h"
 
 #include <Poco/Net/HTTPRequest.h>
+#include <Poco/NumberFormatter.h>
 
 #include <algorithm>
 
@@ -34,12 +35,21 @@
 /// Pause between two requests for records that only other nodes keep.
 constexpr Milliseconds KeptAskInterval{500};
 
+organisations::DigestSecret makeSecret() {
+  std::random_device Source;
+  std::string Text;
+  for (int Part = 0; Part < 4; ++Part)
+    Text += Poco::NumberFormatter::formatHex(
+        (static_cast<Poco::UInt64>(Source()) << 32U) | Source(), 16);
+  return organisations::DigestSecret(Text);
+}
+
 } // namespace
 
 OperatorFeed::OperatorFeed(NodeContext &Context, StoreClient &Store,
                            Callbacks Handlers)
     : Context_(Context), Store_(Store), Callbacks_(std::move(Handlers)),
-      Pool_(Context.Loop), StartedAt_(Context.now()) {
+      Pool_(Context.Loop), StartedAt_(Context.now()), KeySecret_(makeSecret()) {
   start();
 }
 
@@ -167,15 +177,16 @@
   if (Busy_)
     return;
   Busy_ = true;
-  Store_.read(StoreTopic::Operator, Context_.Records.Position,
-              mesh::storeReadWait(Context_.Bounds),
-              [this](const StoreRead &Read) {
+  const Milliseconds Wait = mesh::storeReadWait(Context_.Bounds);
+  Store_.read(StoreTopic::Operator, Context_.Records.Position, Wait,
+              [this, SentAt = Context_.now(), Wait](const StoreRead &Read) {
                 Busy_ = false;
-                onPolled(Read);
+                onPolled(Read, SentAt, Wait);
               });
 }
 
-void OperatorFeed::onPolled(const StoreRead &Read) {
+void OperatorFeed::onPolled(const StoreRead &Read, SteadyTime SentAt,
+                            Milliseconds Wait) {
   if (Read.Outcome == StoreOutcome::Trimmed) {
     reload();
     return;
@@ -192,8 +203,13 @@
   }
   const Offset Before = Context_.Records.Position;
   applyRecords(New, "store");
+  // The answer may have been on its way for long. Without records it was sent
+  // after the whole wait.
+  const bool HasWaited =
+      Read.Items.empty() && elapsed(SentAt, Context_.now()) >= Wait;
   if (Context_.Records.Position >= Read.End)
-    Context_.ConfirmedAt = Context_.now();
+    Context_.ConfirmedAt = std::max(Context_.ConfirmedAt,
+                                    HasWaited ? after(SentAt, Wait) : SentAt);
   if (Before != Context_.Records.Position)
     Callbacks_.OnRead();
   scheduleReaderCheck(Milliseconds(0));
@@ -203,7 +219,8 @@
   if (Busy_)
     return;
   Busy_ = true;
-  Store_.readNewest(StoreTopic::Operator, [this](const StoreRead &Read) {
+  Store_.readNewest(StoreTopic::Operator, [this, SentAt = Context_.now()](
+                                              const StoreRead &Read) {
     Busy_ = false;
     if (Read.Outcome != StoreOutcome::Done) {
       scheduleReaderCheck(nextBackoff());
@@ -226,7 +243,7 @@
       scheduleReaderCheck(nextBackoff());
       return;
     }
-    Context_.ConfirmedAt = Context_.now();
+    Context_.ConfirmedAt = std::max(Context_.ConfirmedAt, SentAt);
     Callbacks_.OnProgress();
     Callbacks_.OnRead();
     scheduleReaderCheck(Milliseconds(0));
@@ -269,17 +286,23 @@
   try {
     auto Read =
         std::make_shared<mesh::MeshConfig>(Format.Config(Found->second.Value));
+    Context_.IsConfigUnreadable = false;
     if (Context_.Config && Read->Version <= Context_.Config->Version)
       return;
     mesh::updateLeastUrgent(*Read);
+    Read->Keys = organisations::makeKeyTable(Read->StatedKeys, KeySecret_);
+    Read->StatedKeys.clear();
     Context_.Config = Read;
     Context_.Log.write(
         LogClass::State, Context_.now(), "config-in-force",
         {{"version", std::to_string(Read->Version.value())},
          {"offset", std::to_string(plainOffset(Found->second.At).value())},
          {"hosts", std::to_string(Read->Hosts.size())},
-         {"services", std::to_string(Read->Services.size())}});
+         {"services", std::to_string(Read->Services.size())},
+         {"organisations", std::to_string(Read->Organisations.size())},
+         {"keys", std::to_string(Read->Keys.Holders.size())}});
   } catch (const std::exception &Error) {
+    Context_.IsConfigUnreadable = true;
     Context_.Log.write(
         LogClass::State, Context_.now(), "config-unreadable",
         {{"offset", std::to_string(plainOffset(Found->second.At).value())},
@@ -299,8 +322,7 @@
     if (Report.OperatorPosition != Context_.Records.Position ||
         !Report.ConfirmedAge)
       continue;
-    const SteadyTime Confirmed(Known.ReportedAt.value() -
-                               Report.ConfirmedAge->count());
+    const SteadyTime Confirmed = after(Known.ReportedAt, -*Report.ConfirmedAge);
     Context_.ConfirmedAt = std::max(Context_.ConfirmedAt, Confirmed);
   }
   if (Behind)
--- a/src/sidecar/internal/OperatorFeed.h
+++ b/src/sidecar/internal/OperatorFeed.h
@@ -50,7 +50,7 @@
   void scheduleReload(Milliseconds Pause);
   void checkReader();
   void poll();
-  void onPolled(const StoreRead &Read);
+  void onPolled(const StoreRead &Read, SteadyTime SentAt, Milliseconds Wait);
   void reload();
   void scheduleReaderCheck(Milliseconds Pause);
   void applyRecords(const OperatorRecords &From, const char *Source);
@@ -84,6 +84,8 @@
   bool MembersKnown_ = false;
   bool Busy_ = false;
   Milliseconds Backoff_{0};
+  /// With which the keys of this process's configurations are digested.
+  organisations::DigestSecret KeySecret_;
 };
 
 } // namespace lycheethread::sidecar
--- a/src/sidecar/internal/OutboundProxy.cpp
+++ b/src/sidecar/internal/OutboundProxy.cpp
@@ -40,6 +40,9 @@
 constexpr int HoldTimeDivisor = 4;
 constexpr Milliseconds MaxHoldTime{500};
 constexpr std::size_t MaxHeldRequests = 200;
+/// A node that has lost touch with the store hears of it again within about
+/// this time once the store can be reached.
+constexpr Milliseconds ConfirmationRetryDelay{400};
 constexpr double MillisecondsPerSecond = 1000;
 
 /// Hash over the parts of a request that identify it as a repetition of an
@@ -62,6 +65,8 @@
 int statusOf(RefusalReason Reason, bool MayHaveRun) {
   if (Reason == RefusalReason::NoRoute)
     return HTTPResponse::HTTP_NOT_FOUND;
+  if (Reason == RefusalReason::UnknownKey)
+    return HTTPResponse::HTTP_UNAUTHORIZED;
   if (!MayHaveRun)
     return HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
   return Reason == RefusalReason::UpstreamTimeout ||
@@ -78,6 +83,9 @@
   const mesh::MeshRoute *Route = nullptr;
   /// Keeps Route valid when a newer configuration replaces this one.
   mesh::MeshConfigPtr Config;
+  /// Null for a request without a key. Part of Config.
+  const organisations::Organisation *Holder = nullptr;
+  organisations::ServingRegions Allowed;
   HopInfo Info;
   SteadyTime ArrivedAt;
   /// Time since the caller's first attempt of the same request.
@@ -189,6 +197,8 @@
     endUnanswered(Item, RefusalReason::NoRoute, Milliseconds(0));
     return false;
   }
+  if (!identifyCaller(Item))
+    return false;
   const ServiceName *const Service = mesh::chooseService(
       *Item->Route, Splits_[Item->Route->Name], Context_.Random);
   if (Service == nullptr) {
@@ -200,7 +210,7 @@
   Info.Service = *Service;
   Info.Route = Item->Route->Name;
   Info.Class = Item->Route->Class;
-  Info.Rank = Item->Route->Rank;
+  Info.Rank = organisations::rankOf(Item->Holder, Item->Route->Rank);
   Info.Caller = Context_.Settings.Service;
   mesh::addRetryTokens(
       Budgets_[Info.Service],
@@ -208,6 +218,34 @@
   return true;
 }
 
+/// Finds the organisation of the request, or refuses it.
+bool OutboundProxy::identifyCaller(const CallPtr &Item) {
+  const mesh::MeshConfig &Config = *Item->Config;
+  Item->Info.HasOrganisations = !Config.Organisations.empty();
+  if (Item->Info.HasOrganisations && !Item->Route->IsPublic) {
+    if (!Context_.mayTrustKeys()) {
+      endUnanswered(Item, RefusalReason::KeysUnconfirmed,
+                    ConfirmationRetryDelay);
+      return false;
+    }
+    const HTTPRequest &Head = Item->Request->head();
+    const std::string &Name = Context_.Platform.Headers.Key;
+    const auto Holder =
+        http::countOf(Head, Name) == 1
+            ? organisations::findHolder(Config.Keys, Head.get(Name))
+            : std::nullopt;
+    if (!Holder) {
+      endUnanswered(Item, RefusalReason::UnknownKey, Milliseconds(0));
+      return false;
+    }
+    Item->Holder = &Config.Organisations[*Holder];
+    Item->Info.Organisation = Item->Holder->Name;
+  }
+  Item->Allowed =
+      organisations::servingRegions(Item->Route->AllowedRegions, Item->Holder);
+  return true;
+}
+
 void OutboundProxy::readDeadline(const CallPtr &Item) {
   Milliseconds Left = Item->Route->Timeout;
   const std::string Text =
@@ -294,9 +332,9 @@
 
 std::optional<mesh::Candidate> OutboundProxy::choose(const CallPtr &Item) {
   const HopInfo &Info = Item->Info;
-  const std::vector<mesh::Candidate> Candidates =
-      Rollouts_.select(Info.Service, Info.Class,
-                       Directory_.candidates(Info.Service, Item->Excluded));
+  const std::vector<mesh::Candidate> Candidates = Rollouts_.select(
+      Info.Service, Info.Class,
+      Directory_.candidates(Info.Service, Item->Excluded, Item->Allowed));
   mesh::PlacementRequest Wanted;
   Wanted.BodyBytes = std::max<std::int64_t>(
       0, Item->Request->framing().Kind == http::FramingKind::Fixed
@@ -308,14 +346,16 @@
   Wanted.MayExplore =
       Info.Class == RequestClass::Repeatable && Item->Attempt == 0;
   Wanted.IsServedLast =
-      mesh::isServedLast(*Item->Config, Info.Service, *Item->Route);
+      mesh::isServedLast(*Item->Config, Info.Service, *Item->Route, Info.Rank);
   Wanted.OwnRegionIsFull = Item->OwnRegionIsFull;
   const auto Chosen =
       mesh::chooseCandidate(Candidates, Wanted, Context_.Random);
   if (!Chosen) {
-    endUnanswered(
-        Item, Item->RetryDelay ? Item->FullReason : RefusalReason::NoUpstream,
-        Item->RetryDelay.value_or(Milliseconds(0)));
+    const RefusalReason Without = Item->Allowed.IsAny
+                                      ? RefusalReason::NoUpstream
+                                      : RefusalReason::NoAllowedRegion;
+    endUnanswered(Item, Item->RetryDelay ? Item->FullReason : Without,
+                  Item->RetryDelay.value_or(Milliseconds(0)));
     return std::nullopt;
   }
   const mesh::Candidate &Best = Candidates[Chosen->Index];
@@ -372,7 +412,7 @@
   Job.Info.Version = To.Version;
   Job.Id = Item->Id;
   Job.Head = Item->Request->head();
-  removeReservedHeaders(Context_.Platform.Headers, Job.Head);
+  removeReservedHeaders(Context_.Platform.Headers, Job.Info, Job.Head);
   Job.KnownLimit = Directory_.knownLimit(To.Node);
   Job.Framing = Item->Request->framing();
   if (Item->BufferedBody) {
@@ -577,6 +617,7 @@
        {"status", std::to_string(Status)},
        {"route", Item->Info.Route.str()},
        {"service", Item->Info.Service.str()},
+       {"organisation", Item->Info.Organisation.str()},
        {"config",
         Item->Config ? std::to_string(Item->Config->Version.value()) : "none"},
        {"path", Item->Trace},
--- a/src/sidecar/internal/OutboundProxy.h
+++ b/src/sidecar/internal/OutboundProxy.h
@@ -30,6 +30,7 @@
   void begin(const CallPtr &Item);
   void holdUntilServing(const CallPtr &Item);
   bool findRoute(const CallPtr &Item);
+  bool identifyCaller(const CallPtr &Item);
   void readDeadline(const CallPtr &Item);
   void waitForBody(const CallPtr &Item);
   void prepare(const CallPtr &Item);
--- a/src/sidecar/internal/ReservedHeaders.h
+++ b/src/sidecar/internal/ReservedHeaders.h
@@ -8,7 +8,7 @@
 
 /// Removes the headers that callers may not set: those that the node sets
 /// itself, those that only nodes exchange and those that must not go on.
-void removeReservedHeaders(const HeaderNames &Names,
+void removeReservedHeaders(const HeaderNames &Names, const HopInfo &Info,
                            Poco::Net::HTTPRequest &Head);
 
 /// Sets each header that an upstream expects from its node, and removes the
--- a/src/sidecar/internal/UpstreamDirectory.cpp
+++ b/src/sidecar/internal/UpstreamDirectory.cpp
@@ -67,6 +67,7 @@
   Found.Node = Report.Id;
   Found.Instance = Report.LocalUpstream.Id;
   Found.Version = Report.LocalUpstream.Version;
+  Found.At = Report.At;
   Found.Distance =
       mesh::proximityOf(Context_.Settings.At, Context_.Settings.Id, Report);
   Found.Capacity = std::max(1, Report.LocalUpstream.Capacity);
@@ -129,12 +130,14 @@
 
 std::vector<mesh::Candidate>
 UpstreamDirectory::candidates(const ServiceName &Service,
-                              const std::set<NodeId> &Excluded) {
+                              const std::set<NodeId> &Excluded,
+                              const organisations::ServingRegions &Allowed) {
   std::vector<mesh::Candidate> Found;
   std::vector<mesh::Candidate> Avoided;
   const SteadyTime Now = Context_.now();
   for (const auto &[Id, Known] : Context_.KnownNodes.Nodes) {
     if (Excluded.count(Id) != 0 || !isUsable(Known.LastReport, Service) ||
+        !organisations::allows(Allowed, Known.LastReport.At.RegionName) ||
         !mesh::isAlive(Context_.KnownNodes, Known, Now))
       continue;
     const UpstreamStats &Item = Stats_[Id];
@@ -148,7 +151,8 @@
   Own.Id = Self;
   Own.At = Context_.Settings.At;
   Own.LocalUpstream = Context_.Registered.Current;
-  if (Excluded.count(Self) == 0 && isUsable(Own, Service)) {
+  if (Excluded.count(Self) == 0 && isUsable(Own, Service) &&
+      organisations::allows(Allowed, Own.At.RegionName)) {
     Own.Load = OwnLoad_();
     mesh::Candidate Item = describe(Own, Now);
     Item.Outstanding = Own.Load.Running + Own.Load.Waiting;
--- a/src/sidecar/internal/UpstreamDirectory.h
+++ b/src/sidecar/internal/UpstreamDirectory.h
@@ -16,10 +16,11 @@
   UpstreamDirectory(NodeContext &Context,
                     std::function<mesh::LoadReport()> OwnLoad);
 
-  /// Returns the upstreams of \p Service that may get a request now, except
-  /// those on the nodes of \p Excluded.
-  std::vector<mesh::Candidate> candidates(const ServiceName &Service,
-                                          const std::set<NodeId> &Excluded);
+  /// Returns the upstreams of \p Service in the regions \p Allowed that may get
+  /// a request now, except those on the nodes of \p Excluded.
+  std::vector<mesh::Candidate>
+  candidates(const ServiceName &Service, const std::set<NodeId> &Excluded,
+             const organisations::ServingRegions &Allowed);
 
   Endpoint hopOf(const NodeId &Node) const;
 
--- a/src/sidecar/types/PlatformProtocol.h
+++ b/src/sidecar/types/PlatformProtocol.h
@@ -30,6 +30,10 @@
   std::string Limit;
   /// "1" in the answers of an upstream that is about to end.
   std::string Leaving;
+  /// Key of the organisation that sends a request.
+  std::string Key;
+  /// Name of that organisation, for the upstream.
+  std::string Organisation;
 };
 
 /// A request to the store, without the headers common to all requests.
