--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -107,6 +107,21 @@
 /// returns their ids.
 std::vector<JobId> removeOverdue(HopQueue &Queue, SteadyTime Now);
 
+/// Records the arrival of \p Job, for which slots may be kept.
+void recordArrival(HopQueue &Queue, const QueuedJob &Job, SteadyTime Now);
+
+/// Returns the number of slots that may run requests like \p Job: one fewer
+/// than there are while more urgent requests arrive that could not wait until
+/// one of these has finished.
+std::int32_t slotsFor(const HopQueue &Queue, const QueuedJob &Job,
+                      SteadyTime Now);
+
+/// Returns the mean service time of an upstream with \p Slots slots that runs
+/// or queues \p Jobs requests which are expected to take \p Expected in total.
+/// Slots without a request count with the usual time \p Usual.
+Milliseconds meanExpectedService(std::int32_t Slots, std::int32_t Jobs,
+                                 Milliseconds Expected, Milliseconds Usual);
+
 /// Counts a request as started that was admitted with QueueDecision::Run.
 void startNow(HopQueue &Queue, SteadyTime Now);
 
--- a/src/mesh/internal/HopQueue.cpp
+++ b/src/mesh/internal/HopQueue.cpp
@@ -27,6 +27,12 @@
 constexpr int EntryWaitPercent = 25;
 constexpr Milliseconds EntryWaitTolerance{30};
 constexpr int LongestServicePercent = 25;
+/// Requests of a rank count as arriving for this time after the last one.
+constexpr Milliseconds RecentRankTime{2000};
+/// With fewer slots, a kept one would cost too much of the capacity.
+constexpr std::int32_t MinSlotsToKeepOne = 4;
+/// Slots do not become free at even intervals.
+constexpr int SlotIntervalSpread = 2;
 /// A caller whose request is older than this has been refused before.
 constexpr Milliseconds RetriedRequestAge{30};
 
@@ -43,14 +49,14 @@
       [&](const QueuedJob &Other) { return runsBefore(Other, Job, Now); }));
 }
 
-/// Returns the time until a request with \p Ahead requests before it gets a
-/// slot.
-Milliseconds slotWait(const HopQueue &Queue, std::int64_t Ahead,
-                      Milliseconds MeanService) {
+/// Returns the time until a request with \p Ahead requests before it gets one
+/// of \p Slots slots.
+Milliseconds slotWait(const HopQueue &Queue, std::int32_t Slots,
+                      std::int64_t Ahead, Milliseconds MeanService) {
   // With a limit, requests wait while there are free slots.
-  if (Queue.Limit.PerSecond && Queue.Running + Ahead < Queue.Slots)
+  if (Queue.Limit.PerSecond && Queue.Running + Ahead < Slots)
     return Milliseconds(0);
-  return Milliseconds(MeanService.count() * (Ahead + 1) / Queue.Slots);
+  return Milliseconds(MeanService.count() * (Ahead + 1) / Slots);
 }
 
 } // namespace
@@ -78,13 +84,19 @@
                        Milliseconds MeanService, SteadyTime Now) {
   if (elapsed(Now, Job.DeadlineAt) <= Milliseconds(0) || Queue.Slots <= 0)
     return {QueueDecision::Action::Refuse, Milliseconds(0)};
-  if (Queue.Running < Queue.Slots && Queue.Waiting.empty() &&
+  const std::int32_t Slots = slotsFor(Queue, Job, Now);
+  const bool IsFirst = std::none_of(
+      Queue.Waiting.begin(), Queue.Waiting.end(), [&](const QueuedJob &Other) {
+        return Queue.Running < slotsFor(Queue, Other, Now) ||
+               Other.Rank <= Job.Rank;
+      });
+  if (Queue.Running < Slots && IsFirst &&
       requests::permitDelay(Queue.Limit, 0, Now) == Milliseconds(0))
     return {QueueDecision::Action::Run, Milliseconds(0)};
   const auto Ahead = static_cast<std::int64_t>(jobsAhead(Queue, Job, Now));
   const Milliseconds PermitWait =
       requests::permitDelay(Queue.Limit, Ahead, Now);
-  const Milliseconds SlotWait = slotWait(Queue, Ahead, MeanService);
+  const Milliseconds SlotWait = slotWait(Queue, Slots, Ahead, MeanService);
   const Milliseconds Wait = std::max(SlotWait, PermitWait);
   const Milliseconds InTime =
       elapsed(Now, Job.ObjectiveAt) -
@@ -96,6 +108,49 @@
   return {QueueDecision::Action::Refuse, Wait - Allowed, PermitWait > SlotWait};
 }
 
+void recordArrival(HopQueue &Queue, const QueuedJob &Job, SteadyTime Now) {
+  std::vector<RecentRank> &Ranks = Queue.RecentRanks;
+  Ranks.erase(std::remove_if(Ranks.begin(), Ranks.end(),
+                             [&](const RecentRank &Item) {
+                               return elapsed(Item.SeenAt, Now) >
+                                      RecentRankTime;
+                             }),
+              Ranks.end());
+  const Milliseconds Wait = longestWait(Job.Objective);
+  const auto Found =
+      std::find_if(Ranks.begin(), Ranks.end(), [&](const RecentRank &Item) {
+        return Item.Rank == Job.Rank;
+      });
+  if (Found == Ranks.end())
+    Ranks.push_back({Job.Rank, Now, Wait});
+  else
+    *Found = {Job.Rank, Now, std::min(Wait, Found->LongestWait)};
+}
+
+// Long requests of a low rank that hold every slot make each more urgent one
+// wait until one of them has finished, whatever the order of the queue.
+std::int32_t slotsFor(const HopQueue &Queue, const QueuedJob &Job,
+                      SteadyTime Now) {
+  if (Queue.Slots < MinSlotsToKeepOne)
+    return Queue.Slots;
+  const Milliseconds SlotInterval =
+      Job.ServiceTime * SlotIntervalSpread / Queue.Slots;
+  const bool MustKeepOne =
+      std::any_of(Queue.RecentRanks.begin(), Queue.RecentRanks.end(),
+                  [&](const RecentRank &Item) {
+                    return Item.Rank < Job.Rank &&
+                           Item.LongestWait < SlotInterval &&
+                           elapsed(Item.SeenAt, Now) <= RecentRankTime;
+                  });
+  return MustKeepOne ? Queue.Slots - 1 : Queue.Slots;
+}
+
+Milliseconds meanExpectedService(std::int32_t Slots, std::int32_t Jobs,
+                                 Milliseconds Expected, Milliseconds Usual) {
+  const std::int32_t Free = std::max(0, Slots - Jobs);
+  return (Expected + Usual * Free) / std::max(1, Jobs + Free);
+}
+
 void startNow(HopQueue &Queue, SteadyTime Now) {
   ++Queue.Running;
   requests::takePermit(Queue.Limit, Now);
@@ -146,6 +201,8 @@
                        [Now](const QueuedJob &L, const QueuedJob &R) {
                          return runsBefore(L, R, Now);
                        });
+  if (Queue.Running >= slotsFor(Queue, *Next, Now))
+    return std::nullopt;
   const JobId Id = Next->Id;
   Queue.Waiting.erase(Next);
   startNow(Queue, Now);
--- a/src/mesh/types/HopQueue.h
+++ b/src/mesh/types/HopQueue.h
@@ -27,6 +27,18 @@
   Milliseconds ServiceTime{0};
 };
 
+/// Rank of a call that an upstream makes for a request which it runs. It goes
+/// before new work: if it fails, what the request has cost is lost.
+inline constexpr std::int32_t NestedCallRank = -1;
+
+/// Requests of one rank that have arrived lately.
+struct RecentRank {
+  std::int32_t Rank = 0;
+  SteadyTime SeenAt;
+  /// The shortest time that one of them may wait for a slot.
+  Milliseconds LongestWait{0};
+};
+
 /// A request at its entry, which knows only how long it would wait at the last
 /// hop if that served it last.
 struct EntryRequest {
@@ -46,6 +58,7 @@
   std::vector<QueuedJob> Waiting;
   /// The rate at which the upstream takes requests.
   requests::RateLimit Limit;
+  std::vector<RecentRank> RecentRanks;
 };
 
 /// Result of the admission check of an arriving request.
--- a/src/sidecar/internal/OutboundProxy.cpp
+++ b/src/sidecar/internal/OutboundProxy.cpp
@@ -95,6 +95,8 @@
   std::set<NodeId> Excluded;
   std::int32_t Attempt = 0;
   std::int32_t Refusals = 0;
+  /// The upstream beside this node calls for a request that it runs.
+  bool IsNestedCall = false;
   /// An upstream of the own region was too full for the request.
   bool OwnRegionIsFull = false;
   /// The shortest delay that a refusal has stated; empty without one.
@@ -254,16 +256,7 @@
   if (Poco::NumberParser::tryParse64(Text, Stated) && Stated >= 0)
     Left = std::min(Left, Milliseconds(Stated));
   Item->Info.DeadlineAt = after(Item->ArrivedAt, Left);
-  const Milliseconds Objective = mesh::objectiveOf(*Item->Route);
-  // Callers state the time left since their first attempt, so the longest time
-  // stated on a route tells how long this caller has been trying.
-  Milliseconds &Longest = MaxStatedDeadline_[Item->Info.Route];
-  Longest = std::max(Longest, Milliseconds(Stated));
-  Item->TimeSinceFirstAttempt =
-      Stated > 0 ? Longest - Milliseconds(Stated) : Milliseconds(0);
-  Item->Info.Objective = Objective;
-  Item->Info.ObjectiveAt =
-      after(Item->ArrivedAt, Objective - Item->TimeSinceFirstAttempt);
+  setObjective(Item, Milliseconds(Stated), Left);
   Item->Timer = Context_.Loop.runAfter(
       elapsed(Context_.now(), Item->Info.DeadlineAt) + DeadlineGrace,
       [this, Weak = std::weak_ptr<Call>(Item)] {
@@ -278,6 +271,38 @@
       });
 }
 
+/// Calls of upstreams carry no key, on routes that need none. Without a request
+/// at the upstream beside this node, it is a caller who uses such a route.
+bool OutboundProxy::isNestedCall(const CallPtr &Item) const {
+  return Item->Info.HasOrganisations && Item->Holder == nullptr &&
+         LocalHop_.isRunning();
+}
+
+/// \p Stated is the time that the caller stated, or 0, and \p Left the time
+/// until the deadline.
+void OutboundProxy::setObjective(const CallPtr &Item, Milliseconds Stated,
+                                 Milliseconds Left) {
+  Item->IsNestedCall = isNestedCall(Item);
+  if (Item->IsNestedCall) {
+    // Its answer serves until the deadline, which is that of the request for
+    // which the upstream calls. Without it that request fails.
+    Item->Info.Rank = mesh::NestedCallRank;
+    Item->Info.Objective = Left;
+    Item->Info.ObjectiveAt = Item->Info.DeadlineAt;
+    return;
+  }
+  const Milliseconds Objective = mesh::objectiveOf(*Item->Route);
+  // Callers state the time left since their first attempt, so the longest time
+  // stated on a route tells how long this caller has been trying.
+  Milliseconds &Longest = MaxStatedDeadline_[Item->Info.Route];
+  Longest = std::max(Longest, Stated);
+  Item->TimeSinceFirstAttempt =
+      Stated > Milliseconds(0) ? Longest - Stated : Milliseconds(0);
+  Item->Info.Objective = Objective;
+  Item->Info.ObjectiveAt =
+      after(Item->ArrivedAt, Objective - Item->TimeSinceFirstAttempt);
+}
+
 void OutboundProxy::waitForBody(const CallPtr &Item) {
   const BodyPipePtr &Body = Item->Request->body();
   const http::Framing &Framing = Item->Request->framing();
@@ -510,7 +535,8 @@
                           std::max(MinRefusalTime, Item->Info.Objective /
                                                        RefusalObjectiveDivisor);
     if (Item->Refusals >= MaxRefusals || BodyIsConsumed ||
-        (Item->Refusals >= MaxSlowRefusals && TookLong) ||
+        (Item->Refusals >= MaxSlowRefusals && TookLong &&
+         !Item->IsNestedCall) ||
         Outcome.Reason == RefusalReason::CrashSuspect)
       return false;
     // Only a request that reached the upstream counts against the retry budget.
--- a/src/sidecar/internal/OutboundProxy.h
+++ b/src/sidecar/internal/OutboundProxy.h
@@ -32,6 +32,9 @@
   bool findRoute(const CallPtr &Item);
   bool identifyCaller(const CallPtr &Item);
   void readDeadline(const CallPtr &Item);
+  bool isNestedCall(const CallPtr &Item) const;
+  void setObjective(const CallPtr &Item, Milliseconds Stated,
+                    Milliseconds Left);
   void waitForBody(const CallPtr &Item);
   void prepare(const CallPtr &Item);
   void dispatch(const CallPtr &Item);
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -41,6 +41,8 @@
   /// Bytes counted in UploadBacklog_.
   std::int64_t PendingBytes = 0;
   bool HasSlot = false;
+  /// How long the upstream is expected to take; counted in ExpectedWork_.
+  Milliseconds Expected{0};
   /// The request has been written to a connection.
   bool Sent = false;
   /// The caller has left or has its answer; only the slot is still held.
@@ -196,6 +198,7 @@
   Queued.ObjectiveAt = Info.ObjectiveAt;
   Queued.DeadlineAt = Info.DeadlineAt;
   Queued.ServiceTime = expectedService(Info);
+  mesh::recordArrival(Queue_, Queued, Context_.now());
   const QueueDecision Admission = mesh::admitJob(
       Queue_, Queued, mesh::meanServiceTime(Service_), Context_.now());
   switch (Admission.Choice) {
@@ -206,16 +209,23 @@
     return;
   case QueueDecision::Action::Run:
     mesh::startNow(Queue_, Context_.now());
+    countWork(*Job, Queued.ServiceTime);
     grant(Job);
     return;
   case QueueDecision::Action::Wait:
     break;
   }
+  countWork(*Job, Queued.ServiceTime);
   Queue_.Waiting.push_back(Queued);
   runWaiting();
   scheduleExpiry();
 }
 
+void UpstreamHop::countWork(Running &Job, Milliseconds Expected) {
+  ExpectedWork_ += Expected - Job.Expected;
+  Job.Expected = Expected;
+}
+
 void UpstreamHop::scheduleExpiry() {
   if (Timer_ != reactor::TimerId() || Queue_.Waiting.empty())
     return;
@@ -453,6 +463,7 @@
   Job->Ended = true;
   Context_.Loop.cancel(Job->Timer);
   Jobs_.erase(Job->Id.value());
+  countWork(*Job, Milliseconds(0));
   endReceiving(Job);
   if (Job->Connection) {
     Job->Connection->OnConnected = nullptr;
@@ -554,15 +565,17 @@
 }
 
 mesh::LoadReport UpstreamHop::load() const {
-  return {Queue_.Running,
-          static_cast<std::int32_t>(Queue_.Waiting.size()) +
-              UploadBacklog_.Receiving,
-          mesh::meanServiceTime(Service_),
-          mesh::uploadBacklogTime(UploadBacklog_),
-          Queue_.Limit.PerSecond,
-          requests::permitDelay(
-              Queue_.Limit, static_cast<std::int64_t>(Queue_.Waiting.size()),
-              Context_.now())};
+  const auto Waiting = static_cast<std::int32_t>(Queue_.Waiting.size());
+  return {
+      Queue_.Running,
+      Waiting + UploadBacklog_.Receiving,
+      mesh::meanExpectedService(Queue_.Slots, Queue_.Running + Waiting,
+                                ExpectedWork_, mesh::meanServiceTime(Service_)),
+      mesh::uploadBacklogTime(UploadBacklog_),
+      Queue_.Limit.PerSecond,
+      requests::permitDelay(Queue_.Limit,
+                            static_cast<std::int64_t>(Queue_.Waiting.size()),
+                            Context_.now())};
 }
 
 std::vector<mesh::RouteEvidence> UpstreamHop::evidence() const {
--- a/src/sidecar/internal/UpstreamHop.h
+++ b/src/sidecar/internal/UpstreamHop.h
@@ -44,6 +44,9 @@
   void onRegistrationChanged();
 
   mesh::LoadReport load() const;
+
+  /// Whether the upstream runs a request.
+  bool isRunning() const { return Queue_.Running > 0; }
   std::vector<mesh::RouteEvidence> evidence() const;
   /// The order at the position \p From is now known by \p To.
   void moveEvidence(Offset From, Offset To) { Outcomes_.moveOrder(From, To); }
@@ -73,6 +76,7 @@
   void logOutcome(const Running &Job, const HopOutcome &Outcome);
   void release(const RunningPtr &Job);
   void runWaiting();
+  void countWork(Running &Job, Milliseconds Expected);
   void scheduleExpiry();
   void expireWaiting();
   void refuseWaiting(RefusalReason Reason);
@@ -87,6 +91,8 @@
   ConnectionPool Pool_;
   CrashProbe Crashes_;
   mesh::HopQueue Queue_;
+  /// Sum of the expected times of the requests that run or wait.
+  Milliseconds ExpectedWork_{0};
   std::unordered_map<std::int64_t, RunningPtr> Jobs_;
   mesh::JobId LastJob_;
   /// Requests whose long body has not arrived yet; they hold no slot.
