Handle pipelined requests side by side and answer them in order

The server side of the event-driven node read the next request of a connection only after the previous one had been answered, so a slow request delayed all that a caller had sent behind it.

A connection now hands over up to 8 requests as they are parsed and writes the answers in request order. The order, and what is cancelled when an answer ends the connection, is decided by the pure AnswerOrder in src/http. Bodies of held answers stay in their pipes and count against the budget for held answers; while it is used up, or while 64 KiB of request bodies wait, nothing is read behind other requests. A request that may run only once is held until the answers before it have been handed to the kernel, since its caller sends it again when one of them closes the connection. On a planned stop the last answer of a connection announces the close.

HttpServer.cpp is split: ServerConnection holds the connection, ServerRequest the handle of a request.

Evidence: HttpTests, SidecarTests and PlatformNodeTests (62 cases) pass, and SidecarTests with the address sanitizer. With the hold of requests that may run once removed, requestThatMayRunOnceRunsAfterThoseBeforeIt and heldRequestIsAnsweredAsNotRunAtItsDeadline fail.

--- a/src/sidecar/internal/OutboundProxy.cpp
+++ b/src/sidecar/internal/OutboundProxy.cpp
@@ -302,7 +302,22 @@
   };
 }
 
+/// Holds a request that may run only once behind others of its connection. If
+/// one of their answers closes the connection, the caller sends it again.
+bool OutboundProxy::waitUntilFirst(const CallPtr &Item) {
+  if (Item->Info.Class == RequestClass::Repeatable || Item->Request->isFirst())
+    return false;
+  Item->Request->onFirst([this, Weak = std::weak_ptr<Call>(Item)] {
+    const auto Found = Weak.lock();
+    if (Found && !Found->Ended)
+      prepare(Found);
+  });
+  return true;
+}
+
 void OutboundProxy::prepare(const CallPtr &Item) {
+  if (waitUntilFirst(Item))
+    return;
   const HTTPRequest &Head = Item->Request->head();
   const BodyPipePtr &Body = Item->Request->body();
   Hasher Hash;
--- a/src/sidecar/internal/OutboundProxy.h
+++ b/src/sidecar/internal/OutboundProxy.h
@@ -33,6 +33,7 @@
   bool identifyCaller(const CallPtr &Item);
   void readDeadline(const CallPtr &Item);
   void waitForBody(const CallPtr &Item);
+  bool waitUntilFirst(const CallPtr &Item);
   void prepare(const CallPtr &Item);
   void dispatch(const CallPtr &Item);
   static bool crossesLink(const CallPtr &Item, const mesh::Candidate &To);
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -185,7 +185,8 @@
               return Context.Config ? Context.Config->Limits
                                     : mesh::CallerLimits();
             },
-            [this](const auto &Request) { Outbound->handle(Request); }});
+            [this](const auto &Request) { Outbound->handle(Request); },
+            Context.HeldAnswers});
     InboundServer = std::make_unique<HttpServer>(
         Loop, At.Inbound,
         HttpServerOptions{internalLimits, [this](const auto &Request) {
