--- a/src/sidecar/internal/OutboundProxy.h
+++ b/src/sidecar/internal/OutboundProxy.h
@@ -36,6 +36,7 @@
   void setObjective(const CallPtr &Item, Milliseconds Stated,
                     Milliseconds Left);
   void waitForBody(const CallPtr &Item);
+  bool waitUntilFirst(const CallPtr &Item);
   void prepare(const CallPtr &Item);
   void dispatch(const CallPtr &Item);
   static bool crossesLink(const CallPtr &Item, const mesh::Candidate &To);
