Write departures again that a write to a restored store reveals as lost

What could happen: the store comes back from an older copy and loses departures of upstreams that were acknowledged. The node writes them again when it hears of the new era. If it wrote another departure to the restored store first, it never did, and after a restart of all nodes a late check-in of such an upstream was believed, so that it got new work.

Cause: the answer to that write raised DepartureLog's era without marking the other slots as lost; onRecords() then found no later era. Likewise, an answer of an earlier era than the one already heard of acknowledged a departure that the store may have lost.

Change: every way in which the class learns of a later era (operator's records, answer to a write, first read) goes through enterEra(), which marks all slots as lost. The departure that was just written is marked as recorded afterwards. An answer of an earlier era counts as a failed write and is repeated.

--- a/src/sidecar/internal/DepartureLog.cpp
+++ b/src/sidecar/internal/DepartureLog.cpp
@@ -138,6 +138,8 @@
   }
   Context_.Log.write(LogClass::State, Context_.now(), "departures-read",
                      {{"departures", std::to_string(Slots_.size())}});
+  // The node may have heard of a later era while the answer was on its way.
+  enterEra(eraOf(Context_.Records.Position));
   IsKnown_ = true;
   if (IsRegisteredLeft)
     Callbacks_.OnRestored();
@@ -162,9 +164,14 @@
                 Context_.Platform.Operator.Departure(Item), std::nullopt,
                 [this, Slot, Item](const StoreAppend &Written) {
                   IsBusy_ = false;
-                  if (Written.Outcome == StoreOutcome::Done)
-                    Era_ = std::max(Era_, eraOf(Written.End));
-                  onWritten(Slot, Item, Written.Outcome);
+                  StoreOutcome Outcome = Written.Outcome;
+                  if (Outcome == StoreOutcome::Done) {
+                    // A store that has come back since may have lost it.
+                    if (eraOf(Written.End) < Era_)
+                      Outcome = StoreOutcome::Unavailable;
+                    enterEra(eraOf(Written.End));
+                  }
+                  onWritten(Slot, Item, Outcome);
                 });
 }
 
@@ -220,13 +227,18 @@
 }
 
 void DepartureLog::onRecords() {
-  const StoreEra Now = eraOf(Context_.Records.Position);
-  if (!IsKnown_ || Now <= Era_)
+  if (!IsKnown_ || eraOf(Context_.Records.Position) <= Era_)
+    return;
+  enterEra(eraOf(Context_.Records.Position));
+  update();
+}
+
+void DepartureLog::enterEra(StoreEra Now) {
+  if (Now <= Era_)
     return;
   Era_ = Now;
   for (const auto &[Slot, Item] : Slots_)
     mesh::markLost(Context_.Registered, Item.Id);
-  update();
 }
 
 } // namespace lycheethread::sidecar
--- a/src/sidecar/internal/DepartureLog.h
+++ b/src/sidecar/internal/DepartureLog.h
@@ -61,6 +61,8 @@
   void write(const mesh::Departure &Item);
   void onWritten(int Slot, const mesh::Departure &Item, StoreOutcome Outcome);
   void answerWaiting();
+  /// Takes note of a later era, in which the store may have lost every slot.
+  void enterEra(StoreEra Now);
 
   NodeContext &Context_;
   StoreClient &Store_;
