Check configurations of a platform before they are published

`lycheethread check` read service documents only. A configuration in the platform's JSON form was first read by the nodes, which reject it whole and log the first problem, or apply it with entries that cannot be meant.

Files that begin with '{' are now read as configurations. platform/'s ConfigReader is the one reader: for nodes it throws at the first problem, for the check it reports each with its place and line and goes on. What nodes accept and reject is unchanged; the text of the problem in config-unreadable now names the place. The new decision module src/configcheck holds the checks (errors and warnings), the differences by meaning (--against) and the conversion to mesh::MeshConfig. Keys are never printed.

Tests: ConfigCheckTests (11 cases: tables of 19 errors and 19 warnings, each with its only finding; configurations without findings; differences), PlatformTests ConfigReader (24 texts that nodes reject, each with one finding at its place and line), DocumentCommandTests CheckConfiguration (output and exit codes on examples/check).

--- a/src/app/Main.cpp
+++ b/src/app/Main.cpp
@@ -17,7 +17,7 @@
 
 constexpr Command Commands[] = {
     {"node", runNode, "run the node beside an upstream"},
-    {"check", runCheck, "check service documents and print all findings"},
+    {"check", runCheck, "check service documents and configurations"},
     {"publish", runPublish, "publish a service document"},
     {"status", runStatus, "show what a node knows and does"},
     {"moves", runMoves, "list version moves with outcome and evidence"},
--- a/src/app/internal/CheckCommand.cpp
+++ b/src/app/internal/CheckCommand.cpp
@@ -1,10 +1,12 @@
 #include "app/internal/Commands.h"
+#include "app/internal/ConfigurationFile.h"
 #include "app/internal/DocumentFile.h"
 #include "app/internal/FindingsOutput.h"
 
 #include <cxxopts.hpp>
 
 #include <iostream>
+#include <stdexcept>
 
 namespace lycheethread::app {
 
@@ -12,15 +14,36 @@
 
 struct CheckOptions {
   std::vector<std::string> Files;
+  std::string Against;
+  configcheck::KnownRegions Regions;
   bool Json = false;
+  bool IsStrict = false;
   bool Help = false;
 };
 
+/// What was found in all files.
+struct CheckReport {
+  configcheck::CheckResult Found;
+  std::vector<configcheck::Difference> Differences;
+};
+
 cxxopts::Options describeCheckOptions() {
-  cxxopts::Options Options("lycheethread check",
-                           "Checks service documents and reports all mistakes");
-  Options.add_options()("files", "documents to check",
+  cxxopts::Options Options(
+      "lycheethread check",
+      "Checks service documents, and configurations in the platform's JSON\n"
+      "form (files that begin with '{'), and reports all mistakes.\n"
+      "Exit codes: 0 none, or only warnings; 1 mistakes; 2 wrong usage.\n");
+  Options.add_options()("files", "documents and configurations to check",
                         cxxopts::value<std::vector<std::string>>())(
+      "against",
+      "show what the configuration changes of the one in FILE, such as the "
+      "one in force; its version must be higher",
+      cxxopts::value<std::string>(), "FILE")(
+      "zones",
+      "the availability zones and their regions; regions without a zone are "
+      "reported",
+      cxxopts::value<std::string>(), "ZONE=REGION,...")(
+      "strict", "exit with 1 also if there are only warnings")(
       "json", "print the findings as JSON")("h,help", "print this help");
   Options.parse_positional({"files"});
   Options.positional_help("FILE...");
@@ -33,46 +56,130 @@
   CheckOptions Result;
   if (Parsed.count("files") != 0)
     Result.Files = Parsed["files"].as<std::vector<std::string>>();
+  if (Parsed.count("against") != 0)
+    Result.Against = Parsed["against"].as<std::string>();
+  if (Parsed.count("zones") != 0)
+    Result.Regions = parseZones(Parsed["zones"].as<std::string>());
   Result.Json = Parsed.count("json") != 0;
+  Result.IsStrict = Parsed.count("strict") != 0;
   Result.Help = Parsed.count("help") != 0;
   return Result;
 }
 
+void append(Findings &To, const Findings &From) {
+  To.insert(To.end(), From.begin(), From.end());
+}
+
+void checkFile(const std::string &Path, const CheckOptions &Options,
+               CheckReport &Into) {
+  const auto Config = readConfigurationFile(Path);
+  if (!Config) {
+    append(Into.Found.Errors, readDocumentFile(Path).Parsed.Problems);
+    return;
+  }
+  const auto Found = configcheck::check(*Config, Options.Regions);
+  append(Into.Found.Errors, Found.Errors);
+  append(Into.Found.Warnings, Found.Warnings);
+}
+
+/// Throws std::invalid_argument if one of the two files is no configuration.
+void compareFiles(const CheckOptions &Options, CheckReport &Into) {
+  const auto Next = readConfigurationFile(Options.Files.front());
+  const auto InForce = readConfigurationFile(Options.Against);
+  if (!Next || !InForce)
+    throw std::invalid_argument(
+        "--against: " + (Next ? Options.Against : Options.Files.front()) +
+        " cannot be read or is not a configuration");
+  if (!InForce->Problems.empty()) {
+    const auto Found = configcheck::check(*InForce, std::nullopt);
+    append(Into.Found.Errors, Found.Errors);
+  }
+  if (!Next->Problems.empty() || !InForce->Problems.empty())
+    return;
+  auto Result = configcheck::compare(*Next, *InForce);
+  append(Into.Found.Errors, Result.Errors);
+  Into.Differences = std::move(Result.Differences);
+}
+
+Poco::JSON::Array withSeverity(const Findings &Items, const char *Severity) {
+  Poco::JSON::Array List = findingsJson(Items);
+  for (std::size_t Index = 0; Index < List.size(); ++Index) {
+    Poco::JSON::Object Entry =
+        List.get(static_cast<unsigned>(Index)).extract<Poco::JSON::Object>();
+    Entry.set("severity", Severity);
+    List.set(static_cast<unsigned>(Index), Entry);
+  }
+  return List;
+}
+
+void printReportJson(const CheckReport &Report, bool HasDifferences) {
+  Poco::JSON::Array All = withSeverity(Report.Found.Errors, "error");
+  for (const auto &Item : withSeverity(Report.Found.Warnings, "warning"))
+    All.add(Item);
+  Poco::JSON::Object Body;
+  Body.set("findings", All);
+  if (HasDifferences) {
+    Poco::JSON::Array List;
+    for (const configcheck::Difference &Item : Report.Differences) {
+      Poco::JSON::Object Entry;
+      Entry.set("subject", Item.Subject);
+      Entry.set("field", Item.Field);
+      Entry.set("from", Item.From);
+      Entry.set("to", Item.To);
+      List.add(Entry);
+    }
+    Body.set("differences", List);
+  }
+  printJson(std::cout, Body);
+}
+
+void printReport(const CheckReport &Report) {
+  printFindings(std::cout, Report.Found.Errors);
+  for (Finding Item : Report.Found.Warnings) {
+    Item.Problem = "warning: " + Item.Problem;
+    std::cout << toString(Item) << "\n";
+  }
+  for (const configcheck::Difference &Item : Report.Differences)
+    std::cout << configcheck::toString(Item) << "\n";
+}
+
 int check(const CheckOptions &Options) {
-  Findings AllFindings;
+  CheckReport Report;
   for (const std::string &Path : Options.Files)
-    for (const Finding &Item : readDocumentFile(Path).Parsed.Problems)
-      AllFindings.push_back(Item);
-  if (Options.Json) {
-    Poco::JSON::Object Body;
-    Body.set("findings", findingsJson(AllFindings));
-    printJson(std::cout, Body);
-  } else {
-    printFindings(std::cout, AllFindings);
-  }
-  return AllFindings.empty() ? ExitOk : ExitRefused;
+    checkFile(Path, Options, Report);
+  const bool IsComparison = !Options.Against.empty();
+  if (IsComparison)
+    compareFiles(Options, Report);
+  if (Options.Json)
+    printReportJson(Report, IsComparison);
+  else
+    printReport(Report);
+  const bool IsRefused = !Report.Found.Errors.empty() ||
+                         (Options.IsStrict && !Report.Found.Warnings.empty());
+  return IsRefused ? ExitRefused : ExitOk;
 }
 
 } // namespace
 
 int runCheck(int Argc, char **Argv) {
   cxxopts::Options Options = describeCheckOptions();
-  CheckOptions Parsed;
   try {
-    Parsed = parseCheckOptions(Options, Argc, Argv);
+    const CheckOptions Parsed = parseCheckOptions(Options, Argc, Argv);
+    if (Parsed.Help) {
+      std::cout << Options.help();
+      return ExitOk;
+    }
+    if (Parsed.Files.empty())
+      throw std::invalid_argument("no file given");
+    if (!Parsed.Against.empty() && Parsed.Files.size() != 1)
+      throw std::invalid_argument("--against takes one file to check");
+    return check(Parsed);
   } catch (const cxxopts::exceptions::exception &Error) {
     std::cerr << "check: " << Error.what() << "\n";
-    return ExitUsage;
-  }
-  if (Parsed.Help) {
-    std::cout << Options.help();
-    return ExitOk;
-  }
-  if (Parsed.Files.empty()) {
-    std::cerr << "check: no file given\n";
-    return ExitUsage;
+  } catch (const std::invalid_argument &Error) {
+    std::cerr << "check: " << Error.what() << "\n";
   }
-  return check(Parsed);
+  return ExitUsage;
 }
 
 } // namespace lycheethread::app
--- a/src/app/tests/DocumentCommandTest.cpp
+++ b/src/app/tests/DocumentCommandTest.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE DocumentCommands
+#include "CommandRun.h"
 #include "LogServer.h"
 #include "app/internal/Commands.h"
 #include "app/internal/Publication.h"
@@ -9,12 +10,11 @@
 #include <atomic>
 #include <cstdio>
 #include <fstream>
-#include <iostream>
-#include <sstream>
 #include <thread>
 #include <unistd.h>
 
 using namespace lycheethread;
+using namespace lycheethread::apptest;
 using Clock = std::chrono::steady_clock;
 
 namespace {
@@ -23,39 +23,6 @@
     "[service]\nname = desk\nteam = t\nbuilds_on = 0\n"
     "[upstreams.main]\nversions = v1\n";
 
-/// Exit code and output of a command.
-struct CommandResult {
-  int Code = 0;
-  std::string Out;
-  std::string Err;
-};
-
-/// Captures the output to a stream during its lifetime.
-class Capture {
-public:
-  explicit Capture(std::ostream &Stream)
-      : Stream_(Stream), Original_(Stream.rdbuf(Text_.rdbuf())) {}
-  ~Capture() { Stream_.rdbuf(Original_); }
-  std::string text() const { return Text_.str(); }
-
-private:
-  std::ostream &Stream_;
-  std::ostringstream Text_;
-  std::streambuf *Original_;
-};
-
-CommandResult run(int (*Command)(int, char **),
-                  std::vector<std::string> Arguments) {
-  std::vector<char *> Argv;
-  for (std::string &Argument : Arguments)
-    Argv.push_back(Argument.data());
-  Argv.push_back(nullptr);
-  const Capture Out(std::cout);
-  const Capture Err(std::cerr);
-  const int Code = Command(static_cast<int>(Arguments.size()), Argv.data());
-  return {Code, Out.text(), Err.text()};
-}
-
 struct Fixture {
   testlog::LogServer Server{"127.0.0.1:0", 1000};
   std::string Url = "http://127.0.0.1:" + std::to_string(Server.port());
