--- /dev/null
+++ b/src/quota/Quota.h
@@ -0,0 +1,89 @@
+#ifndef LYCHEETHREAD_QUOTA_QUOTA_H
+#define LYCHEETHREAD_QUOTA_QUOTA_H
+
+/// Public header of the quota library: how the nodes share the limit of an
+/// organisation. One node, the owner, grants permits that expire; the entries
+/// ask for them. All functions are pure.
+
+#include "quota/types/EntryStock.h"
+#include "quota/types/Fleet.h"
+#include "quota/types/OwnerBucket.h"
+
+namespace lycheethread::quota {
+
+/// Returns the times with which \p Nodes nodes stay within the limit, when the
+/// requests of any \p Window may exceed it by the part \p Overage.
+QuotaTimes quotaTimes(Milliseconds Window, double Overage, std::size_t Nodes);
+
+/// Returns the limit with which the owner fills its bucket. The burst is larger
+/// by a part of \p Slack, the number by which any window may exceed the limit:
+/// the requests of a small organisation come unevenly.
+organisations::Quota ownerLimit(const organisations::Quota &Limit,
+                                double Slack);
+
+/// Adds the tokens since the last refill; called several times a second by the
+/// owner. A bucket that was not refilled for a second starts empty: this node
+/// was suspended, or another one was the owner.
+void refill(OwnerBucket &Bucket, const organisations::Quota &Limit,
+            const Fleet &Nodes, SteadyTime Now);
+
+/// Decides how many permits an ask gets. The answer to a repeated ask is the
+/// same as to the first one. Returns nothing for an ask that came late.
+std::optional<PermitGrant> grant(OwnerBucket &Bucket,
+                                 const organisations::Quota &Limit,
+                                 const PermitAsk &Ask, SteadyTime Now);
+
+/// Adopts the limit in force; permits of a higher one are dropped.
+void setLimit(EntryStock &Stock, const organisations::Quota &Limit);
+
+/// Counts an arriving request.
+void recordDemand(EntryStock &Stock, SteadyTime Now);
+
+/// Takes one permit and returns when it expires; nothing if none is left.
+std::optional<SteadyTime> takePermit(EntryStock &Stock, SteadyTime Now);
+
+/// Gives a permit back whose request has not run.
+void returnPermit(EntryStock &Stock, SteadyTime ExpiresAt, SteadyTime Now);
+
+/// Returns how many permits to ask the owner for now, with \p Waiting requests
+/// that found none; 0 to ask later.
+std::int32_t permitsToAsk(const EntryStock &Stock, std::int32_t Waiting,
+                          SteadyTime Now);
+
+/// Records an ask as sent and returns it.
+PermitAsk startAsk(EntryStock &Stock, const NodeId &Self, const NodeId &Owner,
+                   std::int32_t Wanted, SteadyTime Now);
+
+/// Whether the pending ask is to be sent again now; records that it was.
+bool shouldRepeat(EntryStock &Stock, SteadyTime Now);
+
+/// Gives the pending ask up if it has waited too long; returns true then.
+/// \p Phase, from 0 to 1 at random, spreads the permits of the nodes that fall
+/// back to their shares over time.
+bool giveUpAsk(EntryStock &Stock, double Phase, SteadyTime Now);
+
+/// Adds the granted permits to the stock. Returns false for an answer that
+/// belongs to no pending ask.
+bool applyGrant(EntryStock &Stock, const PermitGrant &Grant,
+                const QuotaTimes &Times, SteadyTime Now);
+
+/// Whether the owner has not answered the last asks.
+bool isOwnerSilent(const EntryStock &Stock);
+
+/// Takes a permit of this node's equal share while the owner is silent.
+bool takeFallback(EntryStock &Stock, const Fleet &Nodes,
+                  const QuotaTimes &Times, SteadyTime Now);
+
+/// Whether a request without a permit is refused at once, since the owner has
+/// said that there are none or does not answer.
+bool shouldRefuse(const EntryStock &Stock, SteadyTime Now);
+
+/// Returns the time after which a refused request may find a permit.
+Milliseconds refusalDelay(const EntryStock &Stock, SteadyTime Now);
+
+/// How long a request waits for the answer of the owner.
+inline constexpr Milliseconds PermitWaitLimit{150};
+
+} // namespace lycheethread::quota
+
+#endif // LYCHEETHREAD_QUOTA_QUOTA_H
--- /dev/null
+++ b/src/quota/internal/EntryStock.cpp
@@ -0,0 +1,164 @@
+#include "quota/Quota.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lycheethread::quota {
+
+namespace {
+
+constexpr double MillisecondsPerSecond = 1000;
+/// Time constant of the recent use.
+constexpr double DemandDecayMs = 1000;
+/// An entry asks when its stock is below what it uses in LowStockSeconds, and
+/// for what it uses in FullStockSeconds. Both are within the lifetime.
+constexpr double LowStockSeconds = 0.25;
+constexpr double FullStockSeconds = 0.4;
+/// With less use, permits are asked for one by one: those kept in stock would
+/// mostly expire.
+constexpr double MinFullStock = 2;
+/// Asks in advance, asks after a refusal and probes of a silent owner are at
+/// least this far apart.
+constexpr Milliseconds AskInterval{250};
+/// A lost message is noticed before the waiting requests give up.
+constexpr Milliseconds RepeatDelay{65};
+/// A single ask may be lost on the way.
+constexpr std::int32_t SilentAfter = 2;
+constexpr std::int32_t MaxWanted = 100'000;
+
+double demandAt(const EntryStock &Stock, SteadyTime Now) {
+  return Stock.Demand *
+         std::exp(-static_cast<double>(elapsed(Stock.DemandAt, Now).count()) /
+                  DemandDecayMs);
+}
+
+std::int32_t stockAt(const EntryStock &Stock, SteadyTime Now) {
+  std::int32_t Sum = 0;
+  for (const PermitBatch &Batch : Stock.Batches)
+    if (Batch.ExpiresAt > Now)
+      Sum += Batch.Permits;
+  return Sum;
+}
+
+} // namespace
+
+void setLimit(EntryStock &Stock, const organisations::Quota &Limit) {
+  if (Limit.PerSecond < Stock.Limit.PerSecond ||
+      Limit.Burst < Stock.Limit.Burst) {
+    Stock.Batches.clear();
+    Stock.Fallback.Credit = std::min(Stock.Fallback.Credit, 1.0);
+  }
+  Stock.Limit = Limit;
+}
+
+void recordDemand(EntryStock &Stock, SteadyTime Now) {
+  Stock.Demand = demandAt(Stock, Now) + MillisecondsPerSecond / DemandDecayMs;
+  Stock.DemandAt = Now;
+}
+
+std::optional<SteadyTime> takePermit(EntryStock &Stock, SteadyTime Now) {
+  while (!Stock.Batches.empty() && (Stock.Batches.front().ExpiresAt <= Now ||
+                                    Stock.Batches.front().Permits == 0))
+    Stock.Batches.pop_front();
+  if (Stock.Batches.empty())
+    return std::nullopt;
+  --Stock.Batches.front().Permits;
+  return Stock.Batches.front().ExpiresAt;
+}
+
+void returnPermit(EntryStock &Stock, SteadyTime ExpiresAt, SteadyTime Now) {
+  if (ExpiresAt <= Now)
+    return;
+  const auto Place = std::find_if(
+      Stock.Batches.begin(), Stock.Batches.end(),
+      [&](const PermitBatch &Item) { return Item.ExpiresAt >= ExpiresAt; });
+  if (Place != Stock.Batches.end() && Place->ExpiresAt == ExpiresAt)
+    ++Place->Permits;
+  else
+    Stock.Batches.insert(Place, {1, ExpiresAt});
+}
+
+std::int32_t permitsToAsk(const EntryStock &Stock, std::int32_t Waiting,
+                          SteadyTime Now) {
+  if (Stock.Pending || Now < Stock.NoneUntil)
+    return 0;
+  const bool IsRecent = elapsed(Stock.LastAskAt, Now) < AskInterval;
+  if (isOwnerSilent(Stock) && IsRecent)
+    return 0;
+  const double Demand = demandAt(Stock, Now);
+  const double Full = std::floor(Demand * FullStockSeconds);
+  const std::int32_t Left = stockAt(Stock, Now);
+  const bool IsLow = Full >= MinFullStock && Left < Demand * LowStockSeconds;
+  if (Waiting == 0 && (!IsLow || IsRecent))
+    return 0;
+  // Also without stock, some for the requests that will come while the owner is
+  // asked.
+  const double Advance = std::max(0.0, Full - Left);
+  return std::min(MaxWanted,
+                  Waiting + static_cast<std::int32_t>(std::min(
+                                Advance, static_cast<double>(MaxWanted))));
+}
+
+PermitAsk startAsk(EntryStock &Stock, const NodeId &Self, const NodeId &Owner,
+                   std::int32_t Wanted, SteadyTime Now) {
+  Stock.LastNumber = Stock.LastNumber.next();
+  Stock.LastAskAt = Now;
+  Stock.Pending = PendingAsk{{Self, Stock.LastNumber, Wanted}, Owner, Now, Now};
+  return Stock.Pending->Ask;
+}
+
+bool shouldRepeat(EntryStock &Stock, SteadyTime Now) {
+  if (!Stock.Pending || elapsed(Stock.Pending->SentAt, Now) < RepeatDelay ||
+      Stock.Pending->SentAt != Stock.Pending->AskedAt)
+    return false;
+  Stock.Pending->SentAt = Now;
+  return true;
+}
+
+bool giveUpAsk(EntryStock &Stock, double Phase, SteadyTime Now) {
+  if (!Stock.Pending || elapsed(Stock.Pending->AskedAt, Now) < PermitWaitLimit)
+    return false;
+  if (Stock.Unanswered == 0) {
+    Stock.UnansweredSince = Stock.Pending->AskedAt;
+    Stock.Fallback = {Phase, Now};
+  }
+  ++Stock.Unanswered;
+  Stock.Pending.reset();
+  return true;
+}
+
+bool applyGrant(EntryStock &Stock, const PermitGrant &Grant,
+                const QuotaTimes &Times, SteadyTime Now) {
+  if (!Stock.Pending || Stock.Pending->Ask.Number != Grant.Number)
+    return false;
+  const std::int32_t Wanted = Stock.Pending->Ask.Wanted;
+  const SteadyTime Expires = after(Stock.Pending->AskedAt, Times.Lifetime);
+  Stock.Pending.reset();
+  Stock.UnansweredSince.reset();
+  Stock.Unanswered = 0;
+  const std::int32_t Permits = std::clamp(Grant.Permits, 0, Wanted);
+  if (Permits > 0 && Expires > Now)
+    Stock.Batches.push_back({Permits, Expires});
+  if (Permits < Wanted)
+    Stock.NoneUntil = after(Now, std::max(AskInterval, Grant.RetryDelay));
+  return true;
+}
+
+bool isOwnerSilent(const EntryStock &Stock) {
+  return Stock.Unanswered >= SilentAfter;
+}
+
+bool shouldRefuse(const EntryStock &Stock, SteadyTime Now) {
+  if (Now < Stock.NoneUntil)
+    return true;
+  // A request waits for the next ask all the same, or a node with few requests
+  // would refuse one more after the owner has returned.
+  return isOwnerSilent(Stock) && !Stock.Pending &&
+         elapsed(Stock.LastAskAt, Now) < AskInterval;
+}
+
+Milliseconds refusalDelay(const EntryStock &Stock, SteadyTime Now) {
+  return std::max(AskInterval, elapsed(Now, Stock.NoneUntil));
+}
+
+} // namespace lycheethread::quota
--- /dev/null
+++ b/src/quota/internal/OwnerBucket.cpp
@@ -0,0 +1,182 @@
+#include "quota/Quota.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lycheethread::quota {
+
+namespace {
+
+constexpr double MillisecondsPerSecond = 1000;
+/// The time for which nodes may disagree on who the owner is. A new owner
+/// grants nothing before, since the earlier one may still do so.
+constexpr Milliseconds TakeoverDelay{1000};
+/// A bucket that was not refilled for longer starts empty.
+constexpr Milliseconds MaxRefillGap{1000};
+/// Rise of the fraction per second: after a partition has healed, the owner of
+/// the other side grants for about a second more.
+constexpr double FractionRise = 0.25;
+/// Time constant of the demand. After a partition, the share of the entries
+/// that were cut off stays reserved for about as long.
+constexpr double DemandDecayMs = 2000;
+constexpr Milliseconds MaxShareTime{1000};
+/// Entries that have not asked for this long are forgotten.
+constexpr Milliseconds EntryTimeout{20000};
+constexpr std::size_t MinEntriesToSweep = 64;
+/// Numbers of one process grow by one; another process starts at random.
+constexpr std::int64_t MaxLateNumbers = 1LL << 20;
+constexpr Milliseconds MinRetryDelay{100};
+constexpr Milliseconds MaxRetryDelay{2000};
+
+double seconds(Milliseconds Length) {
+  return static_cast<double>(Length.count()) / MillisecondsPerSecond;
+}
+
+double decay(SteadyTime From, SteadyTime To) {
+  return std::exp(-static_cast<double>(elapsed(From, To).count()) /
+                  DemandDecayMs);
+}
+
+double capacityOf(const OwnerBucket &Bucket,
+                  const organisations::Quota &Limit) {
+  return std::max(1.0, Limit.Burst * Bucket.Fraction);
+}
+
+void removeOldEntries(OwnerBucket &Bucket, SteadyTime Now) {
+  for (auto It = Bucket.Entries.begin(); It != Bucket.Entries.end();) {
+    if (elapsed(It->second.AskedAt, Now) > EntryTimeout)
+      It = Bucket.Entries.erase(It);
+    else
+      ++It;
+  }
+}
+
+/// Whether the entries have recently asked for more than comes in.
+bool isScarce(const OwnerBucket &Bucket, const organisations::Quota &Limit) {
+  const double Supply =
+      Limit.PerSecond * Bucket.Fraction * DemandDecayMs / MillisecondsPerSecond;
+  return Bucket.Demand > Supply;
+}
+
+/// Returns how many tokens the entry may have. When they are scarce, these are
+/// its part of those there or, if more, of those that came in since its last
+/// ask. Some are left for the other entries, or one that asks for many would
+/// often leave none.
+double shareOf(const OwnerBucket &Bucket, const EntryDemand &Entry,
+               const organisations::Quota &Limit, Milliseconds SinceLastAsk) {
+  constexpr double MinOthersPart = 0.01;
+  constexpr double PlentyPart = 0.5;
+  const double There = std::floor(std::max(0.0, Bucket.Tokens));
+  const double Part =
+      Bucket.Demand > 0 ? std::min(1.0, Entry.Recent / Bucket.Demand) : 1.0;
+  const double Earned = Limit.PerSecond * Bucket.Fraction *
+                        seconds(std::min(SinceLastAsk, MaxShareTime));
+  double Share = Part * std::max(Bucket.Tokens, Earned);
+  if (!isScarce(Bucket, Limit))
+    Share = std::max(Share, There * PlentyPart);
+  const double Left = Part < 1 - MinOthersPart ? 1 : 0;
+  return std::max(std::min(1.0, There),
+                  std::floor(std::min(Share, There - Left)));
+}
+
+Milliseconds retryDelay(const OwnerBucket &Bucket,
+                        const organisations::Quota &Limit) {
+  const double Rate = Limit.PerSecond * Bucket.Fraction;
+  if (Rate <= 0)
+    return MinRetryDelay;
+  const double Missing = std::max(0.0, 1 - Bucket.Tokens);
+  const auto Delay = Milliseconds(static_cast<std::int64_t>(
+      std::min(Missing / Rate * MillisecondsPerSecond,
+               static_cast<double>(MaxRetryDelay.count()))));
+  return std::max(MinRetryDelay, Delay);
+}
+
+} // namespace
+
+QuotaTimes quotaTimes(Milliseconds Window, double Overage, std::size_t Nodes) {
+  // Permits granted in the window before may be used in this one, so that
+  // burst + rate x (window + lifetime) is the most that can run. This is within
+  // the bound if the lifetime is at most window x overage.
+  constexpr Milliseconds MinLifetime{200};
+  constexpr Milliseconds MaxLifetime{1000};
+  // Among many nodes, loads that are passed on arrive less often: the 99th
+  // percentile of their age is 3.4 s at 84 nodes, 14 s at 300 and 16 s at 1,000
+  // (lychee-gossip).
+  constexpr Milliseconds HeardWindowPerNode{45};
+  constexpr std::size_t NodesWithMinWindow = 100;
+  constexpr Milliseconds MaxHeardWindow{16000};
+  const auto More = static_cast<std::int64_t>(
+      Nodes > NodesWithMinWindow ? Nodes - NodesWithMinWindow : 0);
+  const auto Allowed = Milliseconds(
+      static_cast<std::int64_t>(static_cast<double>(Window.count()) * Overage));
+  return {std::clamp(Allowed, MinLifetime, MaxLifetime),
+          std::min(MaxHeardWindow, MinHeardWindow + HeardWindowPerNode * More)};
+}
+
+organisations::Quota ownerLimit(const organisations::Quota &Limit,
+                                double Slack) {
+  // The rest is left for permits that two owners grant while they change.
+  constexpr double SlackPart = 0.25;
+  return {Limit.PerSecond, Limit.Burst + std::max(0.0, Slack) * SlackPart};
+}
+
+void refill(OwnerBucket &Bucket, const organisations::Quota &Limit,
+            const Fleet &Nodes, SteadyTime Now) {
+  const double Heard = std::min(
+      1.0, static_cast<double>(Nodes.Heard) /
+               static_cast<double>(std::max<std::size_t>(1, Nodes.Known)));
+  const Milliseconds Gap = elapsed(Bucket.RefilledAt, Now);
+  if (!Bucket.StartedAt || Gap > MaxRefillGap) {
+    Bucket = {};
+    Bucket.StartedAt = Now;
+    Bucket.RefilledAt = Now;
+    Bucket.DemandAt = Now;
+    Bucket.Fraction = Heard;
+    return;
+  }
+  const bool Grants = elapsed(*Bucket.StartedAt, Now) > TakeoverDelay;
+  // A node that has just started still finds the others.
+  const double MaxRise = Grants ? FractionRise * seconds(Gap) : 1.0;
+  Bucket.Fraction = std::min(Heard, Bucket.Fraction + MaxRise);
+  Bucket.RefilledAt = Now;
+  if (Grants)
+    Bucket.Tokens += Limit.PerSecond * Bucket.Fraction * seconds(Gap);
+  Bucket.Tokens = std::min(Bucket.Tokens, capacityOf(Bucket, Limit));
+}
+
+std::optional<PermitGrant> grant(OwnerBucket &Bucket,
+                                 const organisations::Quota &Limit,
+                                 const PermitAsk &Ask, SteadyTime Now) {
+  if (Bucket.Entries.size() >= MinEntriesToSweep &&
+      Bucket.Entries.count(Ask.Entry) == 0)
+    removeOldEntries(Bucket, Now);
+  const auto [Found, IsNew] = Bucket.Entries.try_emplace(Ask.Entry);
+  EntryDemand &Entry = Found->second;
+  if (!IsNew) {
+    const std::int64_t Behind =
+        Entry.LastGrant.Number.value() - Ask.Number.value();
+    if (Behind == 0)
+      return Entry.LastGrant;
+    if (Behind > 0 && Behind < MaxLateNumbers)
+      return std::nullopt;
+  }
+  const std::int32_t Wanted = std::max(0, Ask.Wanted);
+  const Milliseconds Since =
+      IsNew ? Milliseconds(0) : elapsed(Entry.AskedAt, Now);
+  Entry.Recent =
+      IsNew ? Wanted : Entry.Recent * decay(Entry.AskedAt, Now) + Wanted;
+  Entry.AskedAt = Now;
+  Bucket.Demand = Bucket.Demand * decay(Bucket.DemandAt, Now) + Wanted;
+  Bucket.DemandAt = Now;
+
+  const double Permits = std::min(shareOf(Bucket, Entry, Limit, Since),
+                                  static_cast<double>(Wanted));
+  Bucket.Tokens -= Permits;
+  PermitGrant Answer{Ask.Number, static_cast<std::int32_t>(Permits), {}};
+  if (Answer.Permits < Wanted)
+    Answer.RetryDelay = retryDelay(Bucket, Limit);
+  Entry.LastGrant = Answer;
+  return Answer;
+}
+
+} // namespace lycheethread::quota
--- /dev/null
+++ b/src/quota/tests/EntryStockTest.cpp
@@ -0,0 +1,127 @@
+#include "quota/Quota.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lycheethread;
+using namespace lycheethread::quota;
+
+namespace {
+
+const QuotaTimes Times{};
+
+SteadyTime at(std::int64_t Ms) { return SteadyTime(1'000'000 + Ms); }
+
+EntryStock asking(std::int32_t Wanted, std::int64_t Ms) {
+  EntryStock Stock;
+  Stock.Limit = {100, 100};
+  startAsk(Stock, NodeId("a"), NodeId("b"), Wanted, at(Ms));
+  return Stock;
+}
+
+PermitGrant granted(const EntryStock &Stock, std::int32_t Permits) {
+  return {Stock.LastNumber, Permits, Milliseconds(0)};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Entry)
+
+// Guards against permits of a duplicated answer, or of one to an earlier ask.
+BOOST_AUTO_TEST_CASE(grantsAreTakenOnce) {
+  EntryStock Stock = asking(2, 0);
+  const PermitGrant Grant = granted(Stock, 2);
+  BOOST_TEST(!applyGrant(Stock, {Sequence(99), 2, {}}, Times, at(10)));
+  BOOST_TEST(applyGrant(Stock, Grant, Times, at(20)));
+  BOOST_TEST(!applyGrant(Stock, Grant, Times, at(30)));
+  BOOST_TEST(takePermit(Stock, at(40)).has_value());
+  BOOST_TEST(takePermit(Stock, at(40)).has_value());
+  BOOST_TEST(!takePermit(Stock, at(40)).has_value());
+}
+
+// Guards against permits that are used long after the owner has counted them,
+// such as those that waited in the socket of a suspended process.
+BOOST_AUTO_TEST_CASE(permitsExpireAfterTheTimeOfAsking) {
+  EntryStock Late = asking(2, 0);
+  BOOST_TEST(applyGrant(Late, granted(Late, 2), Times, at(10'000)));
+  BOOST_TEST(!takePermit(Late, at(10'000)).has_value());
+
+  EntryStock Stock = asking(2, 0);
+  applyGrant(Stock, granted(Stock, 2), Times, at(100));
+  BOOST_TEST((takePermit(Stock, at(499)) == at(500)));
+  BOOST_TEST(!takePermit(Stock, at(500)).has_value());
+  returnPermit(Stock, at(500), at(501));
+  BOOST_TEST(!takePermit(Stock, at(501)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(returnedPermitsAreUsedAgain) {
+  EntryStock Stock = asking(1, 0);
+  applyGrant(Stock, granted(Stock, 1), Times, at(20));
+  const auto Expires = takePermit(Stock, at(30));
+  returnPermit(Stock, Expires.value(), at(40));
+  BOOST_TEST((takePermit(Stock, at(50)) == Expires));
+}
+
+// Guards against a message for each request of an organisation over its limit.
+BOOST_AUTO_TEST_CASE(refusedOrganisationsAskFourTimesASecond) {
+  EntryStock Stock;
+  Stock.Limit = {5, 5};
+  int Asks = 0;
+  for (std::int64_t Ms = 0; Ms < 10'000; ++Ms) {
+    recordDemand(Stock, at(Ms));
+    const std::int32_t Wanted = permitsToAsk(Stock, 1, at(Ms));
+    if (Wanted == 0)
+      continue;
+    ++Asks;
+    startAsk(Stock, NodeId("a"), NodeId("b"), Wanted, at(Ms));
+    applyGrant(Stock, granted(Stock, 0), Times, at(Ms));
+    BOOST_TEST(shouldRefuse(Stock, at(Ms)));
+  }
+  BOOST_TEST(Asks <= 40);
+  BOOST_TEST(Asks >= 30);
+}
+
+BOOST_AUTO_TEST_CASE(loweredLimitsDropTheStock) {
+  EntryStock Stock = asking(9, 0);
+  applyGrant(Stock, granted(Stock, 9), Times, at(20));
+  setLimit(Stock, {200, 200});
+  BOOST_TEST(takePermit(Stock, at(30)).has_value());
+  setLimit(Stock, {10, 10});
+  BOOST_TEST(!takePermit(Stock, at(30)).has_value());
+}
+
+// Guards against nodes without an owner that each keep one permit of an
+// organisation whose whole burst is less than that.
+BOOST_AUTO_TEST_CASE(sharesOfAllNodesStayWithinASmallLimit) {
+  const Fleet Nodes{84, 84};
+  std::vector<EntryStock> Stocks(84);
+  for (std::size_t Index = 0; Index < Stocks.size(); ++Index) {
+    EntryStock &Stock = Stocks[Index];
+    Stock.Limit = {2.6, 2.6};
+    startAsk(Stock, NodeId("a"), NodeId("b"), 1, at(0));
+    giveUpAsk(Stock, (static_cast<double>(Index) + 0.5) / 84, at(150));
+  }
+  // All nodes use their shares after a long time without requests.
+  int Taken = 0;
+  for (std::int64_t Ms = 120'000; Ms < 125'000; Ms += 50)
+    for (EntryStock &Stock : Stocks)
+      Taken += takeFallback(Stock, Nodes, Times, at(Ms)) ? 1 : 0;
+  BOOST_TEST_MESSAGE("taken in 5 s: " << Taken);
+  BOOST_TEST(Taken <= 18);
+  BOOST_TEST(Taken >= 10);
+}
+
+// Guards against shares that are used in full while the owner may still grant
+// the whole limit on the other side of a partition.
+BOOST_AUTO_TEST_CASE(sharesGrowSlowly) {
+  EntryStock Stock = asking(1, 0);
+  giveUpAsk(Stock, 0.0, at(150));
+  int Taken = 0;
+  for (std::int64_t Ms = 150; Ms < 3000; Ms += 10)
+    Taken += takeFallback(Stock, {1, 1}, Times, at(Ms)) ? 1 : 0;
+  BOOST_TEST(Taken <= 36);
+  for (std::int64_t Ms = 3000; Ms < 8000; Ms += 10)
+    Taken += takeFallback(Stock, {1, 1}, Times, at(Ms)) ? 1 : 0;
+  BOOST_TEST(Taken >= 400);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/quota/tests/FleetTest.cpp
@@ -0,0 +1,270 @@
+#include "FleetRun.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+using namespace lycheethread;
+using namespace lycheethread::quota;
+
+namespace {
+
+const std::vector<std::size_t> Sizes{13, 84, 300, 1000};
+constexpr std::int64_t Start = 3000;
+constexpr organisations::Quota Large{525, 525};
+constexpr organisations::Quota Small{2.6, 2.6};
+
+std::function<double(std::int64_t)> steady(double PerSecond) {
+  return [=](std::int64_t Ms) { return Ms < 1000 ? 0 : PerSecond; };
+}
+
+/// Most that may run in 5 s.
+double boundOf(const organisations::Quota &Limit) {
+  return (Limit.PerSecond * 5 + Limit.Burst) * 1.1 + 20;
+}
+
+void print(const std::string &Name, const FleetPlan &Plan,
+           const FleetResult &Result) {
+  const double Seconds = static_cast<double>(Plan.Length) / 1000;
+  const double Most = static_cast<double>(Result.mostInWindow(0, Plan.Length));
+  BOOST_TEST_MESSAGE(
+      Name << ": nodes " << Plan.Nodes << ", served " << Result.Served << " of "
+           << Result.Offered << ", of the limit "
+           << static_cast<double>(Result.Served) /
+                  (Plan.Limit.PerSecond * Seconds)
+           << ", most in 5 s " << Most << " of " << boundOf(Plan.Limit)
+           << ", messages/s " << static_cast<double>(Result.Messages) / Seconds
+           << ", longest wait " << Result.LongestWait);
+}
+
+void checkBound(const FleetPlan &Plan, const FleetResult &Result) {
+  BOOST_TEST(static_cast<double>(Result.mostInWindow(0, Plan.Length)) <=
+             boundOf(Plan.Limit));
+}
+
+FleetPlan plan(std::size_t Nodes, const organisations::Quota &Limit,
+               std::function<double(std::int64_t)> Rate) {
+  FleetPlan Plan;
+  Plan.Nodes = Nodes;
+  Plan.Limit = Limit;
+  Plan.Rate = std::move(Rate);
+  return Plan;
+}
+
+/// Cuts the fleet in two for 10 s, and longer where it takes longer to notice.
+void cutFor10s(FleetPlan &Plan) {
+  Plan.CutFrom = 10'000;
+  Plan.CutTo =
+      Plan.CutFrom + 7000 +
+      quotaTimes(Milliseconds(5000), 0.1, Plan.Nodes).HeardWindow.count();
+  Plan.Length = Plan.CutTo + 20'000;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Fleets)
+
+// Guards against permits that wait at entries where the few requests of a small
+// organisation do not arrive.
+BOOST_AUTO_TEST_CASE(smallOrganisationsAreServed) {
+  for (const std::size_t Nodes : Sizes) {
+    FleetPlan Plan = plan(Nodes, Small, steady(1.6));
+    Plan.Length = 300'000;
+    const FleetResult Result = runFleet(Plan);
+    print("small", Plan, Result);
+    checkBound(Plan, Result);
+    BOOST_TEST(static_cast<double>(Result.Served) >=
+               0.97 * static_cast<double>(Result.Offered));
+    BOOST_TEST(Result.LongestWait <= 150);
+  }
+}
+
+// Guards against refusals of an organisation that stays within its limit.
+BOOST_AUTO_TEST_CASE(largeOrganisationsWithinTheirLimitAreServed) {
+  for (const std::size_t Nodes : Sizes) {
+    const FleetPlan Plan = plan(Nodes, Large, steady(330));
+    const FleetResult Result = runFleet(Plan);
+    print("large", Plan, Result);
+    checkBound(Plan, Result);
+    BOOST_TEST(static_cast<double>(Result.Served) >=
+               0.985 * static_cast<double>(Result.Offered));
+  }
+}
+
+// Guards against an organisation that exceeds its limit by sending through many
+// nodes, and against a limit that it cannot use.
+BOOST_AUTO_TEST_CASE(surgesStayWithinTheBound) {
+  for (const std::size_t Nodes : Sizes)
+    for (const double Factor : {7.0, 12.0}) {
+      const FleetPlan Plan = plan(Nodes, Large, [=](std::int64_t Ms) {
+        return Ms < 10'000 ? 330 : 330 * Factor;
+      });
+      const FleetResult Result = runFleet(Plan);
+      print("surge", Plan, Result);
+      checkBound(Plan, Result);
+      BOOST_TEST(static_cast<double>(Result.servedBetween(15'000, 30'000)) >=
+                 0.9 * 15 * Large.PerSecond);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(surgesThroughAFewNodesStayWithinTheBound) {
+  FleetPlan Plan = plan(84, Large, [](std::int64_t Ms) {
+    return Ms < 10'000 ? 0.0 : 330.0 * 12;
+  });
+  Plan.Entries = 2;
+  const FleetResult Result = runFleet(Plan);
+  print("surge at two nodes", Plan, Result);
+  checkBound(Plan, Result);
+  BOOST_TEST(static_cast<double>(Result.servedBetween(15'000, 30'000)) >=
+             0.9 * 15 * Large.PerSecond);
+}
+
+// Guards against a small organisation that gets a permit at each node.
+BOOST_AUTO_TEST_CASE(smallSurgesStayWithinTheBound) {
+  for (const std::size_t Nodes : Sizes) {
+    const FleetPlan Plan = plan(Nodes, Small, [](std::int64_t Ms) {
+      return Ms < 10'000 ? 1.6 : 1.6 * 12;
+    });
+    const FleetResult Result = runFleet(Plan);
+    print("small surge", Plan, Result);
+    checkBound(Plan, Result);
+    BOOST_TEST(static_cast<double>(Result.servedBetween(15'000, 30'000)) >=
+               0.9 * 15 * Small.PerSecond - 2);
+  }
+}
+
+// Guards against permits of the higher limit that are used later.
+BOOST_AUTO_TEST_CASE(loweredLimitsHoldAtOnce) {
+  for (const std::size_t Nodes : Sizes) {
+    const organisations::Quota Lower{50, 50};
+    FleetPlan Plan = plan(Nodes, Large, steady(330));
+    Plan.LimitAt = [=](std::int64_t Ms) { return Ms < 15'000 ? Large : Lower; };
+    const FleetResult Result = runFleet(Plan);
+    print("lowered", Plan, Result);
+    BOOST_TEST(static_cast<double>(Result.mostInWindow(15'000, 30'000)) <=
+               boundOf(Lower));
+    BOOST_TEST(static_cast<double>(Result.servedBetween(20'000, 30'000)) >=
+               0.9 * 10 * Lower.PerSecond);
+  }
+}
+
+// Guards against two owners that each grant the whole limit.
+BOOST_AUTO_TEST_CASE(partitionsStayWithinTheBound) {
+  for (const std::size_t Nodes : Sizes)
+    for (const double Before : {0.2, 12.0}) {
+      // Before 0.2 the bucket is full when the surge and the partition begin.
+      FleetPlan Plan = plan(Nodes, Large, [=](std::int64_t Ms) {
+        return 330 * (Ms < 10'000 ? Before : 12);
+      });
+      cutFor10s(Plan);
+      const FleetResult Result = runFleet(Plan);
+      print("partition", Plan, Result);
+      checkBound(Plan, Result);
+      BOOST_TEST(static_cast<double>(
+                     Result.servedBetween(Plan.Length - 10'000, Plan.Length)) >=
+                 0.9 * 10 * Large.PerSecond);
+    }
+}
+
+// Guards against an owner that is cut off and grants the whole limit to few
+// nodes while the others use their shares.
+BOOST_AUTO_TEST_CASE(unevenPartitionsStayWithinTheBound) {
+  for (const std::size_t First : {1U, 21U, 63U})
+    for (const double Before : {0.2, 12.0}) {
+      FleetPlan Plan = plan(84, Large, [=](std::int64_t Ms) {
+        return 330 * (Ms < 10'000 ? Before : 12);
+      });
+      Plan.FirstPart = First;
+      Plan.CutFrom = 10'000;
+      Plan.CutTo = 20'000;
+      const FleetResult Result = runFleet(Plan);
+      print("uneven partition " + std::to_string(First), Plan, Result);
+      checkBound(Plan, Result);
+    }
+}
+
+// Guards against permits in stock that add to a small burst.
+BOOST_AUTO_TEST_CASE(smallBurstsStayWithinTheBound) {
+  for (const std::size_t Nodes : Sizes)
+    for (const double Before : {0.2, 12.0}) {
+      const organisations::Quota Limit{525, 10};
+      FleetPlan Plan = plan(Nodes, Limit, [=](std::int64_t Ms) {
+        return 330 * (Ms < 10'000 ? Before : 12);
+      });
+      cutFor10s(Plan);
+      const FleetResult Result = runFleet(Plan);
+      print("small burst, partition", Plan, Result);
+      checkBound(Plan, Result);
+    }
+}
+
+// Guards against shares that add up with what an owner goes on to grant during
+// a partition of a second or two.
+BOOST_AUTO_TEST_CASE(shortPartitionsStayWithinTheBound) {
+  for (const std::int64_t Length : {500, 1500, 3000, 4500, 6000}) {
+    FleetPlan Plan = plan(84, Large, [=](std::int64_t Ms) {
+      return 330 * (Ms < 10'000 ? 0.2 : 12);
+    });
+    Plan.CutFrom = 11'000;
+    Plan.CutTo = Plan.CutFrom + Length;
+    const FleetResult Result = runFleet(Plan);
+    print("partition of " + std::to_string(Length) + " ms", Plan, Result);
+    checkBound(Plan, Result);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(smallOrganisationsStayWithinTheBoundInPartitions) {
+  for (const std::size_t Nodes : Sizes) {
+    FleetPlan Plan = plan(Nodes, Small, steady(1.6 * 12));
+    Plan.Length = 90'000;
+    Plan.CutFrom = 10'000;
+    Plan.CutTo = 70'000;
+    const FleetResult Result = runFleet(Plan);
+    print("small partition", Plan, Result);
+    checkBound(Plan, Result);
+  }
+}
+
+// Guards against an owner that is replaced and grants in addition to the shares
+// that the entries used meanwhile.
+BOOST_AUTO_TEST_CASE(replacedOwnersStayWithinTheBound) {
+  for (const std::size_t Nodes : Sizes)
+    for (const double Factor : {1.0, 12.0}) {
+      FleetPlan Plan = plan(Nodes, Large, steady(330 * Factor));
+      Plan.KillAt = 10'000;
+      const std::int64_t Recovered =
+          Plan.KillAt + 5000 +
+          quotaTimes(Milliseconds(5000), 0.1, Nodes).HeardWindow.count();
+      Plan.Length = Recovered + 10'000;
+      const FleetResult Result = runFleet(Plan);
+      print("owner killed", Plan, Result);
+      checkBound(Plan, Result);
+      // The requests that arrive at the ended node are lost.
+      const auto Count = static_cast<double>(Nodes);
+      const double Arriving = 330 * Factor * (Count - 1) / Count;
+      BOOST_TEST(
+          static_cast<double>(Result.servedBetween(Recovered, Plan.Length)) >=
+          0.9 * 10 * std::min(Arriving, Large.PerSecond));
+    }
+}
+
+// Guards against lost datagrams that lose many permits or requests.
+BOOST_AUTO_TEST_CASE(lostDatagramsCostLittle) {
+  for (const std::size_t Nodes : Sizes) {
+    FleetPlan Plan = plan(Nodes, Large, steady(330 * 12));
+    Plan.Loss = 0.05;
+    FleetResult Result = runFleet(Plan);
+    print("5% lost, surge", Plan, Result);
+    checkBound(Plan, Result);
+    BOOST_TEST(static_cast<double>(Result.servedBetween(Start, 30'000)) >=
+               0.9 * 27 * Large.PerSecond);
+    Plan = plan(Nodes, Large, steady(330));
+    Plan.Loss = 0.05;
+    Result = runFleet(Plan);
+    print("5% lost", Plan, Result);
+    BOOST_TEST(static_cast<double>(Result.Served) >=
+               0.95 * static_cast<double>(Result.Offered));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/sidecar/gen/gossip_types.cpp
+++ b/src/sidecar/gen/gossip_types.cpp
@@ -1710,6 +1710,310 @@
 }
 
 
+AskMessage::~AskMessage() noexcept {
+}
+
+
+void AskMessage::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void AskMessage::__set_organisation(const std::string& val) {
+  this->organisation = val;
+}
+
+void AskMessage::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void AskMessage::__set_wanted(const int32_t val) {
+  this->wanted = val;
+}
+std::ostream& operator<<(std::ostream& out, const AskMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AskMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->organisation);
+          this->__isset.organisation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->wanted);
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AskMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AskMessage");
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("organisation", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->organisation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->wanted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AskMessage &a, AskMessage &b) {
+  using ::std::swap;
+  swap(a.node, b.node);
+  swap(a.organisation, b.organisation);
+  swap(a.number, b.number);
+  swap(a.wanted, b.wanted);
+  swap(a.__isset, b.__isset);
+}
+
+AskMessage::AskMessage(const AskMessage& other32) {
+  node = other32.node;
+  organisation = other32.organisation;
+  number = other32.number;
+  wanted = other32.wanted;
+  __isset = other32.__isset;
+}
+AskMessage& AskMessage::operator=(const AskMessage& other33) {
+  node = other33.node;
+  organisation = other33.organisation;
+  number = other33.number;
+  wanted = other33.wanted;
+  __isset = other33.__isset;
+  return *this;
+}
+void AskMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AskMessage(";
+  out << "node=" << to_string(node);
+  out << ", " << "organisation=" << to_string(organisation);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "wanted=" << to_string(wanted);
+  out << ")";
+}
+
+
+GrantMessage::~GrantMessage() noexcept {
+}
+
+
+void GrantMessage::__set_organisation(const std::string& val) {
+  this->organisation = val;
+}
+
+void GrantMessage::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void GrantMessage::__set_permits(const int32_t val) {
+  this->permits = val;
+}
+
+void GrantMessage::__set_retryMs(const int32_t val) {
+  this->retryMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const GrantMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GrantMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->organisation);
+          this->__isset.organisation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->permits);
+          this->__isset.permits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retryMs);
+          this->__isset.retryMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t GrantMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GrantMessage");
+
+  xfer += oprot->writeFieldBegin("organisation", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->organisation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("permits", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->permits);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retryMs", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->retryMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GrantMessage &a, GrantMessage &b) {
+  using ::std::swap;
+  swap(a.organisation, b.organisation);
+  swap(a.number, b.number);
+  swap(a.permits, b.permits);
+  swap(a.retryMs, b.retryMs);
+  swap(a.__isset, b.__isset);
+}
+
+GrantMessage::GrantMessage(const GrantMessage& other34) {
+  organisation = other34.organisation;
+  number = other34.number;
+  permits = other34.permits;
+  retryMs = other34.retryMs;
+  __isset = other34.__isset;
+}
+GrantMessage& GrantMessage::operator=(const GrantMessage& other35) {
+  organisation = other35.organisation;
+  number = other35.number;
+  permits = other35.permits;
+  retryMs = other35.retryMs;
+  __isset = other35.__isset;
+  return *this;
+}
+void GrantMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GrantMessage(";
+  out << "organisation=" << to_string(organisation);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "permits=" << to_string(permits);
+  out << ", " << "retryMs=" << to_string(retryMs);
+  out << ")";
+}
+
+
 GossipMessage::~GossipMessage() noexcept {
 }
 
@@ -1727,6 +2031,16 @@
   this->wanted = val;
 __isset.wanted = true;
 }
+
+void GossipMessage::__set_asks(const std::vector<AskMessage> & val) {
+  this->asks = val;
+__isset.asks = true;
+}
+
+void GossipMessage::__set_grants(const std::vector<GrantMessage> & val) {
+  this->grants = val;
+__isset.grants = true;
+}
 std::ostream& operator<<(std::ostream& out, const GossipMessage& obj)
 {
   obj.printTo(out);
@@ -1815,6 +2129,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->asks.clear();
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->asks.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
+            {
+              xfer += this->asks[_i56].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.asks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->grants.clear();
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->grants.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
+            {
+              xfer += this->grants[_i61].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1870,6 +2224,32 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.asks) {
+    xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 4);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
+      std::vector<AskMessage> ::const_iterator _iter62;
+      for (_iter62 = this->asks.begin(); _iter62 != this->asks.end(); ++_iter62)
+      {
+        xfer += (*_iter62).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.grants) {
+    xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 5);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
+      std::vector<GrantMessage> ::const_iterator _iter63;
+      for (_iter63 = this->grants.begin(); _iter63 != this->grants.end(); ++_iter63)
+      {
+        xfer += (*_iter63).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1880,6 +2260,8 @@
   swap(a.news, b.news);
   swap(a.beats, b.beats);
   swap(a.wanted, b.wanted);
+  swap(a.asks, b.asks);
+  swap(a.grants, b.grants);
   swap(a.__isset, b.__isset);
 }
 
@@ -1887,12 +2269,16 @@
   news = other50.news;
   beats = other50.beats;
   wanted = other50.wanted;
+  asks = other50.asks;
+  grants = other50.grants;
   __isset = other50.__isset;
 }
 GossipMessage& GossipMessage::operator=(const GossipMessage& other51) {
   news = other51.news;
   beats = other51.beats;
   wanted = other51.wanted;
+  asks = other51.asks;
+  grants = other51.grants;
   __isset = other51.__isset;
   return *this;
 }
@@ -1902,6 +2288,8 @@
   out << "news=" << to_string(news);
   out << ", " << "beats="; (__isset.beats ? (out << to_string(beats)) : (out << "<null>"));
   out << ", " << "wanted="; (__isset.wanted ? (out << to_string(wanted)) : (out << "<null>"));
+  out << ", " << "asks="; (__isset.asks ? (out << to_string(asks)) : (out << "<null>"));
+  out << ", " << "grants="; (__isset.grants ? (out << to_string(grants)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/sidecar/gen/gossip_types.h
+++ b/src/sidecar/gen/gossip_types.h
@@ -35,6 +35,10 @@
 
 class BeatMessage;
 
+class AskMessage;
+
+class GrantMessage;
+
 class GossipMessage;
 
 class OperatorItemMessage;
@@ -704,11 +708,141 @@
 
 std::ostream& operator<<(std::ostream& out, const BeatMessage& obj);
 
+typedef struct _AskMessage__isset {
+  _AskMessage__isset() : node(false), organisation(false), number(false), wanted(false) {}
+  bool node :1;
+  bool organisation :1;
+  bool number :1;
+  bool wanted :1;
+} _AskMessage__isset;
+
+class AskMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  AskMessage(const AskMessage&);
+  AskMessage& operator=(const AskMessage&);
+  AskMessage() noexcept
+               : node(),
+                 organisation(),
+                 number(0),
+                 wanted(0) {
+  }
+
+  virtual ~AskMessage() noexcept;
+  std::string node;
+  std::string organisation;
+  int64_t number;
+  int32_t wanted;
+
+  _AskMessage__isset __isset;
+
+  void __set_node(const std::string& val);
+
+  void __set_organisation(const std::string& val);
+
+  void __set_number(const int64_t val);
+
+  void __set_wanted(const int32_t val);
+
+  bool operator == (const AskMessage & rhs) const
+  {
+    if (!(node == rhs.node))
+      return false;
+    if (!(organisation == rhs.organisation))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(wanted == rhs.wanted))
+      return false;
+    return true;
+  }
+  bool operator != (const AskMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AskMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AskMessage &a, AskMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const AskMessage& obj);
+
+typedef struct _GrantMessage__isset {
+  _GrantMessage__isset() : organisation(false), number(false), permits(false), retryMs(false) {}
+  bool organisation :1;
+  bool number :1;
+  bool permits :1;
+  bool retryMs :1;
+} _GrantMessage__isset;
+
+class GrantMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  GrantMessage(const GrantMessage&);
+  GrantMessage& operator=(const GrantMessage&);
+  GrantMessage() noexcept
+                 : organisation(),
+                   number(0),
+                   permits(0),
+                   retryMs(0) {
+  }
+
+  virtual ~GrantMessage() noexcept;
+  std::string organisation;
+  int64_t number;
+  int32_t permits;
+  int32_t retryMs;
+
+  _GrantMessage__isset __isset;
+
+  void __set_organisation(const std::string& val);
+
+  void __set_number(const int64_t val);
+
+  void __set_permits(const int32_t val);
+
+  void __set_retryMs(const int32_t val);
+
+  bool operator == (const GrantMessage & rhs) const
+  {
+    if (!(organisation == rhs.organisation))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(permits == rhs.permits))
+      return false;
+    if (!(retryMs == rhs.retryMs))
+      return false;
+    return true;
+  }
+  bool operator != (const GrantMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GrantMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GrantMessage &a, GrantMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const GrantMessage& obj);
+
 typedef struct _GossipMessage__isset {
-  _GossipMessage__isset() : news(false), beats(false), wanted(false) {}
+  _GossipMessage__isset() : news(false), beats(false), wanted(false), asks(false), grants(false) {}
   bool news :1;
   bool beats :1;
   bool wanted :1;
+  bool asks :1;
+  bool grants :1;
 } _GossipMessage__isset;
 
 class GossipMessage : public virtual ::apache::thrift::TBase {
@@ -723,6 +857,8 @@
   std::vector<NewsMessage>  news;
   std::vector<BeatMessage>  beats;
   std::vector<int64_t>  wanted;
+  std::vector<AskMessage>  asks;
+  std::vector<GrantMessage>  grants;
 
   _GossipMessage__isset __isset;
 
@@ -732,6 +868,10 @@
 
   void __set_wanted(const std::vector<int64_t> & val);
 
+  void __set_asks(const std::vector<AskMessage> & val);
+
+  void __set_grants(const std::vector<GrantMessage> & val);
+
   bool operator == (const GossipMessage & rhs) const
   {
     if (!(news == rhs.news))
@@ -744,6 +884,14 @@
       return false;
     else if (__isset.wanted && !(wanted == rhs.wanted))
       return false;
+    if (__isset.asks != rhs.__isset.asks)
+      return false;
+    else if (__isset.asks && !(asks == rhs.asks))
+      return false;
+    if (__isset.grants != rhs.__isset.grants)
+      return false;
+    else if (__isset.grants && !(grants == rhs.grants))
+      return false;
     return true;
   }
   bool operator != (const GossipMessage &rhs) const {
--- a/src/sidecar/gossip.thrift
+++ b/src/sidecar/gossip.thrift
@@ -81,12 +81,30 @@
   9: optional i32 permitWaitMs
 }
 
-// One datagram. The first report is that of the sender.
+// Asks the owner of an organisation's quota for permits.
+struct AskMessage {
+  1: string node         // the asking node
+  2: string organisation
+  3: i64 number          // of the ask; a repetition has the same one
+  4: i32 wanted
+}
+
+struct GrantMessage {
+  1: string organisation
+  2: i64 number          // of the ask
+  3: i32 permits
+  4: i32 retryMs         // until more are expected, if fewer than wanted
+}
+
+// One datagram. The first report is that of the sender; a datagram with asks or
+// grants carries none.
 struct GossipMessage {
   1: list<NewsMessage> news
   2: optional list<BeatMessage> beats
   // Nodes whose report the sender lacks; 0 stands for the receiver.
   3: optional list<i64> wanted
+  4: optional list<AskMessage> asks
+  5: optional list<GrantMessage> grants
 }
 
 // A record of the operator. OperatorItemsMessage holds the records of one node
--- /dev/null
+++ b/src/sidecar/internal/Allotments.cpp
@@ -0,0 +1,325 @@
+#include "sidecar/internal/Allotments.h"
+
+#include <algorithm>
+
+namespace lycheethread::sidecar {
+
+namespace {
+
+constexpr Milliseconds TickInterval{200};
+/// How often pending asks and waiting requests are looked at.
+constexpr Milliseconds CheckInterval{10};
+/// Owners change when nodes start or end; finding them takes a hash for each
+/// node and organisation.
+constexpr Milliseconds OwnerInterval{400};
+/// A restarted node knows the others from the list of nodes until it has had
+/// the time to forget those that have ended.
+constexpr Milliseconds ListTime{60000};
+/// A silent owner is replaced sooner than it counts as gone, by the first of
+/// these that is not silent.
+constexpr std::size_t OwnerCandidates = 8;
+constexpr Milliseconds LogInterval{5000};
+/// Requests beyond this that wait for one organisation are refused at once.
+constexpr std::size_t MaxWaiting = 2000;
+/// Numbers of asks start at random, so that an owner does not take the first
+/// ask of a restarted node for one of its past.
+constexpr std::int64_t MaxFirstNumber = 1LL << 40;
+
+} // namespace
+
+Allotments::Allotments(NodeContext &Context, SendMessage Send)
+    : Context_(Context), Send_(std::move(Send)), StartedAt_(Context.now()) {
+  tick();
+}
+
+Allotments::~Allotments() {
+  Context_.Loop.cancel(Timer_);
+  Context_.Loop.cancel(CheckTimer_);
+}
+
+quota::QuotaTimes Allotments::times() const {
+  return quota::quotaTimes(Context_.Bounds.QuotaWindow,
+                           Context_.Bounds.QuotaOverage, Fleet_.Known);
+}
+
+organisations::Quota Allotments::ownerLimit(const Account &Item) const {
+  return quota::ownerLimit(Item.Stock.Limit, Context_.Bounds.QuotaSlack);
+}
+
+void Allotments::tick() {
+  updateFleet();
+  updateOwners();
+  const SteadyTime Now = Context_.now();
+  for (auto &[Name, Item] : Accounts_)
+    if (Item.Bucket)
+      quota::refill(*Item.Bucket, ownerLimit(Item), Fleet_, Now);
+  Timer_ = Context_.Loop.runAfter(TickInterval, [this] { tick(); });
+}
+
+void Allotments::updateFleet() {
+  const SteadyTime Now = Context_.now();
+  const Milliseconds Window = times().HeardWindow;
+  quota::Fleet Nodes;
+  for (const auto &[Id, Known] : Context_.KnownNodes.Nodes) {
+    if (Known.LastReport.Stopping)
+      continue;
+    ++Nodes.Known;
+    if (elapsed(Known.HeardAt, Now) < Window)
+      ++Nodes.Heard;
+  }
+  if (elapsed(StartedAt_, Now) < ListTime)
+    Nodes.Known = std::max(Nodes.Known, Context_.Join.Others + 1);
+  Fleet_ = Nodes;
+}
+
+void Allotments::updateOwners() {
+  const SteadyTime Now = Context_.now();
+  const bool IsNewConfig = Config_ != Context_.Config;
+  if (!Context_.Config ||
+      (!IsNewConfig && elapsed(OwnersAt_, Now) < OwnerInterval))
+    return;
+  OwnersAt_ = Now;
+  Config_ = Context_.Config;
+  for (const organisations::Organisation &Holder : Config_->Organisations) {
+    if (!Holder.Limit)
+      continue;
+    Account &Item = accountOf(Holder);
+    quota::setLimit(Item.Stock, *Holder.Limit);
+    updateOwner(Holder.Name, Item);
+  }
+}
+
+void Allotments::updateOwner(const organisations::OrganisationId &Name,
+                             Account &Item) {
+  const SteadyTime Now = Context_.now();
+  const NodeId &Self = Context_.Settings.Id;
+  const std::vector<NodeId> First = mesh::rendezvousFirst(
+      Context_.KnownNodes, "quota/" + Name.str(), OwnerCandidates, Now);
+  const Milliseconds Window = times().HeardWindow;
+  const auto MayOwn = [&](const NodeId &Id) {
+    // The others leave a stopping node out.
+    if (Id == Self)
+      return !Context_.Stopping;
+    const auto Found = Context_.KnownNodes.Nodes.find(Id);
+    return Found != Context_.KnownNodes.Nodes.end() &&
+           elapsed(Found->second.HeardAt, Now) < Window;
+  };
+  const auto Chosen = std::find_if(First.begin(), First.end(), MayOwn);
+  Item.Owner = Chosen == First.end() ? First.front() : *Chosen;
+  if (Item.Owner != Self)
+    Item.Bucket.reset();
+  else if (!Item.Bucket)
+    Item.Bucket = std::make_unique<quota::OwnerBucket>();
+}
+
+Allotments::Account &
+Allotments::accountOf(const organisations::Organisation &Holder) {
+  const auto [Found, IsNew] = Accounts_.try_emplace(Holder.Name);
+  Account &Item = Found->second;
+  if (IsNew) {
+    Item.Stock.LastNumber = Sequence(static_cast<std::int64_t>(
+        Context_.Random() % static_cast<std::uint64_t>(MaxFirstNumber)));
+    if (Holder.Limit)
+      Item.Stock.Limit = *Holder.Limit;
+    updateOwner(Holder.Name, Item);
+  }
+  return Item;
+}
+
+PermitResult Allotments::tryTake(Account &Item) {
+  const SteadyTime Now = Context_.now();
+  if (const auto Expires = quota::takePermit(Item.Stock, Now))
+    return {true, *Expires, {}};
+  if (quota::takeFallback(Item.Stock, Fleet_, times(), Now))
+    return {true, after(Now, times().Lifetime), {}};
+  return {};
+}
+
+void Allotments::acquire(const organisations::Organisation &Holder,
+                         SteadyTime Deadline, OnResult Done) {
+  const SteadyTime Now = Context_.now();
+  if (!Holder.Limit) {
+    Done({true, Now, {}});
+    return;
+  }
+  // A request that came before a change of the configuration was applied to the
+  // accounts is judged by the newer one.
+  updateOwners();
+  Account &Item = accountOf(Holder);
+  quota::recordDemand(Item.Stock, Now);
+  PermitResult Taken;
+  if (Item.Waiting.empty())
+    Taken = tryTake(Item);
+  if (Taken.Granted) {
+    Done(Taken);
+    askIfNeeded(Holder.Name, Item, 0);
+    return;
+  }
+  if (quota::shouldRefuse(Item.Stock, Now) ||
+      Item.Waiting.size() >= MaxWaiting) {
+    refuse(Holder.Name, Item, Done);
+    return;
+  }
+  Item.Waiting.push_back(
+      {std::min(Deadline, after(Now, quota::PermitWaitLimit)),
+       std::move(Done)});
+  askIfNeeded(Holder.Name, Item, Item.Waiting.size());
+  startCheck();
+}
+
+void Allotments::release(const organisations::Organisation &Holder,
+                         SteadyTime ExpiresAt) {
+  if (!Holder.Limit)
+    return;
+  const auto Found = Accounts_.find(Holder.Name);
+  if (Found == Accounts_.end())
+    return;
+  quota::returnPermit(Found->second.Stock, ExpiresAt, Context_.now());
+  serveWaiting(Holder.Name, Found->second);
+}
+
+void Allotments::askIfNeeded(const organisations::OrganisationId &Name,
+                             Account &Item, std::size_t Waiting) {
+  const std::int32_t Wanted = quota::permitsToAsk(
+      Item.Stock, static_cast<std::int32_t>(Waiting), Context_.now());
+  if (Wanted > 0)
+    sendAsk(Name, Item, Wanted);
+}
+
+void Allotments::sendAsk(const organisations::OrganisationId &Name,
+                         Account &Item, std::int32_t Wanted) {
+  const quota::PermitAsk Ask = quota::startAsk(
+      Item.Stock, Context_.Settings.Id, Item.Owner, Wanted, Context_.now());
+  startCheck();
+  if (Item.Owner == Context_.Settings.Id) {
+    if (const auto Grant = grantAsOwner(Item, Ask))
+      onGrant(Name, Item, *Grant);
+    return;
+  }
+  const auto Found = Context_.KnownNodes.Nodes.find(Item.Owner);
+  if (Found == Context_.KnownNodes.Nodes.end())
+    return;
+  GossipMessage Message;
+  Message.Asks.push_back({Name, Ask});
+  Send_(Found->second.LastReport.Gossip, Message);
+}
+
+std::optional<quota::PermitGrant>
+Allotments::grantAsOwner(Account &Item, const quota::PermitAsk &Ask) {
+  const SteadyTime Now = Context_.now();
+  if (!Item.Bucket)
+    return std::nullopt;
+  const organisations::Quota Limit = ownerLimit(Item);
+  quota::refill(*Item.Bucket, Limit, Fleet_, Now);
+  return quota::grant(*Item.Bucket, Limit, Ask, Now);
+}
+
+void Allotments::onMessage(const GossipMessage &Message) {
+  for (const QuotaAsk &Item : Message.Asks)
+    onAsk(Item);
+  for (const QuotaGrant &Item : Message.Grants) {
+    const auto Found = Accounts_.find(Item.Organisation);
+    if (Found != Accounts_.end())
+      onGrant(Item.Organisation, Found->second, Item.Grant);
+  }
+}
+
+void Allotments::onAsk(const QuotaAsk &Item) {
+  updateOwners();
+  const auto Found = Accounts_.find(Item.Organisation);
+  const auto Sender = Context_.KnownNodes.Nodes.find(Item.Ask.Entry);
+  // Without an answer the entry uses its share of the limit.
+  if (Found == Accounts_.end() || Sender == Context_.KnownNodes.Nodes.end())
+    return;
+  const auto Grant = grantAsOwner(Found->second, Item.Ask);
+  if (!Grant)
+    return;
+  GossipMessage Answer;
+  Answer.Grants.push_back({Item.Organisation, *Grant});
+  Send_(Sender->second.LastReport.Gossip, Answer);
+}
+
+void Allotments::onGrant(const organisations::OrganisationId &Name,
+                         Account &Item, const quota::PermitGrant &Grant) {
+  if (quota::applyGrant(Item.Stock, Grant, times(), Context_.now()))
+    serveWaiting(Name, Item);
+}
+
+void Allotments::serveWaiting(const organisations::OrganisationId &Name,
+                              Account &Item) {
+  while (!Item.Waiting.empty()) {
+    const PermitResult Taken = tryTake(Item);
+    if (!Taken.Granted)
+      break;
+    const OnResult Done = std::move(Item.Waiting.front().Done);
+    Item.Waiting.pop_front();
+    Done(Taken);
+  }
+  if (!quota::shouldRefuse(Item.Stock, Context_.now())) {
+    askIfNeeded(Name, Item, Item.Waiting.size());
+    return;
+  }
+  std::deque<Waiter> Refused;
+  Refused.swap(Item.Waiting);
+  for (const Waiter &Each : Refused)
+    refuse(Name, Item, Each.Done);
+}
+
+void Allotments::refuse(const organisations::OrganisationId &Name,
+                        Account &Item, const OnResult &Done) {
+  const SteadyTime Now = Context_.now();
+  ++Item.Refused;
+  if (elapsed(Item.RefusalLoggedAt, Now) >= LogInterval) {
+    Item.RefusalLoggedAt = Now;
+    Context_.Log.write(
+        LogClass::State, Now, "over-quota",
+        {{"organisation", Name.str()},
+         {"owner", Item.Owner.str()},
+         {"owner_silent", quota::isOwnerSilent(Item.Stock) ? "yes" : "no"},
+         {"refused", std::to_string(Item.Refused)}});
+  }
+  Done({false, {}, quota::refusalDelay(Item.Stock, Now)});
+}
+
+void Allotments::startCheck() {
+  if (CheckTimer_ == reactor::TimerId())
+    CheckTimer_ = Context_.Loop.runAfter(CheckInterval, [this] { check(); });
+}
+
+/// Repeats asks, gives up those without an answer, and ends the wait of
+/// requests whose time is over.
+void Allotments::check() {
+  CheckTimer_ = reactor::TimerId();
+  const SteadyTime Now = Context_.now();
+  std::uniform_real_distribution<double> Phase(0, 1);
+  bool IsBusy = false;
+  for (auto &[Name, Item] : Accounts_) {
+    if (quota::giveUpAsk(Item.Stock, Phase(Context_.Random), Now)) {
+      if (elapsed(Item.SilenceLoggedAt, Now) >= LogInterval) {
+        Item.SilenceLoggedAt = Now;
+        Context_.Log.write(
+            LogClass::State, Now, "quota-owner-silent",
+            {{"organisation", Name.str()}, {"owner", Item.Owner.str()}});
+      }
+      serveWaiting(Name, Item);
+    } else if (quota::shouldRepeat(Item.Stock, Now)) {
+      const quota::PendingAsk &Pending = *Item.Stock.Pending;
+      const auto Found = Context_.KnownNodes.Nodes.find(Pending.Owner);
+      if (Found != Context_.KnownNodes.Nodes.end()) {
+        GossipMessage Message;
+        Message.Asks.push_back({Name, Pending.Ask});
+        Send_(Found->second.LastReport.Gossip, Message);
+      }
+    }
+    while (!Item.Waiting.empty() && Item.Waiting.front().Until <= Now) {
+      const OnResult Done = std::move(Item.Waiting.front().Done);
+      Item.Waiting.pop_front();
+      refuse(Name, Item, Done);
+    }
+    IsBusy = IsBusy || Item.Stock.Pending || !Item.Waiting.empty();
+  }
+  if (IsBusy)
+    startCheck();
+}
+
+} // namespace lycheethread::sidecar
--- a/src/sidecar/internal/Gossip.cpp
+++ b/src/sidecar/internal/Gossip.cpp
@@ -188,6 +188,10 @@
   }
 }
 
+void Gossip::send(const Endpoint &To, const GossipMessage &Message) {
+  Socket_->send(To, encodeGossip(Message));
+}
+
 void Gossip::sendOwnReport(
     const std::function<bool(const mesh::NodeReport &)> &IsTarget) {
   const std::string Data = ownDatagram();
@@ -298,6 +302,11 @@
 
 void Gossip::onDatagram(std::string_view Data) {
   auto Message = decodeGossip(Data);
+  if (Message && OnQuota_ &&
+      (!Message->Asks.empty() || !Message->Grants.empty())) {
+    OnQuota_(*Message);
+    return;
+  }
   if (!Message || Message->Reports.empty()) {
     Context_.Log.write(LogClass::State, Context_.now(), "news-unreadable",
                        {{"bytes", std::to_string(Data.size())}});
--- a/src/sidecar/internal/Gossip.h
+++ b/src/sidecar/internal/Gossip.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEETHREAD_SIDECAR_INTERNAL_GOSSIP_H
 #define LYCHEETHREAD_SIDECAR_INTERNAL_GOSSIP_H
 
+#include "sidecar/internal/GossipCodec.h"
 #include "sidecar/internal/NodeContext.h"
 
 #include <unordered_map>
@@ -20,6 +21,12 @@
          std::function<void(const mesh::Upstream &)> OnOwnPast);
   ~Gossip();
 
+  /// \p Handle is called with the datagrams that carry asks or grants.
+  void onQuota(std::function<void(const GossipMessage &)> Handle) {
+    OnQuota_ = std::move(Handle);
+  }
+  void send(const Endpoint &To, const GossipMessage &Message);
+
   /// Adds places at which other nodes may be found.
   void addSeeds(const std::vector<mesh::ListedNode> &Found);
 
@@ -50,6 +57,7 @@
   std::function<void(mesh::NodeReport &)> FillOwnReport_;
   std::function<void()> OnReports_;
   std::function<void(const mesh::Upstream &)> OnOwnPast_;
+  std::function<void(const GossipMessage &)> OnQuota_;
   std::unique_ptr<reactor::UdpSocket> Socket_;
   mesh::SeedNodes Seeds_;
   SteadyTime SeedsCheckedAt_;
--- a/src/sidecar/internal/GossipCodec.cpp
+++ b/src/sidecar/internal/GossipCodec.cpp
@@ -109,6 +109,8 @@
 
 wire::NewsMessage toWire(const mesh::NodeReport &From);
 wire::BeatMessage toWire(const mesh::LoadBeat &From);
+wire::AskMessage toWire(const QuotaAsk &From);
+wire::GrantMessage toWire(const QuotaGrant &From);
 
 template <typename Wire, typename Item>
 std::vector<Wire> listToWire(const std::vector<Item> &From) {
@@ -246,6 +248,35 @@
   return To;
 }
 
+wire::AskMessage toWire(const QuotaAsk &From) {
+  wire::AskMessage To;
+  To.__set_node(From.Ask.Entry.str());
+  To.__set_organisation(From.Organisation.str());
+  To.__set_number(From.Ask.Number.value());
+  To.__set_wanted(From.Ask.Wanted);
+  return To;
+}
+
+QuotaAsk fromWire(const wire::AskMessage &From) {
+  return {organisations::OrganisationId(From.organisation),
+          {NodeId(From.node), Sequence(From.number), From.wanted}};
+}
+
+wire::GrantMessage toWire(const QuotaGrant &From) {
+  wire::GrantMessage To;
+  To.__set_organisation(From.Organisation.str());
+  To.__set_number(From.Grant.Number.value());
+  To.__set_permits(From.Grant.Permits);
+  To.__set_retryMs(saturated(From.Grant.RetryDelay));
+  return To;
+}
+
+QuotaGrant fromWire(const wire::GrantMessage &From) {
+  return {organisations::OrganisationId(From.organisation),
+          {Sequence(From.number), From.permits,
+           Milliseconds(std::max(0, From.retryMs))}};
+}
+
 /// Configurations are long, repetitive texts and cross links that are billed by
 /// volume.
 std::string deflate(const std::string &Text) {
@@ -287,6 +318,10 @@
   for (const mesh::NodeKey Key : Message.Wanted)
     To.wanted.push_back(Key.value());
   To.__isset.wanted = !To.wanted.empty();
+  if (!Message.Asks.empty())
+    To.__set_asks(listToWire<wire::AskMessage>(Message.Asks));
+  if (!Message.Grants.empty())
+    To.__set_grants(listToWire<wire::GrantMessage>(Message.Grants));
   return thriftcodec::encode(To);
 }
 
@@ -306,6 +341,10 @@
     Message.Beats.push_back(fromWire(Item));
   for (const std::int64_t Key : Read->wanted)
     Message.Wanted.emplace_back(Key);
+  for (const wire::AskMessage &Item : Read->asks)
+    Message.Asks.push_back(fromWire(Item));
+  for (const wire::GrantMessage &Item : Read->grants)
+    Message.Grants.push_back(fromWire(Item));
   return Message;
 }
 
--- a/src/sidecar/internal/GossipCodec.h
+++ b/src/sidecar/internal/GossipCodec.h
@@ -2,6 +2,7 @@
 #define LYCHEETHREAD_SIDECAR_INTERNAL_GOSSIPCODEC_H
 
 #include "mesh/Mesh.h"
+#include "quota/Quota.h"
 #include "sidecar/types/OperatorRecords.h"
 
 #include <optional>
@@ -19,13 +20,27 @@
 /// The same with the limit of an upstream.
 inline constexpr std::size_t LimitedBeatBytes = 28;
 
+/// Asks the owner of an organisation's quota for permits.
+struct QuotaAsk {
+  organisations::OrganisationId Organisation;
+  quota::PermitAsk Ask;
+};
+
+struct QuotaGrant {
+  organisations::OrganisationId Organisation;
+  quota::PermitGrant Grant;
+};
+
 /// The content of one datagram.
 struct GossipMessage {
-  /// The first one is that of the sender.
+  /// The first one is that of the sender. Empty in a datagram with asks or
+  /// grants.
   std::vector<mesh::NodeReport> Reports;
   std::vector<mesh::LoadBeat> Beats;
   /// Nodes whose report the sender lacks.
   std::vector<mesh::NodeKey> Wanted;
+  std::vector<QuotaAsk> Asks = {};
+  std::vector<QuotaGrant> Grants = {};
 };
 
 /// Thrift compact encoding, see gossip.thrift.
--- a/src/sidecar/internal/OutboundProxy.cpp
+++ b/src/sidecar/internal/OutboundProxy.cpp
@@ -60,15 +60,17 @@
   std::uint64_t Hash_ = Fnv1aBasis;
 };
 
-/// Returns 503 only for a request that has certainly not run; 502 and 504 leave
-/// that open.
+/// Returns 429 or 503 only for a request that has certainly not run; 502 and
+/// 504 leave that open.
 int statusOf(RefusalReason Reason, bool MayHaveRun) {
   if (Reason == RefusalReason::NoRoute)
     return HTTPResponse::HTTP_NOT_FOUND;
   if (Reason == RefusalReason::UnknownKey)
     return HTTPResponse::HTTP_UNAUTHORIZED;
   if (!MayHaveRun)
-    return HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
+    return Reason == RefusalReason::OverQuota
+               ? HTTPResponse::HTTP_TOO_MANY_REQUESTS
+               : HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
   return Reason == RefusalReason::UpstreamTimeout ||
                  Reason == RefusalReason::Deadline
              ? HTTPResponse::HTTP_GATEWAY_TIMEOUT
@@ -85,6 +87,8 @@
   mesh::MeshConfigPtr Config;
   /// Null for a request without a key. Part of Config.
   const organisations::Organisation *Holder = nullptr;
+  /// Set while the request holds a permit of its organisation's quota.
+  std::optional<SteadyTime> PermitExpiresAt;
   organisations::ServingRegions Allowed;
   HopInfo Info;
   SteadyTime ArrivedAt;
@@ -120,9 +124,9 @@
 
 OutboundProxy::OutboundProxy(NodeContext &Context, UpstreamHop &Local,
                              RemoteHop &Remote, UpstreamDirectory &Directory,
-                             Rollouts &ActiveRollouts)
+                             Rollouts &ActiveRollouts, Allotments &Permits)
     : Context_(Context), LocalHop_(Local), RemoteHop_(Remote),
-      Directory_(Directory), Rollouts_(ActiveRollouts) {}
+      Directory_(Directory), Rollouts_(ActiveRollouts), Permits_(Permits) {}
 
 void OutboundProxy::handle(const ServerRequestPtr &Request) {
   const auto Item = std::make_shared<Call>();
@@ -151,7 +155,36 @@
   if (!findRoute(Item))
     return;
   readDeadline(Item);
-  waitForBody(Item);
+  acquirePermit(Item);
+}
+
+/// Waits until the quota of the organisation permits the request. One permit
+/// covers all upstreams to which it is sent.
+void OutboundProxy::acquirePermit(const CallPtr &Item) {
+  if (Item->Holder == nullptr || !Item->Holder->Limit) {
+    waitForBody(Item);
+    return;
+  }
+  Permits_.acquire(
+      *Item->Holder, Item->Info.DeadlineAt,
+      [this, Item](const PermitResult &Result) { onPermit(Item, Result); });
+}
+
+void OutboundProxy::onPermit(const CallPtr &Item, const PermitResult &Result) {
+  if (Result.Granted)
+    Item->PermitExpiresAt = Result.ExpiresAt;
+  if (Item->Ended)
+    releasePermit(Item);
+  else if (Result.Granted)
+    waitForBody(Item);
+  else
+    endUnanswered(Item, RefusalReason::OverQuota, Result.RetryDelay);
+}
+
+void OutboundProxy::releasePermit(const CallPtr &Item) {
+  if (Item->PermitExpiresAt)
+    Permits_.release(*Item->Holder, *Item->PermitExpiresAt);
+  Item->PermitExpiresAt.reset();
 }
 
 /// Holds a request until the first configuration is known. That takes less time
@@ -548,6 +581,8 @@
     return;
   }
   const bool MayHaveRun = Item->Runs > 0;
+  if (!MayHaveRun && !Item->Ended)
+    releasePermit(Item);
   answerRefusal(Item, statusOf(Reason, MayHaveRun), Reason, RetryDelay);
 }
 
@@ -563,10 +598,15 @@
   if (!Item->Id.empty())
     Head.set(IdName, Item->Id.str());
   Head.set("lt-reason", std::string(toString(Reason)));
-  if (Status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE) {
+  const bool IsOverQuota = Status == HTTPResponse::HTTP_TOO_MANY_REQUESTS;
+  if (IsOverQuota || Status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE) {
     const Milliseconds Left = elapsed(Context_.now(), Item->Info.DeadlineAt);
-    const std::int64_t Longest = std::max<std::int64_t>(
-        Left.count() / RetryAfterDivisor, MinRetryAfter.count());
+    // Before the quota has a permit again, a retry is of no use.
+    const std::int64_t Least = IsOverQuota
+                                   ? std::max(RetryDelay, MinRetryAfter).count()
+                                   : MinRetryAfter.count();
+    const std::int64_t Longest =
+        std::max<std::int64_t>(Left.count() / RetryAfterDivisor, Least);
     const std::int64_t Wanted = std::clamp<std::int64_t>(
         RetryDelay.count(), MinRetryAfter.count(), Longest);
     // The jitter keeps requests that were refused together from returning
--- a/src/sidecar/internal/OutboundProxy.h
+++ b/src/sidecar/internal/OutboundProxy.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEETHREAD_SIDECAR_INTERNAL_OUTBOUNDPROXY_H
 #define LYCHEETHREAD_SIDECAR_INTERNAL_OUTBOUNDPROXY_H
 
+#include "sidecar/internal/Allotments.h"
 #include "sidecar/internal/HttpServer.h"
 #include "sidecar/internal/RemoteHop.h"
 #include "sidecar/internal/Rollouts.h"
@@ -14,7 +15,8 @@
 class OutboundProxy {
 public:
   OutboundProxy(NodeContext &Context, UpstreamHop &Local, RemoteHop &Remote,
-                UpstreamDirectory &Directory, Rollouts &ActiveRollouts);
+                UpstreamDirectory &Directory, Rollouts &ActiveRollouts,
+                Allotments &Permits);
 
   void handle(const ServerRequestPtr &Request);
 
@@ -32,6 +34,9 @@
   bool findRoute(const CallPtr &Item);
   bool identifyCaller(const CallPtr &Item);
   void readDeadline(const CallPtr &Item);
+  void acquirePermit(const CallPtr &Item);
+  void onPermit(const CallPtr &Item, const PermitResult &Result);
+  void releasePermit(const CallPtr &Item);
   void waitForBody(const CallPtr &Item);
   void prepare(const CallPtr &Item);
   void dispatch(const CallPtr &Item);
@@ -54,6 +59,7 @@
   RemoteHop &RemoteHop_;
   UpstreamDirectory &Directory_;
   Rollouts &Rollouts_;
+  Allotments &Permits_;
   std::unordered_map<RouteName, mesh::SplitState> Splits_;
   std::map<ServiceName, mesh::MeshRetryBudget> Budgets_;
   std::unordered_map<RouteName, Milliseconds> MaxStatedDeadline_;
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -1,4 +1,5 @@
 #include "sidecar/internal/SidecarNode.h"
+#include "sidecar/internal/Allotments.h"
 #include "sidecar/internal/CheckIns.h"
 #include "sidecar/internal/Gossip.h"
 #include "sidecar/internal/HopServer.h"
@@ -83,6 +84,7 @@
   std::unique_ptr<RemoteHop> Remote;
   std::unique_ptr<UpstreamDirectory> Directory;
   std::unique_ptr<Rollouts> ActiveRollouts;
+  std::unique_ptr<Allotments> Permits;
   std::unique_ptr<OutboundProxy> Outbound;
   std::unique_ptr<HopServer> Inbound;
   std::unique_ptr<Gossip> NodeGossip;
@@ -146,8 +148,12 @@
             [this](Offset From, Offset To) { Hop->moveEvidence(From, To); }});
     Remote = std::make_unique<RemoteHop>(Context);
     Directory = std::make_unique<UpstreamDirectory>(Context, OwnLoad);
-    Outbound = std::make_unique<OutboundProxy>(Context, *Hop, *Remote,
-                                               *Directory, *ActiveRollouts);
+    Permits = std::make_unique<Allotments>(
+        Context, [this](const Endpoint &To, const GossipMessage &Message) {
+          NodeGossip->send(To, Message);
+        });
+    Outbound = std::make_unique<OutboundProxy>(
+        Context, *Hop, *Remote, *Directory, *ActiveRollouts, *Permits);
     Inbound = std::make_unique<HopServer>(Context, *Hop);
     NodeGossip = std::make_unique<Gossip>(
         Context, [this](mesh::NodeReport &Own) { fillOwnReport(Own); },
@@ -159,6 +165,8 @@
         [this](const mesh::Upstream &Past) {
           UpstreamCheckIns->onOwnPast(Past);
         });
+    NodeGossip->onQuota(
+        [this](const GossipMessage &Message) { Permits->onMessage(Message); });
     addSeeds();
     UpstreamCheckIns = std::make_unique<CheckIns>(
         Context, *Store,
--- a/src/sidecar/tests/CodecTest.cpp
+++ b/src/sidecar/tests/CodecTest.cpp
@@ -72,6 +72,33 @@
   BOOST_TEST(!Read->Reports.front().ConfirmedAge.has_value());
 }
 
+// Guards against permits that are taken for another organisation or ask, and
+// against a report that every ask would carry along.
+BOOST_AUTO_TEST_CASE(asksAndGrantsRoundTripWithoutAReport) {
+  GossipMessage Message;
+  Message.Asks.push_back({organisations::OrganisationId("acme"),
+                          {NodeId("10.0.0.7"), Sequence(1LL << 39), 12}});
+  Message.Grants.push_back({organisations::OrganisationId("corp"),
+                            {Sequence(9), 3, Milliseconds(250)}});
+  const std::string Wire = encodeGossip(Message);
+  BOOST_TEST_MESSAGE("ask: "
+                     << encodeGossip({{}, {}, {}, Message.Asks}).size()
+                     << " bytes, grant: "
+                     << encodeGossip({{}, {}, {}, {}, Message.Grants}).size());
+  BOOST_TEST(Wire.size() < 64U);
+  const auto Read = decodeGossip(Wire);
+  BOOST_REQUIRE((Read && Read->Asks.size() == 1U && Read->Grants.size() == 1U));
+  BOOST_TEST(Read->Reports.empty());
+  BOOST_TEST(Read->Asks[0].Organisation.str() == "acme");
+  BOOST_TEST(Read->Asks[0].Ask.Entry.str() == "10.0.0.7");
+  BOOST_TEST((Read->Asks[0].Ask.Number == Sequence(1LL << 39)));
+  BOOST_TEST(Read->Asks[0].Ask.Wanted == 12);
+  BOOST_TEST(Read->Grants[0].Organisation.str() == "corp");
+  BOOST_TEST((Read->Grants[0].Grant.Number == Sequence(9)));
+  BOOST_TEST(Read->Grants[0].Grant.Permits == 3);
+  BOOST_TEST(Read->Grants[0].Grant.RetryDelay.count() == 250);
+}
+
 // Guards against a crash of the process by a datagram from a foreign sender.
 BOOST_AUTO_TEST_CASE(brokenDatagramsAreRejected) {
   const std::string Whole = encodeGossip({{fullReport()}, {}, {}});
