--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -6,6 +6,8 @@
 /// functions are pure: no sockets, clocks or threads.
 
 #include "mesh/types/CheckIn.h"
+#include "mesh/types/ColdLimit.h"
+#include "mesh/types/Evacuation.h"
 #include "mesh/types/GossipPlan.h"
 #include "mesh/types/HopQueue.h"
 #include "mesh/types/JoinState.h"
@@ -23,6 +25,7 @@
 
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -107,6 +110,19 @@
 /// returns their ids.
 std::vector<JobId> removeOverdue(HopQueue &Queue, SteadyTime Now);
 
+/// Returns how many requests the upstream may run at the same time; \p Config
+/// is null while none is in force.
+std::int32_t slotsOf(const MeshConfig *Config, const Upstream &Item);
+
+/// Returns the time until the limits of the upstream permit one more request
+/// after \p Ahead others.
+Milliseconds permitDelay(const HopQueue &Queue, std::int64_t Ahead,
+                         SteadyTime Now);
+
+/// Returns the requests a second that the upstream takes now; empty without a
+/// limit.
+std::optional<double> limitOf(const HopQueue &Queue, SteadyTime Now);
+
 /// Counts a request as started that was admitted with QueueDecision::Run.
 void startNow(HopQueue &Queue, SteadyTime Now);
 
@@ -156,6 +172,53 @@
 /// completed stays so, whatever a node finds later: the old version has ended.
 VersionChoice versionChoice(RolloutState State, bool IsNewVersionBad);
 
+/// Whether the upstream is cold, or not known to be warm, and has a limit.
+bool isLimited(const ColdLimit &Limit, SteadyTime Now);
+
+/// Takes the rate of the service from the configuration.
+void setColdRate(ColdLimit &Limit, std::optional<double> PerSecond,
+                 const MeshBounds &Bounds, SteadyTime Now);
+
+/// Takes an accepted check-in, which says how long the upstream stays cold.
+void recordColdCheckIn(ColdLimit &Limit, Milliseconds ColdRemaining,
+                       bool IsNewProcess, SteadyTime Now);
+
+/// Limits an upstream that may have been restarted, until a check-in tells.
+void recordConnectionLoss(ColdLimit &Limit, ConnectionLoss Kind,
+                          SteadyTime Now);
+
+/// Returns the time until one more request may be started after \p Ahead
+/// others; 0 without a limit.
+Milliseconds coldDelay(const ColdLimit &Limit, std::int64_t Ahead,
+                       SteadyTime Now);
+
+/// Takes the permit of a request that is started.
+void takeColdPermit(ColdLimit &Limit, SteadyTime Now);
+
+/// Returns 0 if a started request may be sent; else the time until it might.
+/// The upstream may have turned cold while the request was being connected.
+Milliseconds coldSendDelay(const ColdLimit &Limit, SteadyTime Now);
+
+/// Records that a request is sent to the upstream, cold or not.
+void recordColdSend(ColdLimit &Limit, SteadyTime Now);
+
+/// Returns how much longer the registered upstream stays cold.
+Milliseconds coldRemaining(const Registration &Known, SteadyTime Now);
+
+/// Takes the zones that the operator's records state as evacuated; returns
+/// those whose state has changed.
+EvacuationChange updateEvacuation(Evacuation &Known,
+                                  const std::set<AvailabilityZone> &Stated,
+                                  SteadyTime Now);
+
+/// Whether no requests may be sent to upstreams in \p Zone.
+bool isEvacuated(const Evacuation &Known, const AvailabilityZone &Zone);
+
+/// Returns the share of the requests that \p Zone would get otherwise: 0 while
+/// it is evacuated; afterwards it rises to 1 within some seconds.
+double requestShare(const Evacuation &Known, const AvailabilityZone &Zone,
+                    SteadyTime Now);
+
 /// Stores \p Report if it is newer than the known one; otherwise returns false.
 /// An upstream process that has left does not become ready again.
 bool mergeReport(NodeTable &Known, const NodeReport &Report, SteadyTime Now);
--- a/src/mesh/internal/HopQueue.cpp
+++ b/src/mesh/internal/HopQueue.cpp
@@ -46,9 +46,9 @@
 /// Returns the time until a request with \p Ahead requests before it gets a
 /// slot.
 Milliseconds slotWait(const HopQueue &Queue, std::int64_t Ahead,
-                      Milliseconds MeanService) {
+                      Milliseconds MeanService, SteadyTime Now) {
   // With a limit, requests wait while there are free slots.
-  if (Queue.Limit.PerSecond && Queue.Running + Ahead < Queue.Slots)
+  if (limitOf(Queue, Now) && Queue.Running + Ahead < Queue.Slots)
     return Milliseconds(0);
   return Milliseconds(MeanService.count() * (Ahead + 1) / Queue.Slots);
 }
@@ -74,17 +74,39 @@
                   std::min(Objective / 2, MinLongestWait));
 }
 
+std::int32_t slotsOf(const MeshConfig *Config, const Upstream &Item) {
+  if (Config == nullptr)
+    return Item.Capacity;
+  const auto Found = Config->Services.find(Item.Service);
+  // Each slot takes one connection.
+  return Found != Config->Services.end() && Found->second.MaxConnections > 0
+             ? std::min(Item.Capacity, Found->second.MaxConnections)
+             : Item.Capacity;
+}
+
+Milliseconds permitDelay(const HopQueue &Queue, std::int64_t Ahead,
+                         SteadyTime Now) {
+  return std::max(requests::permitDelay(Queue.Limit, Ahead, Now),
+                  coldDelay(Queue.Cold, Ahead, Now));
+}
+
+std::optional<double> limitOf(const HopQueue &Queue, SteadyTime Now) {
+  if (!isLimited(Queue.Cold, Now))
+    return Queue.Limit.PerSecond;
+  return std::min(*Queue.Cold.PerSecond,
+                  Queue.Limit.PerSecond.value_or(*Queue.Cold.PerSecond));
+}
+
 QueueDecision admitJob(const HopQueue &Queue, const QueuedJob &Job,
                        Milliseconds MeanService, SteadyTime Now) {
   if (elapsed(Now, Job.DeadlineAt) <= Milliseconds(0) || Queue.Slots <= 0)
     return {QueueDecision::Action::Refuse, Milliseconds(0)};
   if (Queue.Running < Queue.Slots && Queue.Waiting.empty() &&
-      requests::permitDelay(Queue.Limit, 0, Now) == Milliseconds(0))
+      permitDelay(Queue, 0, Now) == Milliseconds(0))
     return {QueueDecision::Action::Run, Milliseconds(0)};
   const auto Ahead = static_cast<std::int64_t>(jobsAhead(Queue, Job, Now));
-  const Milliseconds PermitWait =
-      requests::permitDelay(Queue.Limit, Ahead, Now);
-  const Milliseconds SlotWait = slotWait(Queue, Ahead, MeanService);
+  const Milliseconds PermitWait = permitDelay(Queue, Ahead, Now);
+  const Milliseconds SlotWait = slotWait(Queue, Ahead, MeanService, Now);
   const Milliseconds Wait = std::max(SlotWait, PermitWait);
   const Milliseconds InTime =
       elapsed(Now, Job.ObjectiveAt) -
@@ -99,6 +121,7 @@
 void startNow(HopQueue &Queue, SteadyTime Now) {
   ++Queue.Running;
   requests::takePermit(Queue.Limit, Now);
+  takeColdPermit(Queue.Cold, Now);
 }
 
 // The last hop decides admission by the requests that it serves before this
@@ -139,7 +162,7 @@
 
 std::optional<JobId> startNext(HopQueue &Queue, SteadyTime Now) {
   if (Queue.Running >= Queue.Slots || Queue.Waiting.empty() ||
-      requests::permitDelay(Queue.Limit, 0, Now) > Milliseconds(0))
+      permitDelay(Queue, 0, Now) > Milliseconds(0))
     return std::nullopt;
   const auto Next =
       std::min_element(Queue.Waiting.begin(), Queue.Waiting.end(),
--- a/src/mesh/internal/NodeTable.cpp
+++ b/src/mesh/internal/NodeTable.cpp
@@ -170,6 +170,8 @@
     *Report.ConfirmedAge += Since;
   for (RolloutReport &Rollout : Report.Rollouts)
     Rollout.Age += Since;
+  Milliseconds &Cold = Report.LocalUpstream.ColdRemaining;
+  Cold = std::max(Milliseconds(0), Cold - Since);
   return Report;
 }
 
--- a/src/mesh/internal/UploadBacklog.cpp
+++ b/src/mesh/internal/UploadBacklog.cpp
@@ -50,8 +50,7 @@
   // Permits come while the body is being received.
   const Milliseconds Allowed =
       uploadBacklogTime(Backlog) + longestWait(Objective);
-  return std::max(Milliseconds(0),
-                  requests::permitDelay(Queue.Limit, Ahead, Now) - Allowed);
+  return std::max(Milliseconds(0), permitDelay(Queue, Ahead, Now) - Allowed);
 }
 
 } // namespace lycheethread::mesh
--- a/src/mesh/types/HopQueue.h
+++ b/src/mesh/types/HopQueue.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEETHREAD_MESH_TYPES_HOPQUEUE_H
 #define LYCHEETHREAD_MESH_TYPES_HOPQUEUE_H
 
+#include "mesh/types/ColdLimit.h"
 #include "requests/Requests.h"
 
 #include <cstddef>
@@ -46,6 +47,8 @@
   std::vector<QueuedJob> Waiting;
   /// The rate at which the upstream takes requests.
   requests::RateLimit Limit;
+  /// The rate at which it takes them while it is cold.
+  ColdLimit Cold;
 };
 
 /// Result of the admission check of an arriving request.
--- a/src/sidecar/internal/CheckIns.cpp
+++ b/src/sidecar/internal/CheckIns.cpp
@@ -137,6 +137,7 @@
                         {"sequence", std::to_string(Item.Number.value())}});
     return;
   }
+  Callbacks_.OnCheckIn();
   const mesh::Upstream &Current = Context_.Registered.Current;
   if (mesh::isSameProcess(Before, Current) && Before.State == Current.State &&
       Before.Capacity == Current.Capacity)
--- a/src/sidecar/internal/CheckIns.h
+++ b/src/sidecar/internal/CheckIns.h
@@ -11,6 +11,8 @@
 class CheckIns {
 public:
   struct Callbacks {
+    /// A check-in was accepted; comes before OnRegistration.
+    std::function<void()> OnCheckIn;
     /// NodeContext::Registered has changed.
     std::function<void()> OnRegistration;
     /// The list of nodes has to be read.
--- a/src/sidecar/internal/ConnectionPool.cpp
+++ b/src/sidecar/internal/ConnectionPool.cpp
@@ -10,7 +10,9 @@
 
 } // namespace
 
-ConnectionPool::ConnectionPool(reactor::EventLoop &Loop) : Loop_(Loop) {
+ConnectionPool::ConnectionPool(reactor::EventLoop &Loop,
+                               std::function<void(const Endpoint &)> OnLost)
+    : Loop_(Loop), OnLost_(std::move(OnLost)) {
   sweep();
 }
 
@@ -76,6 +78,8 @@
                  List.begin(), List.end(),
                  [&](const Idle &IdleItem) { return IdleItem.Item == Item; }),
              List.end());
+  if (List.empty() && OnLost_)
+    OnLost_(Item->peer());
 }
 
 void ConnectionPool::sweep() {
--- a/src/sidecar/internal/ConnectionPool.h
+++ b/src/sidecar/internal/ConnectionPool.h
@@ -11,7 +11,10 @@
 /// Idle connections for reuse, by server.
 class ConnectionPool {
 public:
-  explicit ConnectionPool(reactor::EventLoop &Loop);
+  /// \p OnLost is called when a peer has closed the last idle connection to it.
+  explicit ConnectionPool(
+      reactor::EventLoop &Loop,
+      std::function<void(const Endpoint &)> OnLost = nullptr);
   ~ConnectionPool();
 
   /// Returns the most recently used connection if it has been idle for at most
@@ -33,6 +36,7 @@
   void remove(const ClientConnectionPtr &Item);
 
   reactor::EventLoop &Loop_;
+  std::function<void(const Endpoint &)> OnLost_;
   std::map<Endpoint, std::vector<Idle>> Idle_;
   reactor::TimerId Timer_;
 };
--- a/src/sidecar/internal/NodeContext.h
+++ b/src/sidecar/internal/NodeContext.h
@@ -37,6 +37,9 @@
   /// complete; zero before the first confirmation.
   SteadyTime ConfirmedAt;
 
+  /// The zones that Records states as evacuated.
+  mesh::Evacuation Evacuated;
+
   mesh::NodeTable KnownNodes;
   mesh::JoinState Join;
   mesh::Registration Registered;
--- a/src/sidecar/internal/OperatorFeed.cpp
+++ b/src/sidecar/internal/OperatorFeed.cpp
@@ -1,4 +1,5 @@
 #include "sidecar/internal/OperatorFeed.h"
+#include "sidecar/internal/EvacuatedZones.h"
 #include "sidecar/internal/GossipCodec.h"
 
 #include <Poco/Net/HTTPRequest.h>
@@ -75,9 +76,19 @@
   Timer_ = Context_.Loop.runAfter(Pause, [this] { reload(); });
 }
 
+/// Whether ends may be recorded for the record.
+bool OperatorFeed::isOrder(const std::string &Key,
+                           const OperatorRecord &Record) const {
+  const OperatorFormat &Format = Context_.Platform.Operator;
+  return Key != Format.ConfigKey && !isRemoval(Record) &&
+         !Format.Evacuation({Key, Record.Value, Record.At});
+}
+
 bool OperatorFeed::hasOrders() const {
-  return Context_.Records.Items.size() >
-         Context_.Records.Items.count(Context_.Platform.Operator.ConfigKey);
+  const auto &Items = Context_.Records.Items;
+  return std::any_of(Items.begin(), Items.end(), [this](const auto &Item) {
+    return isOrder(Item.first, Item.second);
+  });
 }
 
 void OperatorFeed::loadStatus() {
@@ -232,6 +243,7 @@
     New.Position = Read.End;
     for (const StoreItem &Item : Read.Items)
       New.Items[Item.Key] = {Item.Value, Item.At};
+    addRemovals(New, Context_.Records, Context_.Platform.Operator.ConfigKey);
     applyRecords(New, "store");
     if (Context_.Records.Position > Read.End) {
       // Also a store that states no era may have lost its newest records, and
@@ -275,13 +287,15 @@
        {"keys_before", std::to_string(Before)},
        {"keys", std::to_string(Context_.Records.Items.size())}});
   applyConfig();
+  updateEvacuation(Context_);
   Callbacks_.OnRecords();
 }
 
 void OperatorFeed::applyConfig() {
   const OperatorFormat &Format = Context_.Platform.Operator;
   const auto Found = Context_.Records.Items.find(Format.ConfigKey);
-  if (Found == Context_.Records.Items.end())
+  // A configuration is only replaced.
+  if (Found == Context_.Records.Items.end() || isRemoval(Found->second))
     return;
   try {
     auto Read =
@@ -394,7 +408,10 @@
   const Endpoint From = Best->Hop;
   // Kept records may have any position.
   const bool IsOnlyKept = Best->OperatorPosition <= Context_.Records.Position;
-  const Offset First = IsOnlyKept ? Offset() : Context_.Records.Position;
+  // The node asked may have found a zone's evacuation removed by its first read
+  // of the store, which leaves no record; what it lacks then tells so.
+  const bool IsWhole = IsOnlyKept || !evacuatedZones(Context_).empty();
+  const Offset First = IsWhole ? Offset() : Context_.Records.Position;
   if (IsOnlyKept)
     KeptAskedAt_ = Now;
   HTTPRequest Head(HTTPRequest::HTTP_GET,
@@ -418,10 +435,13 @@
   Callbacks.OnAnswer = [Body](const ClientAnswer &Answer) {
     collectBody(Answer, Body);
   };
-  Callbacks.OnComplete = [this, Body, End] {
+  Callbacks.OnComplete = [this, Body, End, IsWhole] {
     End();
-    const auto Records = decodeRecords(*Body);
+    auto Records = decodeRecords(*Body);
     if (Records) {
+      if (IsWhole)
+        addRemovals(*Records, Context_.Records,
+                    Context_.Platform.Operator.ConfigKey);
       const bool IsFirst = Context_.Records.Position == Offset();
       if (eraOf(Records->Position) < eraOf(Context_.Records.Position))
         EarlierPosition_ = std::max(EarlierPosition_, Records->Position);
@@ -472,8 +492,7 @@
   };
   return std::all_of(Context_.Records.Items.begin(),
                      Context_.Records.Items.end(), [&](const auto &Item) {
-                       return Item.first ==
-                                  Context_.Platform.Operator.ConfigKey ||
+                       return !isOrder(Item.first, Item.second) ||
                               IsKnown(Item.second.At);
                      });
 }
--- a/src/sidecar/internal/OperatorFeed.h
+++ b/src/sidecar/internal/OperatorFeed.h
@@ -41,6 +41,7 @@
 
 private:
   void start();
+  bool isOrder(const std::string &Key, const OperatorRecord &Record) const;
   bool hasOrders() const;
   void loadStatus();
   void loadMembers();
--- a/src/sidecar/internal/OperatorRecords.cpp
+++ b/src/sidecar/internal/OperatorRecords.cpp
@@ -10,6 +10,9 @@
 bool isNewer(const std::string &Key, const OperatorRecord &Known,
              const OperatorRecord &Candidate,
              const ReplacesAcrossEras &Replaces) {
+  // An offset holds one record, so a removal at the same one was found later.
+  if (Candidate.At == Known.At)
+    return isRemoval(Candidate) && !isRemoval(Known);
   if (eraOf(Candidate.At) == eraOf(Known.At))
     return Candidate.At > Known.At;
   return Candidate.At > Known.At ? Replaces(Key, Known, Candidate)
@@ -18,6 +21,8 @@
 
 } // namespace
 
+bool isRemoval(const OperatorRecord &Record) { return Record.Value.empty(); }
+
 bool mergeRecords(OperatorRecords &To, const OperatorRecords &From,
                   const ReplacesAcrossEras &Replaces) {
   bool Changed = false;
@@ -38,6 +43,20 @@
   return Changed;
 }
 
+// The removal gets the last position that was read: nodes that are behind ask
+// for the records from their own position on, and a later record of the same
+// key has a higher one.
+void addRemovals(OperatorRecords &Whole, const OperatorRecords &Known,
+                 const std::string &Lasting) {
+  if (Whole.Position < Known.Position)
+    return;
+  const Offset Last(Whole.Position.value() - 1);
+  for (const auto &[Key, Record] : Known.Items)
+    if (Key != Lasting && !isRemoval(Record) && Record.At <= Last &&
+        eraOf(Record.At) == eraOf(Whole.Position))
+      Whole.Items.try_emplace(Key, OperatorRecord{"", Last});
+}
+
 std::int32_t countKept(const OperatorRecords &Records) {
   return static_cast<std::int32_t>(std::count_if(
       Records.Items.begin(), Records.Items.end(), [&](const auto &Item) {
--- a/src/sidecar/internal/Rollouts.cpp
+++ b/src/sidecar/internal/Rollouts.cpp
@@ -122,6 +122,9 @@
   if (!Era_ || Era > *Era_)
     onStoreEra(Era);
   for (const auto &[Key, Record] : Context_.Records.Items) {
+    // A rollout that was ordered goes on.
+    if (isRemoval(Record))
+      continue;
     std::optional<mesh::RolloutOrder> Order;
     try {
       Order =
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/internal/SidecarNode.h"
 #include "sidecar/internal/CheckIns.h"
+#include "sidecar/internal/EvacuatedZones.h"
 #include "sidecar/internal/Gossip.h"
 #include "sidecar/internal/HopServer.h"
 #include "sidecar/internal/OperatorFeed.h"
@@ -162,7 +163,8 @@
     addSeeds();
     UpstreamCheckIns = std::make_unique<CheckIns>(
         Context, *Store,
-        CheckIns::Callbacks{[this] { onRegistration(); },
+        CheckIns::Callbacks{[this] { Hop->onCheckIn(); },
+                            [this] { onRegistration(); },
                             [this] { Feed->reloadMembers(); }});
     Feed = std::make_unique<OperatorFeed>(
         Context, *Store,
@@ -206,7 +208,9 @@
           Loop, At.Metrics,
           HttpServerOptions{internalLimits, [this](const auto &Request) {
                               Request->answer(HTTPResponse::HTTP_OK,
-                                              Services.Registry->Exposition());
+                                              Services.Registry->Exposition() +
+                                                  evacuationMetrics(
+                                                      Context, Hop->running()));
                             }});
   }
 
@@ -222,6 +226,8 @@
     Own.Ready = Context.Ready;
     Own.Stopping = Context.Stopping;
     Own.LocalUpstream = Context.Registered.Current;
+    Own.LocalUpstream.ColdRemaining =
+        mesh::coldRemaining(Context.Registered, Context.now());
     Own.Load = Hop->load();
     Own.OperatorPosition = Context.Records.Position;
     Own.KeptRecords = countKept(Context.Records);
--- a/src/sidecar/internal/UpstreamDirectory.cpp
+++ b/src/sidecar/internal/UpstreamDirectory.cpp
@@ -59,7 +59,8 @@
 }
 
 mesh::Candidate UpstreamDirectory::describe(const mesh::NodeReport &Report,
-                                            SteadyTime HeardAt) {
+                                            SteadyTime HeardAt,
+                                            SteadyTime ReportedAt) {
   UpstreamStats &Item = Stats_[Report.Id];
   const bool HasNewerLoad = Item.Load && Item.LoadAt > HeardAt;
   const mesh::LoadReport Load = HasNewerLoad ? *Item.Load : Report.Load;
@@ -78,7 +79,8 @@
   Found.BodyWait = Load.BodyWait;
   describeLimit(Item, Load, HasNewerLoad ? Item.LoadAt : HeardAt,
                 HasNewerLoad ? Item.SentSince : 0, Found);
-  Found.IsCold = Report.LocalUpstream.ColdRemaining > Milliseconds(0);
+  Found.IsCold =
+      Report.LocalUpstream.ColdRemaining > elapsed(ReportedAt, Context_.now());
   Found.FailureRate = decayedFailureRate(Item);
   return Found;
 }
@@ -128,23 +130,37 @@
          elapsed(Item.WaitingSince, Now) > StaleAnswerAge;
 }
 
+/// Whether a request whose random number from 0 to 1 is \p Draw may go to a
+/// zone that was evacuated. One number decides for all upstreams of a zone:
+/// each for itself, a zone with many would always have one to offer.
+bool UpstreamDirectory::mayUseNow(const AvailabilityZone &Zone,
+                                  double Draw) const {
+  return Draw < mesh::requestShare(Context_.Evacuated, Zone, Context_.now());
+}
+
 std::vector<mesh::Candidate>
 UpstreamDirectory::candidates(const ServiceName &Service,
                               const std::set<NodeId> &Excluded,
                               const organisations::ServingRegions &Allowed) {
   std::vector<mesh::Candidate> Found;
   std::vector<mesh::Candidate> Avoided;
+  /// Upstreams of zones that get only a part of their requests yet.
+  std::vector<mesh::Candidate> Returning;
   const SteadyTime Now = Context_.now();
+  const double Draw =
+      std::uniform_real_distribution<double>(0, 1)(Context_.Random);
   for (const auto &[Id, Known] : Context_.KnownNodes.Nodes) {
     if (Excluded.count(Id) != 0 || !isUsable(Known.LastReport, Service) ||
         !organisations::allows(Allowed, Known.LastReport.At.RegionName) ||
+        mesh::isEvacuated(Context_.Evacuated, Known.LastReport.At.Zone) ||
         !mesh::isAlive(Context_.KnownNodes, Known, Now))
       continue;
     const UpstreamStats &Item = Stats_[Id];
     const bool IsAvoided = seemsDown(Item, Known.HeardAt) ||
                            seemsUnresponsive(Item, Known.HeardAt);
-    auto &List = IsAvoided ? Avoided : Found;
-    List.push_back(describe(Known.LastReport, Known.HeardAt));
+    const bool IsUsedNow = mayUseNow(Known.LastReport.At.Zone, Draw);
+    auto &List = IsAvoided ? Avoided : (IsUsedNow ? Found : Returning);
+    List.push_back(describe(Known.LastReport, Known.HeardAt, Known.ReportedAt));
   }
   const NodeId &Self = Context_.Settings.Id;
   mesh::NodeReport Own;
@@ -152,12 +168,16 @@
   Own.At = Context_.Settings.At;
   Own.LocalUpstream = Context_.Registered.Current;
   if (Excluded.count(Self) == 0 && isUsable(Own, Service) &&
-      organisations::allows(Allowed, Own.At.RegionName)) {
+      organisations::allows(Allowed, Own.At.RegionName) &&
+      !mesh::isEvacuated(Context_.Evacuated, Own.At.Zone)) {
     Own.Load = OwnLoad_();
-    mesh::Candidate Item = describe(Own, Now);
+    mesh::Candidate Item = describe(Own, Now, Context_.Registered.HeardAt);
     Item.Outstanding = Own.Load.Running + Own.Load.Waiting;
-    Found.push_back(std::move(Item));
+    auto &List = mayUseNow(Own.At.Zone, Draw) ? Found : Returning;
+    List.push_back(std::move(Item));
   }
+  if (Found.empty())
+    Found = std::move(Returning);
   // If all upstreams are suspect, trying one is better than refusing.
   if (Found.empty())
     Found = std::move(Avoided);
--- a/src/sidecar/internal/UpstreamDirectory.h
+++ b/src/sidecar/internal/UpstreamDirectory.h
@@ -58,7 +58,9 @@
 
   bool isUsable(const mesh::NodeReport &Report,
                 const ServiceName &Service) const;
-  mesh::Candidate describe(const mesh::NodeReport &Report, SteadyTime HeardAt);
+  mesh::Candidate describe(const mesh::NodeReport &Report, SteadyTime HeardAt,
+                           SteadyTime ReportedAt);
+  bool mayUseNow(const AvailabilityZone &Zone, double Draw) const;
   void describeLimit(UpstreamStats &Item, const mesh::LoadReport &Load,
                      SteadyTime LoadAt, std::int32_t SentSince,
                      mesh::Candidate &Into);
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -1,4 +1,6 @@
 #include "sidecar/internal/UpstreamHop.h"
+#include "sidecar/internal/EvacuatedZones.h"
+#include "sidecar/internal/HopLog.h"
 #include "sidecar/internal/UpstreamRequest.h"
 
 #include <algorithm>
@@ -54,9 +56,19 @@
 };
 
 UpstreamHop::UpstreamHop(NodeContext &Context, Callbacks Handlers)
-    : Context_(Context), Callbacks_(std::move(Handlers)), Pool_(Context.Loop),
+    : Context_(Context), Callbacks_(std::move(Handlers)),
+      // A restart may show in nothing else where no request is running.
+      Pool_(Context.Loop,
+            [this](const Endpoint &) {
+              if (running() == 0)
+                Cold_.onLoss(mesh::ConnectionLoss::Broken);
+            }),
       Crashes_(Context, Pool_,
-               [this] { DownUntil_ = after(Context_.now(), DownTime); }) {}
+               [this] {
+                 DownUntil_ = after(Context_.now(), DownTime);
+                 Cold_.onLoss(mesh::ConnectionLoss::Refused);
+               }),
+      Cold_(Context, Queue_.Cold) {}
 
 UpstreamHop::~UpstreamHop() { Context_.Loop.cancel(Timer_); }
 
@@ -72,7 +84,10 @@
 
 std::optional<RefusalReason> UpstreamHop::checkUpstream() const {
   const mesh::Upstream &Current = Context_.Registered.Current;
-  if (mesh::isLeaving(Current))
+  // Without a configuration, the limit of a cold upstream is not known.
+  if (!Context_.Config && Cold_.isCold())
+    return RefusalReason::NotReady;
+  if (mesh::isLeaving(Current) || isOwnZoneEvacuated(Context_))
     return RefusalReason::Draining;
   if (Current.State != UpstreamState::Ready || Context_.now() < DownUntil_)
     return RefusalReason::NoUpstream;
@@ -221,8 +236,7 @@
     return;
   Milliseconds Next = ExpiryInterval;
   // No other event tells when the next permit is there.
-  const Milliseconds Permit =
-      requests::permitDelay(Queue_.Limit, 0, Context_.now());
+  const Milliseconds Permit = mesh::permitDelay(Queue_, 0, Context_.now());
   if (Permit > Milliseconds(0))
     Next = std::min(Next, Permit);
   Timer_ = Context_.Loop.runAfter(Next, [this] { expireWaiting(); });
@@ -263,6 +277,7 @@
     if (!Item || Item->Ended)
       return;
     DownUntil_ = after(Context_.now(), DownTime);
+    Cold_.onLoss(mesh::ConnectionLoss::Refused);
     Context_.Log.write(LogClass::Failure, Context_.now(), "upstream-refused",
                        {{"request", Item->Job.Id.str()},
                         {"upstream", Context_.Registered.Current.Id.str()}});
@@ -277,6 +292,13 @@
     finish(Job, notRun(RefusalReason::Deadline));
     return;
   }
+  const Milliseconds ColdDelay =
+      mesh::coldSendDelay(Queue_.Cold, Context_.now());
+  if (ColdDelay > Milliseconds(0)) {
+    finish(Job, notRun(RefusalReason::RateLimited, ColdDelay));
+    return;
+  }
+  mesh::recordColdSend(Queue_.Cold, Context_.now());
   Job->Sent = true;
   Job->SentAt = Context_.now();
   Job->Target = Context_.Registered.Current;
@@ -292,7 +314,8 @@
   ClientCallbacks Callbacks;
   Callbacks.Accept = [this, Weak](const HTTPResponse &Head) {
     const auto Item = Weak.lock();
-    return !Item || belongsTo(*Item, Head);
+    return !Item || isAnswerTo(Head, Context_.Platform.Headers, Item->Job.Id,
+                               Item->Connection->wasUsedBefore());
   };
   Callbacks.OnAnswer = [this, Weak](ClientAnswer Answer) {
     if (const auto Item = Weak.lock())
@@ -310,19 +333,10 @@
                          std::move(Callbacks));
 }
 
-bool UpstreamHop::belongsTo(const Running &Job,
-                            const HTTPResponse &Head) const {
-  const HeaderNames &Names = Context_.Platform.Headers;
-  if (Job.Job.Id.empty())
-    return true;
-  if (Head.has(Names.RequestId))
-    return Head.get(Names.RequestId) == Job.Job.Id.str();
-  // The upstream may reject a request before it has read the id. On a
-  // connection that was used before, it may be a late copy of an earlier
-  // rejection, and this request may be running.
-  return !Job.Connection->wasUsedBefore() &&
-         (Head.has(Names.NotExecuted) ||
-          Head.getStatus() == HTTPResponse::HTTP_MISDIRECTED_REQUEST);
+std::size_t UpstreamHop::running() const {
+  return static_cast<std::size_t>(
+      std::count_if(Jobs_.begin(), Jobs_.end(),
+                    [](const auto &Item) { return Item.second->Sent; }));
 }
 
 void UpstreamHop::onAnswer(const RunningPtr &Job, ClientAnswer Answer) {
@@ -396,6 +410,7 @@
 void UpstreamHop::onFailure(const RunningPtr &Job, ClientFailure Why) {
   if (Job->Ended)
     return;
+  Cold_.onLoss(mesh::ConnectionLoss::Broken);
   if (!Job->CallerDone)
     recordEvidence(*Job, false, Milliseconds(0));
   if (Why == ClientFailure::NoAnswer && !Job->CallerDone)
@@ -415,7 +430,8 @@
   Job->CallerDone = true;
   const auto Callback = std::move(Job->Job.OnEnd);
   if (MustReport)
-    logOutcome(*Job, Outcome);
+    logHopOutcome(Context_, Job->Job, Outcome, Queue_,
+                  mesh::meanServiceTime(Service_));
   release(Job);
   if (MustReport && Callback) {
     Outcome.Load = load();
@@ -423,30 +439,6 @@
   }
 }
 
-void UpstreamHop::logOutcome(const Running &Job, const HopOutcome &Outcome) {
-  const SteadyTime Now = Context_.now();
-  const mesh::Upstream &Upstream = Context_.Registered.Current;
-  Context_.Log.write(
-      LogClass::Failure, Now,
-      Outcome.End == HopResult::NotRun ? "hop-refused" : "hop-failed",
-      {{"request", Job.Job.Id.str()},
-       {"reason", std::string(toString(Outcome.Reason))},
-       {"reached", Outcome.Reached ? "yes" : "no"},
-       {"route", Job.Job.Info.Route.str()},
-       {"rank", std::to_string(Job.Job.Info.Rank)},
-       {"upstream", Upstream.Id.str()},
-       {"check_in_age_ms",
-        std::to_string(elapsed(Context_.Registered.HeardAt, Now).count())},
-       {"slots", std::to_string(Queue_.Slots)},
-       {"running", std::to_string(Queue_.Running)},
-       {"waiting", std::to_string(Queue_.Waiting.size())},
-       {"service_ms", std::to_string(mesh::meanServiceTime(Service_).count())},
-       {"room_in_ms", std::to_string(Outcome.RetryDelay.count())},
-       {"limit_per_s", rateText(Queue_.Limit.PerSecond)},
-       {"left_ms",
-        std::to_string(elapsed(Now, Job.Job.Info.DeadlineAt).count())}});
-}
-
 void UpstreamHop::release(const RunningPtr &Job) {
   if (Job->Ended)
     return;
@@ -504,8 +496,11 @@
   Queue_.Waiting.clear();
   const auto Copy = Jobs_;
   for (const auto &[Id, Job] : Copy)
-    if (!Job->Sent && !Job->Ended)
+    if (!Job->Sent && !Job->Ended) {
+      if (Job->Connection)
+        Job->Connection->close();
       finish(Job, notRun(RefusalReason::Draining));
+    }
 }
 
 void UpstreamHop::cancel(mesh::JobId Id) {
@@ -529,40 +524,48 @@
 void UpstreamHop::onRegistrationChanged() {
   const mesh::Registration &Known = Context_.Registered;
   if (!mesh::isSameProcess(Known.Current, CurrentUpstream_)) {
+    // A cold upstream gets too few requests for its times to be learned anew
+    // before it is warm: it would look slow and stay unused.
+    const bool KeepsTimes = Queue_.Cold.PerSecond &&
+                            Known.Current.Service == CurrentUpstream_.Service &&
+                            Known.Current.Version == CurrentUpstream_.Version;
     CurrentUpstream_ = Known.Current;
     DownUntil_ = SteadyTime();
     Stated_ = {};
     HasAnswered_ = false;
     Queue_.Limit = {};
-    Service_ = {};
-    ServiceByRoute_.clear();
+    if (!KeepsTimes) {
+      Service_ = {};
+      ServiceByRoute_.clear();
+    }
     Crashes_.reset();
     Pool_.closeAll(Known.Address);
   }
-  Queue_.Slots = Known.Current.Capacity;
-  // Each slot takes one connection.
-  if (Context_.Config) {
-    const auto Service = Context_.Config->Services.find(Known.Current.Service);
-    if (Service != Context_.Config->Services.end() &&
-        Service->second.MaxConnections > 0)
-      Queue_.Slots = std::min(Queue_.Slots, Service->second.MaxConnections);
-  }
-  if (Known.Current.State == UpstreamState::Ready)
+  Queue_.Slots = mesh::slotsOf(Context_.Config.get(), Known.Current);
+  Cold_.onConfig();
+  if (isOwnZoneEvacuated(Context_))
+    refuseUnsent();
+  else if (Known.Current.State == UpstreamState::Ready)
     runWaiting();
   else
     refuseWaiting(RefusalReason::Draining);
 }
 
+void UpstreamHop::onCheckIn() {
+  Cold_.onCheckIn(
+      !mesh::isSameProcess(Context_.Registered.Current, CurrentUpstream_));
+}
+
 mesh::LoadReport UpstreamHop::load() const {
   return {Queue_.Running,
           static_cast<std::int32_t>(Queue_.Waiting.size()) +
               UploadBacklog_.Receiving,
           mesh::meanServiceTime(Service_),
           mesh::uploadBacklogTime(UploadBacklog_),
-          Queue_.Limit.PerSecond,
-          requests::permitDelay(
-              Queue_.Limit, static_cast<std::int64_t>(Queue_.Waiting.size()),
-              Context_.now())};
+          mesh::limitOf(Queue_, Context_.now()),
+          mesh::permitDelay(Queue_,
+                            static_cast<std::int64_t>(Queue_.Waiting.size()),
+                            Context_.now())};
 }
 
 std::vector<mesh::RouteEvidence> UpstreamHop::evidence() const {
@@ -579,18 +582,13 @@
   if (!Order)
     Outcomes_.clear();
   else if (Good)
-    Outcomes_.recordGood(*Order, Job.Job.Info.Route, Took, !isCold());
+    Outcomes_.recordGood(*Order, Job.Job.Info.Route, Took, !Cold_.isCold());
   else
     Outcomes_.recordBad(*Order, Job.Job.Info.Route);
 }
 
-bool UpstreamHop::isCold() const {
-  const mesh::Registration &Known = Context_.Registered;
-  return elapsed(Known.HeardAt, Context_.now()) < Known.Current.ColdRemaining;
-}
-
 Milliseconds UpstreamHop::expectedService(const HopInfo &Info) {
-  const bool IsCold = isCold();
+  const bool IsCold = Cold_.isCold();
   mesh::initServiceTime(Service_, Info.Objective, IsCold);
   mesh::ServiceTime &OfRoute = ServiceByRoute_[Info.Route];
   mesh::initServiceTime(OfRoute, Info.Objective, IsCold);
--- a/src/sidecar/internal/UpstreamHop.h
+++ b/src/sidecar/internal/UpstreamHop.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEETHREAD_SIDECAR_INTERNAL_UPSTREAMHOP_H
 #define LYCHEETHREAD_SIDECAR_INTERNAL_UPSTREAMHOP_H
 
+#include "sidecar/internal/ColdWatch.h"
 #include "sidecar/internal/ConnectionPool.h"
 #include "sidecar/internal/CrashProbe.h"
 #include "sidecar/internal/HopJob.h"
@@ -40,14 +41,19 @@
   /// Refuses the requests that have not been sent to the upstream.
   void refuseUnsent();
 
-  /// To be called after Registered has changed.
+  /// To be called after Registered, Config or Evacuated has changed.
   void onRegistrationChanged();
 
+  /// To be called after each accepted check-in, before onRegistrationChanged().
+  void onCheckIn();
+
   mesh::LoadReport load() const;
   std::vector<mesh::RouteEvidence> evidence() const;
   /// The order at the position \p From is now known by \p To.
   void moveEvidence(Offset From, Offset To) { Outcomes_.moveOrder(From, To); }
   std::size_t inProgress() const { return Jobs_.size(); }
+  /// Requests that the upstream holds.
+  std::size_t running() const;
 
 private:
   struct Running;
@@ -64,20 +70,17 @@
   void grant(const RunningPtr &Job);
   void connect(const RunningPtr &Job);
   void send(const RunningPtr &Job);
-  bool belongsTo(const Running &Job, const Poco::Net::HTTPResponse &Head) const;
   void onAnswer(const RunningPtr &Job, ClientAnswer Answer);
   void onStatement(const Running &Job, const Poco::Net::HTTPResponse &Head);
   void onFailure(const RunningPtr &Job, ClientFailure Why);
   void onDeadline(const RunningPtr &Job);
   void finish(const RunningPtr &Job, HopOutcome Outcome);
-  void logOutcome(const Running &Job, const HopOutcome &Outcome);
   void release(const RunningPtr &Job);
   void runWaiting();
   void scheduleExpiry();
   void expireWaiting();
   void refuseWaiting(RefusalReason Reason);
   void recordEvidence(const Running &Job, bool Good, Milliseconds Took);
-  bool isCold() const;
   /// Returns the expected time of a request, which is assumed from its
   /// objective at first.
   Milliseconds expectedService(const HopInfo &Info);
@@ -87,6 +90,7 @@
   ConnectionPool Pool_;
   CrashProbe Crashes_;
   mesh::HopQueue Queue_;
+  ColdWatch Cold_;
   std::unordered_map<std::int64_t, RunningPtr> Jobs_;
   mesh::JobId LastJob_;
   /// Requests whose long body has not arrived yet; they hold no slot.
--- a/src/sidecar/internal/UpstreamStatement.cpp
+++ b/src/sidecar/internal/UpstreamStatement.cpp
@@ -19,4 +19,19 @@
   return Read;
 }
 
+bool isAnswerTo(const Poco::Net::HTTPResponse &Head, const HeaderNames &Names,
+                const RequestId &Id, bool WasUsedBefore) {
+  if (Id.empty())
+    return true;
+  if (Head.has(Names.RequestId))
+    return Head.get(Names.RequestId) == Id.str();
+  // The upstream may reject a request before it has read the id. On a
+  // connection that was used before, it may be a late copy of an earlier
+  // rejection, and this request may be running.
+  return !WasUsedBefore &&
+         (Head.has(Names.NotExecuted) ||
+          Head.getStatus() ==
+              Poco::Net::HTTPResponse::HTTP_MISDIRECTED_REQUEST);
+}
+
 } // namespace lycheethread::sidecar
--- a/src/sidecar/internal/UpstreamStatement.h
+++ b/src/sidecar/internal/UpstreamStatement.h
@@ -26,6 +26,11 @@
 UpstreamStatement readStatement(const Poco::Net::HTTPResponse &Head,
                                 const HeaderNames &Names);
 
+/// Whether the answer is that to the request \p Id. \p WasUsedBefore says that
+/// its connection has carried an earlier request.
+bool isAnswerTo(const Poco::Net::HTTPResponse &Head, const HeaderNames &Names,
+                const RequestId &Id, bool WasUsedBefore);
+
 } // namespace lycheethread::sidecar
 
 #endif // LYCHEETHREAD_SIDECAR_INTERNAL_UPSTREAMSTATEMENT_H
--- a/src/sidecar/tests/CodecTest.cpp
+++ b/src/sidecar/tests/CodecTest.cpp
@@ -155,6 +155,63 @@
   BOOST_TEST(Started.Items.at("config").Value == "v17");
 }
 
+// Guards against a removal that a node does not learn, or that an older record
+// undoes.
+BOOST_AUTO_TEST_CASE(removalsAreKeptAndMerged) {
+  OperatorRecords Known;
+  Known.Position = Offset(9);
+  Known.Items["evacuate/north"] = {"{}", Offset(8)};
+  OperatorRecords Newer;
+  Newer.Position = Offset(10);
+  Newer.Items["evacuate/north"] = {"", Offset(9)};
+  const auto Read = decodeRecords(encodeRecords(Newer));
+  BOOST_REQUIRE(Read.has_value());
+  BOOST_TEST(isRemoval(Read->Items.at("evacuate/north")));
+  OperatorRecords Old = Known;
+  BOOST_TEST(mergeRecords(Known, *Read, neverReplaces));
+  BOOST_TEST(isRemoval(Known.Items.at("evacuate/north")));
+  BOOST_TEST(!mergeRecords(Known, Old, neverReplaces));
+  // Ordered again.
+  Newer.Position = Offset(11);
+  Newer.Items["evacuate/north"] = {"{}", Offset(10)};
+  BOOST_TEST(mergeRecords(Known, Newer, neverReplaces));
+  BOOST_TEST(!isRemoval(Known.Items.at("evacuate/north")));
+}
+
+// Guards against a removal that is missed because the store no longer shows
+// it, and against records that are taken as removed although the store has
+// only lost them or is read at an earlier state.
+BOOST_AUTO_TEST_CASE(whatAWholeReadLacksIsRemoved) {
+  const auto At = [](std::int64_t Era, std::int64_t Plain) {
+    return positionOf(StoreEra(Era), Offset(Plain));
+  };
+  OperatorRecords Known;
+  Known.Position = At(1, 9);
+  Known.Items["config"] = {"v1", At(1, 2)};
+  Known.Items["evacuate/north"] = {"{}", At(1, 8)};
+  Known.Items["evacuate/south"] = {"", At(1, 7)};
+  const auto Lacks = [&](Offset Position) {
+    OperatorRecords Whole;
+    Whole.Position = Position;
+    addRemovals(Whole, Known, "config");
+    return Whole;
+  };
+  const OperatorRecords Whole = Lacks(At(1, 12));
+  BOOST_TEST(Whole.Items.size() == 1U);
+  BOOST_TEST((Whole.Items.at("evacuate/north").At == At(1, 11)));
+  OperatorRecords Merged = Known;
+  BOOST_TEST(mergeRecords(Merged, Whole, neverReplaces));
+  BOOST_TEST(isRemoval(Merged.Items.at("evacuate/north")));
+  BOOST_TEST(Merged.Items.at("config").Value == "v1");
+  BOOST_TEST(!mergeRecords(Merged, Whole, neverReplaces));
+  // Also where the topic ends with the record that was removed.
+  Merged = Known;
+  BOOST_TEST(mergeRecords(Merged, Lacks(At(1, 9)), neverReplaces));
+  BOOST_TEST(isRemoval(Merged.Items.at("evacuate/north")));
+  BOOST_TEST(Lacks(At(1, 8)).Items.empty());
+  BOOST_TEST(Lacks(At(2, 12)).Items.empty());
+}
+
 BOOST_AUTO_TEST_CASE(positionsHoldEraAndOffset) {
   const Offset Position = positionOf(StoreEra(3), Offset(77));
   BOOST_TEST(eraOf(Position).value() == 3);
--- a/src/sidecar/types/OperatorRecords.h
+++ b/src/sidecar/types/OperatorRecords.h
@@ -16,6 +16,10 @@
   Offset At;
 };
 
+/// Whether the record says that the operator has removed the key. It is kept
+/// and passed on, so that a node that lacks the removal learns of it.
+bool isRemoval(const OperatorRecord &Record);
+
 /// The records written by the operator, by key.
 struct OperatorRecords {
   /// First position that is not known yet.
@@ -35,6 +39,13 @@
 bool mergeRecords(OperatorRecords &To, const OperatorRecords &From,
                   const ReplacesAcrossEras &Replaces);
 
+/// Adds the removals that \p Whole implies, which holds all records up to its
+/// position: a key of \p Known that it lacks has been removed. Records of other
+/// eras imply nothing, nor does \p Whole if more is known than it reaches.
+/// \p Lasting, the key of the configuration, is never removed.
+void addRemovals(OperatorRecords &Whole, const OperatorRecords &Known,
+                 const std::string &Lasting);
+
 /// Counts the records that the store has lost: they are kept from an earlier
 /// era, and the operator has not written them again.
 std::int32_t countKept(const OperatorRecords &Records);
--- a/src/sidecar/types/PlatformProtocol.h
+++ b/src/sidecar/types/PlatformProtocol.h
@@ -130,6 +130,9 @@
   /// Returns the order in the record, or nothing if the key is not that of an
   /// order. Throws std::runtime_error if the value is not a valid order.
   std::function<std::optional<mesh::RolloutOrder>(const StoreItem &)> Rollout;
+  /// Returns the availability zone that the record evacuates, or nothing if its
+  /// key is that of no evacuation. Removals are the caller's concern.
+  std::function<std::optional<AvailabilityZone>(const StoreItem &)> Evacuation;
   std::function<std::string(const ServiceName &)> StatusKey;
   std::function<std::string(const mesh::RolloutOrder &, mesh::RolloutState)>
       Status;
--- /dev/null
+++ b/tests/platform/ColdUpstreamTest.cpp
@@ -0,0 +1,236 @@
+#include "TestMesh.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <set>
+#include <thread>
+
+using namespace lycheethread::platformtest;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+/// 10 requests a second, 1.5 times as many, and 8 on top.
+const std::string ColdFields = R"(,"cold_start_s":3,"cold_per_s":10)";
+constexpr std::size_t Bound = 23;
+constexpr int CallerCount = 20;
+constexpr milliseconds CallInterval{100};
+
+/// 200 requests a second, spread over some nodes, until it is destroyed.
+class Callers {
+public:
+  Callers(TestMesh &Mesh, const std::vector<std::size_t> &Entries) {
+    for (int Index = 0; Index < CallerCount; ++Index)
+      Threads_.emplace_back([this, &Mesh, Entries, Index] {
+        Instance &At =
+            Mesh.at(Entries[static_cast<std::size_t>(Index) % Entries.size()]);
+        std::this_thread::sleep_for(CallInterval * Index / CallerCount);
+        auto Next = Clock::now();
+        for (int Number = 0; !HasEnded_; ++Number) {
+          call(At, std::to_string(Index) + "-" + std::to_string(Number));
+          Next = std::max(Next + CallInterval, Clock::now());
+          std::this_thread::sleep_until(Next);
+        }
+      });
+  }
+  ~Callers() { stop(); }
+  void stop() {
+    HasEnded_ = true;
+    for (std::thread &Item : Threads_)
+      Item.join();
+    Threads_.clear();
+  }
+
+  std::size_t Served = 0;
+  std::size_t Failed = 0;
+  /// Ids of the requests that were refused as not run.
+  std::set<std::string> Refused;
+  bool AllNameATime = true;
+  double LongestRefusalMs = 0;
+
+private:
+  void call(Instance &At, const std::string &Id) {
+    const auto Answer = At.get("/read/x", Id);
+    const std::lock_guard<std::mutex> Guard(Lock_);
+    if (Answer.Status == 200) {
+      ++Served;
+    } else if (Answer.Status == 503) {
+      Refused.insert(Id);
+      AllNameATime = AllNameATime && !Answer.header("retry-after").empty();
+      LongestRefusalMs = std::max(LongestRefusalMs, Answer.Took.count());
+    } else {
+      ++Failed;
+    }
+  }
+
+  std::atomic<bool> HasEnded_{false};
+  std::mutex Lock_;
+  std::vector<std::thread> Threads_;
+};
+
+/// With 6 slots each, two upstreams can run 200 requests a second and one
+/// cannot.
+void answerSlowly(Instance &At) {
+  At.upstream().setBehaviour([](const ReceivedRequest &Request) {
+    RawResponse Response = completeResponse(Request);
+    Response.Delay = milliseconds(50);
+    return Response;
+  });
+}
+
+void stateColdRate(TestMesh &Mesh) {
+  Mesh.Store.put("keyed.op", "config", configuration(2, "", ColdFields));
+  std::this_thread::sleep_for(milliseconds(1500));
+  for (auto &Item : Mesh.Instances)
+    answerSlowly(*Item);
+}
+
+/// Returns the requests that an upstream has got from \p From to \p To.
+std::size_t countBetween(Instance &At, Clock::time_point From,
+                         Clock::time_point To) {
+  std::size_t Count = 0;
+  for (const ReceivedRequest &Item : At.upstream().receivedRequests())
+    Count += Item.ReceivedAt >= From && Item.ReceivedAt < To ? 1 : 0;
+  return Count;
+}
+
+/// Returns the most requests in any second between the two times.
+std::size_t mostInASecond(Instance &At, Clock::time_point From,
+                          Clock::time_point To) {
+  std::vector<Clock::time_point> Times;
+  for (const ReceivedRequest &Item : At.upstream().receivedRequests())
+    if (Item.ReceivedAt >= From && Item.ReceivedAt < To)
+      Times.push_back(Item.ReceivedAt);
+  std::sort(Times.begin(), Times.end());
+  std::size_t Most = 0;
+  for (auto First = Times.begin(); First != Times.end(); ++First) {
+    const auto End =
+        std::upper_bound(First, Times.end(), *First + std::chrono::seconds(1));
+    Most = std::max(Most, static_cast<std::size_t>(End - First));
+  }
+  return Most;
+}
+
+/// A new process that is cold replaces the upstream.
+void restartCold(Instance &At, double Seconds) {
+  At.setNewProcess();
+  At.setColdRemaining(Seconds);
+  BOOST_REQUIRE(At.checkIn("ready") == 200);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ColdUpstreams)
+
+// Guards against a cold upstream that gets more than it can handle, against
+// callers that notice it while others have room, and against one that is not
+// used fully once it is warm.
+BOOST_AUTO_TEST_CASE(coldUpstreamGetsNoMoreThanTheBound) {
+  TestMesh Mesh({{"ca1", "desk", "v1", "north", 6},
+                 {"ca2", "desk", "v1", "north", 6},
+                 {"ca3", "desk", "v1", "north", 6}});
+  stateColdRate(Mesh);
+  Callers Load(Mesh, {0, 1, 2});
+  std::this_thread::sleep_for(milliseconds(2500));
+  Instance &Cold = Mesh.at(0);
+  const std::size_t Before =
+      countBetween(Cold, Clock::now() - milliseconds(1000), Clock::now());
+  BOOST_TEST(Before > Bound);
+  restartCold(Cold, 30);
+  const auto Start = Clock::now();
+  std::this_thread::sleep_for(milliseconds(4000));
+  Cold.setColdRemaining(0);
+  BOOST_REQUIRE(Cold.checkIn("ready") == 200);
+  const auto Warm = Clock::now();
+  std::this_thread::sleep_for(milliseconds(2500));
+  Load.stop();
+  // Requests that were sent to the process before do not count.
+  const auto From = Start + milliseconds(50);
+  BOOST_TEST(mostInASecond(Cold, From, Warm) <= Bound);
+  BOOST_TEST(countBetween(Cold, From, Warm) >= 15U);
+  BOOST_TEST(countBetween(Cold, Warm + milliseconds(1500),
+                          Warm + milliseconds(2500)) > Before / 2);
+  BOOST_TEST(Load.Failed == 0U);
+  // The two others have room for nearly all.
+  BOOST_TEST(Load.Refused.size() < 40U);
+  BOOST_TEST_MESSAGE(Before << " before, " << countBetween(Cold, From, Warm)
+                            << " while cold, " << Load.Refused.size()
+                            << " refused");
+}
+
+// Guards against requests that wait for upstreams that cannot take them, and
+// against refusals that are not true.
+BOOST_AUTO_TEST_CASE(excessIsRefusedAtOnceWhileAllAreCold) {
+  TestMesh Mesh(
+      {{"cb1", "desk", "v1", "north", 6}, {"cb2", "desk", "v1", "north", 6}});
+  stateColdRate(Mesh);
+  for (auto &Item : Mesh.Instances)
+    restartCold(*Item, 30);
+  const auto Start = Clock::now();
+  Callers Load(Mesh, {0, 1});
+  std::this_thread::sleep_for(milliseconds(4000));
+  Load.stop();
+  std::size_t RefusedButRun = 0;
+  for (auto &Item : Mesh.Instances) {
+    BOOST_TEST(mostInASecond(*Item, Start, Clock::now()) <= Bound);
+    for (const ReceivedRequest &Received : Item->upstream().receivedRequests())
+      RefusedButRun += Load.Refused.count(Received.Headers.at("x-attempt-id"));
+  }
+  BOOST_TEST(RefusedButRun == 0U);
+  // Most of what the two can handle is used.
+  BOOST_TEST(Load.Served >= 60U);
+  BOOST_TEST(Load.Failed == 0U);
+  BOOST_TEST(!Load.Refused.empty());
+  BOOST_TEST(Load.AllNameATime);
+  // A part of the objective of 400 ms.
+  BOOST_TEST(Load.LongestRefusalMs < 200);
+}
+
+// Guards against the requests of a warm upstream to one whose connections broke
+// and which may have been restarted under the same id: no check-in says yet
+// that it is cold.
+BOOST_AUTO_TEST_CASE(brokenConnectionsLimitUntilACheckIn) {
+  TestMesh Mesh(
+      {{"cc1", "desk", "v1", "north", 6}, {"cc2", "desk", "v1", "north", 6}});
+  stateColdRate(Mesh);
+  Callers Load(Mesh, {0, 1});
+  std::this_thread::sleep_for(milliseconds(1000));
+  Instance &Cold = Mesh.at(0);
+  Cold.stopCheckIns();
+  std::this_thread::sleep_for(milliseconds(250));
+  Cold.upstream().setBehaviour([](const ReceivedRequest &) {
+    RawResponse Response;
+    Response.CloseAfter = true;
+    return Response;
+  });
+  std::this_thread::sleep_for(milliseconds(200));
+  answerSlowly(Cold);
+  const auto Start = Clock::now();
+  std::this_thread::sleep_for(milliseconds(1500));
+  const auto End = Clock::now();
+  BOOST_TEST(mostInASecond(Cold, Start, End) <= Bound);
+  BOOST_REQUIRE(Cold.checkIn("ready") == 200);
+  std::this_thread::sleep_for(milliseconds(2500));
+  BOOST_TEST(countBetween(Cold, Clock::now() - milliseconds(1000),
+                          Clock::now()) > 40U);
+}
+
+// Guards against a limit where the configuration states no rate.
+BOOST_AUTO_TEST_CASE(withoutARateColdUpstreamsAreServedAsBefore) {
+  TestMesh Mesh({{"cd1", "desk", "v1", "north", 40}});
+  answerSlowly(Mesh.at(0));
+  restartCold(Mesh.at(0), 30);
+  Callers Load(Mesh, {0});
+  std::this_thread::sleep_for(milliseconds(2000));
+  Load.stop();
+  BOOST_TEST(Load.Served > 300U);
+  BOOST_TEST(Load.Failed == 0U);
+  BOOST_TEST(Load.Refused.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/StoreStandIn.cpp
+++ b/tests/platform/StoreStandIn.cpp
@@ -234,6 +234,17 @@
   return Found == Log.Newest.end() ? "" : Found->second.second;
 }
 
+void StoreStandIn::removeWithoutTrace(const std::string &TopicName,
+                                      const std::string &Key) {
+  {
+    const std::lock_guard<std::mutex> Guard(Impl_->Shared.Lock);
+    TopicLog &Log = Impl_->Shared.Topics[TopicName];
+    Log.append({Key, ""});
+    Log.Newest.erase(Key);
+  }
+  dropHistory();
+}
+
 void StoreStandIn::dropHistory() {
   const std::lock_guard<std::mutex> Guard(Impl_->Shared.Lock);
   for (auto &[Name, Log] : Impl_->Shared.Topics) {
--- a/tests/platform/StoreStandIn.h
+++ b/tests/platform/StoreStandIn.h
@@ -22,6 +22,9 @@
   /// Returns the newest value of the key; empty when there is none.
   std::string newest(const std::string &TopicName,
                      const std::string &Key) const;
+  /// Removes a key and drops all records, so that neither the log nor the
+  /// newest records show that it was there.
+  void removeWithoutTrace(const std::string &TopicName, const std::string &Key);
   /// Drops all records; the newest value of each key stays readable.
   void dropHistory();
   /// Remembers the records as a copy of the store.
--- a/tests/platform/TestMesh.cpp
+++ b/tests/platform/TestMesh.cpp
@@ -19,6 +19,12 @@
 constexpr std::chrono::milliseconds CheckInInterval{200};
 constexpr std::chrono::milliseconds StartLimit{10000};
 
+std::int64_t unixNowMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 std::string endpoint(std::uint16_t Port) {
   return "127.0.0.1:" + std::to_string(Port);
 }
@@ -30,9 +36,7 @@
       Upstream_(std::make_unique<UpstreamStandIn>()), OutboundPort_(freePort()),
       InboundPort_(freePort()), ReadinessPort_(freePort()),
       CheckInPort_(freePort()), GossipPort_(freePort()),
-      StartTimeMs_(std::chrono::duration_cast<std::chrono::milliseconds>(
-                       std::chrono::system_clock::now().time_since_epoch())
-                       .count()) {
+      MetricsPort_(freePort()), StartTimeMs_(unixNowMs()) {
   const std::string Directory = std::string(LYCHEE_TEST_OUTPUT) + "/platform";
   Poco::File(Directory).createDirectories();
   SettingsFile_ = Directory + "/" + Spec.Name + ".ini";
@@ -57,6 +61,7 @@
       << "\nreadiness = " << endpoint(ReadinessPort_)
       << "\ncheck_ins = " << endpoint(CheckInPort_)
       << "\ngossip = " << endpoint(GossipPort_)
+      << "\nmetrics = " << endpoint(MetricsPort_)
       << "\n[upstream]\naddress = " << endpoint(Upstream_->port())
       << "\nservice = " << Spec_.Service << "\ncheck_in_s = 1\n[store]\n"
       << "address = " << endpoint(StorePort_)
@@ -118,8 +123,9 @@
          endpoint(Upstream_->port()) + R"(","zone":")" + Spec_.Zone +
          R"(","version":")" + Spec_.Version + R"(","capacity":)" +
          std::to_string(Spec_.Capacity) + R"(,"state":")" + State +
-         R"(","cold_remaining_s":0,"sequence":)" + std::to_string(Sequence) +
-         R"(,"born":)" + std::to_string(StartTimeMs) + "}";
+         R"(","cold_remaining_s":)" + std::to_string(ColdRemaining_) +
+         R"(,"sequence":)" + std::to_string(Sequence) + R"(,"born":)" +
+         std::to_string(StartTimeMs) + "}";
 }
 
 int Instance::checkIn(const std::string &State) {
@@ -130,6 +136,8 @@
   return tell("PUT", checkInBody("ready", Sequence, StartTimeMs));
 }
 
+void Instance::setNewProcess() { StartTimeMs_ = unixNowMs(); }
+
 int Instance::leave() { return tell("DELETE", ""); }
 
 void Instance::runCheckIns() {
@@ -140,7 +148,8 @@
   }
 }
 
-std::string configuration(int Version, const std::string &MoreRules) {
+std::string configuration(int Version, const std::string &MoreRules,
+                          const std::string &DeskFields) {
   const auto Rule = [](const std::string &Name, const std::string &Type,
                        const std::string &Service) {
     return R"({"name":")" + Name + R"(","type":")" + Type +
@@ -156,7 +165,9 @@
          Rule("write", "non_idempotent", "desk") + "," +
          Rule("upload", "upload", "desk") + "," +
          Rule("other", "idempotent", "store") + MoreRules +
-         R"(]}],"clusters":[{"name":"desk","max_connections":100},)"
+         R"(]}],"clusters":[{"name":"desk","max_connections":100)" +
+         DeskFields +
+         "},"
          R"({"name":"store","max_connections":100}]})";
 }
 
--- a/tests/platform/TestMesh.h
+++ b/tests/platform/TestMesh.h
@@ -59,6 +59,12 @@
   std::int64_t startTimeMs() const { return StartTimeMs_; }
   /// Sets the state that later check-ins report.
   void setState(const std::string &State) { State_ = State; }
+  /// Sets how long later check-ins say that the upstream stays cold.
+  void setColdRemaining(double Seconds) { ColdRemaining_ = Seconds; }
+  /// Later check-ins are those of a new process.
+  void setNewProcess();
+  std::uint16_t inboundPort() const { return InboundPort_; }
+  std::uint16_t metricsPort() const { return MetricsPort_; }
   void stopCheckIns() { CheckInsEnabled_ = false; }
 
 private:
@@ -76,20 +82,24 @@
   std::uint16_t ReadinessPort_;
   std::uint16_t CheckInPort_;
   std::uint16_t GossipPort_;
+  std::uint16_t MetricsPort_;
   std::string SettingsFile_;
   std::string LogFile_;
   std::unique_ptr<harness::ChildProcess> Node_;
   std::atomic<bool> CheckInsEnabled_{true};
   std::atomic<bool> Stopping_{false};
+  std::atomic<double> ColdRemaining_{0};
   std::string State_ = "ready";
   std::atomic<std::int64_t> Sequence_{0};
-  std::int64_t StartTimeMs_;
+  std::atomic<std::int64_t> StartTimeMs_;
   std::thread CheckInThread_;
 };
 
 /// Returns a configuration in the format of the operator; it routes /read/,
-/// /write/ and /upload/ to "desk" and /other/ to "store".
-std::string configuration(int Version, const std::string &MoreRules = "");
+/// /write/ and /upload/ to "desk" and /other/ to "store". \p DeskFields are
+/// added to the cluster "desk".
+std::string configuration(int Version, const std::string &MoreRules = "",
+                          const std::string &DeskFields = "");
 
 /// Waits until \p Condition holds; returns false when \p Limit has passed.
 bool holdsWithin(const std::function<bool()> &Condition,
