Test that a crashed upstream stays limited until its new process checks in

Guards against a late check-in of the process before the crash that ends the limit for a possibly cold upstream.

--- a/tests/platform/ColdUpstreamTest.cpp
+++ b/tests/platform/ColdUpstreamTest.cpp
@@ -220,6 +220,36 @@
                           Clock::now()) > 40U);
 }
 
+// Guards against a late check-in from before a crash that lets the new process
+// get the requests of a warm one before it has checked in.
+BOOST_AUTO_TEST_CASE(crashedUpstreamIsLimitedUntilItsNewProcessChecksIn) {
+  TestMesh Mesh(
+      {{"ce1", "desk", "v1", "north", 6}, {"ce2", "desk", "v1", "north", 6}});
+  stateColdRate(Mesh);
+  Callers Load(Mesh, {0, 1});
+  std::this_thread::sleep_for(milliseconds(1500));
+  Instance &Cold = Mesh.at(0);
+  Cold.stopCheckIns();
+  std::this_thread::sleep_for(milliseconds(250));
+  Cold.upstream().crash();
+  std::this_thread::sleep_for(milliseconds(500));
+  const auto Start = Clock::now();
+  Cold.upstream().restart();
+  BOOST_REQUIRE(Cold.checkInLate(Cold.lastSequence() + 1, Cold.startTimeMs()) ==
+                200);
+  std::this_thread::sleep_for(milliseconds(1500));
+  const auto End = Clock::now();
+  BOOST_TEST(mostInASecond(Cold, Start, End) <= Bound);
+  BOOST_TEST(countBetween(Cold, Start, End) > 0U);
+  // What remains of its cold time when the new process checks in.
+  restartCold(Cold, 0.5);
+  std::this_thread::sleep_for(milliseconds(500));
+  BOOST_TEST(mostInASecond(Cold, Start, End + milliseconds(450)) <= Bound);
+  std::this_thread::sleep_for(milliseconds(3000));
+  BOOST_TEST(countBetween(Cold, Clock::now() - milliseconds(1000),
+                          Clock::now()) > 40U);
+}
+
 // Guards against a limit where the configuration states no rate.
 BOOST_AUTO_TEST_CASE(withoutARateColdUpstreamsAreServedAsBefore) {
   TestMesh Mesh({{"cd1", "desk", "v1", "north", 40}});
--- a/tests/platform/UpstreamStandIn.cpp
+++ b/tests/platform/UpstreamStandIn.cpp
@@ -192,6 +192,14 @@
 
 void UpstreamStandIn::crash() { Impl_->stop(); }
 
+void UpstreamStandIn::restart() {
+  Impl_->Connections.clear();
+  Impl_->Socket = Poco::Net::ServerSocket(
+      Poco::Net::SocketAddress("127.0.0.1", Impl_->Port), Backlog);
+  Impl_->Stopping = false;
+  Impl_->AcceptThread = std::thread([this] { Impl_->acceptAll(); });
+}
+
 RawResponse completeResponse(const ReceivedRequest &Request,
                              const std::string &Body, int Status) {
   const auto Id = Request.Headers.find("x-attempt-id");
--- a/tests/platform/UpstreamStandIn.h
+++ b/tests/platform/UpstreamStandIn.h
@@ -50,6 +50,8 @@
   std::vector<ReceivedRequest> receivedRequests() const;
   /// Closes the listening socket and all open connections.
   void crash();
+  /// Listens on the same port again after a crash.
+  void restart();
 
 private:
   struct Impl;
