--- a/src/mesh/types/HopQueue.h
+++ b/src/mesh/types/HopQueue.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEETHREAD_MESH_TYPES_HOPQUEUE_H
 #define LYCHEETHREAD_MESH_TYPES_HOPQUEUE_H
 
+#include "mesh/types/ColdLimit.h"
 #include "requests/Requests.h"
 
 #include <cstddef>
@@ -59,6 +60,8 @@
   /// The rate at which the upstream takes requests.
   requests::RateLimit Limit;
   std::vector<RecentRank> RecentRanks;
+  /// The rate at which it takes them while it is cold.
+  ColdLimit Cold;
 };
 
 /// Result of the admission check of an arriving request.
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/internal/SidecarNode.h"
 #include "sidecar/internal/Allotments.h"
 #include "sidecar/internal/CheckIns.h"
+#include "sidecar/internal/EvacuatedZones.h"
 #include "sidecar/internal/Gossip.h"
 #include "sidecar/internal/HopServer.h"
 #include "sidecar/internal/OperatorFeed.h"
@@ -170,7 +171,8 @@
     addSeeds();
     UpstreamCheckIns = std::make_unique<CheckIns>(
         Context, *Store,
-        CheckIns::Callbacks{[this] { onRegistration(); },
+        CheckIns::Callbacks{[this] { Hop->onCheckIn(); },
+                            [this] { onRegistration(); },
                             [this] { Feed->reloadMembers(); }});
     Feed = std::make_unique<OperatorFeed>(
         Context, *Store,
@@ -215,7 +217,9 @@
           Loop, At.Metrics,
           HttpServerOptions{internalLimits, [this](const auto &Request) {
                               Request->answer(HTTPResponse::HTTP_OK,
-                                              Services.Registry->Exposition());
+                                              Services.Registry->Exposition() +
+                                                  evacuationMetrics(
+                                                      Context, Hop->running()));
                             }});
   }
 
@@ -231,6 +235,8 @@
     Own.Ready = Context.Ready;
     Own.Stopping = Context.Stopping;
     Own.LocalUpstream = Context.Registered.Current;
+    Own.LocalUpstream.ColdRemaining =
+        mesh::coldRemaining(Context.Registered, Context.now());
     Own.Load = Hop->load();
     Own.OperatorPosition = Context.Records.Position;
     Own.KeptRecords = countKept(Context.Records);
