Hedge repeatable requests that take longer than usual

A caller of a repeatable route waited for one slow upstream although others had free slots. The entry now sends such a request to a second upstream when the first one has taken longer than the 95th percentile of the route's recent answers; the first sealed answer below 500 wins and the other attempt is cancelled. Off unless the setting hedging.max_share is above 0.

The decisions are pure functions in src/mesh (Hedging, LatencyEstimate). A call of the outbound proxy holds up to two attempts in flight; the fields of an attempt move from Call to Offer, and both to OutboundCall.h. A failure, a refusal or an answer with 5xx of one attempt waits for the other. An error answer that is dropped while its body still arrives is now cancelled at its upstream, also without hedging. Attempts that are cancelled count as runs in the request line.

The sum of all repeats keeps its bound.

--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -7,6 +7,7 @@
 
 #include "mesh/types/CheckIn.h"
 #include "mesh/types/GossipPlan.h"
+#include "mesh/types/Hedging.h"
 #include "mesh/types/HopQueue.h"
 #include "mesh/types/JoinState.h"
 #include "mesh/types/LinkBudget.h"
@@ -317,6 +318,29 @@
 /// Takes one retry token; returns false when none is left.
 bool takeRetryToken(MeshRetryBudget &Budget, RetryKind Kind);
 
+/// Returns how long after it was sent a request is to be sent to a second
+/// upstream if it has no answer then, or nothing if it is not to be.
+std::optional<Milliseconds>
+hedgeDelay(const HedgeRequest &Request,
+           const std::optional<UsualLatency> &Usual);
+
+/// Adds what one more request of the node earns. \p MaxShare is the largest
+/// share of the requests that may be hedged, 0 for none.
+void addHedgeTokens(HedgeShare &Share, double MaxShare);
+
+/// Whether the upstreams of a service have no capacity for extra work. Those in
+/// other regions do not count, since no hedged request is sent there.
+bool isShortOfCapacity(const std::vector<Candidate> &Candidates,
+                       std::optional<Milliseconds> SinceRefusal);
+
+/// Returns the candidate that gets a hedged request now, and takes the tokens
+/// for it; returns nothing if none may be sent. \p Candidates holds all
+/// upstreams of the service, including the first.
+std::optional<std::size_t> mayHedge(const std::vector<Candidate> &Candidates,
+                                    const HedgeMoment &Moment,
+                                    HedgeShare &Share, MeshRetryBudget &Budget,
+                                    std::mt19937_64 &Random);
+
 } // namespace lycheethread::mesh
 
 #endif // LYCHEETHREAD_MESH_MESH_H
--- a/src/mesh/types/RetryBudget.h
+++ b/src/mesh/types/RetryBudget.h
@@ -8,7 +8,11 @@
   /// The upstream rejected the request without running it.
   Rejected,
   /// The request may have run, including all the calls that it makes.
-  Rerun
+  Rerun,
+  /// The request is sent to a second upstream while the first one runs it.
+  /// Draws on the balance of Rejected, which is little used unless upstreams
+  /// are full, and then nothing is hedged.
+  Hedge
 };
 
 /// How one node earns retry tokens for a service, by kind.
--- a/src/settings/internal/SettingsParser.cpp
+++ b/src/settings/internal/SettingsParser.cpp
@@ -17,6 +17,7 @@
 constexpr double MinLinkMbit = 0.1;
 constexpr double MaxLinkMbit = 1e6;
 constexpr double BytesPerMsOfMbit = 125;
+constexpr double MaxHedgeShare = 0.5;
 
 struct Parsing : SchemaText {
   NodeSettings Settings;
@@ -214,6 +215,10 @@
     if (const auto Link =
             readDecimalValue(To, From, "link_mbit", MinLinkMbit, MaxLinkMbit))
       Into.LinkBytesPerMs = *Link * BytesPerMsOfMbit;
+  } else if (Name == "hedging") {
+    if (const auto Share =
+            readDecimalValue(To, From, "max_share", 0, MaxHedgeShare))
+      Into.MaxHedgeShare = *Share;
   } else if (Name == "platform") {
     Into.PlatformBounds = readTextValue(To, From, "bounds").value_or("");
   } else {
--- a/src/settings/tests/SettingsTest.cpp
+++ b/src/settings/tests/SettingsTest.cpp
@@ -100,6 +100,8 @@
 check_in_s = 1.5
 [limits]
 link_mbit = 10.5
+[hedging]
+max_share = 0.05
 [store]
 address = 10.0.0.1:8142
 [peers]
@@ -123,19 +125,30 @@
     BOOST_ERROR(toString(Item));
   BOOST_TEST(Result.Settings.CheckInInterval.count() == 1500);
   BOOST_TEST(Result.Settings.LinkBytesPerMs == 1312.5);
+  BOOST_TEST(Result.Settings.MaxHedgeShare == 0.05);
   BOOST_TEST(Result.Settings.PlatformBounds == "grace_s=6,drain_s=2.5");
   BOOST_TEST(isForSidecar(GoodSidecar));
   BOOST_TEST(!isForSidecar(Good));
 }
 
+// Guards against hedging that nobody has asked for.
+BOOST_AUTO_TEST_CASE(HedgingIsOffWithoutItsSection) {
+  const std::string Text =
+      replaced(GoodSidecar, "[hedging]\nmax_share = 0.05\n", "");
+  const ParsedSidecarSettings Result = parseSidecarSettings("p.ini", Text);
+  BOOST_TEST(Result.Problems.empty());
+  BOOST_TEST(Result.Settings.MaxHedgeShare == 0);
+}
+
 // Guards against a parser that stops at the first mistake.
 BOOST_AUTO_TEST_CASE(MistakesInSidecarSettingsAreReportedTogether) {
   std::string Text = replaced(GoodSidecar, "zone = west-a", "zone = West A");
   Text = replaced(Text, "check_in_s = 1.5", "check_in_s = soon");
   Text = replaced(Text, "link_mbit = 10.5", "link_mbit = 0");
+  Text = replaced(Text, "max_share = 0.05", "max_share = 0.51");
   Text = replaced(Text, "10.0.0.1:8142", "store.example:8142");
   Text = replaced(Text, "inbound =", "inbond =");
   const ParsedSidecarSettings Result = parseSidecarSettings("p.ini", Text);
   // The misspelt key gives two findings: an unknown key and a missing one.
-  BOOST_TEST(Result.Problems.size() == 6U);
+  BOOST_TEST(Result.Problems.size() == 7U);
 }
--- a/src/settings/types/SidecarSettings.h
+++ b/src/settings/types/SidecarSettings.h
@@ -35,6 +35,9 @@
   /// Bandwidth of the instance's network link, in bytes per ms.
   double LinkBytesPerMs = 125'000;
 
+  /// Largest share of the requests that may be hedged; 0 for none.
+  double MaxHedgeShare = 0;
+
   Endpoint Store;
   /// Endpoints of the seed nodes; only the addresses are used.
   std::vector<Endpoint> Seeds;
--- a/src/sidecar/internal/OutboundProxy.cpp
+++ b/src/sidecar/internal/OutboundProxy.cpp
@@ -1,7 +1,6 @@
-#include "sidecar/internal/OutboundProxy.h"
 #include "sidecar/internal/HopHeaders.h"
+#include "sidecar/internal/OutboundCall.h"
 #include "sidecar/internal/ReservedHeaders.h"
-#include "sidecar/internal/UpstreamStatement.h"
 
 #include <Poco/NumberFormatter.h>
 #include <Poco/NumberParser.h>
@@ -77,52 +76,14 @@
 
 } // namespace
 
-struct OutboundProxy::Call {
-  ServerRequestPtr Request;
-  RequestId Id;
-  const mesh::MeshRoute *Route = nullptr;
-  /// Keeps Route valid when a newer configuration replaces this one.
-  mesh::MeshConfigPtr Config;
-  /// Null for a request without a key. Part of Config.
-  const organisations::Organisation *Holder = nullptr;
-  organisations::ServingRegions Allowed;
-  HopInfo Info;
-  SteadyTime ArrivedAt;
-  /// Time since the caller's first attempt of the same request.
-  Milliseconds TimeSinceFirstAttempt{0};
-  /// The whole body, if it was small enough to be buffered.
-  std::optional<std::string> BufferedBody;
-  std::set<NodeId> Excluded;
-  std::int32_t Attempt = 0;
-  std::int32_t Refusals = 0;
-  /// An upstream of the own region was too full for the request.
-  bool OwnRegionIsFull = false;
-  /// The shortest delay that a refusal has stated; empty without one.
-  std::optional<Milliseconds> RetryDelay;
-  /// Why the last upstream that stated a delay was too full.
-  RefusalReason FullReason = RefusalReason::QueueFull;
-  /// Upstreams on which the request may have run.
-  std::int32_t Runs = 0;
-  /// An error answer of an upstream, which is delivered if a retry brings no
-  /// better result.
-  std::optional<HopOutcome> Failure;
-  bool Ended = false;
-  bool Active = false;
-  bool IsLocal = false;
-  bool IsOwnRegion = false;
-  NodeId Node;
-  /// The upstream beside Node to which the request was sent.
-  mesh::UpstreamId Instance;
-  mesh::JobId Job;
-  reactor::TimerId Timer;
-  std::string Trace;
-};
-
 OutboundProxy::OutboundProxy(NodeContext &Context, UpstreamHop &Local,
                              RemoteHop &Remote, UpstreamDirectory &Directory,
                              Rollouts &ActiveRollouts)
     : Context_(Context), LocalHop_(Local), RemoteHop_(Remote),
-      Directory_(Directory), Rollouts_(ActiveRollouts) {}
+      Directory_(Directory), Rollouts_(ActiveRollouts),
+      Hedger_(Context, Directory, ActiveRollouts) {}
+
+OutboundProxy::~OutboundProxy() = default;
 
 void OutboundProxy::handle(const ServerRequestPtr &Request) {
   const auto Item = std::make_shared<Call>();
@@ -136,7 +97,7 @@
     return;
   }
   Request->onGone([this, Item] {
-    cancelAttempt(Item);
+    cancelAttempts(Item);
     end(Item, 0, "caller-left");
   });
   if (Context_.Config && Context_.Serving)
@@ -212,6 +173,7 @@
   Info.Class = Item->Route->Class;
   Info.Rank = organisations::rankOf(Item->Holder, Item->Route->Rank);
   Info.Caller = Context_.Settings.Service;
+  Hedger_.onRequest();
   mesh::addRetryTokens(
       Budgets_[Info.Service],
       mesh::retryLimits(Context_.Bounds, Context_.KnownNodes.Nodes.size() + 1));
@@ -270,10 +232,7 @@
         const auto Late = Weak.lock();
         if (!Late || Late->Ended)
           return;
-        const bool WasActive = Late->Active;
-        cancelAttempt(Late);
-        if (WasActive)
-          ++Late->Runs;
+        cancelAttempts(Late);
         endUnanswered(Late, RefusalReason::UpstreamTimeout, Milliseconds(0));
       });
 }
@@ -395,17 +354,24 @@
     endUnanswered(Item, RefusalReason::Deadline, Milliseconds(0));
     return;
   }
-  if (const auto Best = choose(Item))
-    send(Item, *Best);
+  const auto Best = choose(Item);
+  if (!Best)
+    return;
+  send(Item, *Best);
+  scheduleHedge(Item);
 }
 
 void OutboundProxy::send(const CallPtr &Item, const mesh::Candidate &To) {
   ++Item->Attempt;
-  Item->Node = To.Node;
-  Item->Instance = To.Instance;
-  Item->IsLocal = To.Node == Context_.Settings.Id;
-  Item->IsOwnRegion = To.Distance < mesh::Proximity::OtherRegion;
-  Item->Active = true;
+  Offer Sent;
+  Sent.Number = Item->Attempt;
+  Sent.IsLocal = To.Node == Context_.Settings.Id;
+  Sent.IsOwnRegion = To.Distance < mesh::Proximity::OtherRegion;
+  Sent.Node = To.Node;
+  Sent.Zone = To.At.Zone;
+  Sent.Instance = To.Instance;
+  Sent.SentAt = Context_.now();
+  Item->InFlight.push_back(Sent);
   Item->Trace += (Item->Trace.empty() ? "" : ",") + To.Node.str();
   HopJob Job;
   Job.Info = Item->Info;
@@ -432,9 +398,8 @@
     };
   Job.OnEnd = [this, Weak, Attempt](HopOutcome Outcome) {
     const auto Found = Weak.lock();
-    if (!Found || Found->Ended || Found->Attempt != Attempt)
-      return;
-    onOutcome(Found, std::move(Outcome));
+    if (Found && !Found->Ended)
+      onOutcome(Found, Attempt, std::move(Outcome));
   };
   if (crossesLink(Item, To)) {
     const std::int64_t Bytes = std::max<std::int64_t>(
@@ -445,60 +410,31 @@
     };
   }
   Directory_.onSent(To.Node);
-  // The node's own last hop may refuse before submit() returns; the next
-  // attempt then sets its own job id.
+  // The node's own last hop may refuse before submit() returns; the attempt has
+  // then ended.
   const mesh::JobId Started =
-      Item->IsLocal
+      Sent.IsLocal
           ? LocalHop_.submit(std::move(Job))
           : RemoteHop_.submit(Directory_.hopOf(To.Node), std::move(Job));
-  if (Item->Attempt == Attempt)
-    Item->Job = Started;
-}
-
-void OutboundProxy::onOutcome(const CallPtr &Item, HopOutcome Outcome) {
-  Item->Active = false;
-  Directory_.onOutcome(Item->Node, Outcome);
-  if (Outcome.End == HopResult::Answered)
-    Directory_.onStatement(
-        Item->Node, Item->Instance,
-        readStatement(Outcome.Answer.Head, Context_.Platform.Headers));
-  if (Outcome.End == HopResult::NotRun)
-    recordRefusal(Item, Outcome);
-  else
-    ++Item->Runs;
-  if (mayRetry(Item, Outcome)) {
-    Item->Excluded.insert(Item->Node);
-    if (Outcome.End == HopResult::Answered && Outcome.Answer.Body->isEnded())
-      Item->Failure = std::move(Outcome);
-    Context_.Loop.defer([this, Weak = std::weak_ptr<Call>(Item)] {
-      const auto Found = Weak.lock();
-      if (Found && !Found->Ended)
-        dispatch(Found);
-    });
-    return;
-  }
-  if (Outcome.End == HopResult::Answered)
-    deliver(Item, std::move(Outcome));
-  else
-    endUnanswered(Item, Outcome.Reason, Outcome.RetryDelay);
+  for (Offer &Running : Item->InFlight)
+    if (Running.Number == Attempt)
+      Running.Job = Started;
 }
 
-void OutboundProxy::recordRefusal(const CallPtr &Item,
+void OutboundProxy::recordRefusal(const CallPtr &Item, const Offer &By,
                                   const HopOutcome &Outcome) {
   ++Item->Refusals;
+  Hedger_.onRefusal(Item->Info.Service);
   if (Outcome.Reason != RefusalReason::QueueFull &&
       Outcome.Reason != RefusalReason::RateLimited)
     return;
   Item->FullReason = Outcome.Reason;
-  Item->OwnRegionIsFull = Item->OwnRegionIsFull || Item->IsOwnRegion;
+  Item->OwnRegionIsFull = Item->OwnRegionIsFull || By.IsOwnRegion;
   Item->RetryDelay = std::min(Outcome.RetryDelay,
                               Item->RetryDelay.value_or(Outcome.RetryDelay));
 }
 
 bool OutboundProxy::mayRetry(const CallPtr &Item, const HopOutcome &Outcome) {
-  const bool Answered = Outcome.End == HopResult::Answered;
-  if (Answered && !http::isServerError(Outcome.Answer.Head.getStatus()))
-    return false;
   const Milliseconds Left = elapsed(Context_.now(), Item->Info.DeadlineAt);
   const bool BodyIsConsumed =
       !Item->BufferedBody && Item->Request->body()->wasTaken();
@@ -524,18 +460,20 @@
   return mesh::takeRetryToken(Budget, mesh::RetryKind::Rerun);
 }
 
-void OutboundProxy::deliver(const CallPtr &Item, HopOutcome Outcome) {
-  HTTPResponse &From = Outcome.Answer.Head;
-  HTTPResponse Head(From.getStatus(), From.getReason());
-  http::copyEndToEndHeaders(From, Head);
+void OutboundProxy::deliver(const CallPtr &Item, const Offer &From,
+                            HopOutcome Outcome) {
+  HTTPResponse &Received = Outcome.Answer.Head;
+  HTTPResponse Head(Received.getStatus(), Received.getReason());
+  http::copyEndToEndHeaders(Received, Head);
   // An upstream beside this node may send what only nodes exchange.
   for (const std::string &Name : {HopLoadName, HopLimitName, HopRefusalName})
     Head.erase(Name);
   const int Status = Head.getStatus();
   end(Item, Status, "answered");
   // The caller may leave while a long answer is still being forwarded.
-  Item->Request->onGone([this, Item] { cancelAttempt(Item); });
-  Item->Active = !Outcome.Answer.Body->isEnded();
+  Item->Request->onGone([this, Item] { cancelAttempts(Item); });
+  if (!Outcome.Answer.Body->isEnded())
+    Item->InFlight.push_back(From);
   Item->Request->answer(Head, Outcome.Answer.Body, Outcome.Answer.KnownLength);
 }
 
@@ -544,7 +482,7 @@
   if (Item->Failure && !Item->Ended) {
     HopOutcome Answered = std::move(*Item->Failure);
     Item->Failure.reset();
-    deliver(Item, std::move(Answered));
+    deliver(Item, Offer(), std::move(Answered));
     return;
   }
   const bool MayHaveRun = Item->Runs > 0;
@@ -581,24 +519,15 @@
   Item->Request->answer(Head, BodyPipe::complete(""));
 }
 
-void OutboundProxy::cancelAttempt(const CallPtr &Item) {
-  if (!Item->Active)
-    return;
-  Item->Active = false;
-  if (Item->IsLocal)
-    LocalHop_.cancel(Item->Job);
-  else
-    RemoteHop_.cancel(Item->Job);
-  if (!Item->Ended)
-    Directory_.onCancelled(Item->Node);
-}
-
 void OutboundProxy::end(const CallPtr &Item, int Status, const char *Result) {
   if (Item->Ended)
     return;
   Item->Ended = true;
   --InProgress_;
   Context_.Loop.cancel(Item->Timer);
+  Context_.Loop.cancel(Item->HedgeTimer);
+  if (Item->HedgedAttempt != 0)
+    Hedger_.onEnd(Item->HedgeWon);
   Item->Request->onGone(nullptr);
   const SteadyTime Now = Context_.now();
   const Milliseconds Took = elapsed(Item->ArrivedAt, Now);
@@ -622,6 +551,9 @@
         Item->Config ? std::to_string(Item->Config->Version.value()) : "none"},
        {"path", Item->Trace},
        {"runs", std::to_string(Item->Runs)},
+       {"hedge", Item->HedgedAttempt == 0 ? "none"
+                 : Item->HedgeWon         ? "won"
+                                          : "lost"},
        {"ms", std::to_string(Took.count())},
        {"left_ms",
         Item->Route == nullptr
--- a/src/sidecar/internal/OutboundProxy.h
+++ b/src/sidecar/internal/OutboundProxy.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEETHREAD_SIDECAR_INTERNAL_OUTBOUNDPROXY_H
 #define LYCHEETHREAD_SIDECAR_INTERNAL_OUTBOUNDPROXY_H
 
+#include "sidecar/internal/Hedger.h"
 #include "sidecar/internal/HttpServer.h"
 #include "sidecar/internal/RemoteHop.h"
 #include "sidecar/internal/Rollouts.h"
@@ -15,15 +16,20 @@
 public:
   OutboundProxy(NodeContext &Context, UpstreamHop &Local, RemoteHop &Remote,
                 UpstreamDirectory &Directory, Rollouts &ActiveRollouts);
+  ~OutboundProxy();
 
   void handle(const ServerRequestPtr &Request);
 
   /// Called when the first configuration is in force.
   void onServing();
 
+  /// Returns the counters of hedged requests in the Prometheus text format.
+  std::string exposition() const { return Hedger_.exposition(); }
+
   std::size_t inProgress() const { return InProgress_; }
 
 private:
+  struct Offer;
   struct Call;
   using CallPtr = std::shared_ptr<Call>;
 
@@ -38,15 +44,21 @@
   static bool crossesLink(const CallPtr &Item, const mesh::Candidate &To);
   std::optional<mesh::Candidate> choose(const CallPtr &Item);
   void send(const CallPtr &Item, const mesh::Candidate &To);
-  void onOutcome(const CallPtr &Item, HopOutcome Outcome);
-  static void recordRefusal(const CallPtr &Item, const HopOutcome &Outcome);
+  void scheduleHedge(const CallPtr &Item);
+  void hedge(const CallPtr &Item);
+  void onOutcome(const CallPtr &Item, std::int32_t Attempt, HopOutcome Outcome);
+  void recordRefusal(const CallPtr &Item, const Offer &By,
+                     const HopOutcome &Outcome);
+  void recordWin(const CallPtr &Item, const Offer &Winner);
+  void keepFailure(const CallPtr &Item, const Offer &From, HopOutcome Outcome);
   bool mayRetry(const CallPtr &Item, const HopOutcome &Outcome);
-  void deliver(const CallPtr &Item, HopOutcome Outcome);
+  void deliver(const CallPtr &Item, const Offer &From, HopOutcome Outcome);
   void endUnanswered(const CallPtr &Item, RefusalReason Reason,
                      Milliseconds RetryDelay);
   void answerRefusal(const CallPtr &Item, int Status, RefusalReason Reason,
                      Milliseconds RetryDelay);
-  void cancelAttempt(const CallPtr &Item);
+  void cancel(const Offer &Running);
+  void cancelAttempts(const CallPtr &Item);
   void end(const CallPtr &Item, int Status, const char *Result);
 
   NodeContext &Context_;
@@ -54,6 +66,7 @@
   RemoteHop &RemoteHop_;
   UpstreamDirectory &Directory_;
   Rollouts &Rollouts_;
+  Hedger Hedger_;
   std::unordered_map<RouteName, mesh::SplitState> Splits_;
   std::map<ServiceName, mesh::MeshRetryBudget> Budgets_;
   std::unordered_map<RouteName, Milliseconds> MaxStatedDeadline_;
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -206,7 +206,8 @@
           Loop, At.Metrics,
           HttpServerOptions{internalLimits, [this](const auto &Request) {
                               Request->answer(HTTPResponse::HTTP_OK,
-                                              Services.Registry->Exposition());
+                                              Services.Registry->Exposition() +
+                                                  Outbound->exposition());
                             }});
   }
 
@@ -395,6 +396,7 @@
       Context.Settings.Store = Read.Store;
       Context.Settings.CheckInInterval = Read.CheckInInterval;
       Context.Settings.PlatformBounds = Read.PlatformBounds;
+      Context.Settings.MaxHedgeShare = Read.MaxHedgeShare;
       Context.Settings.Service = Read.Service;
       applyBounds();
       addSeeds();
--- a/tests/platform/TestMesh.cpp
+++ b/tests/platform/TestMesh.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::chrono::milliseconds CheckInInterval{200};
 constexpr std::chrono::milliseconds StartLimit{10000};
+constexpr const char *DefaultBounds = "grace_s=6,drain_s=2.5";
 
 std::string endpoint(std::uint16_t Port) {
   return "127.0.0.1:" + std::to_string(Port);
@@ -30,6 +31,7 @@
       Upstream_(std::make_unique<UpstreamStandIn>()), OutboundPort_(freePort()),
       InboundPort_(freePort()), ReadinessPort_(freePort()),
       CheckInPort_(freePort()), GossipPort_(freePort()),
+      MetricsPort_(freePort()),
       StartTimeMs_(std::chrono::duration_cast<std::chrono::milliseconds>(
                        std::chrono::system_clock::now().time_since_epoch())
                        .count()) {
@@ -38,7 +40,7 @@
   SettingsFile_ = Directory + "/" + Spec.Name + ".ini";
   LogFile_ = Directory + "/" + Spec.Name + ".log";
   std::ofstream(LogFile_).close();
-  writeSettings("grace_s=6,drain_s=2.5");
+  writeSettings(DefaultBounds);
   startNode();
   CheckInThread_ = std::thread([this] { runCheckIns(); });
 }
@@ -57,12 +59,21 @@
       << "\nreadiness = " << endpoint(ReadinessPort_)
       << "\ncheck_ins = " << endpoint(CheckInPort_)
       << "\ngossip = " << endpoint(GossipPort_)
+      << "\nmetrics = " << endpoint(MetricsPort_)
       << "\n[upstream]\naddress = " << endpoint(Upstream_->port())
       << "\nservice = " << Spec_.Service << "\ncheck_in_s = 1\n[store]\n"
       << "address = " << endpoint(StorePort_)
+      << (Spec_.MaxHedgeShare == "0"
+              ? ""
+              : "\n[hedging]\nmax_share = " + Spec_.MaxHedgeShare)
       << "\n[platform]\nbounds = " << Bounds << "\n";
 }
 
+void Instance::writeMaxHedgeShare(const std::string &Share) {
+  Spec_.MaxHedgeShare = Share;
+  writeSettings(DefaultBounds);
+}
+
 void Instance::startNode() {
   Node_ = std::make_unique<harness::ChildProcess>(
       LYCHEE_BINARY,
@@ -100,6 +111,13 @@
   return harness::send(Request).Status == 200;
 }
 
+std::string Instance::metrics() {
+  HttpCall Request;
+  Request.Port = MetricsPort_;
+  Request.Path = "/metrics";
+  return harness::send(Request).Body;
+}
+
 int Instance::tell(const std::string &Method, const std::string &Body) const {
   HttpCall Request;
   Request.Port = CheckInPort_;
--- a/tests/platform/TestMesh.h
+++ b/tests/platform/TestMesh.h
@@ -22,6 +22,8 @@
   std::string Zone = "north";
   /// Requests that the upstream runs at the same time.
   int Capacity = 4;
+  /// Value of the setting hedging.max_share; the section is left out if "0".
+  std::string MaxHedgeShare = "0";
 };
 
 /// An instance with its node, a separate process, and its upstream, which sends
@@ -40,6 +42,8 @@
   void startNode();
   /// Writes the settings file; a running node reads it again within a second.
   void writeSettings(const std::string &Bounds);
+  /// Writes the settings with another share of hedged requests.
+  void writeMaxHedgeShare(const std::string &Share);
   /// Sends a GET request for \p Path to the host of the tests through this
   /// node.
   harness::HttpAnswer get(const std::string &Path, const std::string &Id = "");
@@ -48,6 +52,8 @@
        const std::string &Id = "",
        std::chrono::milliseconds Deadline = std::chrono::milliseconds(1500));
   bool isReady();
+  /// Returns the metrics of the node.
+  std::string metrics();
   /// Sends a check-in with \p State; returns the status of the response.
   int checkIn(const std::string &State);
   /// Sends a check-in again that may be late: with the sequence and the start
@@ -76,6 +82,7 @@
   std::uint16_t ReadinessPort_;
   std::uint16_t CheckInPort_;
   std::uint16_t GossipPort_;
+  std::uint16_t MetricsPort_;
   std::string SettingsFile_;
   std::string LogFile_;
   std::unique_ptr<harness::ChildProcess> Node_;
--- a/tests/platform/UpstreamStandIn.cpp
+++ b/tests/platform/UpstreamStandIn.cpp
@@ -21,6 +21,25 @@
 /// Connections of a test that may wait at the same time.
 constexpr int Backlog = 512;
 
+/// Waits for \p Time; returns false as soon as the peer closes the connection.
+bool staysOpen(StreamSocket &Socket, std::chrono::milliseconds Time) {
+  const auto End = std::chrono::steady_clock::now() + Time;
+  for (;;) {
+    const auto Left = std::chrono::duration_cast<std::chrono::microseconds>(
+        End - std::chrono::steady_clock::now());
+    if (Left.count() <= 0)
+      return true;
+    if (!Socket.poll(Poco::Timespan(Left.count()),
+                     Poco::Net::Socket::SELECT_READ))
+      return true;
+    char Next = 0;
+    if (Socket.receiveBytes(&Next, 1, MSG_PEEK) <= 0)
+      return false;
+    // The next request has arrived early, so that a close cannot be seen.
+    std::this_thread::sleep_until(End);
+  }
+}
+
 /// Reads one request; returns false when the peer closed the connection.
 bool readRequest(StreamSocket &Socket, std::string &Buffer,
                  ReceivedRequest &Request) {
@@ -82,6 +101,7 @@
     return completeResponse(Request);
   };
   std::vector<ReceivedRequest> Received;
+  std::vector<ReceivedRequest> Abandoned;
   std::list<StreamSocket> Connections;
   std::vector<std::thread> Threads;
   std::atomic<bool> Stopping{false};
@@ -132,7 +152,11 @@
           CurrentBehaviour = ActiveBehaviour;
         }
         const RawResponse Response = CurrentBehaviour(Request);
-        std::this_thread::sleep_for(Response.Delay);
+        if (!staysOpen(Connection, Response.Delay)) {
+          const std::lock_guard<std::mutex> Guard(Lock);
+          Abandoned.push_back(Request);
+          return;
+        }
         if (!Response.Bytes.empty())
           Connection.sendBytes(Response.Bytes.data(),
                                static_cast<int>(Response.Bytes.size()));
@@ -190,6 +214,11 @@
   return Impl_->Received;
 }
 
+std::vector<ReceivedRequest> UpstreamStandIn::abandonedRequests() const {
+  const std::lock_guard<std::mutex> Guard(Impl_->Lock);
+  return Impl_->Abandoned;
+}
+
 void UpstreamStandIn::crash() { Impl_->stop(); }
 
 RawResponse completeResponse(const ReceivedRequest &Request,
--- a/tests/platform/UpstreamStandIn.h
+++ b/tests/platform/UpstreamStandIn.h
@@ -48,6 +48,8 @@
   void setBehaviour(Behaviour NewBehaviour);
   /// Returns all requests received so far.
   std::vector<ReceivedRequest> receivedRequests() const;
+  /// Requests whose connection the peer closed during RawResponse::Delay.
+  std::vector<ReceivedRequest> abandonedRequests() const;
   /// Closes the listening socket and all open connections.
   void crash();
 
