--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -218,6 +218,7 @@
           HttpServerOptions{internalLimits, [this](const auto &Request) {
                               Request->answer(HTTPResponse::HTTP_OK,
                                               Services.Registry->Exposition() +
+                                                  Outbound->exposition() +
                                                   evacuationMetrics(
                                                       Context, Hop->running()));
                             }});
@@ -410,6 +411,7 @@
       Context.Settings.Store = Read.Store;
       Context.Settings.CheckInInterval = Read.CheckInInterval;
       Context.Settings.PlatformBounds = Read.PlatformBounds;
+      Context.Settings.MaxHedgeShare = Read.MaxHedgeShare;
       Context.Settings.Service = Read.Service;
       applyBounds();
       addSeeds();
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -569,14 +569,14 @@
 
 mesh::LoadReport UpstreamHop::load() const {
   const auto Waiting = static_cast<std::int32_t>(Queue_.Waiting.size());
-  return {
-      Queue_.Running,
-      Waiting + UploadBacklog_.Receiving,
-      mesh::meanExpectedService(Queue_.Slots, Queue_.Running + Waiting,
-                                ExpectedWork_, mesh::meanServiceTime(Service_)),
-      mesh::uploadBacklogTime(UploadBacklog_),
-      mesh::limitOf(Queue_, Context_.now()),
-      mesh::permitDelay(Queue_,
+  return {Queue_.Running,
+          Waiting + UploadBacklog_.Receiving,
+          mesh::meanExpectedService(Queue_.Slots, Queue_.Running + Waiting,
+                                    ExpectedWork_,
+                                    mesh::meanServiceTime(Service_)),
+          mesh::uploadBacklogTime(UploadBacklog_),
+          mesh::limitOf(Queue_, Context_.now()),
+          mesh::permitDelay(Queue_,
                             static_cast<std::int64_t>(Queue_.Waiting.size()),
                             Context_.now())};
 }
--- a/src/sidecar/internal/UpstreamHop.h
+++ b/src/sidecar/internal/UpstreamHop.h
@@ -48,9 +48,6 @@
   void onCheckIn();
 
   mesh::LoadReport load() const;
-
-  /// Whether the upstream runs a request.
-  bool isRunning() const { return Queue_.Running > 0; }
   std::vector<mesh::RouteEvidence> evidence() const;
   /// The order at the position \p From is now known by \p To.
   void moveEvidence(Offset From, Offset To) { Outcomes_.moveOrder(From, To); }
--- a/tests/platform/TestMesh.cpp
+++ b/tests/platform/TestMesh.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::chrono::milliseconds CheckInInterval{200};
 constexpr std::chrono::milliseconds StartLimit{10000};
+constexpr const char *DefaultBounds = "grace_s=6,drain_s=2.5";
 
 std::int64_t unixNowMs() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -42,7 +43,7 @@
   SettingsFile_ = Directory + "/" + Spec.Name + ".ini";
   LogFile_ = Directory + "/" + Spec.Name + ".log";
   std::ofstream(LogFile_).close();
-  writeSettings("grace_s=6,drain_s=2.5");
+  writeSettings(DefaultBounds);
   startNode();
   CheckInThread_ = std::thread([this] { runCheckIns(); });
 }
@@ -65,9 +66,17 @@
       << "\n[upstream]\naddress = " << endpoint(Upstream_->port())
       << "\nservice = " << Spec_.Service << "\ncheck_in_s = 1\n[store]\n"
       << "address = " << endpoint(StorePort_)
+      << (Spec_.MaxHedgeShare == "0"
+              ? ""
+              : "\n[hedging]\nmax_share = " + Spec_.MaxHedgeShare)
       << "\n[platform]\nbounds = " << Bounds << "\n";
 }
 
+void Instance::writeMaxHedgeShare(const std::string &Share) {
+  Spec_.MaxHedgeShare = Share;
+  writeSettings(DefaultBounds);
+}
+
 void Instance::startNode() {
   Node_ = std::make_unique<harness::ChildProcess>(
       LYCHEE_BINARY,
@@ -105,6 +114,13 @@
   return harness::send(Request).Status == 200;
 }
 
+std::string Instance::metrics() {
+  HttpCall Request;
+  Request.Port = MetricsPort_;
+  Request.Path = "/metrics";
+  return harness::send(Request).Body;
+}
+
 int Instance::tell(const std::string &Method, const std::string &Body) const {
   HttpCall Request;
   Request.Port = CheckInPort_;
