Do not reuse a connection after a rejected long body; shorter takeover of quotas

Cause, by reading: a connection counted as reusable once the body was written and the answer was whole, also when the upstream had not read the body yet.

Change: after an answer from 400 on to a body over 4 KiB the connection is closed. connectionIsNotReusedAfterARejectedLongBody in SidecarTests fails without it.

--- a/src/quota/internal/OwnerBucket.cpp
+++ b/src/quota/internal/OwnerBucket.cpp
@@ -8,9 +8,10 @@
 namespace {
 
 constexpr double MillisecondsPerSecond = 1000;
-/// The time for which nodes may disagree on who the owner is. A new owner
-/// grants nothing before, since the earlier one may still do so.
-constexpr Milliseconds TakeoverDelay{1000};
+/// The time for which nodes may disagree on who the owner is: a changed state
+/// has reached all within about 300 ms, and owners are looked up every 400 ms.
+/// A new owner grants nothing before, since the earlier one may still do so.
+constexpr Milliseconds TakeoverDelay{700};
 /// A bucket that was not refilled for longer starts empty.
 constexpr Milliseconds MaxRefillGap{1000};
 /// Rise of the fraction per second: after a partition has healed, the owner of
@@ -116,7 +117,7 @@
 organisations::Quota ownerLimit(const organisations::Quota &Limit,
                                 double Slack) {
   // The rest is left for permits that two owners grant while they change.
-  constexpr double SlackPart = 0.25;
+  constexpr double SlackPart = 0.5;
   return {Limit.PerSecond, Limit.Burst + std::max(0.0, Slack) * SlackPart};
 }
 
--- a/src/sidecar/internal/ClientConnection.cpp
+++ b/src/sidecar/internal/ClientConnection.cpp
@@ -29,6 +29,9 @@
 /// Answers with a status below 200 to one request, after which the server is
 /// taken to send them without end.
 constexpr int MaxInterimAnswers = 32;
+/// A server may reject a request before it has read a longer body, and read the
+/// rest later. The next request on the connection would wait behind it.
+constexpr std::size_t LongBodyBytes = 4 * 1024;
 /// A connection may hold this much whatever the others hold.
 constexpr std::size_t MinHeldBytes = 16 * 1024;
 
@@ -98,6 +101,7 @@
   Busy_ = true;
   MaySendBody_ = !Request_.ExpectContinue;
   BodySent_ = Request_.Body == nullptr;
+  BodyBytes_ = 0;
   HasHead_ = false;
   Skipping_ = false;
   Skipped_ = 0;
@@ -106,8 +110,10 @@
   Delivered_ = false;
   Answer_ = {};
   std::string Out = std::move(Request_.Head);
-  if (MaySendBody_ && Request_.Body && !Request_.Chunked)
+  if (MaySendBody_ && Request_.Body && !Request_.Chunked) {
+    BodyBytes_ = Request_.Body->size();
     Out += Request_.Body->take();
+  }
   Stream_->write(Out);
   if (Request_.Body)
     Request_.Body->OnChange = [Weak = weak_from_this()] {
@@ -127,6 +133,7 @@
   const BodyPipePtr Body = Request_.Body;
   while (Body->size() > 0 && Stream_->unsentBytes() < MaxUnsentBytes) {
     const std::string Data = Body->take();
+    BodyBytes_ += Data.size();
     Stream_->write(Request_.Chunked ? http::encodeChunk(Data) : Data);
   }
   if (Body->hasFailed()) {
@@ -298,7 +305,10 @@
     Request_.Body->OnChange = nullptr;
   // A server may answer before it has read the whole body; it could then take
   // the rest of the body for the next request.
-  if (!BodySent_ || !Stream_->input().empty())
+  const bool IsRejected =
+      Answer_.Head.getStatus() >= HTTPResponse::HTTP_BAD_REQUEST;
+  if (!BodySent_ || !Stream_->input().empty() ||
+      (IsRejected && BodyBytes_ > LongBodyBytes))
     Reusable_ = false;
   Answer_.Body->OnDrained = nullptr;
   Answer_.Body->end();
--- a/src/sidecar/internal/ClientConnection.h
+++ b/src/sidecar/internal/ClientConnection.h
@@ -123,6 +123,8 @@
   ClientCallbacks Callbacks_;
   bool MaySendBody_ = false;
   bool BodySent_ = true;
+  /// Bytes of the body that have been written.
+  std::size_t BodyBytes_ = 0;
   bool HasHead_ = false;
   /// The answer being read belongs to a different request.
   bool Skipping_ = false;
--- a/src/sidecar/tests/ConnectionTest.cpp
+++ b/src/sidecar/tests/ConnectionTest.cpp
@@ -2,11 +2,15 @@
 #include "sidecar/internal/ConnectionPool.h"
 #include "sidecar/internal/HttpServer.h"
 
+#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+#include <thread>
+
 using namespace lycheethread;
 using namespace lycheethread::sidecar;
 using Poco::Net::HTTPResponse;
@@ -89,6 +93,36 @@
   BOOST_TEST(!Used.Complete);
 }
 
+// Guards against a request that waits behind a long body which the server has
+// rejected and reads later.
+BOOST_AUTO_TEST_CASE(connectionIsNotReusedAfterARejectedLongBody) {
+  for (const std::size_t Size : {std::size_t(100), std::size_t(20'000)}) {
+    const Poco::Net::ServerSocket Listener(
+        Poco::Net::SocketAddress("127.0.0.1", 0));
+    std::thread Server([&] {
+      Poco::Net::ServerSocket Accepting(Listener);
+      Poco::Net::StreamSocket Peer = Accepting.acceptConnection();
+      std::array<char, 64> Start{};
+      Peer.receiveBytes(Start.data(), Start.size());
+      const std::string Answer =
+          "HTTP/1.1 503 Full\r\nKeep-Alive: timeout=10\r\n"
+          "Content-Length: 0\r\n\r\n";
+      Peer.sendBytes(Answer.data(), static_cast<int>(Answer.size()));
+      std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    });
+    ServerAndClient Used;
+    Used.Client = ClientConnection::open(
+        Used.Loop, {"127.0.0.1", Listener.address().port()}, Milliseconds(500));
+    Used.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                  std::to_string(Size) + "\r\n\r\n",
+              BodyPipe::complete(std::string(Size, 'x')));
+    Used.runFor(Milliseconds(150));
+    BOOST_TEST(Used.Complete);
+    BOOST_TEST(Used.Client->isReusable() == (Size < 4096));
+    Server.join();
+  }
+}
+
 // Guards against work for a caller that has left, and a request that stays
 // counted as in progress.
 BOOST_AUTO_TEST_CASE(callerDisconnectIsReported) {
