Replace silent owners of quotas later than nodes disagree on them

Cause: the owner was the first node heard of within 3 s. Loads of nodes in the other region are often that old, so that entries asked nodes that did not consider themselves the owner and did not answer (480 unanswered asks in 14 s).

Change: an owner is replaced after 1.8 heard windows.

--- a/src/sidecar/internal/Allotments.cpp
+++ b/src/sidecar/internal/Allotments.cpp
@@ -18,6 +18,10 @@
 /// A silent owner is replaced sooner than it counts as gone, by the first of
 /// these that is not silent.
 constexpr std::size_t OwnerCandidates = 8;
+/// Part of the heard window, in percent, after which an owner is replaced.
+/// Between regions loads are often as old as the window. Where entries and
+/// owners disagreed on that, asks went to nodes that did not answer them.
+constexpr int OwnerSilencePercent = 180;
 constexpr Milliseconds LogInterval{5000};
 /// Requests beyond this that wait for one organisation are refused at once.
 constexpr std::size_t MaxWaiting = 2000;
@@ -95,7 +99,7 @@
   const NodeId &Self = Context_.Settings.Id;
   const std::vector<NodeId> First = mesh::rendezvousFirst(
       Context_.KnownNodes, "quota/" + Name.str(), OwnerCandidates, Now);
-  const Milliseconds Window = times().HeardWindow;
+  const Milliseconds Window = times().HeardWindow * OwnerSilencePercent / 100;
   const auto MayOwn = [&](const NodeId &Id) {
     // The others leave a stopping node out.
     if (Id == Self)
