Keep asking for permits where most of those wanted were granted

Cause: an entry asks for the permit that it needs and one in advance. Where the owner granted one of the two, the entry refused the requests of the organisation for 250 ms.

Change: an entry backs off only if less than half of what it asked for was granted.

--- a/src/quota/internal/EntryStock.cpp
+++ b/src/quota/internal/EntryStock.cpp
@@ -139,7 +139,8 @@
   const std::int32_t Permits = std::clamp(Grant.Permits, 0, Wanted);
   if (Permits > 0 && Expires > Now)
     Stock.Batches.push_back({Permits, Expires});
-  if (Permits < Wanted)
+  // A few permits fewer may only be those asked for in advance.
+  if (2 * Permits < Wanted)
     Stock.NoneUntil = after(Now, std::max(AskInterval, Grant.RetryDelay));
   return true;
 }
