Let all nodes agree on the owners of quotas

Cause: entries took an owner for gone that they had not heard of for seconds. Nodes of the other region often are heard of that late, so entries asked nodes that did not consider themselves the owner (194 logged unanswered asks in 8 s; two owners for the same organisation).

Change: the owner is the first node of the rendezvous order of all known nodes. An entry passes over it only after it has not answered and has not been heard of; the next node grants if it has not heard of it either.

--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -313,6 +313,12 @@
                                     const std::string &Subject,
                                     std::size_t Count, SteadyTime Now);
 
+/// Returns the first \p Count nodes of the order of all known nodes that are not
+/// stopping, also silent ones; may include this node.
+std::vector<NodeId> rendezvousOrder(const NodeTable &Known,
+                                    const std::string &Subject,
+                                    std::size_t Count);
+
 /// Whether a node of rank \p Rank reads the store itself. \p ConfirmedAge is
 /// the age of the newest confirmation by any node.
 bool shouldReadStore(std::size_t Rank, Milliseconds ConfirmedAge,
--- a/src/mesh/internal/NodeTable.cpp
+++ b/src/mesh/internal/NodeTable.cpp
@@ -219,13 +219,18 @@
       }));
 }
 
-std::vector<NodeId> rendezvousFirst(const NodeTable &Known,
-                                    const std::string &Subject,
-                                    std::size_t Count, SteadyTime Now) {
+namespace {
+
+/// Returns the first \p Count of the nodes that \p IsWanted selects, and this
+/// node.
+template <typename Selector>
+std::vector<NodeId> firstByWeight(const NodeTable &Known,
+                                  const std::string &Subject, std::size_t Count,
+                                  const Selector &IsWanted) {
   std::vector<std::pair<std::uint64_t, NodeId>> Weighted{
       {rendezvousWeight(Subject, Known.Self), Known.Self}};
   for (const auto &[Id, Node] : Known.Nodes)
-    if (isAlive(Known, Node, Now) && !Node.LastReport.Stopping)
+    if (!Node.LastReport.Stopping && IsWanted(Node))
       Weighted.emplace_back(rendezvousWeight(Subject, Id), Id);
   Count = std::min(Count, Weighted.size());
   std::partial_sort(Weighted.begin(),
@@ -237,6 +242,23 @@
   return First;
 }
 
+} // namespace
+
+std::vector<NodeId> rendezvousFirst(const NodeTable &Known,
+                                    const std::string &Subject,
+                                    std::size_t Count, SteadyTime Now) {
+  return firstByWeight(Known, Subject, Count, [&](const KnownNode &Node) {
+    return isAlive(Known, Node, Now);
+  });
+}
+
+std::vector<NodeId> rendezvousOrder(const NodeTable &Known,
+                                    const std::string &Subject,
+                                    std::size_t Count) {
+  return firstByWeight(Known, Subject, Count,
+                       [](const KnownNode &) { return true; });
+}
+
 bool shouldReadStore(std::size_t Rank, Milliseconds ConfirmedAge,
                      const MeshBounds &Bounds) {
   if (Rank < PermanentReaders)
--- a/src/quota/Quota.h
+++ b/src/quota/Quota.h
@@ -8,6 +8,7 @@
 #include "quota/types/EntryStock.h"
 #include "quota/types/Fleet.h"
 #include "quota/types/OwnerBucket.h"
+#include "quota/types/OwnerCandidate.h"
 
 namespace lycheethread::quota {
 
@@ -33,6 +34,14 @@
                                  const organisations::Quota &Limit,
                                  const PermitAsk &Ask, SteadyTime Now);
 
+/// Returns the node that an entry asks for permits, of the first candidates in
+/// the rendezvous order; empty without one.
+NodeId chooseOwner(const std::vector<OwnerCandidate> &InOrder);
+
+/// Whether this node may grant permits.
+bool mayOwn(const std::vector<OwnerCandidate> &InOrder,
+            const QuotaTimes &Times);
+
 /// Adopts the limit in force; permits of a higher one are dropped.
 void setLimit(EntryStock &Stock, const organisations::Quota &Limit);
 
--- /dev/null
+++ b/src/quota/types/OwnerCandidate.h
@@ -0,0 +1,21 @@
+#ifndef LYCHEETHREAD_QUOTA_TYPES_OWNERCANDIDATE_H
+#define LYCHEETHREAD_QUOTA_TYPES_OWNERCANDIDATE_H
+
+#include "model/Model.h"
+
+namespace lycheethread::quota {
+
+/// A node that may own a quota, as one node sees it.
+struct OwnerCandidate {
+  NodeId Id;
+  bool IsSelf = false;
+  /// Time since the node was heard of.
+  Milliseconds SilentFor{0};
+  /// This entry's asks to it have not been answered, and it has not been heard
+  /// of since.
+  bool IsUnresponsive = false;
+};
+
+} // namespace lycheethread::quota
+
+#endif // LYCHEETHREAD_QUOTA_TYPES_OWNERCANDIDATE_H
--- a/src/sidecar/internal/Allotments.cpp
+++ b/src/sidecar/internal/Allotments.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/internal/Allotments.h"
 
+#include <Poco/NumberFormatter.h>
+
 #include <algorithm>
 
 namespace lycheethread::sidecar {
@@ -18,10 +20,6 @@
 /// A silent owner is replaced sooner than it counts as gone, by the first of
 /// these that is not silent.
 constexpr std::size_t OwnerCandidates = 8;
-/// Part of the heard window, in percent, after which an owner is replaced.
-/// Between regions loads are often as old as the window. Where entries and
-/// owners disagreed on that, asks went to nodes that did not answer them.
-constexpr int OwnerSilencePercent = 180;
 constexpr Milliseconds LogInterval{5000};
 /// Requests beyond this that wait for one organisation are refused at once.
 constexpr std::size_t MaxWaiting = 2000;
@@ -97,20 +95,24 @@
                              Account &Item) {
   const SteadyTime Now = Context_.now();
   const NodeId &Self = Context_.Settings.Id;
-  const std::vector<NodeId> First = mesh::rendezvousFirst(
-      Context_.KnownNodes, "quota/" + Name.str(), OwnerCandidates, Now);
-  const Milliseconds Window = times().HeardWindow * OwnerSilencePercent / 100;
-  const auto MayOwn = [&](const NodeId &Id) {
+  std::vector<quota::OwnerCandidate> InOrder;
+  for (const NodeId &Id : mesh::rendezvousOrder(
+           Context_.KnownNodes, "quota/" + Name.str(), OwnerCandidates)) {
+    quota::OwnerCandidate Next{Id, Id == Self, Milliseconds(0), false};
     // The others leave a stopping node out.
-    if (Id == Self)
-      return !Context_.Stopping;
-    const auto Found = Context_.KnownNodes.Nodes.find(Id);
-    return Found != Context_.KnownNodes.Nodes.end() &&
-           elapsed(Found->second.HeardAt, Now) < Window;
-  };
-  const auto Chosen = std::find_if(First.begin(), First.end(), MayOwn);
-  Item.Owner = Chosen == First.end() ? First.front() : *Chosen;
-  if (Item.Owner != Self)
+    if (Next.IsSelf && Context_.Stopping)
+      continue;
+    if (!Next.IsSelf) {
+      const SteadyTime HeardAt = Context_.KnownNodes.Nodes.at(Id).HeardAt;
+      const auto Unanswered = Item.UnresponsiveSince.find(Id);
+      Next.SilentFor = elapsed(HeardAt, Now);
+      Next.IsUnresponsive = Unanswered != Item.UnresponsiveSince.end() &&
+                            HeardAt <= Unanswered->second;
+    }
+    InOrder.push_back(std::move(Next));
+  }
+  Item.Owner = quota::chooseOwner(InOrder);
+  if (!quota::mayOwn(InOrder, times()))
     Item.Bucket.reset();
   else if (!Item.Bucket)
     Item.Bucket = std::make_unique<quota::OwnerBucket>();
@@ -279,12 +281,27 @@
         LogClass::State, Now, "over-quota",
         {{"organisation", Name.str()},
          {"owner", Item.Owner.str()},
+         {"limit_per_s",
+          Poco::NumberFormatter::format(Item.Stock.Limit.PerSecond, 2)},
+         {"burst", Poco::NumberFormatter::format(Item.Stock.Limit.Burst, 2)},
          {"owner_silent", quota::isOwnerSilent(Item.Stock) ? "yes" : "no"},
          {"refused", std::to_string(Item.Refused)}});
   }
   Done({false, {}, quota::refusalDelay(Item.Stock, Now)});
 }
 
+/// An owner that has not been heard of either is taken for gone.
+void Allotments::replaceSilentOwner(const organisations::OrganisationId &Name,
+                                    Account &Item) {
+  const auto Found = Context_.KnownNodes.Nodes.find(Item.Owner);
+  if (!quota::isOwnerSilent(Item.Stock) ||
+      Found == Context_.KnownNodes.Nodes.end() ||
+      elapsed(Found->second.HeardAt, Context_.now()) < times().HeardWindow)
+    return;
+  Item.UnresponsiveSince[Item.Owner] = Context_.now();
+  updateOwner(Name, Item);
+}
+
 void Allotments::startCheck() {
   if (CheckTimer_ == reactor::TimerId())
     CheckTimer_ = Context_.Loop.runAfter(CheckInterval, [this] { check(); });
@@ -305,6 +322,7 @@
             LogClass::State, Now, "quota-owner-silent",
             {{"organisation", Name.str()}, {"owner", Item.Owner.str()}});
       }
+      replaceSilentOwner(Name, Item);
       serveWaiting(Name, Item);
     } else if (quota::shouldRepeat(Item.Stock, Now)) {
       const quota::PendingAsk &Pending = *Item.Stock.Pending;
--- a/src/sidecar/internal/Allotments.h
+++ b/src/sidecar/internal/Allotments.h
@@ -53,6 +53,8 @@
     quota::EntryStock Stock;
     std::deque<Waiter> Waiting;
     NodeId Owner;
+    /// Nodes that have not answered, and when they were given up.
+    std::map<NodeId, SteadyTime> UnresponsiveSince;
     std::unique_ptr<quota::OwnerBucket> Bucket;
     SteadyTime RefusalLoggedAt;
     SteadyTime SilenceLoggedAt;
@@ -66,6 +68,8 @@
   void updateFleet();
   void updateOwners();
   void updateOwner(const organisations::OrganisationId &Name, Account &Item);
+  void replaceSilentOwner(const organisations::OrganisationId &Name,
+                          Account &Item);
   void check();
   void startCheck();
   void askIfNeeded(const organisations::OrganisationId &Name, Account &Item,
