--- a/src/sidecar/internal/Allotments.cpp
+++ b/src/sidecar/internal/Allotments.cpp
@@ -14,9 +14,10 @@
 /// Owners change when nodes start or end; finding them takes a hash for each
 /// node and organisation.
 constexpr Milliseconds OwnerInterval{400};
-/// A restarted node knows the others from the list of nodes until it has had
-/// the time to forget those that have ended.
-constexpr Milliseconds ListTime{60000};
+/// A restarted node counts the nodes of the list until it has had the time to
+/// hear of each that runs. The list also holds those that have ended: after a
+/// restart of all nodes they took a quarter of each limit.
+constexpr Milliseconds ListTime{12000};
 /// A silent owner is replaced sooner than it counts as gone, by the first of
 /// these that is not silent.
 constexpr std::size_t OwnerCandidates = 8;
