--- a/src/mesh/tests/HopQueueTest.cpp
+++ b/src/mesh/tests/HopQueueTest.cpp
@@ -263,4 +263,63 @@
   }
 }
 
+// Guards against short urgent requests that wait behind long ones of a low rank
+// which hold every slot: index reads of 640 ms beside calls of 40 ms.
+BOOST_AUTO_TEST_CASE(longRequestsLeaveASlotForUrgentOnes) {
+  HopQueue Queue;
+  Queue.Slots = 6;
+  QueuedJob Long = job(1, 2, 4000);
+  Long.Objective = Milliseconds(4000);
+  Long.ServiceTime = Milliseconds(640);
+  QueuedJob Call = job(2, NestedCallRank, 500);
+  Call.Objective = Milliseconds(500);
+  Call.ServiceTime = Milliseconds(40);
+  recordArrival(Queue, Long, SteadyTime(0));
+  BOOST_TEST(slotsFor(Queue, Long, SteadyTime(0)) == 6);
+  recordArrival(Queue, Call, SteadyTime(0));
+  BOOST_TEST(slotsFor(Queue, Long, SteadyTime(100)) == 5);
+  BOOST_TEST(slotsFor(Queue, Call, SteadyTime(100)) == 6);
+  // Without urgent requests the slot is used again.
+  BOOST_TEST(slotsFor(Queue, Long, SteadyTime(2100)) == 6);
+
+  Queue.Running = 5;
+  BOOST_TEST(
+      (admitJob(Queue, Long, Milliseconds(640), SteadyTime(100)).Choice ==
+       QueueDecision::Action::Wait));
+  Queue.Waiting.push_back(Long);
+  BOOST_TEST(!startNext(Queue, SteadyTime(100)).has_value());
+  BOOST_TEST(
+      (admitJob(Queue, Call, Milliseconds(640), SteadyTime(100)).Choice ==
+       QueueDecision::Action::Run));
+  Queue.Running = 4;
+  BOOST_TEST(startNext(Queue, SteadyTime(100)).has_value());
+}
+
+// Guards against a slot that stays free for requests which can wait.
+BOOST_AUTO_TEST_CASE(requestsOfSimilarLengthUseEverySlot) {
+  HopQueue Queue;
+  Queue.Slots = 6;
+  QueuedJob Lookup = job(1, 2, 600);
+  Lookup.Objective = Milliseconds(600);
+  Lookup.ServiceTime = Milliseconds(140);
+  QueuedJob Filing = job(2, 1, 800);
+  Filing.Objective = Milliseconds(800);
+  Filing.ServiceTime = Milliseconds(190);
+  recordArrival(Queue, Filing, SteadyTime(0));
+  BOOST_TEST(slotsFor(Queue, Lookup, SteadyTime(0)) == 6);
+}
+
+// Guards against an upstream that looks fast because it has answered short
+// requests while long ones hold its slots.
+BOOST_AUTO_TEST_CASE(meanServiceFollowsTheRequestsThatRun) {
+  const Milliseconds Usual(100);
+  BOOST_TEST(meanExpectedService(6, 0, Milliseconds(0), Usual).count() == 100);
+  BOOST_TEST(meanExpectedService(6, 6, Milliseconds(3840), Usual).count() ==
+             640);
+  BOOST_TEST(meanExpectedService(6, 1, Milliseconds(640), Usual).count() ==
+             190);
+  BOOST_TEST(meanExpectedService(6, 12, Milliseconds(1200), Usual).count() ==
+             100);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
