--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -313,8 +313,8 @@
                                     const std::string &Subject,
                                     std::size_t Count, SteadyTime Now);
 
-/// Returns the first \p Count nodes of the order of all known nodes that are not
-/// stopping, also silent ones; may include this node.
+/// Returns the first \p Count nodes of the order of all known nodes that are
+/// not stopping, also silent ones; may include this node.
 std::vector<NodeId> rendezvousOrder(const NodeTable &Known,
                                     const std::string &Subject,
                                     std::size_t Count);
--- a/src/organisations/internal/KeyTable.cpp
+++ b/src/organisations/internal/KeyTable.cpp
@@ -9,8 +9,10 @@
 
 namespace {
 
-/// POCO's HMAC takes the sizes from its engine, which does not state them.
+/// POCO's HMAC takes the sizes from its engine, by these names, and SHA2Engine
+/// does not state them.
 struct Sha256 : Poco::SHA2Engine {
+  // NOLINTNEXTLINE(readability-identifier-naming)
   enum { BLOCK_SIZE = 64, DIGEST_SIZE = 32 };
 };
 
