Take the names of fields from the reader in the configuration check

Cause: src/configcheck named the fields of the platform's format in places and problems, which only platform/ may know. Another format would have needed a copy of the checks.

Change: the reader states the names (FieldNames); the checks build places and problems from them. The output is the same.

--- a/src/configcheck/internal/CheckEntries.cpp
+++ b/src/configcheck/internal/CheckEntries.cpp
@@ -29,7 +29,7 @@
 void checkListeners(const StatedConfig &Config, const FindingSink &Sink) {
   FirstPlaces Hosts;
   for (const StatedListener &Listener : Config.Listeners) {
-    const Place At = Listener.At + ".hostname";
+    const Place At = Listener.At + "." + Config.Names.Host;
     checkName(Hosts, Listener.Host, At, "listener", Sink);
     // The port is removed from the Host header before the look-up.
     if (Listener.Host.find(':') != std::string::npos)
@@ -39,9 +39,9 @@
 }
 
 void checkPrefix(FirstPlaces &Known, const StatedRoute &Rule,
-                 const FindingSink &Sink) {
+                 const FieldNames &Names, const FindingSink &Sink) {
   const std::string &Prefix = Rule.Route.Prefix;
-  const Place At = Rule.At + ".match.path_prefix";
+  const Place At = Rule.At + "." + Names.Prefix;
   if (Prefix.empty() || Prefix.front() != '/' || Prefix.back() != '/')
     Sink.error(At, "\"" + Prefix + "\" does not begin and end with a slash",
                "a prefix such as /orders/");
@@ -59,25 +59,28 @@
 }
 
 void checkRoutes(const StatedConfig &Config, const FindingSink &Sink) {
-  FirstPlaces Names;
+  const FieldNames &Names = Config.Names;
+  FirstPlaces Routes;
   FirstPlaces Prefixes;
   std::set<ServiceName> Services;
   for (const StatedService &Item : Config.Services)
     Services.insert(Item.Service.Name);
   if (Services.empty() && !Config.Routes.empty())
-    Sink.error("clusters", "no service is defined, so no route can be served",
+    Sink.error(Names.Services,
+               "no service is defined, so no route can be served",
                "the services of all routes");
   for (const StatedRoute &Rule : Config.Routes) {
-    checkName(Names, Rule.Route.Name.str(), Rule.At + ".name", "route", Sink);
-    checkPrefix(Prefixes, Rule, Sink);
+    checkName(Routes, Rule.Route.Name.str(), Rule.At + "." + Names.Name,
+              "route", Sink);
+    checkPrefix(Prefixes, Rule, Names, Sink);
     for (const StatedPart &Part : Rule.Parts)
       if (!Services.empty() && Services.count(Part.Service) == 0 &&
           (Part.Weight > 0 || !Part.Service.empty()))
-        Sink.error(Part.At + ".backend_service",
-                   "\"" + Part.Service.str() + "\" is not in clusters",
+        Sink.error(Part.At + "." + Names.Service,
+                   "\"" + Part.Service.str() + "\" is not in " + Names.Services,
                    "the name of a cluster");
     if (Rule.Parts.empty())
-      Sink.warning(Rule.At + ".action.traffic_split",
+      Sink.warning(Rule.At + "." + Names.Parts,
                    "the route serves nothing: it has no parts",
                    "one part or more");
   }
@@ -86,8 +89,8 @@
 void checkServices(const StatedConfig &Config, const FindingSink &Sink) {
   FirstPlaces Names;
   for (const StatedService &Item : Config.Services)
-    checkName(Names, Item.Service.Name.str(), Item.At + ".name", "service",
-              Sink);
+    checkName(Names, Item.Service.Name.str(), Item.At + "." + Config.Names.Name,
+              "service", Sink);
 }
 
 /// Whether a header can carry \p Key; spaces around a value are not part of it.
@@ -103,8 +106,8 @@
 }
 
 void checkKeys(FirstPlaces &Known, const StatedOrganisation &Holder,
-               const FindingSink &Sink) {
-  const Place List = Holder.At + ".api_keys";
+               const FieldNames &Names, const FindingSink &Sink) {
+  const Place List = Holder.At + "." + Names.Keys;
   if (Holder.Keys.empty())
     Sink.warning(List,
                  "organisation \"" + Holder.Item.Name.str() +
@@ -131,9 +134,9 @@
   FirstPlaces Names;
   FirstPlaces Keys;
   for (const StatedOrganisation &Holder : Config.Organisations) {
-    checkName(Names, Holder.Item.Name.str(), Holder.At + ".name",
-              "organisation", Sink);
-    checkKeys(Keys, Holder, Sink);
+    checkName(Names, Holder.Item.Name.str(),
+              Holder.At + "." + Config.Names.Name, "organisation", Sink);
+    checkKeys(Keys, Holder, Config.Names, Sink);
   }
 }
 
--- a/src/configcheck/internal/CheckRegions.cpp
+++ b/src/configcheck/internal/CheckRegions.cpp
@@ -35,7 +35,7 @@
 void checkRegions(const StatedConfig &Config, const KnownRegions &Regions,
                   const FindingSink &Sink) {
   for (const StatedRoute &Rule : Config.Routes) {
-    const Place At = Rule.At + ".action.allowed_regions";
+    const Place At = Rule.At + "." + Config.Names.RouteRegions;
     if (excludesAll(Config, Rule.Route))
       Sink.warning(At,
                    "no organisation can use the route: none allows one of "
@@ -46,8 +46,9 @@
   }
   if (Regions)
     for (const StatedOrganisation &Holder : Config.Organisations)
-      checkKnown(Holder.Item.AllowedRegions, Holder.At + ".allowed_regions",
-                 *Regions, Sink);
+      checkKnown(Holder.Item.AllowedRegions,
+                 Holder.At + "." + Config.Names.OrganisationRegions, *Regions,
+                 Sink);
 }
 
 } // namespace lycheethread::configcheck
--- a/src/configcheck/tests/ConfigFixture.h
+++ b/src/configcheck/tests/ConfigFixture.h
@@ -35,6 +35,28 @@
   ParsedConfig Parsed;
   Parsed.File = "config.json";
   StatedConfig &Config = Parsed.Config;
+  Config.Names = {"clusters",
+                  "name",
+                  "hostname",
+                  "match.path_prefix",
+                  "action.traffic_split",
+                  "backend_service",
+                  "weight",
+                  "action.timeout_s",
+                  "target_latency_s",
+                  "action.attempts",
+                  "action.allowed_regions",
+                  "allowed_regions",
+                  "api_keys",
+                  "rate_per_s",
+                  "burst",
+                  "cold_per_s",
+                  "cold_start_s",
+                  "limits",
+                  "header_timeout_s",
+                  "idle_timeout_s",
+                  "max_body_bytes",
+                  "max_header_bytes"};
   Config.Version = mesh::ConfigVersion(7);
   Config.Listeners = {{"listeners[0]", "shop.example"}};
   Config.Routes = {makeRoute("a", 0, "x"), makeRoute("b", 1, "y")};
--- a/src/configcheck/types/StatedConfig.h
+++ b/src/configcheck/types/StatedConfig.h
@@ -12,6 +12,33 @@
 /// Path of a value in the text, such as "listeners[0].policy[3].action".
 using Place = std::string;
 
+/// The fields of the text as places and problems name them, relative to the
+/// place of their entry. The reader of the text states them.
+struct FieldNames {
+  std::string Services;
+  std::string Name;
+  std::string Host;
+  std::string Prefix;
+  std::string Parts;
+  std::string Service;
+  std::string Weight;
+  std::string Timeout;
+  std::string Objective;
+  std::string Attempts;
+  std::string RouteRegions;
+  std::string OrganisationRegions;
+  std::string Keys;
+  std::string Rate;
+  std::string Burst;
+  std::string ColdRate;
+  std::string ColdTime;
+  std::string Limits;
+  std::string HeadTimeout;
+  std::string IdleTimeout;
+  std::string MaxBodyBytes;
+  std::string MaxHeadBytes;
+};
+
 struct StatedPart {
   Place At;
   ServiceName Service;
@@ -51,6 +78,7 @@
 
 /// A configuration in the order and with the repetitions of its text.
 struct StatedConfig {
+  FieldNames Names;
   mesh::ConfigVersion Version;
   mesh::CallerLimits Limits;
   std::vector<StatedListener> Listeners;
