--- a/src/quota/Quota.h
+++ b/src/quota/Quota.h
@@ -38,6 +38,14 @@
                                  const organisations::Quota &Limit,
                                  const PermitAsk &Ask, SteadyTime Now);
 
+/// Adopts the nodes among which the owners are chosen. Their order must not
+/// change while they are the same.
+void updateMembers(OwnerMembers &Members,
+                   const std::vector<const NodeId *> &Ids);
+
+/// Whether neither chooseOwner() nor mayOwn() looks at later candidates.
+bool endsChoice(const OwnerCandidate &Item, const QuotaTimes &Times);
+
 /// Returns the node that an entry asks for permits, of the first candidates in
 /// the rendezvous order; empty without one.
 NodeId chooseOwner(const std::vector<OwnerCandidate> &InOrder);
@@ -59,13 +67,15 @@
 void returnPermit(EntryStock &Stock, SteadyTime ExpiresAt, SteadyTime Now);
 
 /// Returns how many permits to ask the owner for now, with \p Waiting requests
-/// that found none; 0 to ask later.
+/// that found none, \p Returning of them for callers that were refused before;
+/// 0 to ask later.
 std::int32_t permitsToAsk(const EntryStock &Stock, std::int32_t Waiting,
-                          SteadyTime Now);
+                          SteadyTime Now, std::int32_t Returning = 0);
 
 /// Records an ask as sent and returns it.
 PermitAsk startAsk(EntryStock &Stock, const NodeId &Self, const NodeId &Owner,
-                   std::int32_t Wanted, SteadyTime Now);
+                   std::int32_t Wanted, SteadyTime Now,
+                   std::int32_t Returning = 0);
 
 /// Whether the pending ask is to be sent again now; records that it was.
 bool shouldRepeat(EntryStock &Stock, SteadyTime Now);
@@ -87,12 +97,18 @@
 bool takeFallback(EntryStock &Stock, const Fleet &Nodes,
                   const QuotaTimes &Times, SteadyTime Now);
 
-/// Whether a request without a permit is refused at once, since the owner has
-/// said that there are none or does not answer.
+/// Whether a new request without a permit is refused at once, since the owner
+/// has said that there are none or does not answer. A returning one waits.
 bool shouldRefuse(const EntryStock &Stock, SteadyTime Now);
 
-/// Returns the time after which a refused request may find a permit.
-Milliseconds refusalDelay(const EntryStock &Stock, SteadyTime Now);
+/// Whether a request is from a caller that was refused before.
+bool isReturning(Milliseconds TimeSinceFirstAttempt);
+
+/// Returns the time after which a refused caller may find a permit, and takes a
+/// place of those told to come back if the caller, with \p Left until its
+/// deadline, waits that long.
+Milliseconds takeReturnDelay(EntryStock &Stock, Milliseconds Left,
+                             SteadyTime Now);
 
 /// How long a request waits for the answer of the owner.
 /// A round trip takes 60 ms between regions, and busy nodes read a datagram up
@@ -102,6 +118,13 @@
 /// Shortest time after which an owner without permits is asked again.
 inline constexpr Milliseconds MinRetryDelay{50};
 
+/// Requests wait for permits that are expected within this time; the answer to
+/// the next ask still comes within PermitWaitLimit.
+inline constexpr Milliseconds MaxHold{120};
+
+/// Callers come back after at most this part of the time that they have left.
+inline constexpr int ReturnTimeDivisor = 3;
+
 } // namespace lycheethread::quota
 
 #endif // LYCHEETHREAD_QUOTA_QUOTA_H
--- a/src/quota/internal/EntryStock.cpp
+++ b/src/quota/internal/EntryStock.cpp
@@ -23,14 +23,14 @@
 /// A lost message is noticed long before the waiting requests give up. The next
 /// repetition comes after twice this time, as the nodes may only be busy.
 constexpr Milliseconds RepeatDelay{65};
-/// Requests wait for permits that are expected within this time; the answer to
-/// the next ask still comes within PermitWaitLimit.
-constexpr Milliseconds MaxHold{120};
 /// After an answer with fewer permits than wanted, an entry asks only when
 /// requests wait, and for those that come in ScarceStockSeconds: permits that
 /// expire in stock would be missing elsewhere.
 constexpr Milliseconds ScarceTime{1000};
 constexpr double ScarceStockSeconds = 0.1;
+/// Asks to an owner that has not answered the last ones are given up sooner;
+/// the requests that wait for them are most probably refused.
+constexpr Milliseconds ProbeTimeout{150};
 /// A single ask may be lost on the way.
 constexpr std::int32_t SilentAfter = 2;
 constexpr std::int32_t MaxWanted = 100'000;
@@ -88,9 +88,13 @@
 }
 
 std::int32_t permitsToAsk(const EntryStock &Stock, std::int32_t Waiting,
-                          SteadyTime Now) {
-  if (Stock.Pending || Now < Stock.NoneUntil)
+                          SteadyTime Now, std::int32_t Returning) {
+  if (Stock.Pending)
     return 0;
+  // The owner keeps permits for callers that come back, also when it has none
+  // for others.
+  if (Now < Stock.NoneUntil)
+    return elapsed(Stock.LastAskAt, Now) < MinRetryDelay ? 0 : Returning;
   const bool IsRecent = elapsed(Stock.LastAskAt, Now) < AskInterval;
   if (isOwnerSilent(Stock) && IsRecent)
     return 0;
@@ -111,11 +115,14 @@
 }
 
 PermitAsk startAsk(EntryStock &Stock, const NodeId &Self, const NodeId &Owner,
-                   std::int32_t Wanted, SteadyTime Now) {
+                   std::int32_t Wanted, SteadyTime Now,
+                   std::int32_t Returning) {
   Stock.LastNumber = Stock.LastNumber.next();
   Stock.LastAskAt = Now;
-  Stock.Pending = PendingAsk{
-      {Self, Stock.LastNumber, Wanted}, Owner, Now, after(Now, RepeatDelay)};
+  Stock.Pending = PendingAsk{{Self, Stock.LastNumber, Wanted, Returning},
+                             Owner,
+                             Now,
+                             after(Now, RepeatDelay)};
   return Stock.Pending->Ask;
 }
 
@@ -128,7 +135,9 @@
 }
 
 bool giveUpAsk(EntryStock &Stock, double Phase, SteadyTime Now) {
-  if (!Stock.Pending || elapsed(Stock.Pending->AskedAt, Now) < PermitWaitLimit)
+  const Milliseconds Longest =
+      isOwnerSilent(Stock) ? ProbeTimeout : PermitWaitLimit;
+  if (!Stock.Pending || elapsed(Stock.Pending->AskedAt, Now) < Longest)
     return false;
   if (Stock.Unanswered == 0) {
     Stock.UnansweredSince = Stock.Pending->AskedAt;
@@ -153,6 +162,9 @@
     Stock.Batches.push_back({Permits, Expires});
   if (Permits < Wanted)
     Stock.ScarceUntil = after(Now, ScarceTime);
+  Stock.Places = std::clamp(Grant.Places, 0, MaxWanted);
+  Stock.NextPlaceAt = after(Now, Grant.ReturnDelay);
+  Stock.PlaceInterval = Grant.PlaceInterval;
   // A few permits fewer may only be those asked for in advance.
   if (2 * Permits < Wanted)
     Stock.NoneUntil = after(Now, std::max(MinRetryDelay, Grant.RetryDelay));
@@ -172,8 +184,25 @@
          elapsed(Stock.LastAskAt, Now) < AskInterval;
 }
 
-Milliseconds refusalDelay(const EntryStock &Stock, SteadyTime Now) {
-  return std::max(AskInterval, elapsed(Now, Stock.NoneUntil));
+bool isReturning(Milliseconds TimeSinceFirstAttempt) {
+  return TimeSinceFirstAttempt >= MinRetryDelay;
+}
+
+Milliseconds takeReturnDelay(EntryStock &Stock, Milliseconds Left,
+                             SteadyTime Now) {
+  const Milliseconds Reach = Left / ReturnTimeDivisor;
+  const Milliseconds Next =
+      std::max(MinRetryDelay, elapsed(Now, Stock.NextPlaceAt));
+  if (Stock.Places > 0 && Next <= Reach) {
+    --Stock.Places;
+    Stock.NextPlaceAt = after(Stock.NextPlaceAt, Stock.PlaceInterval);
+    return Next;
+  }
+  if (Now >= Stock.NoneUntil || Stock.NextPlaceAt == SteadyTime())
+    return AskInterval;
+  // The permits that come in meanwhile are for callers with a place. One that
+  // came back all the same would be refused a second time.
+  return std::max({AskInterval, Next, Reach + MinRetryDelay});
 }
 
 } // namespace lycheethread::quota
--- a/src/quota/internal/OwnerBucket.cpp
+++ b/src/quota/internal/OwnerBucket.cpp
@@ -31,6 +31,19 @@
 /// answers would bring nothing, and each costs the owner a datagram.
 constexpr Milliseconds OverloadRetryDelay{250};
 constexpr double OverloadFactor = 1.5;
+/// Part of the rate that is kept for returning callers under overload. With the
+/// whole rate, each request would be refused once before it is served.
+constexpr double OverloadReturnPart = 0.25;
+/// No caller is told to come back later: a third of the time left is often
+/// less.
+constexpr Milliseconds MaxReturnDelay{700};
+/// Time constant after which callers that do not come back are forgotten.
+constexpr double ExpectedDecayMs = 1500;
+/// At most the permits of this time, and this part of the bucket, are kept for
+/// them, so that callers that are not recognised or do not come back cost
+/// others little.
+constexpr double MaxReservedSeconds = 0.4;
+constexpr double MaxReservedPart = 0.25;
 
 double seconds(Milliseconds Length) {
   return static_cast<double>(Length.count()) / MillisecondsPerSecond;
@@ -61,6 +74,18 @@
          MillisecondsPerSecond;
 }
 
+/// Whether the entries have recently asked for far more than comes in.
+bool isOverload(const OwnerBucket &Bucket, const organisations::Quota &Limit) {
+  return Bucket.Demand > OverloadFactor * supplyOf(Bucket, Limit);
+}
+
+/// Returns the permits per second that are kept for returning callers.
+double returnRate(const OwnerBucket &Bucket,
+                  const organisations::Quota &Limit) {
+  return Limit.PerSecond * Bucket.Fraction *
+         (isOverload(Bucket, Limit) ? OverloadReturnPart : 1.0);
+}
+
 /// Whether the entries have recently asked for more than comes in and the
 /// bucket is not well filled. The few requests of a small organisation often
 /// come together; they need not be shared out while there are permits for all.
@@ -77,12 +102,13 @@
                const organisations::Quota &Limit, Milliseconds SinceLastAsk) {
   constexpr double MinOthersPart = 0.01;
   constexpr double PlentyPart = 0.5;
-  const double There = std::floor(std::max(0.0, Bucket.Tokens));
+  const double Unreserved = std::max(0.0, Bucket.Tokens - Bucket.Reserved);
+  const double There = std::floor(Unreserved);
   const double Part =
       Bucket.Demand > 0 ? std::min(1.0, Entry.Recent / Bucket.Demand) : 1.0;
   const double Earned = Limit.PerSecond * Bucket.Fraction *
                         seconds(std::min(SinceLastAsk, MaxShareTime));
-  double Share = Part * std::max(Bucket.Tokens, Earned);
+  double Share = Part * std::max(Unreserved, Earned);
   if (!isScarce(Bucket, Limit))
     Share = std::max(Share, There * PlentyPart);
   const double Left = Part < 1 - MinOthersPart ? 1 : 0;
@@ -90,21 +116,72 @@
                   std::floor(std::min(Share, There - Left)));
 }
 
+Milliseconds timeFor(double Permits, double PerSecond) {
+  const auto Longest = static_cast<double>(MaxRetryDelay.count());
+  if (Permits <= 0)
+    return Milliseconds(0);
+  if (PerSecond <= 0)
+    return MaxRetryDelay;
+  return Milliseconds(static_cast<std::int64_t>(
+      std::min(Permits / PerSecond * MillisecondsPerSecond, Longest)));
+}
+
+Milliseconds takeoverTime(const OwnerBucket &Bucket, SteadyTime Now) {
+  return std::max(Milliseconds(0),
+                  TakeoverDelay - elapsed(*Bucket.StartedAt, Now));
+}
+
 Milliseconds retryDelay(const OwnerBucket &Bucket,
                         const organisations::Quota &Limit, SteadyTime Now) {
-  const double Rate = Limit.PerSecond * Bucket.Fraction;
-  if (Rate <= 0)
-    return MinRetryDelay;
-  const double Missing = std::max(0.0, 1 - Bucket.Tokens);
-  const Milliseconds Takeover = std::max(
-      Milliseconds(0), TakeoverDelay - elapsed(*Bucket.StartedAt, Now));
-  const auto Delay =
-      Takeover + Milliseconds(static_cast<std::int64_t>(
-                     std::min(Missing / Rate * MillisecondsPerSecond,
-                              static_cast<double>(MaxRetryDelay.count()))));
-  const bool IsOverload =
-      Bucket.Demand > OverloadFactor * supplyOf(Bucket, Limit);
-  return std::max(IsOverload ? OverloadRetryDelay : MinRetryDelay, Delay);
+  const Milliseconds Delay =
+      takeoverTime(Bucket, Now) +
+      timeFor(1 - Bucket.Tokens, Limit.PerSecond * Bucket.Fraction);
+  return std::max(
+      isOverload(Bucket, Limit) ? OverloadRetryDelay : MinRetryDelay, Delay);
+}
+
+/// Tells the entry when up to \p Missing callers may come back. Later ones get
+/// later times, since those told before are expected first.
+void addPlaces(OwnerBucket &Bucket, const organisations::Quota &Limit,
+               std::int32_t Missing, PermitGrant &Answer, SteadyTime Now) {
+  const double PerSecond = returnRate(Bucket, Limit);
+  // The permits kept for those that are expected already are there, too.
+  const double There = std::max(0.0, Bucket.Tokens - Bucket.Reserved);
+  const double Ahead = Bucket.Expected - Bucket.Reserved;
+  const double Wanted =
+      isOverload(Bucket, Limit) ? Ahead + 1 : Ahead + 1 - There;
+  Answer.ReturnDelay = std::max(MinRetryDelay, takeoverTime(Bucket, Now) +
+                                                   timeFor(Wanted, PerSecond));
+  // Entries hold their requests if the next ask is near, and refuse none.
+  if (Answer.RetryDelay <= MaxHold || Answer.ReturnDelay > MaxReturnDelay)
+    return;
+  Answer.PlaceInterval = std::max(Milliseconds(1), timeFor(1, PerSecond));
+  const std::int64_t Room =
+      1 + (MaxReturnDelay - Answer.ReturnDelay) / Answer.PlaceInterval;
+  Answer.Places =
+      static_cast<std::int32_t>(std::min<std::int64_t>(Missing, Room));
+  Bucket.Expected += Answer.Places;
+}
+
+/// Grants permits to \p Returning callers before any others.
+double takeReserved(OwnerBucket &Bucket, std::int32_t Returning) {
+  const double Permits = std::min(static_cast<double>(Returning),
+                                  std::floor(std::max(0.0, Bucket.Tokens)));
+  Bucket.Tokens -= Permits;
+  Bucket.Reserved = std::max(0.0, Bucket.Reserved - Permits);
+  Bucket.Expected = std::max(0.0, Bucket.Expected - Permits);
+  return Permits;
+}
+
+void refillReserved(OwnerBucket &Bucket, const organisations::Quota &Limit,
+                    Milliseconds Gap) {
+  Bucket.Expected *=
+      std::exp(-static_cast<double>(Gap.count()) / ExpectedDecayMs);
+  const double PerSecond = returnRate(Bucket, Limit);
+  const double Most = std::min(std::max(1.0, PerSecond * MaxReservedSeconds),
+                               capacityOf(Bucket, Limit) * MaxReservedPart);
+  Bucket.Reserved = std::min({Bucket.Reserved + PerSecond * seconds(Gap),
+                              Bucket.Expected, Bucket.Tokens, Most});
 }
 
 } // namespace
@@ -174,6 +251,7 @@
   else
     Bucket.Tokens += Bucket.Early * std::max(0.0, Bucket.Fraction - Before);
   Bucket.Tokens = std::min(Bucket.Tokens, capacityOf(Bucket, Limit));
+  refillReserved(Bucket, Limit, Gap);
 }
 
 std::optional<PermitGrant> grant(OwnerBucket &Bucket,
@@ -201,12 +279,17 @@
   Bucket.Demand = Bucket.Demand * decay(Bucket.DemandAt, Now) + Wanted;
   Bucket.DemandAt = Now;
 
-  const double Permits = std::min(shareOf(Bucket, Entry, Limit, Since),
-                                  static_cast<double>(Wanted));
-  Bucket.Tokens -= Permits;
-  PermitGrant Answer{Ask.Number, static_cast<std::int32_t>(Permits), {}};
-  if (Answer.Permits < Wanted)
+  const std::int32_t Returning = std::clamp(Ask.Returning, 0, Wanted);
+  double Permits = takeReserved(Bucket, Returning);
+  const double Others = std::min(shareOf(Bucket, Entry, Limit, Since),
+                                 static_cast<double>(Wanted - Returning));
+  Bucket.Tokens -= Others;
+  Permits += Others;
+  PermitGrant Answer{Ask.Number, static_cast<std::int32_t>(Permits)};
+  if (Answer.Permits < Wanted) {
     Answer.RetryDelay = retryDelay(Bucket, Limit, Now);
+    addPlaces(Bucket, Limit, Wanted - Answer.Permits, Answer, Now);
+  }
   Entry.LastGrant = Answer;
   return Answer;
 }
--- a/src/quota/internal/OwnerChoice.cpp
+++ b/src/quota/internal/OwnerChoice.cpp
@@ -13,6 +13,25 @@
 
 } // namespace
 
+void updateMembers(OwnerMembers &Members,
+                   const std::vector<const NodeId *> &Ids) {
+  const bool IsSame = std::equal(
+      Ids.begin(), Ids.end(), Members.Ids.begin(), Members.Ids.end(),
+      [](const NodeId *Left, const NodeId &Right) { return *Left == Right; });
+  if (IsSame)
+    return;
+  Members.Ids.clear();
+  for (const NodeId *Id : Ids)
+    Members.Ids.push_back(*Id);
+  ++Members.Version;
+}
+
+bool endsChoice(const OwnerCandidate &Item, const QuotaTimes &Times) {
+  return Item.IsSelf ||
+         (!Item.IsUnresponsive &&
+          Item.SilentFor < std::min(Times.HeardWindow, MaxSilence));
+}
+
 NodeId chooseOwner(const std::vector<OwnerCandidate> &InOrder) {
   const auto Found = std::find_if(
       InOrder.begin(), InOrder.end(), [](const OwnerCandidate &Item) {
--- a/src/quota/tests/EntryStockTest.cpp
+++ b/src/quota/tests/EntryStockTest.cpp
@@ -123,6 +123,19 @@
   BOOST_TEST(!takePermit(Stock, at(30)).has_value());
 }
 
+// Guards against requests that wait long for an owner that does not answer.
+BOOST_AUTO_TEST_CASE(silentOwnersAreGivenUpSooner) {
+  EntryStock Stock = asking(1, 0);
+  BOOST_TEST(!giveUpAsk(Stock, 0, at(349)));
+  BOOST_TEST(giveUpAsk(Stock, 0, at(350)));
+  startAsk(Stock, NodeId("a"), NodeId("b"), 1, at(400));
+  BOOST_TEST(giveUpAsk(Stock, 0, at(750)));
+  BOOST_TEST(isOwnerSilent(Stock));
+  startAsk(Stock, NodeId("a"), NodeId("b"), 1, at(1000));
+  BOOST_TEST(giveUpAsk(Stock, 0, at(1150)));
+  BOOST_TEST(shouldRefuse(Stock, at(1150)));
+}
+
 // Guards against nodes without an owner that each keep one permit of an
 // organisation whose whole burst is less than that.
 BOOST_AUTO_TEST_CASE(sharesOfAllNodesStayWithinASmallLimit) {
@@ -159,4 +172,38 @@
   BOOST_TEST(Taken >= 400);
 }
 
+// Guards against callers that come back together, or without a permit that is
+// kept for them.
+BOOST_AUTO_TEST_CASE(placesAreHandedOutInTurn) {
+  EntryStock Stock = asking(5, 0);
+  PermitGrant Grant = granted(Stock, 0);
+  Grant.RetryDelay = Milliseconds(250);
+  Grant.Places = 2;
+  Grant.ReturnDelay = Milliseconds(200);
+  Grant.PlaceInterval = Milliseconds(30);
+  applyGrant(Stock, Grant, Times, at(100));
+  const Milliseconds Left(1500);
+  BOOST_TEST(takeReturnDelay(Stock, Left, at(110)).count() == 190);
+  // This caller would not wait as long.
+  BOOST_TEST(takeReturnDelay(Stock, Milliseconds(300), at(110)).count() == 250);
+  BOOST_TEST(takeReturnDelay(Stock, Left, at(120)).count() == 210);
+  // No place is left: the time is longer than a caller waits.
+  BOOST_TEST(takeReturnDelay(Stock, Left, at(130)).count() > 500);
+}
+
+// Guards against callers with a place that are refused while the entry asks for
+// no one else, and against an ask for each of them.
+BOOST_AUTO_TEST_CASE(returningCallersMayAskBeforeOthers) {
+  EntryStock Stock = asking(5, 0);
+  PermitGrant Grant = granted(Stock, 0);
+  Grant.RetryDelay = Milliseconds(250);
+  applyGrant(Stock, Grant, Times, at(60));
+  BOOST_TEST(permitsToAsk(Stock, 3, at(200), 0) == 0);
+  BOOST_TEST(permitsToAsk(Stock, 3, at(200), 1) == 1);
+  startAsk(Stock, NodeId("a"), NodeId("b"), 1, at(200), 1);
+  BOOST_TEST(Stock.Pending->Ask.Returning == 1);
+  applyGrant(Stock, granted(Stock, 1), Times, at(210));
+  BOOST_TEST(permitsToAsk(Stock, 3, at(220), 1) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/quota/tests/FleetRun.cpp
+++ b/src/quota/tests/FleetRun.cpp
@@ -27,11 +27,16 @@
 struct Waiter {
   std::int64_t Arrived = 0;
   bool IsWithinLimit = false;
+  /// Time of the first attempt.
+  std::int64_t FirstAt = 0;
+  bool IsReturning = false;
 };
 
 struct Node {
   EntryStock Stock;
   std::deque<Waiter> Waiting;
+  /// Those of callers that were refused before.
+  std::deque<Waiter> Returned;
   OwnerBucket Bucket;
   bool WasOwner = false;
 };
@@ -50,6 +55,7 @@
       if (Ms_ % RefillInterval == 0)
         refillOwners();
       deliver();
+      returnCallers();
       for (std::size_t Id = 0; Id < Nodes_.size(); ++Id)
         if (!isDead(Id))
           step(Id);
@@ -166,30 +172,60 @@
            takeFallback(Stock, fleetFor(Id), times(), now());
   }
 
-  void count(std::int64_t Arrived) {
+  void count(const Waiter &Request) {
     ++Result_.Served;
     ++Result_.ServedIn.back();
-    Result_.LongestWait = std::max(Result_.LongestWait, Ms_ - Arrived);
+    Result_.LongestWait = std::max(Result_.LongestWait, Ms_ - Request.Arrived);
+    if (Request.FirstAt != Request.Arrived)
+      Result_.ReturnedMs += Ms_ - Request.FirstAt;
   }
 
   void serve(std::size_t Id) {
     Node &Item = Nodes_[Id];
-    while (!Item.Waiting.empty() && tryTake(Id)) {
-      count(Item.Waiting.front().Arrived);
-      Item.Waiting.pop_front();
+    for (std::deque<Waiter> *Queue : {&Item.Returned, &Item.Waiting})
+      while (!Queue->empty() && tryTake(Id)) {
+        count(Queue->front());
+        Queue->pop_front();
+      }
+    if (shouldRefuse(Item.Stock, now())) {
+      for (const Waiter &Each : Item.Waiting)
+        reject(Id, Each,
+               isOwnerSilent(Item.Stock) ? Result_.Lost.Silent
+                                         : Result_.Lost.TooFew);
+      Item.Waiting.clear();
     }
-    if (!shouldRefuse(Item.Stock, now())) {
-      ask(Id, Item.Waiting.size());
+    ask(Id);
+  }
+
+  /// Refuses the request and decides whether its caller comes back.
+  void reject(std::size_t Id, const Waiter &Each, std::int64_t &Reason) {
+    Reason += Each.IsWithinLimit ? 1 : 0;
+    if (Plan_.CallerTime == 0)
+      return;
+    if (Each.FirstAt != Each.Arrived) {
+      ++Result_.RefusedAgain;
       return;
     }
-    for (const Waiter &Each : Item.Waiting)
-      countLoss(Each, isOwnerSilent(Item.Stock) ? Result_.Lost.Silent
-                                                : Result_.Lost.TooFew);
-    Item.Waiting.clear();
+    const Milliseconds Left(Plan_.CallerTime - (Ms_ - Each.FirstAt));
+    std::int64_t Delay = Plan_.FixedReturnMs;
+    if (Delay == 0)
+      Delay = takeReturnDelay(Nodes_[Id].Stock, Left, now()).count();
+    if (Delay > Left.count() / 3)
+      return;
+    ++Result_.Returned;
+    Returns_.emplace(Ms_ + Delay, std::make_pair(Id, Each));
   }
 
-  static void countLoss(const Waiter &Each, std::int64_t &Reason) {
-    Reason += Each.IsWithinLimit ? 1 : 0;
+  void returnCallers() {
+    while (!Returns_.empty() && Returns_.begin()->first <= Ms_) {
+      auto [Id, Request] = Returns_.begin()->second;
+      Returns_.erase(Returns_.begin());
+      Request.IsWithinLimit = false;
+      Request.Arrived = Ms_;
+      Request.IsReturning = Plan_.FixedReturnMs == 0;
+      if (!isDead(Id))
+        receive(Id, Request);
+    }
   }
 
   /// Whether a token bucket of the limit lets one more request pass.
@@ -206,16 +242,19 @@
     return true;
   }
 
-  void ask(std::size_t Id, std::size_t Waiting) {
+  void ask(std::size_t Id) {
     EntryStock &Stock = Nodes_[Id].Stock;
-    const std::int32_t Wanted =
-        permitsToAsk(Stock, static_cast<std::int32_t>(Waiting), now());
+    const auto Returning =
+        static_cast<std::int32_t>(Nodes_[Id].Returned.size());
+    const auto All =
+        Returning + static_cast<std::int32_t>(Nodes_[Id].Waiting.size());
+    const std::int32_t Wanted = permitsToAsk(Stock, All, now(), Returning);
     if (Wanted == 0)
       return;
     const std::size_t Owner = ownerFor(Id);
     const PermitAsk Ask =
         startAsk(Stock, NodeId(std::to_string(Id)),
-                 NodeId(std::to_string(Owner)), Wanted, now());
+                 NodeId(std::to_string(Owner)), Wanted, now(), Returning);
     if (Owner != Id)
       send({Owner, Id, true, Ask, {}});
     else if (const auto Grant = answer(Id, Ask))
@@ -223,22 +262,29 @@
   }
 
   void arrive(std::size_t Id) {
-    Node &Item = Nodes_[Id];
     ++Result_.Offered;
+    receive(Id, {Ms_, takeToken(), Ms_, false});
+  }
+
+  void receive(std::size_t Id, const Waiter &Request) {
+    Node &Item = Nodes_[Id];
     recordDemand(Item.Stock, now());
-    const Waiter Request{Ms_, takeToken()};
-    if (Item.Waiting.empty() && tryTake(Id)) {
-      count(Ms_);
-      ask(Id, 0);
+    if (Item.Returned.empty() && Item.Waiting.empty() && tryTake(Id)) {
+      count(Request);
+      ask(Id);
       return;
     }
-    if (shouldRefuse(Item.Stock, now())) {
-      countLoss(Request, isOwnerSilent(Item.Stock) ? Result_.Lost.Silent
-                                                   : Result_.Lost.BackOff);
+    if (Request.IsReturning) {
+      Item.Returned.push_back(Request);
+    } else if (shouldRefuse(Item.Stock, now())) {
+      reject(Id, Request,
+             isOwnerSilent(Item.Stock) ? Result_.Lost.Silent
+                                       : Result_.Lost.BackOff);
       return;
+    } else {
+      Item.Waiting.push_back(Request);
     }
-    Item.Waiting.push_back(Request);
-    ask(Id, Item.Waiting.size());
+    ask(Id);
   }
 
   void step(std::size_t Id) {
@@ -249,13 +295,15 @@
       serve(Id);
     else if (shouldRepeat(Item.Stock, now()))
       send({ownerFor(Id), Id, true, Item.Stock.Pending->Ask, {}});
-    while (!Item.Waiting.empty() &&
-           Ms_ - Item.Waiting.front().Arrived >= PermitWaitLimit.count()) {
-      countLoss(Item.Waiting.front(), Result_.Lost.Late);
-      Item.Waiting.pop_front();
-    }
-    if (!Item.Waiting.empty())
-      ask(Id, Item.Waiting.size());
+    for (std::deque<Waiter> *Queue : {&Item.Returned, &Item.Waiting})
+      while (!Queue->empty() &&
+             Ms_ - Queue->front().Arrived >= PermitWaitLimit.count()) {
+        const Waiter Late = Queue->front();
+        Queue->pop_front();
+        reject(Id, Late, Result_.Lost.Late);
+      }
+    if (!Item.Waiting.empty() || !Item.Returned.empty())
+      ask(Id);
     const std::size_t Entries =
         Plan_.Entries == 0 ? Nodes_.size() : Plan_.Entries;
     if (Id >= Entries)
@@ -270,6 +318,7 @@
   const FleetPlan &Plan_;
   std::vector<Node> Nodes_;
   std::multimap<std::int64_t, Message> InFlight_;
+  std::multimap<std::int64_t, std::pair<std::size_t, Waiter>> Returns_;
   std::mt19937_64 Random_{17};
   organisations::Quota Limit_;
   organisations::Quota OwnerLimit_;
--- a/src/quota/tests/FleetRun.h
+++ b/src/quota/tests/FleetRun.h
@@ -37,6 +37,11 @@
   /// Busy nodes handle this part of the messages up to SlowMs late.
   double SlowPart = 0;
   std::int64_t SlowMs = 0;
+  /// Refused callers return once, to the same node, if they are told to come
+  /// back within a third of their time; 0 if none do.
+  std::int64_t CallerTime = 0;
+  /// The owner is not told that they return, and they are told this time.
+  std::int64_t FixedReturnMs = 0;
 };
 
 /// Why requests were refused that a token bucket of the limit would have let
@@ -65,6 +70,11 @@
   /// that were refused.
   std::int64_t WithinLimit = 0;
   LossCounts Lost;
+  /// Callers that came back, and those of them that were refused again.
+  std::int64_t Returned = 0;
+  std::int64_t RefusedAgain = 0;
+  /// Callers that came back and were served, in ms since their first attempt.
+  std::int64_t ReturnedMs = 0;
 
   /// Returns how many were served in this span.
   std::int64_t servedBetween(std::int64_t From, std::int64_t To) const;
--- a/src/quota/tests/FleetTest.cpp
+++ b/src/quota/tests/FleetTest.cpp
@@ -327,4 +327,34 @@
       }
 }
 
+// Guards against callers that are told to come back and are refused again, and
+// against permits that are kept for them and not used. The callers of the
+// second run come back after 250 ms and are not recognised.
+BOOST_AUTO_TEST_CASE(returningCallersFindAPermit) {
+  for (const organisations::Quota &Limit :
+       {Small, organisations::Quota{64, 64}, Large})
+    for (const double Factor : {1.1, 1.3, 2.0, 7.0}) {
+      FleetPlan Plan = plan(84, Limit, [=](std::int64_t Ms) {
+        return Limit.PerSecond * (Ms < 10'000 ? 0.6 : Factor);
+      });
+      Plan.CallerTime = 2000;
+      const FleetResult Told = runFleet(Plan);
+      Plan.FixedReturnMs = 250;
+      const FleetResult Others = runFleet(Plan);
+      for (const FleetResult *Result : {&Told, &Others}) {
+        print("over the limit x " + std::to_string(Factor), Plan, *Result);
+        BOOST_TEST_MESSAGE("  came back " << Result->Returned
+                                          << ", refused again "
+                                          << Result->RefusedAgain);
+        checkBound(Plan, *Result);
+      }
+      BOOST_TEST(100 * Told.RefusedAgain <= Told.Returned);
+      const double Least = 0.9 * 20 * Limit.PerSecond - 2;
+      BOOST_TEST(static_cast<double>(Told.servedBetween(10'000, 30'000)) >=
+                 Least);
+      BOOST_TEST(static_cast<double>(Others.servedBetween(10'000, 30'000)) >=
+                 Least);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/quota/tests/OwnerBucketTest.cpp
+++ b/src/quota/tests/OwnerBucketTest.cpp
@@ -95,4 +95,44 @@
   BOOST_TEST(Large >= 4 * Small);
 }
 
+// Guards against callers of several entries that are told to come back at the
+// same time, when there is one permit.
+BOOST_AUTO_TEST_CASE(laterCallersGetLaterTimes) {
+  OwnerBucket Bucket;
+  const organisations::Quota Limit{20, 10};
+  run(Bucket, Limit, {4, 4}, 0, 5000);
+  // Far more is wanted than comes in, and no one has been told to come back.
+  grant(Bucket, Limit, ask("a", 1, 100), at(5000));
+  Bucket.Tokens = 0;
+  Bucket.Expected = 0;
+  std::vector<PermitGrant> Answers;
+  for (const char *Entry : {"b", "c", "d", "e"})
+    Answers.push_back(grant(Bucket, Limit, ask(Entry, 1, 1), at(5001)).value());
+  for (std::size_t Index = 0; Index < 3; ++Index)
+    BOOST_TEST((Answers[Index].ReturnDelay < Answers[Index + 1].ReturnDelay));
+  BOOST_TEST(Answers.front().Places == 1);
+  // From some time on the true delay is longer than callers wait.
+  BOOST_TEST(Answers[3].Places == 0);
+  BOOST_TEST(Answers[3].ReturnDelay.count() > 700);
+}
+
+// Guards against a returning caller that finds the permits taken by new
+// requests.
+BOOST_AUTO_TEST_CASE(returningCallersGoFirst) {
+  OwnerBucket Bucket;
+  const organisations::Quota Limit{100, 40};
+  run(Bucket, Limit, {4, 4}, 0, 5000);
+  const PermitGrant Told =
+      grant(Bucket, Limit, ask("a", 1, 1000), at(5000)).value();
+  BOOST_TEST(Told.Places > 0);
+  std::int64_t Number = 1;
+  for (std::int64_t Ms = 5100; Ms <= 5500; Ms += 50) {
+    refill(Bucket, Limit, {4, 4}, at(Ms));
+    grant(Bucket, Limit, ask("b", Number++, 1000), at(Ms));
+  }
+  PermitAsk Returning = ask("a", 2, 4);
+  Returning.Returning = 4;
+  BOOST_TEST(grant(Bucket, Limit, Returning, at(5501))->Permits == 4);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/quota/types/EntryStock.h
+++ b/src/quota/types/EntryStock.h
@@ -43,6 +43,11 @@
   SteadyTime NoneUntil;
   /// The owner has recently had fewer permits than asked for.
   SteadyTime ScarceUntil;
+  /// Callers that may still be told to come back, the first one at
+  /// NextPlaceAt.
+  std::int32_t Places = 0;
+  SteadyTime NextPlaceAt;
+  Milliseconds PlaceInterval{0};
   /// Asks in a row without an answer, and when the first of them was sent.
   std::int32_t Unanswered = 0;
   std::optional<SteadyTime> UnansweredSince;
--- a/src/quota/types/OwnerBucket.h
+++ b/src/quota/types/OwnerBucket.h
@@ -14,6 +14,8 @@
   /// Grows with each new ask of a process; a repetition has the same number.
   Sequence Number;
   std::int32_t Wanted = 0;
+  /// How many of these are for callers that were refused before.
+  std::int32_t Returning = 0;
 };
 
 /// The answer to a PermitAsk.
@@ -22,6 +24,12 @@
   std::int32_t Permits = 0;
   /// If fewer were granted than wanted: the time until more are expected.
   Milliseconds RetryDelay{0};
+  /// The entry may tell this many callers to come back: the first after
+  /// ReturnDelay, the others PlaceInterval apart. With fewer permits than
+  /// wanted, ReturnDelay is not 0.
+  std::int32_t Places = 0;
+  Milliseconds ReturnDelay{0};
+  Milliseconds PlaceInterval{0};
 };
 
 /// What the owner knows of one entry.
@@ -46,6 +54,10 @@
   /// Sum over the entries, decayed to DemandAt.
   double Demand = 0;
   SteadyTime DemandAt;
+  /// Callers that were told to come back and have not, decayed.
+  double Expected = 0;
+  /// Part of Tokens that is kept for them.
+  double Reserved = 0;
 };
 
 } // namespace lycheethread::quota
--- a/src/quota/types/OwnerCandidate.h
+++ b/src/quota/types/OwnerCandidate.h
@@ -3,6 +3,9 @@
 
 #include "model/Model.h"
 
+#include <cstdint>
+#include <vector>
+
 namespace lycheethread::quota {
 
 /// A node that may own a quota, as one node sees it.
@@ -16,6 +19,13 @@
   bool IsUnresponsive = false;
 };
 
+/// The nodes among which the owners are chosen.
+struct OwnerMembers {
+  std::vector<NodeId> Ids;
+  /// Grows with each change of Ids.
+  std::int64_t Version = 0;
+};
+
 } // namespace lycheethread::quota
 
 #endif // LYCHEETHREAD_QUOTA_TYPES_OWNERCANDIDATE_H
--- a/src/sidecar/gen/gossip_types.cpp
+++ b/src/sidecar/gen/gossip_types.cpp
@@ -1729,6 +1729,11 @@
 void AskMessage::__set_wanted(const int32_t val) {
   this->wanted = val;
 }
+
+void AskMessage::__set_returning(const int32_t val) {
+  this->returning = val;
+__isset.returning = true;
+}
 std::ostream& operator<<(std::ostream& out, const AskMessage& obj)
 {
   obj.printTo(out);
@@ -1789,6 +1794,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->returning);
+          this->__isset.returning = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1822,6 +1835,11 @@
   xfer += oprot->writeI32(this->wanted);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.returning) {
+    xfer += oprot->writeFieldBegin("returning", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->returning);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1833,6 +1851,7 @@
   swap(a.organisation, b.organisation);
   swap(a.number, b.number);
   swap(a.wanted, b.wanted);
+  swap(a.returning, b.returning);
   swap(a.__isset, b.__isset);
 }
 
@@ -1841,6 +1860,7 @@
   organisation = other32.organisation;
   number = other32.number;
   wanted = other32.wanted;
+  returning = other32.returning;
   __isset = other32.__isset;
 }
 AskMessage& AskMessage::operator=(const AskMessage& other33) {
@@ -1848,6 +1868,7 @@
   organisation = other33.organisation;
   number = other33.number;
   wanted = other33.wanted;
+  returning = other33.returning;
   __isset = other33.__isset;
   return *this;
 }
@@ -1858,6 +1879,7 @@
   out << ", " << "organisation=" << to_string(organisation);
   out << ", " << "number=" << to_string(number);
   out << ", " << "wanted=" << to_string(wanted);
+  out << ", " << "returning="; (__isset.returning ? (out << to_string(returning)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1881,6 +1903,21 @@
 void GrantMessage::__set_retryMs(const int32_t val) {
   this->retryMs = val;
 }
+
+void GrantMessage::__set_places(const int32_t val) {
+  this->places = val;
+__isset.places = true;
+}
+
+void GrantMessage::__set_returnMs(const int32_t val) {
+  this->returnMs = val;
+__isset.returnMs = true;
+}
+
+void GrantMessage::__set_intervalMs(const int32_t val) {
+  this->intervalMs = val;
+__isset.intervalMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const GrantMessage& obj)
 {
   obj.printTo(out);
@@ -1941,6 +1978,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->places);
+          this->__isset.places = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->returnMs);
+          this->__isset.returnMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->intervalMs);
+          this->__isset.intervalMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1974,6 +2035,21 @@
   xfer += oprot->writeI32(this->retryMs);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.places) {
+    xfer += oprot->writeFieldBegin("places", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->places);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.returnMs) {
+    xfer += oprot->writeFieldBegin("returnMs", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->returnMs);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.intervalMs) {
+    xfer += oprot->writeFieldBegin("intervalMs", ::apache::thrift::protocol::T_I32, 7);
+    xfer += oprot->writeI32(this->intervalMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1985,6 +2061,9 @@
   swap(a.number, b.number);
   swap(a.permits, b.permits);
   swap(a.retryMs, b.retryMs);
+  swap(a.places, b.places);
+  swap(a.returnMs, b.returnMs);
+  swap(a.intervalMs, b.intervalMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -1993,6 +2072,9 @@
   number = other34.number;
   permits = other34.permits;
   retryMs = other34.retryMs;
+  places = other34.places;
+  returnMs = other34.returnMs;
+  intervalMs = other34.intervalMs;
   __isset = other34.__isset;
 }
 GrantMessage& GrantMessage::operator=(const GrantMessage& other35) {
@@ -2000,6 +2082,9 @@
   number = other35.number;
   permits = other35.permits;
   retryMs = other35.retryMs;
+  places = other35.places;
+  returnMs = other35.returnMs;
+  intervalMs = other35.intervalMs;
   __isset = other35.__isset;
   return *this;
 }
@@ -2010,6 +2095,9 @@
   out << ", " << "number=" << to_string(number);
   out << ", " << "permits=" << to_string(permits);
   out << ", " << "retryMs=" << to_string(retryMs);
+  out << ", " << "places="; (__isset.places ? (out << to_string(places)) : (out << "<null>"));
+  out << ", " << "returnMs="; (__isset.returnMs ? (out << to_string(returnMs)) : (out << "<null>"));
+  out << ", " << "intervalMs="; (__isset.intervalMs ? (out << to_string(intervalMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/sidecar/gen/gossip_types.h
+++ b/src/sidecar/gen/gossip_types.h
@@ -709,11 +709,12 @@
 std::ostream& operator<<(std::ostream& out, const BeatMessage& obj);
 
 typedef struct _AskMessage__isset {
-  _AskMessage__isset() : node(false), organisation(false), number(false), wanted(false) {}
+  _AskMessage__isset() : node(false), organisation(false), number(false), wanted(false), returning(false) {}
   bool node :1;
   bool organisation :1;
   bool number :1;
   bool wanted :1;
+  bool returning :1;
 } _AskMessage__isset;
 
 class AskMessage : public virtual ::apache::thrift::TBase {
@@ -725,7 +726,8 @@
                : node(),
                  organisation(),
                  number(0),
-                 wanted(0) {
+                 wanted(0),
+                 returning(0) {
   }
 
   virtual ~AskMessage() noexcept;
@@ -733,6 +735,7 @@
   std::string organisation;
   int64_t number;
   int32_t wanted;
+  int32_t returning;
 
   _AskMessage__isset __isset;
 
@@ -744,6 +747,8 @@
 
   void __set_wanted(const int32_t val);
 
+  void __set_returning(const int32_t val);
+
   bool operator == (const AskMessage & rhs) const
   {
     if (!(node == rhs.node))
@@ -754,6 +759,10 @@
       return false;
     if (!(wanted == rhs.wanted))
       return false;
+    if (__isset.returning != rhs.__isset.returning)
+      return false;
+    else if (__isset.returning && !(returning == rhs.returning))
+      return false;
     return true;
   }
   bool operator != (const AskMessage &rhs) const {
@@ -773,11 +782,14 @@
 std::ostream& operator<<(std::ostream& out, const AskMessage& obj);
 
 typedef struct _GrantMessage__isset {
-  _GrantMessage__isset() : organisation(false), number(false), permits(false), retryMs(false) {}
+  _GrantMessage__isset() : organisation(false), number(false), permits(false), retryMs(false), places(false), returnMs(false), intervalMs(false) {}
   bool organisation :1;
   bool number :1;
   bool permits :1;
   bool retryMs :1;
+  bool places :1;
+  bool returnMs :1;
+  bool intervalMs :1;
 } _GrantMessage__isset;
 
 class GrantMessage : public virtual ::apache::thrift::TBase {
@@ -789,7 +801,10 @@
                  : organisation(),
                    number(0),
                    permits(0),
-                   retryMs(0) {
+                   retryMs(0),
+                   places(0),
+                   returnMs(0),
+                   intervalMs(0) {
   }
 
   virtual ~GrantMessage() noexcept;
@@ -797,6 +812,9 @@
   int64_t number;
   int32_t permits;
   int32_t retryMs;
+  int32_t places;
+  int32_t returnMs;
+  int32_t intervalMs;
 
   _GrantMessage__isset __isset;
 
@@ -808,6 +826,12 @@
 
   void __set_retryMs(const int32_t val);
 
+  void __set_places(const int32_t val);
+
+  void __set_returnMs(const int32_t val);
+
+  void __set_intervalMs(const int32_t val);
+
   bool operator == (const GrantMessage & rhs) const
   {
     if (!(organisation == rhs.organisation))
@@ -818,6 +842,18 @@
       return false;
     if (!(retryMs == rhs.retryMs))
       return false;
+    if (__isset.places != rhs.__isset.places)
+      return false;
+    else if (__isset.places && !(places == rhs.places))
+      return false;
+    if (__isset.returnMs != rhs.__isset.returnMs)
+      return false;
+    else if (__isset.returnMs && !(returnMs == rhs.returnMs))
+      return false;
+    if (__isset.intervalMs != rhs.__isset.intervalMs)
+      return false;
+    else if (__isset.intervalMs && !(intervalMs == rhs.intervalMs))
+      return false;
     return true;
   }
   bool operator != (const GrantMessage &rhs) const {
--- a/src/sidecar/gossip.thrift
+++ b/src/sidecar/gossip.thrift
@@ -87,6 +87,7 @@
   2: string organisation
   3: i64 number          // of the ask; a repetition has the same one
   4: i32 wanted
+  5: optional i32 returning  // of these, for callers that were refused before
 }
 
 struct GrantMessage {
@@ -94,6 +95,11 @@
   2: i64 number          // of the ask
   3: i32 permits
   4: i32 retryMs         // until more are expected, if fewer than wanted
+  // So many callers may be told to come back, the first after returnMs and the
+  // others intervalMs apart.
+  5: optional i32 places
+  6: optional i32 returnMs
+  7: optional i32 intervalMs
 }
 
 // One datagram. The first report is that of the sender; a datagram with asks or
--- a/src/sidecar/internal/Allotments.cpp
+++ b/src/sidecar/internal/Allotments.cpp
@@ -11,8 +11,7 @@
 constexpr Milliseconds TickInterval{200};
 /// How often pending asks and waiting requests are looked at.
 constexpr Milliseconds CheckInterval{10};
-/// Owners change when nodes start or end; finding them takes a hash for each
-/// node and organisation.
+/// Owners change when nodes start, end or fall silent.
 constexpr Milliseconds OwnerInterval{400};
 /// A restarted node counts the nodes of the list until it has had the time to
 /// hear of each that runs. The list also holds those that have ended: after a
@@ -66,16 +65,30 @@
   const SteadyTime Now = Context_.now();
   const Milliseconds Window = times().HeardWindow;
   quota::Fleet Nodes;
+  std::vector<const NodeId *> Members;
+  Members.reserve(Members_.Ids.size());
   for (const auto &[Id, Known] : Context_.KnownNodes.Nodes) {
     if (Known.LastReport.Stopping)
       continue;
     ++Nodes.Known;
+    Members.push_back(&Id);
     if (elapsed(Known.HeardAt, Now) < Window)
       ++Nodes.Heard;
   }
   if (elapsed(StartedAt_, Now) < ListTime)
     Nodes.Known = std::max(Nodes.Known, Context_.Join.Others + 1);
   Fleet_ = Nodes;
+  quota::updateMembers(Members_, Members);
+}
+
+/// Finding the order takes a hash for each node.
+void Allotments::updateOrder(const organisations::OrganisationId &Name,
+                             Account &Item) {
+  if (Item.OrderVersion == Members_.Version)
+    return;
+  Item.Order = mesh::rendezvousOrder(Context_.KnownNodes, "quota/" + Name.str(),
+                                     OwnerCandidates);
+  Item.OrderVersion = Members_.Version;
 }
 
 void Allotments::updateOwners() {
@@ -100,20 +113,25 @@
   const SteadyTime Now = Context_.now();
   const NodeId &Self = Context_.Settings.Id;
   std::vector<quota::OwnerCandidate> InOrder;
-  for (const NodeId &Id : mesh::rendezvousOrder(
-           Context_.KnownNodes, "quota/" + Name.str(), OwnerCandidates)) {
+  updateOrder(Name, Item);
+  for (const NodeId &Id : Item.Order) {
     quota::OwnerCandidate Next{Id, Id == Self, Milliseconds(0), false};
     // The others leave a stopping node out.
     if (Next.IsSelf && Context_.Stopping)
       continue;
     if (!Next.IsSelf) {
-      const SteadyTime HeardAt = Context_.KnownNodes.Nodes.at(Id).HeardAt;
+      const auto Known = Context_.KnownNodes.Nodes.find(Id);
+      if (Known == Context_.KnownNodes.Nodes.end())
+        continue;
+      const SteadyTime HeardAt = Known->second.HeardAt;
       const auto Unanswered = Item.UnresponsiveSince.find(Id);
       Next.SilentFor = elapsed(HeardAt, Now);
       Next.IsUnresponsive = Unanswered != Item.UnresponsiveSince.end() &&
                             HeardAt <= Unanswered->second;
     }
     InOrder.push_back(std::move(Next));
+    if (quota::endsChoice(InOrder.back(), times()))
+      break;
   }
   Item.Owner = quota::chooseOwner(InOrder);
   if (!quota::mayOwn(InOrder, times())) {
@@ -151,7 +169,7 @@
 }
 
 void Allotments::acquire(const organisations::Organisation &Holder,
-                         SteadyTime Deadline, OnResult Done) {
+                         SteadyTime Deadline, Milliseconds Age, OnResult Done) {
   const SteadyTime Now = Context_.now();
   if (!Holder.Limit) {
     Done({true, Now, {}});
@@ -163,22 +181,24 @@
   Account &Item = accountOf(Holder);
   quota::recordDemand(Item.Stock, Now);
   PermitResult Taken;
-  if (Item.Waiting.empty())
+  if (Item.Waiting.empty() && Item.Returning.empty())
     Taken = tryTake(Item);
   if (Taken.Granted) {
     Done(Taken);
-    askIfNeeded(Holder.Name, Item, 0);
+    askIfNeeded(Holder.Name, Item);
     return;
   }
-  if (quota::shouldRefuse(Item.Stock, Now) ||
-      Item.Waiting.size() >= MaxWaiting) {
-    refuse(Holder.Name, Item, Done);
+  const bool IsReturning = quota::isReturning(Age);
+  Waiters &Queue = IsReturning ? Item.Returning : Item.Waiting;
+  Waiter Each{std::min(Deadline, after(Now, quota::PermitWaitLimit)), Deadline,
+              std::move(Done)};
+  if ((!IsReturning && quota::shouldRefuse(Item.Stock, Now)) ||
+      Queue.size() >= MaxWaiting) {
+    refuse(Holder.Name, Item, Each);
     return;
   }
-  Item.Waiting.push_back(
-      {std::min(Deadline, after(Now, quota::PermitWaitLimit)),
-       std::move(Done)});
-  askIfNeeded(Holder.Name, Item, Item.Waiting.size());
+  Queue.push_back(std::move(Each));
+  askIfNeeded(Holder.Name, Item);
   startCheck();
 }
 
@@ -194,17 +214,21 @@
 }
 
 void Allotments::askIfNeeded(const organisations::OrganisationId &Name,
-                             Account &Item, std::size_t Waiting) {
-  const std::int32_t Wanted = quota::permitsToAsk(
-      Item.Stock, static_cast<std::int32_t>(Waiting), Context_.now());
+                             Account &Item) {
+  const auto Returning = static_cast<std::int32_t>(Item.Returning.size());
+  const auto New = static_cast<std::int32_t>(Item.Waiting.size());
+  const std::int32_t Wanted = quota::permitsToAsk(Item.Stock, Returning + New,
+                                                  Context_.now(), Returning);
   if (Wanted > 0)
-    sendAsk(Name, Item, Wanted);
+    sendAsk(Name, Item, Wanted, Returning);
 }
 
 void Allotments::sendAsk(const organisations::OrganisationId &Name,
-                         Account &Item, std::int32_t Wanted) {
-  const quota::PermitAsk Ask = quota::startAsk(
-      Item.Stock, Context_.Settings.Id, Item.Owner, Wanted, Context_.now());
+                         Account &Item, std::int32_t Wanted,
+                         std::int32_t Returning) {
+  const quota::PermitAsk Ask =
+      quota::startAsk(Item.Stock, Context_.Settings.Id, Item.Owner, Wanted,
+                      Context_.now(), Returning);
   startCheck();
   if (Item.Owner == Context_.Settings.Id) {
     if (const auto Grant = grantAsOwner(Item, Ask))
@@ -260,28 +284,32 @@
     serveWaiting(Name, Item);
 }
 
-void Allotments::serveWaiting(const organisations::OrganisationId &Name,
-                              Account &Item) {
-  while (!Item.Waiting.empty()) {
+void Allotments::serve(Account &Item, Waiters &Queue) {
+  while (!Queue.empty()) {
     const PermitResult Taken = tryTake(Item);
     if (!Taken.Granted)
-      break;
-    const OnResult Done = std::move(Item.Waiting.front().Done);
-    Item.Waiting.pop_front();
+      return;
+    const OnResult Done = std::move(Queue.front().Done);
+    Queue.pop_front();
     Done(Taken);
   }
-  if (!quota::shouldRefuse(Item.Stock, Context_.now())) {
-    askIfNeeded(Name, Item, Item.Waiting.size());
-    return;
+}
+
+void Allotments::serveWaiting(const organisations::OrganisationId &Name,
+                              Account &Item) {
+  serve(Item, Item.Returning);
+  serve(Item, Item.Waiting);
+  if (quota::shouldRefuse(Item.Stock, Context_.now())) {
+    Waiters Refused;
+    Refused.swap(Item.Waiting);
+    for (const Waiter &Each : Refused)
+      refuse(Name, Item, Each);
   }
-  std::deque<Waiter> Refused;
-  Refused.swap(Item.Waiting);
-  for (const Waiter &Each : Refused)
-    refuse(Name, Item, Each.Done);
+  askIfNeeded(Name, Item);
 }
 
 void Allotments::refuse(const organisations::OrganisationId &Name,
-                        Account &Item, const OnResult &Done) {
+                        Account &Item, const Waiter &Each) {
   const SteadyTime Now = Context_.now();
   ++Item.Refused;
   if (elapsed(Item.RefusalLoggedAt, Now) >= LogInterval) {
@@ -296,7 +324,20 @@
          {"owner_silent", quota::isOwnerSilent(Item.Stock) ? "yes" : "no"},
          {"refused", std::to_string(Item.Refused)}});
   }
-  Done({false, {}, quota::refusalDelay(Item.Stock, Now)});
+  Each.Done(
+      {false,
+       {},
+       quota::takeReturnDelay(Item.Stock, elapsed(Now, Each.Deadline), Now)});
+}
+
+void Allotments::refuseLate(const organisations::OrganisationId &Name,
+                            Account &Item, Waiters &Queue) {
+  const SteadyTime Now = Context_.now();
+  while (!Queue.empty() && Queue.front().Until <= Now) {
+    const Waiter Late = std::move(Queue.front());
+    Queue.pop_front();
+    refuse(Name, Item, Late);
+  }
 }
 
 /// An owner that has not been heard of either is taken for gone.
@@ -343,14 +384,12 @@
         Send_(Found->second.LastReport.Gossip, Message);
       }
     }
-    while (!Item.Waiting.empty() && Item.Waiting.front().Until <= Now) {
-      const OnResult Done = std::move(Item.Waiting.front().Done);
-      Item.Waiting.pop_front();
-      refuse(Name, Item, Done);
-    }
-    if (!Item.Waiting.empty())
-      askIfNeeded(Name, Item, Item.Waiting.size());
-    IsBusy = IsBusy || Item.Stock.Pending || !Item.Waiting.empty();
+    refuseLate(Name, Item, Item.Returning);
+    refuseLate(Name, Item, Item.Waiting);
+    const bool IsWaiting = !Item.Waiting.empty() || !Item.Returning.empty();
+    if (IsWaiting)
+      askIfNeeded(Name, Item);
+    IsBusy = IsBusy || Item.Stock.Pending || IsWaiting;
   }
   if (IsBusy)
     startCheck();
--- a/src/sidecar/internal/Allotments.h
+++ b/src/sidecar/internal/Allotments.h
@@ -33,9 +33,9 @@
   ~Allotments();
 
   /// Calls \p Done at once, or within quota::PermitWaitLimit when the owner has
-  /// to be asked.
+  /// to be asked. \p Age is the time since the caller's first attempt.
   void acquire(const organisations::Organisation &Holder, SteadyTime Deadline,
-               OnResult Done);
+               Milliseconds Age, OnResult Done);
 
   /// Gives back the permit of a request that has not run.
   void release(const organisations::Organisation &Holder, SteadyTime ExpiresAt);
@@ -46,13 +46,20 @@
 private:
   struct Waiter {
     SteadyTime Until;
+    SteadyTime Deadline;
     OnResult Done;
   };
+  using Waiters = std::deque<Waiter>;
   /// An organisation as an entry and, if this node owns it, as the owner.
   struct Account {
     quota::EntryStock Stock;
-    std::deque<Waiter> Waiting;
+    Waiters Waiting;
+    /// Requests of callers that were refused before; served first.
+    Waiters Returning;
     NodeId Owner;
+    /// The first nodes in the rendezvous order, for a version of Members_.
+    std::vector<NodeId> Order;
+    std::int64_t OrderVersion = -1;
     /// Nodes that have not answered, and when they were given up.
     std::map<NodeId, SteadyTime> UnresponsiveSince;
     std::unique_ptr<quota::OwnerBucket> Bucket;
@@ -68,24 +75,27 @@
   Account &accountOf(const organisations::Organisation &Holder);
   void tick();
   void updateFleet();
+  void updateOrder(const organisations::OrganisationId &Name, Account &Item);
   void updateOwners();
   void updateOwner(const organisations::OrganisationId &Name, Account &Item);
   void replaceSilentOwner(const organisations::OrganisationId &Name,
                           Account &Item);
   void check();
   void startCheck();
-  void askIfNeeded(const organisations::OrganisationId &Name, Account &Item,
-                   std::size_t Waiting);
+  void askIfNeeded(const organisations::OrganisationId &Name, Account &Item);
   void sendAsk(const organisations::OrganisationId &Name, Account &Item,
-               std::int32_t Wanted);
+               std::int32_t Wanted, std::int32_t Returning);
   void onAsk(const QuotaAsk &Item);
   void onGrant(const organisations::OrganisationId &Name, Account &Item,
                const quota::PermitGrant &Grant);
   std::optional<quota::PermitGrant> grantAsOwner(Account &Item,
                                                  const quota::PermitAsk &Ask);
   void serveWaiting(const organisations::OrganisationId &Name, Account &Item);
+  void serve(Account &Item, Waiters &Queue);
   void refuse(const organisations::OrganisationId &Name, Account &Item,
-              const OnResult &Done);
+              const Waiter &Each);
+  void refuseLate(const organisations::OrganisationId &Name, Account &Item,
+                  Waiters &Queue);
   PermitResult tryTake(Account &Item);
   quota::QuotaTimes times() const;
   organisations::Quota ownerLimit(const Account &Item) const;
@@ -94,6 +104,8 @@
   SendMessage Send_;
   Accounts Accounts_;
   quota::Fleet Fleet_;
+  /// The other nodes that are not stopping.
+  quota::OwnerMembers Members_;
   /// The configuration that Accounts_ has been compared with.
   mesh::MeshConfigPtr Config_;
   SteadyTime StartedAt_;
--- a/src/sidecar/internal/GossipCodec.cpp
+++ b/src/sidecar/internal/GossipCodec.cpp
@@ -254,12 +254,15 @@
   To.__set_organisation(From.Organisation.str());
   To.__set_number(From.Ask.Number.value());
   To.__set_wanted(From.Ask.Wanted);
+  if (From.Ask.Returning > 0)
+    To.__set_returning(From.Ask.Returning);
   return To;
 }
 
 QuotaAsk fromWire(const wire::AskMessage &From) {
-  return {organisations::OrganisationId(From.organisation),
-          {NodeId(From.node), Sequence(From.number), From.wanted}};
+  return {
+      organisations::OrganisationId(From.organisation),
+      {NodeId(From.node), Sequence(From.number), From.wanted, From.returning}};
 }
 
 wire::GrantMessage toWire(const QuotaGrant &From) {
@@ -268,13 +271,21 @@
   To.__set_number(From.Grant.Number.value());
   To.__set_permits(From.Grant.Permits);
   To.__set_retryMs(saturated(From.Grant.RetryDelay));
+  if (From.Grant.ReturnDelay > Milliseconds(0))
+    To.__set_returnMs(saturated(From.Grant.ReturnDelay));
+  if (From.Grant.Places > 0) {
+    To.__set_places(From.Grant.Places);
+    To.__set_intervalMs(saturated(From.Grant.PlaceInterval));
+  }
   return To;
 }
 
 QuotaGrant fromWire(const wire::GrantMessage &From) {
   return {organisations::OrganisationId(From.organisation),
           {Sequence(From.number), From.permits,
-           Milliseconds(std::max(0, From.retryMs))}};
+           Milliseconds(std::max(0, From.retryMs)), From.places,
+           Milliseconds(std::max(0, From.returnMs)),
+           Milliseconds(std::max(0, From.intervalMs))}};
 }
 
 /// Configurations are long, repetitive texts and cross links that are billed by
--- a/src/sidecar/internal/OutboundProxy.cpp
+++ b/src/sidecar/internal/OutboundProxy.cpp
@@ -525,9 +525,11 @@
     const std::int64_t Wanted = std::clamp<std::int64_t>(
         RetryDelay.count(), MinRetryAfter.count(), Longest);
     // The jitter keeps requests that were refused together from returning
-    // together.
+    // together. A quota states a different time for each.
     std::uniform_int_distribution<std::int64_t> Jitter(
-        Wanted, std::max(Wanted, std::min(2 * Wanted, Longest)));
+        Wanted,
+        IsOverQuota ? Wanted
+                    : std::max(Wanted, std::min(2 * Wanted, Longest)));
     Head.set("Retry-After", Poco::NumberFormatter::format(
                                 static_cast<double>(Jitter(Context_.Random)) /
                                     MillisecondsPerSecond,
--- a/src/sidecar/tests/CodecTest.cpp
+++ b/src/sidecar/tests/CodecTest.cpp
@@ -99,6 +99,27 @@
   BOOST_TEST(Read->Grants[0].Grant.RetryDelay.count() == 250);
 }
 
+// Guards against an owner that does not learn who comes back, and an entry that
+// does not learn when.
+BOOST_AUTO_TEST_CASE(placesOfReturningCallersRoundTrip) {
+  GossipMessage Message;
+  Message.Asks.push_back({organisations::OrganisationId("acme"),
+                          {NodeId("10.0.0.7"), Sequence(5), 12, 3}});
+  Message.Grants.push_back({organisations::OrganisationId("corp"),
+                            {Sequence(9), 3, Milliseconds(250), 4,
+                             Milliseconds(310), Milliseconds(7)}});
+  BOOST_TEST_MESSAGE("ask with returning callers: "
+                     << encodeGossip({{}, {}, {}, Message.Asks}).size()
+                     << " bytes, grant with places: "
+                     << encodeGossip({{}, {}, {}, {}, Message.Grants}).size());
+  const auto Read = decodeGossip(encodeGossip(Message));
+  BOOST_REQUIRE((Read && Read->Asks.size() == 1U && Read->Grants.size() == 1U));
+  BOOST_TEST(Read->Asks[0].Ask.Returning == 3);
+  BOOST_TEST(Read->Grants[0].Grant.Places == 4);
+  BOOST_TEST(Read->Grants[0].Grant.ReturnDelay.count() == 310);
+  BOOST_TEST(Read->Grants[0].Grant.PlaceInterval.count() == 7);
+}
+
 // Guards against a crash of the process by a datagram from a foreign sender.
 BOOST_AUTO_TEST_CASE(brokenDatagramsAreRejected) {
   const std::string Whole = encodeGossip({{fullReport()}, {}, {}});
