--- a/src/quota/tests/FleetRun.cpp
+++ b/src/quota/tests/FleetRun.cpp
@@ -24,29 +24,38 @@
   PermitGrant Grant;
 };
 
+struct Waiter {
+  std::int64_t Arrived = 0;
+  bool IsWithinLimit = false;
+  /// Time of the first attempt.
+  std::int64_t FirstAt = 0;
+  bool IsReturning = false;
+};
+
 struct Node {
   EntryStock Stock;
-  std::deque<std::int64_t> Waiting;
+  std::deque<Waiter> Waiting;
+  /// Those of callers that were refused before.
+  std::deque<Waiter> Returned;
   OwnerBucket Bucket;
   bool WasOwner = false;
 };
 
 class Run {
 public:
-  explicit Run(const FleetPlan &Plan) : Plan_(Plan), Nodes_(Plan.Nodes) {
-    for (Node &Item : Nodes_)
-      Item.Stock.LastNumber =
-          Sequence(static_cast<std::int64_t>(Random_() % (1ULL << 40)));
-  }
+  explicit Run(const FleetPlan &Plan) : Plan_(Plan) { restart(); }
 
   FleetResult result() {
     for (Ms_ = 0; Ms_ < Plan_.Length; Ms_ += FleetStep) {
       Result_.ServedIn.push_back(0);
       Limit_ = Plan_.LimitAt ? Plan_.LimitAt(Ms_) : Plan_.Limit;
       OwnerLimit_ = ownerLimit(Limit_, Slack);
+      if (Ms_ == Plan_.RestartAt)
+        restart();
       if (Ms_ % RefillInterval == 0)
         refillOwners();
       deliver();
+      returnCallers();
       for (std::size_t Id = 0; Id < Nodes_.size(); ++Id)
         if (!isDead(Id))
           step(Id);
@@ -55,6 +64,14 @@
   }
 
 private:
+  void restart() {
+    Nodes_ = std::vector<Node>(Plan_.Nodes);
+    InFlight_.clear();
+    for (Node &Item : Nodes_)
+      Item.Stock.LastNumber =
+          Sequence(static_cast<std::int64_t>(Random_() % (1ULL << 40)));
+  }
+
   SteadyTime now() const { return SteadyTime(Base + Ms_); }
   bool isDead(std::size_t Id) const {
     return Id == 0 && Plan_.KillAt >= 0 && Ms_ >= Plan_.KillAt;
@@ -101,8 +118,10 @@
     for (std::size_t Id = 0; Id < Nodes_.size(); ++Id) {
       Node &Item = Nodes_[Id];
       const bool IsOwner = !isDead(Id) && ownerFor(Id) == Id;
-      if (IsOwner && !Item.WasOwner)
+      if (IsOwner && !Item.WasOwner) {
         Item.Bucket = {};
+        Item.Bucket.Early = earlyPermits(Limit_, Slack);
+      }
       Item.WasOwner = IsOwner;
       if (IsOwner)
         refill(Item.Bucket, OwnerLimit_, fleetFor(Id), now());
@@ -114,7 +133,10 @@
     std::uniform_real_distribution<double> Chance(0, 1);
     if (Chance(Random_) < Plan_.Loss || isCut(Item.From, Item.To))
       return;
-    const auto Delay = static_cast<std::int64_t>(1 + Random_() % 60);
+    auto Delay = static_cast<std::int64_t>(1 + Random_() % 60);
+    if (Plan_.SlowPart > 0 && Chance(Random_) < Plan_.SlowPart)
+      Delay += static_cast<std::int64_t>(Chance(Random_) *
+                                         static_cast<double>(Plan_.SlowMs));
     InFlight_.emplace(Ms_ + Delay, Item);
   }
 
@@ -150,34 +172,89 @@
            takeFallback(Stock, fleetFor(Id), times(), now());
   }
 
-  void count(std::int64_t Arrived) {
+  void count(const Waiter &Request) {
     ++Result_.Served;
     ++Result_.ServedIn.back();
-    Result_.LongestWait = std::max(Result_.LongestWait, Ms_ - Arrived);
+    Result_.LongestWait = std::max(Result_.LongestWait, Ms_ - Request.Arrived);
+    if (Request.FirstAt != Request.Arrived)
+      Result_.ReturnedMs += Ms_ - Request.FirstAt;
   }
 
   void serve(std::size_t Id) {
     Node &Item = Nodes_[Id];
-    while (!Item.Waiting.empty() && tryTake(Id)) {
-      count(Item.Waiting.front());
-      Item.Waiting.pop_front();
-    }
-    if (shouldRefuse(Item.Stock, now()))
+    for (std::deque<Waiter> *Queue : {&Item.Returned, &Item.Waiting})
+      while (!Queue->empty() && tryTake(Id)) {
+        count(Queue->front());
+        Queue->pop_front();
+      }
+    if (shouldRefuse(Item.Stock, now())) {
+      for (const Waiter &Each : Item.Waiting)
+        reject(Id, Each,
+               isOwnerSilent(Item.Stock) ? Result_.Lost.Silent
+                                         : Result_.Lost.TooFew);
       Item.Waiting.clear();
-    else
-      ask(Id, Item.Waiting.size());
+    }
+    ask(Id);
   }
 
-  void ask(std::size_t Id, std::size_t Waiting) {
+  /// Refuses the request and decides whether its caller comes back.
+  void reject(std::size_t Id, const Waiter &Each, std::int64_t &Reason) {
+    Reason += Each.IsWithinLimit ? 1 : 0;
+    if (Plan_.CallerTime == 0)
+      return;
+    if (Each.FirstAt != Each.Arrived) {
+      ++Result_.RefusedAgain;
+      return;
+    }
+    const Milliseconds Left(Plan_.CallerTime - (Ms_ - Each.FirstAt));
+    std::int64_t Delay = Plan_.FixedReturnMs;
+    if (Delay == 0)
+      Delay = takeReturnDelay(Nodes_[Id].Stock, Left, now()).count();
+    if (Delay > Left.count() / 3)
+      return;
+    ++Result_.Returned;
+    Returns_.emplace(Ms_ + Delay, std::make_pair(Id, Each));
+  }
+
+  void returnCallers() {
+    while (!Returns_.empty() && Returns_.begin()->first <= Ms_) {
+      auto [Id, Request] = Returns_.begin()->second;
+      Returns_.erase(Returns_.begin());
+      Request.IsWithinLimit = false;
+      Request.Arrived = Ms_;
+      Request.IsReturning = Plan_.FixedReturnMs == 0;
+      if (!isDead(Id))
+        receive(Id, Request);
+    }
+  }
+
+  /// Whether a token bucket of the limit lets one more request pass.
+  bool takeToken() {
+    Tokens_ =
+        std::min(Limit_.Burst,
+                 Tokens_ + Limit_.PerSecond *
+                               static_cast<double>(Ms_ - TokensAt_) / 1000);
+    TokensAt_ = Ms_;
+    if (Tokens_ < 1)
+      return false;
+    Tokens_ -= 1;
+    ++Result_.WithinLimit;
+    return true;
+  }
+
+  void ask(std::size_t Id) {
     EntryStock &Stock = Nodes_[Id].Stock;
-    const std::int32_t Wanted =
-        permitsToAsk(Stock, static_cast<std::int32_t>(Waiting), now());
+    const auto Returning =
+        static_cast<std::int32_t>(Nodes_[Id].Returned.size());
+    const auto All =
+        Returning + static_cast<std::int32_t>(Nodes_[Id].Waiting.size());
+    const std::int32_t Wanted = permitsToAsk(Stock, All, now(), Returning);
     if (Wanted == 0)
       return;
     const std::size_t Owner = ownerFor(Id);
     const PermitAsk Ask =
         startAsk(Stock, NodeId(std::to_string(Id)),
-                 NodeId(std::to_string(Owner)), Wanted, now());
+                 NodeId(std::to_string(Owner)), Wanted, now(), Returning);
     if (Owner != Id)
       send({Owner, Id, true, Ask, {}});
     else if (const auto Grant = answer(Id, Ask))
@@ -185,18 +262,29 @@
   }
 
   void arrive(std::size_t Id) {
-    Node &Item = Nodes_[Id];
     ++Result_.Offered;
+    receive(Id, {Ms_, takeToken(), Ms_, false});
+  }
+
+  void receive(std::size_t Id, const Waiter &Request) {
+    Node &Item = Nodes_[Id];
     recordDemand(Item.Stock, now());
-    if (Item.Waiting.empty() && tryTake(Id)) {
-      count(Ms_);
-      ask(Id, 0);
+    if (Item.Returned.empty() && Item.Waiting.empty() && tryTake(Id)) {
+      count(Request);
+      ask(Id);
       return;
     }
-    if (shouldRefuse(Item.Stock, now()))
+    if (Request.IsReturning) {
+      Item.Returned.push_back(Request);
+    } else if (shouldRefuse(Item.Stock, now())) {
+      reject(Id, Request,
+             isOwnerSilent(Item.Stock) ? Result_.Lost.Silent
+                                       : Result_.Lost.BackOff);
       return;
-    Item.Waiting.push_back(Ms_);
-    ask(Id, Item.Waiting.size());
+    } else {
+      Item.Waiting.push_back(Request);
+    }
+    ask(Id);
   }
 
   void step(std::size_t Id) {
@@ -207,9 +295,15 @@
       serve(Id);
     else if (shouldRepeat(Item.Stock, now()))
       send({ownerFor(Id), Id, true, Item.Stock.Pending->Ask, {}});
-    while (!Item.Waiting.empty() &&
-           Ms_ - Item.Waiting.front() >= PermitWaitLimit.count())
-      Item.Waiting.pop_front();
+    for (std::deque<Waiter> *Queue : {&Item.Returned, &Item.Waiting})
+      while (!Queue->empty() &&
+             Ms_ - Queue->front().Arrived >= PermitWaitLimit.count()) {
+        const Waiter Late = Queue->front();
+        Queue->pop_front();
+        reject(Id, Late, Result_.Lost.Late);
+      }
+    if (!Item.Waiting.empty() || !Item.Returned.empty())
+      ask(Id);
     const std::size_t Entries =
         Plan_.Entries == 0 ? Nodes_.size() : Plan_.Entries;
     if (Id >= Entries)
@@ -224,10 +318,14 @@
   const FleetPlan &Plan_;
   std::vector<Node> Nodes_;
   std::multimap<std::int64_t, Message> InFlight_;
+  std::multimap<std::int64_t, std::pair<std::size_t, Waiter>> Returns_;
   std::mt19937_64 Random_{17};
   organisations::Quota Limit_;
   organisations::Quota OwnerLimit_;
   std::int64_t Ms_ = 0;
+  /// Of the token bucket with which the result is compared.
+  double Tokens_ = 0;
+  std::int64_t TokensAt_ = -60'000;
   FleetResult Result_;
 };
 
