Count requests by organisation and outcome at the entry

Operators could not see from the metrics who is served and who is refused: there were histograms by calling service and class only, in which a refusal after a millisecond looked like a fast answer.

RequestSample gains the organisation, the outcome and whether the request is a nested call or pipelined. New families: latency by organisation and class, finished requests by organisation, class and outcome, nested calls and pipelined requests by outcome, refused keys, and the use of quotas by organisation. At most 256 organisations have their own series. The entry keeps one sample and reuses its strings, so recording does not allocate once a series exists. The writers of the text format move to TextFormat.

The whole PlatformNodeTests were not run.

--- a/src/metrics/Metrics.h
+++ b/src/metrics/Metrics.h
@@ -2,10 +2,12 @@
 #define LYCHEETHREAD_METRICS_METRICS_H
 
 /// Public header of the metrics library: request histograms for each caller and
-/// class, traffic counters, and their text exposition.
+/// class, latencies and outcomes by organisation, the use of quotas, traffic
+/// counters, and their text exposition.
 
 #include "kernel/Kernel.h"
 #include "metrics/types/MetricsRegistry.h"
+#include "metrics/types/QuotaUse.h"
 #include "metrics/types/RequestSample.h"
 #include "metrics/types/TrafficSample.h"
 
@@ -15,6 +17,11 @@
 /// kernel::service_names, and MetricsRegistry under RegistryName.
 kernel::Module makeMetricsModule();
 
+/// Returns the text exposition of the use of quotas. The first MaxOrganisations
+/// items have their own series, the sums of the others are under
+/// OtherOrganisations.
+std::string quotaExposition(const std::vector<QuotaUse> &Uses);
+
 /// Escapes a label value for the text exposition.
 std::string escapeLabel(const std::string &Value);
 
--- a/src/metrics/internal/Exposition.cpp
+++ b/src/metrics/internal/Exposition.cpp
@@ -1,17 +1,14 @@
 #include "metrics/internal/Exposition.h"
 
 #include "metrics/Metrics.h"
+#include "metrics/internal/TextFormat.h"
 
 #include <array>
-#include <cstdio>
-#include <utility>
 
 namespace lycheethread::metrics {
 
 namespace {
 
-constexpr double MicrosecondsPerSecond = 1e6;
-
 /// Describes one family of exposed histograms.
 struct Family {
   const char *Name;
@@ -44,45 +41,12 @@
 constexpr std::array<const char *, 8> KindNames{
     "probe", "feed", "fetch", "snapshot", "call", "rumour", "log", "data"};
 
-std::string formatNumber(double Value) {
-  std::array<char, 32> Text{};
-  std::snprintf(Text.data(), Text.size(), "%.9g", Value);
-  return Text.data();
-}
-
 std::string formatLabels(const SeriesKey &Key) {
   return "caller=\"" + escapeLabel(Key.Caller.str()) + "\",class=\"" +
          std::string(toString(Key.Class)) + "\",hop=\"" +
          (Key.At == Hop::Entry ? "entry" : "last-hop") + "\"";
 }
 
-void writeHistogram(std::string &Out, const Family &Of,
-                    const std::string &Labels, const Histogram &Values) {
-  const std::string Start = std::string(Of.Name) + "_bucket{" + Labels;
-  std::size_t Bucket = 0;
-  std::uint64_t CumulativeCount = 0;
-  for (int Bound = Of.FirstBound; Bound <= Of.LastBound;
-       Bound += Of.BoundStep) {
-    const std::int64_t Limit = std::int64_t(1) << Bound;
-    while (Bucket < BucketCount && upperBound(Bucket) <= Limit)
-      CumulativeCount += Values.buckets()[Bucket++];
-    Out += Start + ",le=\"" +
-           formatNumber(static_cast<double>(Limit) / Of.Scale) + "\"} " +
-           std::to_string(CumulativeCount) + "\n";
-  }
-  const std::string Count = std::to_string(Values.count());
-  Out += Start + ",le=\"+Inf\"} " + Count + "\n";
-  Out += std::string(Of.Name) + "_sum{" + Labels + "} " +
-         formatNumber(static_cast<double>(Values.sum()) / Of.Scale) + "\n";
-  Out += std::string(Of.Name) + "_count{" + Labels + "} " + Count + "\n";
-}
-
-void writeHeader(std::string &Out, const char *Name, const char *Help,
-                 const char *Type) {
-  Out += std::string("# HELP ") + Name + " " + Help + "\n# TYPE " + Name + " " +
-         Type + "\n";
-}
-
 void writeTraffic(std::string &Out, const char *Name, const char *Help,
                   const std::vector<TrafficTotal> &Totals, bool Bytes) {
   writeHeader(Out, Name, Help, "counter");
@@ -97,29 +61,20 @@
 
 } // namespace
 
-std::string escapeLabel(const std::string &Value) {
-  std::string Result;
-  for (const char Each : Value) {
-    if (Each == '\n') {
-      Result += "\\n";
-      continue;
-    }
-    if (Each == '\\' || Each == '"')
-      Result += '\\';
-    Result += Each;
-  }
-  return Result;
-}
-
 std::string writeExposition(const RequestMetrics &Requests,
                             const TrafficMetrics &Traffic) {
   std::array<std::string, Families.size()> Texts;
   for (std::size_t I = 0; I < Families.size(); ++I)
     writeHeader(Texts[I], Families[I].Name, Families[I].Help, "histogram");
-  Requests.forEach([&Texts](const SeriesKey &Key, const Series &Values) {
+  std::vector<HistogramFormat> Formats;
+  for (const Family &Each : Families)
+    Formats.push_back(makeHistogramFormat(Each.Name, Each.Scale,
+                                          Each.FirstBound, Each.LastBound,
+                                          Each.BoundStep));
+  Requests.forEach([&](const SeriesKey &Key, const Series &Values) {
     const std::string Labels = formatLabels(Key);
     for (std::size_t I = 0; I < Families.size(); ++I)
-      writeHistogram(Texts[I], Families[I], Labels,
+      writeHistogram(Texts[I], Formats[I], Labels,
                      Values.*(Families[I].Values));
   });
   std::string Out;
--- a/src/metrics/internal/MetricsModule.cpp
+++ b/src/metrics/internal/MetricsModule.cpp
@@ -1,5 +1,6 @@
 #include "metrics/Metrics.h"
 #include "metrics/internal/Exposition.h"
+#include "metrics/internal/OutcomeExposition.h"
 
 namespace lycheethread::metrics {
 
@@ -23,11 +24,13 @@
 
 void registerServices(kernel::ServiceRegistry &Registry) {
   const auto Requests = std::make_shared<RequestMetrics>();
+  const auto Outcomes = std::make_shared<OutcomeMetrics>();
   const auto Traffic = std::make_shared<TrafficMetrics>();
 
   auto Recorder = std::make_shared<RequestRecorder>();
-  Recorder->Record = [Requests](const RequestSample &Sample) {
+  Recorder->Record = [Requests, Outcomes](const RequestSample &Sample) {
     Requests->record(Sample);
+    Outcomes->record(Sample);
   };
   Registry.add(kernel::service_names::RequestMetrics, std::move(Recorder));
 
@@ -38,8 +41,9 @@
   Registry.add(kernel::service_names::TrafficMetrics, std::move(Counter));
 
   auto Reader = std::make_shared<MetricsRegistry>();
-  Reader->Exposition = [Requests, Traffic] {
-    return writeExposition(*Requests, *Traffic);
+  Reader->Exposition = [Requests, Outcomes, Traffic] {
+    return writeExposition(*Requests, *Traffic) +
+           writeOutcomes(Outcomes->organisations(), Outcomes->totals());
   };
   Reader->Quantiles = [Requests] { return makeQuantileRows(*Requests); };
   Reader->Traffic = [Traffic] { return Traffic->totals(); };
--- a/src/metrics/tests/MetricsTest.cpp
+++ b/src/metrics/tests/MetricsTest.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE Metrics
-#include "metrics/Metrics.h"
+#include "MetricsServices.h"
 #include "metrics/internal/Histogram.h"
 
 #include <boost/test/unit_test.hpp>
@@ -15,25 +15,6 @@
 
 namespace {
 
-/// Starts the metrics module and looks up its services.
-struct Services {
-  kernel::Kernel Kernel;
-  std::shared_ptr<RequestRecorder> Requests;
-  std::shared_ptr<TrafficRecorder> Traffic;
-  std::shared_ptr<MetricsRegistry> Reader;
-
-  Services() {
-    Kernel.add(makeMetricsModule());
-    Kernel.start();
-    kernel::ServiceRegistry &Registry = Kernel.registry();
-    Requests =
-        Registry.find<RequestRecorder>(kernel::service_names::RequestMetrics);
-    Traffic =
-        Registry.find<TrafficRecorder>(kernel::service_names::TrafficMetrics);
-    Reader = Registry.find<MetricsRegistry>(RegistryName);
-  }
-};
-
 RequestSample sampleOf(const std::string &Caller, std::int64_t Latency) {
   RequestSample Sample;
   Sample.Caller = CallerId(Caller);
--- a/src/metrics/types/MetricsRegistry.h
+++ b/src/metrics/types/MetricsRegistry.h
@@ -18,6 +18,10 @@
 /// OtherCaller, so that invented caller names cannot exhaust the memory.
 inline constexpr std::size_t MaxCallers = 256;
 inline constexpr const char *OtherCaller = "(other)";
+/// Number of organisations with their own series, in the order of their first
+/// request. All others are counted under OtherOrganisations.
+inline constexpr std::size_t MaxOrganisations = 256;
+inline constexpr const char *OtherOrganisations = "(other)";
 
 /// Distribution of one quantity. Quantiles deviate from the exact sample by at
 /// most 7 %.
--- a/src/metrics/types/RequestSample.h
+++ b/src/metrics/types/RequestSample.h
@@ -1,10 +1,12 @@
 #ifndef LYCHEETHREAD_METRICS_TYPES_REQUESTSAMPLE_H
 #define LYCHEETHREAD_METRICS_TYPES_REQUESTSAMPLE_H
 
-#include "model/Model.h"
+#include "metrics/types/RequestOutcome.h"
+#include "organisations/types/Organisation.h"
 
 #include <chrono>
 #include <functional>
+#include <optional>
 
 namespace lycheethread::metrics {
 
@@ -20,9 +22,19 @@
   std::chrono::microseconds QueueTime{0};
   ByteCount RequestBytes;
   ByteCount ResponseBytes;
+  /// Name from the configuration; empty for a request without one.
+  organisations::OrganisationId Organisation = {};
+  /// At the entry of the event-driven node; without it no outcome is counted.
+  std::optional<RequestOutcome> Outcome = std::nullopt;
+  /// An upstream sent it for a request that it ran.
+  bool IsNestedCall = false;
+  /// It was read before the answers to earlier requests of its connection had
+  /// been sent.
+  bool IsPipelined = false;
 };
 
-/// Records finished requests. Thread-safe.
+/// Records finished requests. Thread-safe. Allocates memory only for the first
+/// request of a series.
 struct RequestRecorder {
   std::function<void(const RequestSample &Sample)> Record;
 };
--- a/src/sidecar/internal/Allotments.cpp
+++ b/src/sidecar/internal/Allotments.cpp
@@ -124,6 +124,7 @@
   const auto [Found, IsNew] = Accounts_.try_emplace(Holder.Name);
   Account &Item = Found->second;
   if (IsNew) {
+    Item.Place = Accounts_.size() - 1;
     Item.Stock.LastNumber = Sequence(static_cast<std::int64_t>(
         Context_.Random() % static_cast<std::uint64_t>(MaxFirstNumber)));
     if (Holder.Limit)
@@ -135,10 +136,14 @@
 
 PermitResult Allotments::tryTake(Account &Item) {
   const SteadyTime Now = Context_.now();
-  if (const auto Expires = quota::takePermit(Item.Stock, Now))
+  if (const auto Expires = quota::takePermit(Item.Stock, Now)) {
+    ++Item.Counts.FromGrants;
     return {true, *Expires, {}};
-  if (quota::takeFallback(Item.Stock, Fleet_, times(), Now))
+  }
+  if (quota::takeFallback(Item.Stock, Fleet_, times(), Now)) {
+    ++Item.Counts.FromFallback;
     return {true, after(Now, times().Lifetime), {}};
+  }
   return {};
 }
 
@@ -181,6 +186,7 @@
   const auto Found = Accounts_.find(Holder.Name);
   if (Found == Accounts_.end())
     return;
+  ++Found->second.Counts.Returned;
   quota::returnPermit(Found->second.Stock, ExpiresAt, Context_.now());
   serveWaiting(Holder.Name, Found->second);
 }
@@ -197,6 +203,7 @@
                          Account &Item, std::int32_t Wanted) {
   const quota::PermitAsk Ask = quota::startAsk(
       Item.Stock, Context_.Settings.Id, Item.Owner, Wanted, Context_.now());
+  ++Item.Counts.Asks;
   startCheck();
   if (Item.Owner == Context_.Settings.Id) {
     if (const auto Grant = grantAsOwner(Item, Ask))
@@ -275,7 +282,7 @@
 void Allotments::refuse(const organisations::OrganisationId &Name,
                         Account &Item, const OnResult &Done) {
   const SteadyTime Now = Context_.now();
-  ++Item.Refused;
+  ++Item.Counts.Refused;
   if (elapsed(Item.RefusalLoggedAt, Now) >= LogInterval) {
     Item.RefusalLoggedAt = Now;
     Context_.Log.write(
@@ -286,7 +293,7 @@
           Poco::NumberFormatter::format(Item.Stock.Limit.PerSecond, 2)},
          {"burst", Poco::NumberFormatter::format(Item.Stock.Limit.Burst, 2)},
          {"owner_silent", quota::isOwnerSilent(Item.Stock) ? "yes" : "no"},
-         {"refused", std::to_string(Item.Refused)}});
+         {"refused", std::to_string(Item.Counts.Refused)}});
   }
   Done({false, {}, quota::refusalDelay(Item.Stock, Now)});
 }
@@ -317,6 +324,7 @@
   bool IsBusy = false;
   for (auto &[Name, Item] : Accounts_) {
     if (quota::giveUpAsk(Item.Stock, Phase(Context_.Random), Now)) {
+      ++Item.Counts.Unanswered;
       if (elapsed(Item.SilenceLoggedAt, Now) >= LogInterval) {
         Item.SilenceLoggedAt = Now;
         Context_.Log.write(
--- a/src/sidecar/internal/Allotments.h
+++ b/src/sidecar/internal/Allotments.h
@@ -43,6 +43,9 @@
   /// Handles the asks and grants of a received datagram.
   void onMessage(const GossipMessage &Message);
 
+  /// Returns the use of all quotas in the Prometheus text format.
+  std::string exposition() const;
+
 private:
   struct Waiter {
     SteadyTime Until;
@@ -58,7 +61,9 @@
     std::unique_ptr<quota::OwnerBucket> Bucket;
     SteadyTime RefusalLoggedAt;
     SteadyTime SilenceLoggedAt;
-    std::int64_t Refused = 0;
+    metrics::QuotaCounts Counts;
+    /// Number of accounts that were added before this one.
+    std::size_t Place = 0;
   };
   /// Callbacks of requests may add accounts while they are walked through.
   using Accounts = std::map<organisations::OrganisationId, Account>;
--- a/src/sidecar/internal/OutboundProxy.cpp
+++ b/src/sidecar/internal/OutboundProxy.cpp
@@ -507,7 +507,7 @@
   if (Item->Ended)
     return;
   Item->Trace += ":" + std::string(toString(Reason));
-  end(Item, Status, "refused");
+  end(Item, Status, "refused", Reason);
   HTTPResponse Head(static_cast<HTTPResponse::HTTPStatus>(Status));
   const std::string &IdName = Context_.Platform.Headers.RequestId;
   if (!Item->Id.empty())
@@ -536,7 +536,8 @@
   Item->Request->answer(Head, BodyPipe::complete(""));
 }
 
-void OutboundProxy::end(const CallPtr &Item, int Status, const char *Result) {
+void OutboundProxy::end(const CallPtr &Item, int Status, const char *Result,
+                        std::optional<RefusalReason> Reason) {
   if (Item->Ended)
     return;
   Item->Ended = true;
@@ -548,11 +549,7 @@
   Item->Request->onGone(nullptr);
   const SteadyTime Now = Context_.now();
   const Milliseconds Took = elapsed(Item->ArrivedAt, Now);
-  metrics::RequestSample Sample;
-  Sample.Caller = CallerId(Context_.Settings.Service.str());
-  Sample.Class = Item->Info.Class;
-  Sample.Latency = Took;
-  Context_.Metrics->Record(Sample);
+  recordSample(Item, {Status, Reason, Item->Runs > 0}, Took);
   const bool Good =
       Status >= HTTPResponse::HTTP_OK && !http::isServerError(Status);
   const LogClass Class = Good ? LogClass::Success : LogClass::Failure;
--- a/src/sidecar/internal/OutboundProxy.h
+++ b/src/sidecar/internal/OutboundProxy.h
@@ -2,6 +2,7 @@
 #define LYCHEETHREAD_SIDECAR_INTERNAL_OUTBOUNDPROXY_H
 
 #include "sidecar/internal/Allotments.h"
+#include "sidecar/internal/EntryOutcome.h"
 #include "sidecar/internal/Hedger.h"
 #include "sidecar/internal/HttpServer.h"
 #include "sidecar/internal/RemoteHop.h"
@@ -68,7 +69,11 @@
                      Milliseconds RetryDelay);
   void cancel(const Offer &Running);
   void cancelAttempts(const CallPtr &Item);
-  void end(const CallPtr &Item, int Status, const char *Result);
+  /// \p Reason is that of a request without an answer of an upstream.
+  void end(const CallPtr &Item, int Status, const char *Result,
+           std::optional<RefusalReason> Reason = std::nullopt);
+  void recordSample(const CallPtr &Item, const EntryEnd &End,
+                    Milliseconds Took);
 
   NodeContext &Context_;
   UpstreamHop &LocalHop_;
@@ -84,6 +89,8 @@
   mesh::LinkBudget RegionLink_;
   std::vector<CallPtr> HeldRequests_;
   std::size_t InProgress_ = 0;
+  /// Kept between requests, so that its strings are not allocated for each.
+  metrics::RequestSample Sample_;
 };
 
 } // namespace lycheethread::sidecar
--- a/src/sidecar/internal/ServerConnection.cpp
+++ b/src/sidecar/internal/ServerConnection.cpp
@@ -205,7 +205,8 @@
     return nullptr;
   }
   const bool AllSent = Stream_->unsentBytes() == 0;
-  Pipelined_ = Pipelined_ || !Order_.Slots.empty() || !AllSent;
+  State.Pipelined = !Order_.Slots.empty() || !AllSent;
+  Pipelined_ = Pipelined_ || State.Pipelined;
   State.From = weak_from_this();
   State.ClosedBefore = Stream_->hasPeerClosed();
   State.Number = http::addRequest(Order_, !http::keepsConnection(State.Head));
--- a/src/sidecar/internal/ServerConnection.h
+++ b/src/sidecar/internal/ServerConnection.h
@@ -35,6 +35,8 @@
   bool Gone = false;
   /// The caller had closed its connection before the request was read.
   bool ClosedBefore = false;
+  /// Read before the answers to earlier requests had been sent.
+  bool Pipelined = false;
   bool Answered = false;
 };
 
--- a/src/sidecar/internal/ServerRequest.cpp
+++ b/src/sidecar/internal/ServerRequest.cpp
@@ -27,6 +27,8 @@
   return From && !Shared->Gone && From->isFirst(Shared->Number);
 }
 
+bool ServerRequest::isPipelined() const { return Shared->Pipelined; }
+
 void ServerRequest::onFirst(std::function<void()> Callback) {
   Shared->OnFirst = std::move(Callback);
 }
--- a/src/sidecar/internal/ServerRequest.h
+++ b/src/sidecar/internal/ServerRequest.h
@@ -30,6 +30,9 @@
   /// Otherwise the connection may still end before this request is answered,
   /// and its caller would send it again.
   bool isFirst() const;
+  /// Whether the request was read before the answers to earlier requests of its
+  /// connection had been sent.
+  bool isPipelined() const;
   /// Sets a callback, which is called at most once, when an unanswered request
   /// becomes the first one and its connection stays open.
   void onFirst(std::function<void()> Callback);
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -219,6 +219,7 @@
                               Request->answer(HTTPResponse::HTTP_OK,
                                               Services.Registry->Exposition() +
                                                   Outbound->exposition() +
+                                                  Permits->exposition() +
                                                   evacuationMetrics(
                                                       Context, Hop->running()));
                             }});
--- a/src/sidecar/tests/PipelineTest.cpp
+++ b/src/sidecar/tests/PipelineTest.cpp
@@ -141,6 +141,19 @@
   BOOST_TEST(Used.Gone.empty());
 }
 
+// Guards against requests that are counted as pipelined because an earlier one
+// of their connection was.
+BOOST_AUTO_TEST_CASE(onlyRequestsBehindOthersArePipelined) {
+  PipelinedCaller Used;
+  Used.send(get("/1") + get("/2"));
+  BOOST_TEST(!Used.Requests.at("/1")->isPipelined());
+  BOOST_TEST(Used.Requests.at("/2")->isPipelined());
+  Used.answer("/1");
+  Used.answer("/2");
+  Used.send(get("/3"));
+  BOOST_TEST(!Used.Requests.at("/3")->isPipelined());
+}
+
 // Guards against answers of a handler that answers at once out of order, and
 // against the end of reading after the first requests of one write.
 BOOST_AUTO_TEST_CASE(manyRequestsAnsweredAtOnceAreAllAnswered) {
