Compare a configuration with the one in force in the store

An operator who wanted to see what a new configuration changes needed a copy of the one in force, and nothing showed whether that copy was current.

The exit code is 3 when the store cannot be read or holds no configuration; the findings in the file itself are printed all the same. Nothing is written to the store.

--- a/src/app/internal/CheckCommand.cpp
+++ b/src/app/internal/CheckCommand.cpp
@@ -2,6 +2,8 @@
 #include "app/internal/ConfigurationFile.h"
 #include "app/internal/DocumentFile.h"
 #include "app/internal/FindingsOutput.h"
+#include "app/internal/StoredConfiguration.h"
+#include "platform/Platform.h"
 
 #include <cxxopts.hpp>
 
@@ -12,9 +14,13 @@
 
 namespace {
 
+/// Stands for the file in findings about the configuration in force.
+constexpr const char *StoredName = "op/config";
+
 struct CheckOptions {
   std::vector<std::string> Files;
   std::string Against;
+  std::optional<Endpoint> Store;
   configcheck::KnownRegions Regions;
   bool Json = false;
   bool IsStrict = false;
@@ -32,13 +38,18 @@
       "lycheethread check",
       "Checks service documents, and configurations in the platform's JSON\n"
       "form (files that begin with '{'), and reports all mistakes.\n"
-      "Exit codes: 0 none, or only warnings; 1 mistakes; 2 wrong usage.\n");
+      "Exit codes: 0 none, or only warnings; 1 mistakes; 2 wrong usage; 3 the\n"
+      "configuration in force cannot be read from the store.\n");
   Options.add_options()("files", "documents and configurations to check",
                         cxxopts::value<std::vector<std::string>>())(
       "against",
       "show what the configuration changes of the one in FILE, such as the "
       "one in force; its version must be higher",
       cxxopts::value<std::string>(), "FILE")(
+      "against-store",
+      "like --against, with the configuration in force, which is read from the "
+      "platform's store",
+      cxxopts::value<std::string>(), "HOST:PORT")(
       "zones",
       "the availability zones and their regions; regions without a zone are "
       "reported",
@@ -58,6 +69,13 @@
     Result.Files = Parsed["files"].as<std::vector<std::string>>();
   if (Parsed.count("against") != 0)
     Result.Against = Parsed["against"].as<std::string>();
+  if (Parsed.count("against-store") != 0) {
+    const auto &Text = Parsed["against-store"].as<std::string>();
+    Result.Store = parseStoreAddress(Text);
+    if (!Result.Store)
+      throw std::invalid_argument("--against-store: \"" + Text +
+                                  "\" is not of the form host:port");
+  }
   if (Parsed.count("zones") != 0)
     Result.Regions = parseZones(Parsed["zones"].as<std::string>());
   Result.Json = Parsed.count("json") != 0;
@@ -82,21 +100,35 @@
   append(Into.Found.Warnings, Found.Warnings);
 }
 
-/// Throws std::invalid_argument if one of the two files is no configuration.
-void compareFiles(const CheckOptions &Options, CheckReport &Into) {
-  const auto Next = readConfigurationFile(Options.Files.front());
-  const auto InForce = readConfigurationFile(Options.Against);
-  if (!Next || !InForce)
-    throw std::invalid_argument(
-        "--against: " + (Next ? Options.Against : Options.Files.front()) +
-        " cannot be read or is not a configuration");
-  if (!InForce->Problems.empty()) {
-    const auto Found = configcheck::check(*InForce, std::nullopt);
+/// Throws std::invalid_argument if the file is no configuration.
+configcheck::ParsedConfig readComparedFile(const std::string &Path) {
+  auto Config = readConfigurationFile(Path);
+  if (!Config)
+    throw std::invalid_argument("cannot compare: " + Path +
+                                " cannot be read or is not a configuration");
+  return *std::move(Config);
+}
+
+configcheck::ParsedConfig readInForce(const CheckOptions &Options) {
+  if (Options.Store)
+    return platform::parseConfig(StoredName,
+                                 readStoredConfiguration(*Options.Store));
+  return readComparedFile(Options.Against);
+}
+
+/// Throws std::invalid_argument if a file is no configuration, and
+/// StoreUnavailable.
+void compareConfigurations(const CheckOptions &Options, CheckReport &Into) {
+  const configcheck::ParsedConfig Next =
+      readComparedFile(Options.Files.front());
+  const configcheck::ParsedConfig InForce = readInForce(Options);
+  if (!InForce.Problems.empty()) {
+    const auto Found = configcheck::check(InForce, std::nullopt);
     append(Into.Found.Errors, Found.Errors);
   }
-  if (!Next->Problems.empty() || !InForce->Problems.empty())
+  if (!Next.Problems.empty() || !InForce.Problems.empty())
     return;
-  auto Result = configcheck::compare(*Next, *InForce);
+  auto Result = configcheck::compare(Next, InForce);
   append(Into.Found.Errors, Result.Errors);
   Into.Differences = std::move(Result.Differences);
 }
@@ -147,13 +179,25 @@
   CheckReport Report;
   for (const std::string &Path : Options.Files)
     checkFile(Path, Options, Report);
-  const bool IsComparison = !Options.Against.empty();
-  if (IsComparison)
-    compareFiles(Options, Report);
+  bool IsCompared = false;
+  bool IsStoreUnavailable = false;
+  try {
+    if (Options.Store || !Options.Against.empty()) {
+      compareConfigurations(Options, Report);
+      IsCompared = true;
+    }
+  } catch (const StoreUnavailable &Error) {
+    // The findings in the file itself are printed all the same.
+    std::cerr << "check: " << settings::toString(*Options.Store) << ": "
+              << Error.what() << "\n";
+    IsStoreUnavailable = true;
+  }
   if (Options.Json)
-    printReportJson(Report, IsComparison);
+    printReportJson(Report, IsCompared);
   else
     printReport(Report);
+  if (IsStoreUnavailable)
+    return ExitUnavailable;
   const bool IsRefused = !Report.Found.Errors.empty() ||
                          (Options.IsStrict && !Report.Found.Warnings.empty());
   return IsRefused ? ExitRefused : ExitOk;
@@ -171,8 +215,13 @@
     }
     if (Parsed.Files.empty())
       throw std::invalid_argument("no file given");
-    if (!Parsed.Against.empty() && Parsed.Files.size() != 1)
-      throw std::invalid_argument("--against takes one file to check");
+    const bool IsComparison = Parsed.Store || !Parsed.Against.empty();
+    if (Parsed.Store && !Parsed.Against.empty())
+      throw std::invalid_argument(
+          "--against and --against-store exclude each other");
+    if (IsComparison && Parsed.Files.size() != 1)
+      throw std::invalid_argument(
+          "--against and --against-store take one file to check");
     return check(Parsed);
   } catch (const cxxopts::exceptions::exception &Error) {
     std::cerr << "check: " << Error.what() << "\n";
