Test the check against a store that answers in pages

The store stand-in of the platform tests gives all records in one answer, so the reading of further pages was not covered.

--- a/src/app/tests/CheckAgainstStoreTest.cpp
+++ b/src/app/tests/CheckAgainstStoreTest.cpp
@@ -2,12 +2,15 @@
 #include "CommandRun.h"
 #include "app/internal/Commands.h"
 
+#include <Poco/Base64Encoder.h>
 #include <Poco/Net/ServerSocket.h>
 
 #include <boost/test/unit_test.hpp>
 
 #include <fstream>
 #include <iterator>
+#include <sstream>
+#include <thread>
 
 using namespace lycheethread;
 using namespace lycheethread::apptest;
@@ -33,10 +36,65 @@
   return Text.find(Part) != std::string::npos;
 }
 
+std::string page(const std::string &Key, const std::string &Value,
+                 bool HasMore) {
+  std::ostringstream Encoded;
+  Poco::Base64Encoder Encoder(Encoded);
+  Encoder.rdbuf()->setLineLength(0);
+  Encoder << Value;
+  Encoder.close();
+  const std::string Body = R"({"items":[{"key":")" + Key + R"(","value":")" +
+                           Encoded.str() + R"(","offset":1}],"has_more":)" +
+                           (HasMore ? "true" : "false") + R"(,"end_offset":2})";
+  return "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " +
+         std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+/// Gives one answer on each connection, in order, and keeps the requests.
+struct PagedStore {
+  Poco::Net::ServerSocket Socket{
+      Poco::Net::SocketAddress("127.0.0.1", Poco::UInt16(0))};
+  std::vector<std::string> Requests;
+  std::thread Thread;
+
+  explicit PagedStore(std::vector<std::string> Answers)
+      : Thread([this, Answers = std::move(Answers)] {
+          for (const std::string &Answer : Answers) {
+            Poco::Net::StreamSocket Caller = Socket.acceptConnection();
+            std::string Head;
+            char Byte = 0;
+            while (Head.find("\r\n\r\n") == std::string::npos &&
+                   Caller.receiveBytes(&Byte, 1) == 1)
+              Head += Byte;
+            Requests.push_back(Head.substr(0, Head.find("\r\n")));
+            Caller.sendBytes(Answer.data(), static_cast<int>(Answer.size()));
+          }
+        }) {}
+  ~PagedStore() {
+    if (Thread.joinable())
+      Thread.join();
+  }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(CheckAgainstStore)
 
+// Guards against a store with more records than fit one answer that is taken
+// for one without a configuration, and against requests that write.
+BOOST_AUTO_TEST_CASE(furtherPagesAreReadUntilTheConfiguration) {
+  PagedStore Store(
+      {page("a", "x", true), page("config", textOf(InForce), true)});
+  const CommandResult Found = check(Next, Store.Socket.address().port());
+  Store.Thread.join();
+  BOOST_TEST(Found.Code == app::ExitOk);
+  BOOST_TEST(contains(Found.Out, "configuration: version: r41 -> r42\n"));
+  const std::string First = "GET /log-newest?topic=keyed.op&part=0";
+  BOOST_TEST((Store.Requests ==
+              std::vector<std::string>{First + " HTTP/1.1",
+                                       First + "&after=a HTTP/1.1"}));
+}
+
 // Guards against a comparison with another record than the newest op/config,
 // and against a check that changes the store.
 BOOST_AUTO_TEST_CASE(newestConfigurationOfTheStoreIsCompared) {
