--- a/src/quota/internal/OwnerBucket.cpp
+++ b/src/quota/internal/OwnerBucket.cpp
@@ -126,7 +126,10 @@
       std::min(Permits / PerSecond * MillisecondsPerSecond, Longest)));
 }
 
+/// Returns the time until permits come in; early ones may be there already.
 Milliseconds takeoverTime(const OwnerBucket &Bucket, SteadyTime Now) {
+  if (Bucket.Tokens >= 1)
+    return Milliseconds(0);
   return std::max(Milliseconds(0),
                   TakeoverDelay - elapsed(*Bucket.StartedAt, Now));
 }
