Let callers return for a permit only while they can still be answered in time

Requests also waited up to 350 ms for a permit before they were refused, nearly half of an objective of 800 ms.

A caller gets a place only within half of what is left of its objective, and no request waits longer for a permit than a quarter of its objective. QuotaTests pass.

--- a/src/quota/Quota.h
+++ b/src/quota/Quota.h
@@ -108,7 +108,16 @@
 /// place of those told to come back if the caller, with \p Left until its
 /// deadline, waits that long.
 Milliseconds takeReturnDelay(EntryStock &Stock, Milliseconds Left,
-                             SteadyTime Now);
+                             SteadyTime Now,
+                             Milliseconds InTime = Milliseconds::max());
+
+/// Returns how long a request with the objective \p Objective may wait for the
+/// owner.
+Milliseconds longestPermitWait(Milliseconds Objective);
+
+/// Returns the longest delay after which a caller that comes back is expected
+/// to be answered within its objective, of which \p Left is left.
+Milliseconds latestReturnInTime(Milliseconds Left);
 
 /// How long a request waits for the answer of the owner.
 /// A round trip takes 60 ms between regions, and busy nodes read a datagram up
--- a/src/quota/internal/EntryStock.cpp
+++ b/src/quota/internal/EntryStock.cpp
@@ -31,6 +31,10 @@
 /// Asks to an owner that has not answered the last ones are given up sooner;
 /// the requests that wait for them are most probably refused.
 constexpr Milliseconds ProbeTimeout{150};
+/// Parts of an objective: the longest wait for a permit, and the latest return
+/// of a refused caller that can still be answered in time.
+constexpr int PermitWaitDivisor = 4;
+constexpr int InTimeDivisor = 2;
 /// A single ask may be lost on the way.
 constexpr std::int32_t SilentAfter = 2;
 constexpr std::int32_t MaxWanted = 100'000;
@@ -188,12 +192,25 @@
   return TimeSinceFirstAttempt >= MinRetryDelay;
 }
 
+// A longer wait costs the caller more than a refusal after which it can still
+// be answered in time.
+Milliseconds longestPermitWait(Milliseconds Objective) {
+  return std::min(PermitWaitLimit, Objective / PermitWaitDivisor);
+}
+
+// The objectives are at least three times the service time, and the caller
+// needs some time to connect again.
+Milliseconds latestReturnInTime(Milliseconds Left) {
+  return std::max(Milliseconds(0), Left / InTimeDivisor);
+}
+
 Milliseconds takeReturnDelay(EntryStock &Stock, Milliseconds Left,
-                             SteadyTime Now) {
+                             SteadyTime Now, Milliseconds InTime) {
   const Milliseconds Reach = Left / ReturnTimeDivisor;
   const Milliseconds Next =
       std::max(MinRetryDelay, elapsed(Now, Stock.NextPlaceAt));
-  if (Stock.Places > 0 && Next <= Reach) {
+  // A permit that a caller uses too late would serve a new request in time.
+  if (Stock.Places > 0 && Next <= std::min(Reach, InTime)) {
     --Stock.Places;
     Stock.NextPlaceAt = after(Stock.NextPlaceAt, Stock.PlaceInterval);
     return Next;
--- a/src/sidecar/internal/Allotments.cpp
+++ b/src/sidecar/internal/Allotments.cpp
@@ -174,7 +174,7 @@
 }
 
 void Allotments::acquire(const organisations::Organisation &Holder,
-                         SteadyTime Deadline, Milliseconds Age, OnResult Done) {
+                         const HopInfo &Info, Milliseconds Age, OnResult Done) {
   const SteadyTime Now = Context_.now();
   if (!Holder.Limit) {
     Done({true, Now, {}});
@@ -195,8 +195,9 @@
   }
   const bool IsReturning = quota::isReturning(Age);
   Waiters &Queue = IsReturning ? Item.Returning : Item.Waiting;
-  Waiter Each{std::min(Deadline, after(Now, quota::PermitWaitLimit)), Deadline,
-              std::move(Done)};
+  const SteadyTime Until = after(Now, quota::longestPermitWait(Info.Objective));
+  Waiter Each{std::min(Info.DeadlineAt, Until), Info.ObjectiveAt,
+              Info.DeadlineAt, std::move(Done)};
   if ((!IsReturning && quota::shouldRefuse(Item.Stock, Now)) ||
       Queue.size() >= MaxWaiting) {
     refuse(Holder.Name, Item, Each);
@@ -331,10 +332,11 @@
          {"owner_silent", quota::isOwnerSilent(Item.Stock) ? "yes" : "no"},
          {"refused", std::to_string(Item.Counts.Refused)}});
   }
-  Each.Done(
-      {false,
-       {},
-       quota::takeReturnDelay(Item.Stock, elapsed(Now, Each.Deadline), Now)});
+  Each.Done({false,
+             {},
+             quota::takeReturnDelay(
+                 Item.Stock, elapsed(Now, Each.DeadlineAt), Now,
+                 quota::latestReturnInTime(elapsed(Now, Each.ObjectiveAt)))});
 }
 
 void Allotments::refuseLate(const organisations::OrganisationId &Name,
--- a/src/sidecar/internal/Allotments.h
+++ b/src/sidecar/internal/Allotments.h
@@ -2,6 +2,7 @@
 #define LYCHEETHREAD_SIDECAR_INTERNAL_ALLOTMENTS_H
 
 #include "sidecar/internal/GossipCodec.h"
+#include "sidecar/internal/HopJob.h"
 #include "sidecar/internal/NodeContext.h"
 
 #include <deque>
@@ -32,9 +33,10 @@
   Allotments(NodeContext &Context, SendMessage Send);
   ~Allotments();
 
-  /// Calls \p Done at once, or within quota::PermitWaitLimit when the owner has
-  /// to be asked. \p Age is the time since the caller's first attempt.
-  void acquire(const organisations::Organisation &Holder, SteadyTime Deadline,
+  /// Calls \p Done at once, or within quota::longestPermitWait when the owner
+  /// has to be asked. Uses the times of \p Info. \p Age is the time since the
+  /// caller's first attempt.
+  void acquire(const organisations::Organisation &Holder, const HopInfo &Info,
                Milliseconds Age, OnResult Done);
 
   /// Gives back the permit of a request that has not run.
@@ -49,7 +51,8 @@
 private:
   struct Waiter {
     SteadyTime Until;
-    SteadyTime Deadline;
+    SteadyTime ObjectiveAt;
+    SteadyTime DeadlineAt;
     OnResult Done;
   };
   using Waiters = std::deque<Waiter>;
--- a/src/sidecar/internal/OutboundAdmission.cpp
+++ b/src/sidecar/internal/OutboundAdmission.cpp
@@ -48,7 +48,7 @@
     return;
   }
   Permits_.acquire(
-      *Item->Holder, Item->Info.DeadlineAt, Item->TimeSinceFirstAttempt,
+      *Item->Holder, Item->Info, Item->TimeSinceFirstAttempt,
       [this, Item](const PermitResult &Result) { onPermit(Item, Result); });
 }
 
