Stop reading evacuate_s, which no decision used

Operators saw evacuate_s listed among the bounds that a node keeps to, and a finding for a value that could not be used, but no value changed anything.

An entry without the store cannot know which zone is evacuated, so a time after which it stops sending would have to hold for every zone: a loss of the store would end all requests, while no evacuation can be ordered. The last hop of an evacuated zone refuses what such an entry sends. docs/design/evacuation.md says so.

The bound is left out like other bounds that the node does not use; a settings file that states it is read as before.

--- a/src/mesh/types/MeshBounds.h
+++ b/src/mesh/types/MeshBounds.h
@@ -29,9 +29,6 @@
   /// factor on its rate, and a number on top.
   double ColdOverage = 1.5;
   double ColdSlack = 8;
-  /// Time from the acknowledgement of an evacuation until the zone gets no more
-  /// requests.
-  Milliseconds EvacuationTime{5000};
 };
 
 /// What the settings say, with the defaults for values that cannot be used.
