Decide from service times when an upstream may have turned cold

Only check-ins and connections told that an upstream is cold, and a check-in comes every 1.5 s.

ColdLimit takes the outcome of the check, starts requests at the cold rate while it is outstanding, and limits an upstream whose zone returns from an evacuation until a check or a check-in received 3 s later says that it is warm. A check-in that may be older than a check can only make the cold time longer. Reports to entries state no limit while the upstream is only being checked.

--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -7,6 +7,7 @@
 
 #include "mesh/types/CheckIn.h"
 #include "mesh/types/ColdLimit.h"
+#include "mesh/types/ColdSuspicion.h"
 #include "mesh/types/Evacuation.h"
 #include "mesh/types/GossipPlan.h"
 #include "mesh/types/Hedging.h"
@@ -188,9 +189,14 @@
 /// completed stays so, whatever a node finds later: the old version has ended.
 VersionChoice versionChoice(RolloutState State, bool IsNewVersionBad);
 
-/// Whether the upstream is cold, or not known to be warm, and has a limit.
+/// Whether the upstream has a limit, since it is cold, not known to be warm, or
+/// being checked.
 bool isLimited(const ColdLimit &Limit, SteadyTime Now);
 
+/// The same without the time of a health check, which usually finds that the
+/// upstream is warm.
+bool isColdLimited(const ColdLimit &Limit, SteadyTime Now);
+
 /// Takes the rate of the service from the configuration.
 void setColdRate(ColdLimit &Limit, std::optional<double> PerSecond,
                  const MeshBounds &Bounds, SteadyTime Now);
@@ -203,6 +209,37 @@
 void recordConnectionLoss(ColdLimit &Limit, ConnectionLoss Kind,
                           SteadyTime Now);
 
+/// Limits an upstream whose zone was evacuated until now: it may have turned
+/// cold. A health check or a check-in that was sent later tells.
+void recordZoneReturn(ColdLimit &Limit, SteadyTime Now);
+
+/// Limits an upstream to which a health check is sent until
+/// recordHealthAnswer() is called.
+void startHealthCheck(ColdLimit &Limit, SteadyTime Now);
+
+/// Takes the outcome of the outstanding health check.
+void recordHealthAnswer(ColdLimit &Limit, const HealthAnswer &Answer,
+                        SteadyTime Now);
+
+/// Records that an upstream that is not known to be cold has answered a request
+/// after \p Took.
+void recordWatchedAnswer(ColdSuspicion &Known, const RouteName &Route,
+                         Milliseconds Took);
+
+/// Whether the recent answers are slower than their routes' usual times by
+/// about ColdFactor, and a health check may be sent.
+bool needsHealthCheck(const ColdSuspicion &Known, SteadyTime Now);
+
+/// Whether the last health check is long enough ago for another one.
+bool mayCheckHealth(const ColdSuspicion &Known, SteadyTime Now);
+
+/// Records that a health check is sent.
+void recordHealthCheck(ColdSuspicion &Known, SteadyTime Now);
+
+/// Takes what a check-in or health check says: the answers since the last one
+/// are counted as usual ones, or dropped if the upstream is cold.
+void recordKnownState(ColdSuspicion &Known, bool IsCold);
+
 /// Returns the time until one more request may be started after \p Ahead
 /// others; 0 without a limit.
 Milliseconds coldDelay(const ColdLimit &Limit, std::int64_t Ahead,
--- a/src/mesh/internal/ColdLimit.cpp
+++ b/src/mesh/internal/ColdLimit.cpp
@@ -17,9 +17,10 @@
 /// Permits that may be saved for a burst.
 constexpr double MostSaved = 2;
 constexpr double SavedSlackShare = 0.25;
-/// Check-ins may arrive this late. After a refused connection, one of the same
-/// process is believed only if it was received later than that; the check-in of
-/// a new process is believed at once.
+/// Check-ins may arrive this late. After a refused connection, the return of
+/// the zone or a health check, one of the same process is believed only if it
+/// was received later than that; the check-in of a new process is believed at
+/// once.
 constexpr Milliseconds LatestCheckIn{3000};
 
 double permitsPerMs(const ColdLimit &Limit) {
@@ -67,12 +68,31 @@
   Limit.RefilledAt = Now;
 }
 
+/// Returns the end of the cold time that an upstream states. That of an earlier
+/// one stays known: requests that were sent before are not answered as usual.
+SteadyTime coldEnd(const ColdLimit &Limit, Milliseconds Remaining,
+                   SteadyTime Now) {
+  return Remaining > Milliseconds(0) ? after(Now, Remaining)
+                                     : std::min(Limit.ColdUntil, Now);
+}
+
+void setUnsure(ColdLimit &Limit, Milliseconds Untrusted, SteadyTime Now) {
+  startIfUnlimited(Limit, Now);
+  Limit.IsUnsure = true;
+  Limit.UnsureSince = Now;
+  Limit.TrustedFrom = std::max(Limit.TrustedFrom, after(Now, Untrusted));
+}
+
 } // namespace
 
-bool isLimited(const ColdLimit &Limit, SteadyTime Now) {
+bool isColdLimited(const ColdLimit &Limit, SteadyTime Now) {
   return Limit.PerSecond && (Limit.IsUnsure || Now < Limit.ColdUntil);
 }
 
+bool isLimited(const ColdLimit &Limit, SteadyTime Now) {
+  return isColdLimited(Limit, Now) || (Limit.PerSecond && Limit.CheckEnd);
+}
+
 void setColdRate(ColdLimit &Limit, std::optional<double> PerSecond,
                  const MeshBounds &Bounds, SteadyTime Now) {
   Limit.Overage = std::max(1.0, Bounds.ColdOverage);
@@ -92,31 +112,72 @@
 void recordColdCheckIn(ColdLimit &Limit, Milliseconds ColdRemaining,
                        bool IsNewProcess, SteadyTime Now) {
   startIfUnlimited(Limit, Now);
-  Limit.ColdUntil = after(Now, std::max(Milliseconds(0), ColdRemaining));
-  if (IsNewProcess || Now >= Limit.TrustedFrom)
+  const SteadyTime Stated = coldEnd(Limit, ColdRemaining, Now);
+  const bool IsTrusted = IsNewProcess || Now >= Limit.TrustedFrom;
+  // One that may be older than the health check can only make the time longer.
+  Limit.ColdUntil = IsTrusted ? Stated : std::max(Limit.ColdUntil, Stated);
+  if (IsTrusted)
     Limit.IsUnsure = false;
-  if (IsNewProcess)
-    Limit.TrustedFrom = SteadyTime();
+  if (!IsNewProcess)
+    return;
+  Limit.TrustedFrom = SteadyTime();
+  Limit.CheckEnd.reset();
 }
 
 void recordConnectionLoss(ColdLimit &Limit, ConnectionLoss Kind,
                           SteadyTime Now) {
-  startIfUnlimited(Limit, Now);
-  Limit.IsUnsure = true;
   const Milliseconds Untrusted =
       Kind == ConnectionLoss::Refused ? LatestCheckIn : Milliseconds(0);
-  Limit.TrustedFrom = std::max(Limit.TrustedFrom, after(Now, Untrusted));
+  setUnsure(Limit, Untrusted, Now);
+}
+
+void recordZoneReturn(ColdLimit &Limit, SteadyTime Now) {
+  setUnsure(Limit, LatestCheckIn, Now);
+}
+
+void startHealthCheck(ColdLimit &Limit, SteadyTime Now) {
+  startIfUnlimited(Limit, Now);
+  Limit.CheckEnd = after(Now, HealthCheckTimeout);
+  recordColdSend(Limit, Now);
+}
+
+void recordHealthAnswer(ColdLimit &Limit, const HealthAnswer &Answer,
+                        SteadyTime Now) {
+  if (!Limit.CheckEnd)
+    return;
+  const SteadyTime SentAt = after(*Limit.CheckEnd, -HealthCheckTimeout);
+  if (Answer.Result == HealthAnswer::Kind::Answered) {
+    Limit.ColdUntil = coldEnd(Limit, Answer.ColdFor, Now);
+    // After a later loss, the answer may be that of an earlier process.
+    if (Limit.UnsureSince <= SentAt)
+      Limit.IsUnsure = false;
+    if (Answer.ColdFor > Milliseconds(0))
+      Limit.TrustedFrom =
+          std::max(Limit.TrustedFrom, after(SentAt, LatestCheckIn));
+  } else {
+    const bool IsRefused =
+        Answer.Result == HealthAnswer::Kind::ConnectionRefused;
+    setUnsure(Limit, IsRefused ? LatestCheckIn : Milliseconds(0), Now);
+  }
+  Limit.CheckEnd.reset();
 }
 
 Milliseconds coldDelay(const ColdLimit &Limit, std::int64_t Ahead,
                        SteadyTime Now) {
   if (!isLimited(Limit, Now))
     return Milliseconds(0);
-  Milliseconds Delay = windowDelay(Limit, Ahead + 1, Now);
+  // While it is only being checked, the upstream is probably warm: the requests
+  // that it was sent as a warm one do not count.
+  const bool IsCold = isColdLimited(Limit, Now);
+  Milliseconds Delay =
+      IsCold ? windowDelay(Limit, Ahead + 1, Now) : Milliseconds(0);
   const double Missing = static_cast<double>(Ahead) + 1 - permitsAt(Limit, Now);
   if (Missing > 0)
     Delay = std::max(Delay, Milliseconds(static_cast<std::int64_t>(
                                 std::ceil(Missing / permitsPerMs(Limit)))));
+  if (!IsCold)
+    return std::min(Delay,
+                    std::max(Milliseconds(1), elapsed(Now, *Limit.CheckEnd)));
   // The limit ends with the cold time.
   return Limit.IsUnsure ? Delay
                         : std::min(Delay, elapsed(Now, Limit.ColdUntil));
@@ -130,7 +191,8 @@
 }
 
 Milliseconds coldSendDelay(const ColdLimit &Limit, SteadyTime Now) {
-  return isLimited(Limit, Now) ? windowDelay(Limit, 1, Now) : Milliseconds(0);
+  return isColdLimited(Limit, Now) ? windowDelay(Limit, 1, Now)
+                                   : Milliseconds(0);
 }
 
 void recordColdSend(ColdLimit &Limit, SteadyTime Now) {
--- a/src/mesh/internal/HopQueue.cpp
+++ b/src/mesh/internal/HopQueue.cpp
@@ -98,7 +98,8 @@
 }
 
 std::optional<double> limitOf(const HopQueue &Queue, SteadyTime Now) {
-  if (!isLimited(Queue.Cold, Now))
+  // Entries would leave an upstream alone that is only being checked.
+  if (!isColdLimited(Queue.Cold, Now))
     return Queue.Limit.PerSecond;
   return std::min(*Queue.Cold.PerSecond,
                   Queue.Limit.PerSecond.value_or(*Queue.Cold.PerSecond));
--- a/src/mesh/types/ColdLimit.h
+++ b/src/mesh/types/ColdLimit.h
@@ -18,12 +18,16 @@
   /// number on top.
   double Overage = 1;
   double Slack = 0;
-  /// The upstream is cold until then, by its newest check-in.
+  /// The upstream is cold until then, by its newest check-in or health check.
   SteadyTime ColdUntil;
-  /// It may have been restarted, and no check-in tells yet.
+  /// It may be cold, since UnsureSince, and no check-in or health check tells
+  /// yet.
   bool IsUnsure = false;
+  SteadyTime UnsureSince;
+  /// When the health check ends that is outstanding.
+  std::optional<SteadyTime> CheckEnd;
   /// A check-in of the same process that was received earlier may have been
-  /// sent before the restart.
+  /// sent before the restart, the return of the zone or the health check.
   SteadyTime TrustedFrom;
   /// Permits as of RefilledAt.
   double Permits = 0;
@@ -32,6 +36,9 @@
   std::deque<SteadyTime> Sent;
 };
 
+/// A health check that takes longer counts as unanswered.
+inline constexpr Milliseconds HealthCheckTimeout{250};
+
 /// What the connections to an upstream show.
 enum class ConnectionLoss {
   /// A connection broke; the process may still be the same.
--- a/src/mesh/types/MeshConfig.h
+++ b/src/mesh/types/MeshConfig.h
@@ -56,6 +56,8 @@
   std::int32_t MaxConnections = 0;
   /// Requests a second that a cold upstream takes; empty if it takes any.
   std::optional<double> ColdPerSecond;
+  /// Target of the health checks of its upstreams; empty if there are none.
+  std::string HealthPath;
   /// The largest rank of any request for the service, and the longest objective
   /// of its routes with that rank; see updateLeastUrgent().
   std::int32_t LeastUrgentRank = 0;
