Check the health of upstreams that may have turned cold

Upstreams that turned cold without a restart, or while their zone was evacuated, got the requests of warm ones: 42 in a second where 23 are allowed, and 94 after an evacuation was lifted.

X-Cold-Ms and health_path were not read, and the last hop sent no health checks.

ColdWatch passes the service times to mesh::ColdSuspicion and sends one GET of the service's health_path (HealthCheck) when they are suspicious, and one when the evacuation of its zone is lifted. The outcome limits the upstream or ends the limit at once; unanswered, the limit stays until the next check-in. The configuration check compares the paths. Node reports take the remaining cold time from the limit, so that entries learn of a check as well. New: event upstream-checked, counter lycheethread_health_checks_total.

Tested with real processes by coldPhaseWithoutARestartIsNoticed, slowUpstreamIsCheckedAndNotLimited, uncheckedUpstreamIsLimitedUntilACheckIn and coldUpstreamOfAReturnedZoneIsLimited. Seen failing: the third with an unanswered check that ends the limit (38 requests where 23 are allowed), the others without checks and without the limit at the lift. The suites ColdUpstreams and EvacuatedZones (15 cases), Statements, MisbehavingUpstreams, MeshInputs, MeshTests, PlatformTests, SidecarTests and ConfigCheckTests pass.

--- a/src/configcheck/internal/Compare.cpp
+++ b/src/configcheck/internal/Compare.cpp
@@ -171,6 +171,7 @@
             std::to_string(To.Service.MaxConnections));
   Entry.add("cold requests per s", OrNone(From.Service.ColdPerSecond),
             OrNone(To.Service.ColdPerSecond));
+  Entry.add("health path", From.Service.HealthPath, To.Service.HealthPath);
   Entry.add("cold start in s", OrNone(From.ColdStart), OrNone(To.ColdStart));
 }
 
--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -255,9 +255,6 @@
 /// Records that a request is sent to the upstream, cold or not.
 void recordColdSend(ColdLimit &Limit, SteadyTime Now);
 
-/// Returns how much longer the registered upstream stays cold.
-Milliseconds coldRemaining(const Registration &Known, SteadyTime Now);
-
 /// Takes the zones that the operator's records state as evacuated; returns
 /// those whose state has changed.
 EvacuationChange updateEvacuation(Evacuation &Known,
--- a/src/mesh/internal/ColdLimit.cpp
+++ b/src/mesh/internal/ColdLimit.cpp
@@ -203,9 +203,4 @@
   Limit.Sent.push_back(Now);
 }
 
-Milliseconds coldRemaining(const Registration &Known, SteadyTime Now) {
-  return std::max(Milliseconds(0),
-                  Known.Current.ColdRemaining - elapsed(Known.HeardAt, Now));
-}
-
 } // namespace lycheethread::mesh
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -220,7 +220,8 @@
                                               Services.Registry->Exposition() +
                                                   Outbound->exposition() +
                                                   evacuationMetrics(
-                                                      Context, Hop->running()));
+                                                      Context, Hop->running()) +
+                                                  Hop->cold().metrics());
                             }});
   }
 
@@ -236,8 +237,7 @@
     Own.Ready = Context.Ready;
     Own.Stopping = Context.Stopping;
     Own.LocalUpstream = Context.Registered.Current;
-    Own.LocalUpstream.ColdRemaining =
-        mesh::coldRemaining(Context.Registered, Context.now());
+    Own.LocalUpstream.ColdRemaining = Hop->cold().remaining();
     Own.Load = Hop->load();
     Own.OperatorPosition = Context.Records.Position;
     Own.KeptRecords = countKept(Context.Records);
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -70,7 +70,10 @@
                  DownUntil_ = after(Context_.now(), DownTime);
                  Cold_.onLoss(mesh::ConnectionLoss::Refused);
                }),
-      Cold_(Context, Queue_.Cold) {}
+      Cold_(Context, Pool_, Queue_,
+            ColdWatch::Callbacks{
+                [this] { return !checkUpstream(); },
+                [this] { Context_.Loop.defer([this] { runWaiting(); }); }}) {}
 
 UpstreamHop::~UpstreamHop() { Context_.Loop.cancel(Timer_); }
 
@@ -378,6 +381,7 @@
     mesh::recordServiceTime(Service_, Took);
     mesh::recordServiceTime(ServiceByRoute_[Job->Job.Info.Route], Took);
     Crashes_.recordAnswered(Job->Job.Info.RequestFingerprint);
+    Cold_.onAnswer(Job->Job.Info.Route, Job->SentAt);
   }
   HopOutcome Outcome;
   Outcome.End = HopResult::Answered;
--- a/src/sidecar/internal/UpstreamHop.h
+++ b/src/sidecar/internal/UpstreamHop.h
@@ -48,6 +48,8 @@
   void onCheckIn();
 
   mesh::LoadReport load() const;
+  /// The part that knows whether the upstream is cold.
+  const ColdWatch &cold() const { return Cold_; }
   std::vector<mesh::RouteEvidence> evidence() const;
   /// The order at the position \p From is now known by \p To.
   void moveEvidence(Offset From, Offset To) { Outcomes_.moveOrder(From, To); }
--- a/src/sidecar/internal/UpstreamStatement.cpp
+++ b/src/sidecar/internal/UpstreamStatement.cpp
@@ -1,9 +1,19 @@
 #include "sidecar/internal/UpstreamStatement.h"
 
 #include <Poco/NumberFormatter.h>
+#include <Poco/NumberParser.h>
+
+#include <algorithm>
+#include <cmath>
 
 namespace lycheethread::sidecar {
 
+namespace {
+
+constexpr Milliseconds MaxColdTime{3'600'000};
+
+} // namespace
+
 std::string rateText(const std::optional<double> &PerSecond) {
   return PerSecond ? Poco::NumberFormatter::format(*PerSecond) : "none";
 }
@@ -19,6 +29,14 @@
   return Read;
 }
 
+std::optional<Milliseconds> readColdTime(const std::string &Text) {
+  double Value = 0;
+  if (!Poco::NumberParser::tryParseFloat(Text, Value) || !(Value >= 0))
+    return std::nullopt;
+  return Milliseconds(std::llround(
+      std::ceil(std::min(Value, static_cast<double>(MaxColdTime.count())))));
+}
+
 bool isAnswerTo(const Poco::Net::HTTPResponse &Head, const HeaderNames &Names,
                 const RequestId &Id, bool WasUsedBefore) {
   if (Id.empty())
--- a/src/sidecar/internal/UpstreamStatement.h
+++ b/src/sidecar/internal/UpstreamStatement.h
@@ -26,6 +26,10 @@
 UpstreamStatement readStatement(const Poco::Net::HTTPResponse &Head,
                                 const HeaderNames &Names);
 
+/// Parses how long an upstream stays cold, in ms, at most an hour; empty if
+/// that is not a number from 0 on.
+std::optional<Milliseconds> readColdTime(const std::string &Text);
+
 /// Whether the answer is that to the request \p Id. \p WasUsedBefore says that
 /// its connection has carried an earlier request.
 bool isAnswerTo(const Poco::Net::HTTPResponse &Head, const HeaderNames &Names,
--- a/src/sidecar/types/PlatformProtocol.h
+++ b/src/sidecar/types/PlatformProtocol.h
@@ -34,6 +34,9 @@
   std::string Key;
   /// Name of that organisation, for the upstream.
   std::string Organisation;
+  /// How long an upstream stays cold, in ms; in its answers to health checks
+  /// while it is cold.
+  std::string ColdTime;
 };
 
 /// A request to the store, without the headers common to all requests.
--- a/tests/platform/ColdUpstreamTest.cpp
+++ b/tests/platform/ColdUpstreamTest.cpp
@@ -20,20 +20,23 @@
 constexpr std::size_t Bound = 23;
 constexpr int CallerCount = 20;
 constexpr milliseconds CallInterval{100};
+const std::string HealthField = R"(,"health_path":"/healthz")";
 
-/// 200 requests a second, spread over some nodes, until it is destroyed.
+/// 200 requests a second, unless \p Interval is another one, spread over some
+/// nodes, until it is destroyed.
 class Callers {
 public:
-  Callers(TestMesh &Mesh, const std::vector<std::size_t> &Entries) {
+  Callers(TestMesh &Mesh, const std::vector<std::size_t> &Entries,
+          milliseconds Interval = CallInterval) {
     for (int Index = 0; Index < CallerCount; ++Index)
-      Threads_.emplace_back([this, &Mesh, Entries, Index] {
+      Threads_.emplace_back([this, &Mesh, Entries, Interval, Index] {
         Instance &At =
             Mesh.at(Entries[static_cast<std::size_t>(Index) % Entries.size()]);
-        std::this_thread::sleep_for(CallInterval * Index / CallerCount);
+        std::this_thread::sleep_for(Interval * Index / CallerCount);
         auto Next = Clock::now();
         for (int Number = 0; !HasEnded_; ++Number) {
           call(At, std::to_string(Index) + "-" + std::to_string(Number));
-          Next = std::max(Next + CallInterval, Clock::now());
+          Next = std::max(Next + Interval, Clock::now());
           std::this_thread::sleep_until(Next);
         }
       });
@@ -83,8 +86,9 @@
   });
 }
 
-void stateColdRate(TestMesh &Mesh) {
-  Mesh.Store.put("keyed.op", "config", configuration(2, "", ColdFields));
+void stateColdRate(TestMesh &Mesh, const std::string &MoreFields = "") {
+  Mesh.Store.put("keyed.op", "config",
+                 configuration(2, "", ColdFields + MoreFields));
   std::this_thread::sleep_for(milliseconds(1500));
   for (auto &Item : Mesh.Instances)
     answerSlowly(*Item);
@@ -116,6 +120,46 @@
   return Most;
 }
 
+/// An upstream that may turn cold while it keeps running, and that answers
+/// health checks.
+class ColdPhases {
+public:
+  /// This must outlive \p At.
+  void attachTo(Instance &At) {
+    At.upstream().setBehaviour(
+        [this](const ReceivedRequest &Request) { return answer(Request); });
+  }
+  void begin(milliseconds Length) { End = Clock::now() + Length; }
+
+  std::atomic<Clock::time_point> End{Clock::time_point()};
+  std::atomic<int> UsualMs{50};
+  /// Factor on the times of a cold upstream.
+  std::atomic<int> ColdFactor{2};
+  std::atomic<int> Checks{0};
+  /// Health checks are not answered in time.
+  std::atomic<bool> IgnoresChecks{false};
+
+private:
+  RawResponse answer(const ReceivedRequest &Request) {
+    const auto Left =
+        std::chrono::duration_cast<milliseconds>(End.load() - Clock::now());
+    const bool IsCold = Left > milliseconds(0);
+    RawResponse Response = completeResponse(Request);
+    if (Request.RequestLine == "GET /healthz HTTP/1.1") {
+      ++Checks;
+      if (IgnoresChecks)
+        Response.Delay = milliseconds(600);
+      if (IsCold)
+        Response.Bytes.insert(Response.Bytes.find("Keep-Alive"),
+                              "X-Cold-Ms: " + std::to_string(Left.count()) +
+                                  "\r\n");
+    } else {
+      Response.Delay = milliseconds(UsualMs * (IsCold ? ColdFactor.load() : 1));
+    }
+    return Response;
+  }
+};
+
 /// A new process that is cold replaces the upstream.
 void restartCold(Instance &At, double Seconds) {
   At.setNewProcess();
@@ -263,4 +307,121 @@
   BOOST_TEST(Load.Refused.empty());
 }
 
+// Guards against an upstream that turns cold while it keeps running, and gets
+// the requests of a warm one until its next check-in.
+BOOST_AUTO_TEST_CASE(coldPhaseWithoutARestartIsNoticed) {
+  ColdPhases Phases;
+  TestMesh Mesh({{"cf1", "desk", "v1", "north", 6}});
+  Instance &Cold = Mesh.at(0);
+  stateColdRate(Mesh, HealthField);
+  Phases.attachTo(Cold);
+  Callers Load(Mesh, {0}, milliseconds(500));
+  std::this_thread::sleep_for(milliseconds(3000));
+  Cold.stopCheckIns();
+  std::this_thread::sleep_for(milliseconds(250));
+  const int Before = Phases.Checks;
+  const auto Start = Clock::now();
+  Phases.begin(milliseconds(1500));
+  std::this_thread::sleep_for(milliseconds(1500));
+  const auto End = Clock::now();
+  BOOST_TEST(countBetween(Cold, Start - milliseconds(1000), Start) > 30U);
+  BOOST_TEST(mostInASecond(Cold, Start, End) <= Bound);
+  BOOST_TEST(Phases.Checks == Before + 1);
+  BOOST_TEST(Cold.metrics().find(
+                 "lycheethread_health_checks_total{result=\"cold\"} 1") !=
+             std::string::npos);
+  // The limit ends with the time that the health check stated.
+  BOOST_REQUIRE(Cold.checkIn("ready") == 200);
+  std::this_thread::sleep_for(milliseconds(2000));
+  BOOST_TEST(countBetween(Cold, Clock::now() - milliseconds(1000),
+                          Clock::now()) > 30U);
+  Load.stop();
+  BOOST_TEST(Load.Failed == 0U);
+}
+
+// Guards against a slow upstream that is taken for a cold one, and against
+// health checks without end.
+BOOST_AUTO_TEST_CASE(slowUpstreamIsCheckedAndNotLimited) {
+  ColdPhases Phases;
+  TestMesh Mesh({{"cg1", "desk", "v1", "north", 6}});
+  Instance &Slow = Mesh.at(0);
+  stateColdRate(Mesh, HealthField);
+  Phases.attachTo(Slow);
+  Phases.UsualMs = 40;
+  Callers Load(Mesh, {0}, milliseconds(500));
+  std::this_thread::sleep_for(milliseconds(3000));
+  const int Before = Phases.Checks;
+  Phases.UsualMs = 100;
+  std::this_thread::sleep_for(milliseconds(4000));
+  BOOST_TEST(countBetween(Slow, Clock::now() - milliseconds(1000),
+                          Clock::now()) > 30U);
+  BOOST_TEST(Phases.Checks > Before);
+  BOOST_TEST(Phases.Checks <= Before + 4);
+  BOOST_TEST(Slow.metrics().find("result=\"cold\"} 0") != std::string::npos);
+  Load.stop();
+  BOOST_TEST(Load.Failed == 0U);
+}
+
+// Guards against an unanswered health check that ends the limit, and against a
+// limit that outlasts the next check-in.
+BOOST_AUTO_TEST_CASE(uncheckedUpstreamIsLimitedUntilACheckIn) {
+  ColdPhases Phases;
+  TestMesh Mesh({{"ci1", "desk", "v1", "north", 6}});
+  Instance &Slow = Mesh.at(0);
+  stateColdRate(Mesh, HealthField);
+  Phases.attachTo(Slow);
+  Phases.UsualMs = 40;
+  Phases.IgnoresChecks = true;
+  Callers Load(Mesh, {0}, milliseconds(500));
+  std::this_thread::sleep_for(milliseconds(3000));
+  Slow.stopCheckIns();
+  std::this_thread::sleep_for(milliseconds(250));
+  const auto Start = Clock::now();
+  Phases.UsualMs = 90;
+  std::this_thread::sleep_for(milliseconds(2000));
+  BOOST_TEST(mostInASecond(Slow, Start, Clock::now()) <= Bound);
+  BOOST_TEST(Phases.Checks == 1);
+  BOOST_REQUIRE(Slow.checkIn("ready") == 200);
+  std::this_thread::sleep_for(milliseconds(500));
+  Phases.UsualMs = 40;
+  BOOST_REQUIRE(Slow.checkIn("ready") == 200);
+  std::this_thread::sleep_for(milliseconds(1500));
+  BOOST_TEST(countBetween(Slow, Clock::now() - milliseconds(1000),
+                          Clock::now()) > 30U);
+  Load.stop();
+  BOOST_TEST(Load.Failed == 0U);
+}
+
+// Guards against the requests of a warm upstream to one that turned cold while
+// its zone was evacuated, where the check-ins that come after the lift say that
+// it is warm: they may have been sent before.
+BOOST_AUTO_TEST_CASE(coldUpstreamOfAReturnedZoneIsLimited) {
+  ColdPhases Phases;
+  TestMesh Mesh(
+      {{"ch1", "desk", "v1", "north", 20}, {"ch2", "desk", "v1", "south", 6}});
+  stateColdRate(Mesh, HealthField);
+  Instance &Cold = Mesh.at(0);
+  Phases.attachTo(Cold);
+  // Its answers do not show it.
+  Phases.ColdFactor = 1;
+  Callers Load(Mesh, {0, 1});
+  std::this_thread::sleep_for(milliseconds(1000));
+  Mesh.Store.put("keyed.op", "evacuate/north", "{}");
+  std::this_thread::sleep_for(milliseconds(1500));
+  const auto Start = Clock::now();
+  const int Before = Phases.Checks;
+  Phases.begin(milliseconds(4000));
+  Mesh.Store.put("keyed.op", "evacuate/north", "");
+  std::this_thread::sleep_for(milliseconds(3000));
+  const auto End = Clock::now();
+  BOOST_TEST(mostInASecond(Cold, Start, End) <= Bound);
+  BOOST_TEST(countBetween(Cold, Start, End) > 10U);
+  BOOST_TEST(Phases.Checks == Before + 1);
+  std::this_thread::sleep_for(milliseconds(4000));
+  BOOST_TEST(countBetween(Cold, Clock::now() - milliseconds(1000),
+                          Clock::now()) > 40U);
+  Load.stop();
+  BOOST_TEST(Load.Failed == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
