Prefer callers that return in time for a permit, and spread the others

A caller without a place returns within half of what is left of its objective, at a time of its own. It goes before new requests only while a third of its objective is left. A request waits for a permit for at most a sixth of its objective.

--- a/src/quota/Quota.h
+++ b/src/quota/Quota.h
@@ -106,10 +106,11 @@
 
 /// Returns the time after which a refused caller may find a permit, and takes a
 /// place of those told to come back if the caller, with \p Left until its
-/// deadline, waits that long.
+/// deadline, waits that long and returns within \p InTime, so that it can still
+/// be answered within its objective.
 Milliseconds takeReturnDelay(EntryStock &Stock, Milliseconds Left,
                              SteadyTime Now,
-                             Milliseconds InTime = Milliseconds::max());
+                             std::optional<Milliseconds> InTime = std::nullopt);
 
 /// Returns how long a request with the objective \p Objective may wait for the
 /// owner.
@@ -119,6 +120,10 @@
 /// to be answered within its objective, of which \p Left is left.
 Milliseconds latestReturnInTime(Milliseconds Left);
 
+/// Whether a request that was refused before goes before new ones: \p Left of
+/// the objective \p Objective is left after \p Age.
+bool returnsInTime(Milliseconds Age, Milliseconds Objective, Milliseconds Left);
+
 /// How long a request waits for the answer of the owner.
 /// A round trip takes 60 ms between regions, and busy nodes read a datagram up
 /// to 100 ms late; a refusal costs the caller more than the wait.
--- a/src/quota/internal/EntryStock.cpp
+++ b/src/quota/internal/EntryStock.cpp
@@ -33,8 +33,13 @@
 constexpr Milliseconds ProbeTimeout{150};
 /// Parts of an objective: the longest wait for a permit, and the latest return
 /// of a refused caller that can still be answered in time.
-constexpr int PermitWaitDivisor = 4;
+constexpr int PermitWaitDivisor = 6;
 constexpr int InTimeDivisor = 2;
+/// The users' objectives are at least this many service times.
+constexpr int ServiceTimesPerObjective = 3;
+/// Multiples of the golden ratio are spread evenly over a range, however many
+/// there are, so callers that were refused together do not return together.
+constexpr double SpreadStep = 0.618;
 /// A single ask may be lost on the way.
 constexpr std::int32_t SilentAfter = 2;
 constexpr std::int32_t MaxWanted = 100'000;
@@ -204,19 +209,34 @@
   return std::max(Milliseconds(0), Left / InTimeDivisor);
 }
 
+// One that returns too late to be answered in time would take the permit of a
+// new request that can be.
+bool returnsInTime(Milliseconds Age, Milliseconds Objective,
+                   Milliseconds Left) {
+  return isReturning(Age) && Left * ServiceTimesPerObjective >= Objective;
+}
+
 Milliseconds takeReturnDelay(EntryStock &Stock, Milliseconds Left,
-                             SteadyTime Now, Milliseconds InTime) {
+                             SteadyTime Now,
+                             std::optional<Milliseconds> InTime) {
   const Milliseconds Reach = Left / ReturnTimeDivisor;
   const Milliseconds Next =
       std::max(MinRetryDelay, elapsed(Now, Stock.NextPlaceAt));
-  // A permit that a caller uses too late would serve a new request in time.
-  if (Stock.Places > 0 && Next <= std::min(Reach, InTime)) {
+  if (Stock.Places > 0 && Next <= std::min(Reach, InTime.value_or(Reach))) {
     --Stock.Places;
     Stock.NextPlaceAt = after(Stock.NextPlaceAt, Stock.PlaceInterval);
     return Next;
   }
   if (Now >= Stock.NoneUntil || Stock.NextPlaceAt == SteadyTime())
     return AskInterval;
+  // Without a place it may find a permit all the same, but none that serves it
+  // in time if it returns later.
+  if (InTime && *InTime >= AskInterval) {
+    Stock.ReturnSpread = std::fmod(Stock.ReturnSpread + SpreadStep, 1.0);
+    const auto Range = static_cast<double>((*InTime - AskInterval).count());
+    return AskInterval +
+           Milliseconds(static_cast<std::int64_t>(Range * Stock.ReturnSpread));
+  }
   // The permits that come in meanwhile are for callers with a place. One that
   // came back all the same would be refused a second time.
   return std::max({AskInterval, Next, Reach + MinRetryDelay});
--- a/src/quota/tests/EntryStockTest.cpp
+++ b/src/quota/tests/EntryStockTest.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace lycheethread;
 using namespace lycheethread::quota;
 
@@ -206,4 +208,37 @@
   BOOST_TEST(permitsToAsk(Stock, 3, at(220), 1) == 0);
 }
 
+// Guards against callers that return for a permit after the time in which they
+// could be answered within their objective.
+BOOST_AUTO_TEST_CASE(returnsEndWithinTheObjective) {
+  EntryStock Stock = asking(4, 0);
+  PermitGrant Grant{Stock.LastNumber, 0, Milliseconds(400)};
+  Grant.Places = 1;
+  Grant.ReturnDelay = Milliseconds(500);
+  applyGrant(Stock, Grant, Times, at(60));
+  const Milliseconds Left(2000);
+  const Milliseconds InTime = latestReturnInTime(Milliseconds(800));
+  std::vector<std::int64_t> Delays;
+  for (int Caller = 0; Caller < 8; ++Caller)
+    Delays.push_back(takeReturnDelay(Stock, Left, at(60), InTime).count());
+  BOOST_TEST(*std::max_element(Delays.begin(), Delays.end()) <= InTime.count());
+  std::sort(Delays.begin(), Delays.end());
+  BOOST_TEST(Delays.front() >= 250);
+  BOOST_TEST(Delays.back() - Delays.front() >= 100);
+  BOOST_TEST(Stock.Places == 1);
+  // Another caller, with more time, still gets the place.
+  BOOST_TEST(takeReturnDelay(Stock, Left, at(60), Milliseconds(600)).count() ==
+             500);
+}
+
+// Guards against permits for requests that can no longer be answered in time
+// while new requests are refused.
+BOOST_AUTO_TEST_CASE(lateReturnsDoNotGoFirst) {
+  const Milliseconds Objective(800);
+  BOOST_TEST(returnsInTime(Milliseconds(300), Objective, Milliseconds(500)));
+  BOOST_TEST(!returnsInTime(Milliseconds(600), Objective, Milliseconds(200)));
+  BOOST_TEST(!returnsInTime(Milliseconds(0), Objective, Objective));
+  BOOST_TEST((longestPermitWait(Objective) < Objective / 4));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/quota/types/EntryStock.h
+++ b/src/quota/types/EntryStock.h
@@ -48,6 +48,8 @@
   std::int32_t Places = 0;
   SteadyTime NextPlaceAt;
   Milliseconds PlaceInterval{0};
+  /// From 0 to 1; spreads the returns of callers without a place.
+  double ReturnSpread = 0;
   /// Asks in a row without an answer, and when the first of them was sent.
   std::int32_t Unanswered = 0;
   std::optional<SteadyTime> UnansweredSince;
--- a/src/sidecar/internal/Allotments.cpp
+++ b/src/sidecar/internal/Allotments.cpp
@@ -193,7 +193,8 @@
     askIfNeeded(Holder.Name, Item);
     return;
   }
-  const bool IsReturning = quota::isReturning(Age);
+  const bool IsReturning =
+      quota::returnsInTime(Age, Info.Objective, elapsed(Now, Info.ObjectiveAt));
   Waiters &Queue = IsReturning ? Item.Returning : Item.Waiting;
   const SteadyTime Until = after(Now, quota::longestPermitWait(Info.Objective));
   Waiter Each{std::min(Info.DeadlineAt, Until), Info.ObjectiveAt,
