Reject requests whose nested calls cannot be served

Callers saw 500 after the work of a request was done: its calls to a second service were refused. The work was lost, and its slots were missing to others.

The last hop now relates runs that fail to calls of its upstream that were refused or timed out (mesh::CalleeOutlook). From a quarter of failed runs of a route on it admits only the share of the requests whose calls the called service has room for, and refuses the others as not executed (callee-full). Where more requests are answered without limiting, idle slots still run them. The entry tries two other upstreams. Earlier builds read the refusal as queue-full.

Without refused calls nothing is recorded, and each refused call explains one failed run only, so faults of the upstream itself reject nothing. Shares are cut by a half at most and count only calls that began after the last change.

Tested: the 11 cases of CalleeOutlookTest pass. Not yet run: other suites, real processes.

--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -5,6 +5,7 @@
 /// configuration, member list and rollouts come from the platform's store. All
 /// functions are pure: no sockets, clocks or threads.
 
+#include "mesh/types/CalleeOutlook.h"
 #include "mesh/types/CheckIn.h"
 #include "mesh/types/ColdLimit.h"
 #include "mesh/types/Evacuation.h"
@@ -408,6 +409,23 @@
 hedgeDelay(const HedgeRequest &Request,
            const std::optional<UsualLatency> &Usual);
 
+/// Records the end of a call of the upstream.
+void recordCall(CalleeOutlook &Known, const NestedCall &Call, SteadyTime Now);
+
+/// Records the end of a run. Returns the route and the called service if
+/// requests of the route are rejected from now on.
+std::optional<CalleeChange> recordRun(CalleeOutlook &Known, const EndedRun &Run,
+                                      SteadyTime Now);
+
+/// Decides about a request before it runs. Returns nothing if it is admitted,
+/// or the time after which the called service is expected to serve more.
+std::optional<Milliseconds>
+calleeDelay(CalleeOutlook &Known, const CalleeRequest &Request, SteadyTime Now);
+
+/// Returns the routes whose requests are no longer rejected since the last
+/// call, and drops what is out of date.
+std::vector<CalleeChange> endedLimits(CalleeOutlook &Known, SteadyTime Now);
+
 /// Adds what one more request of the node earns. \p MaxShare is the largest
 /// share of the requests that may be hedged, 0 for none.
 void addHedgeTokens(HedgeShare &Share, double MaxShare);
--- a/src/model/internal/Names.cpp
+++ b/src/model/internal/Names.cpp
@@ -48,7 +48,7 @@
     {MemberState::Dead, "dead"},
 }};
 
-constexpr std::array<NamePair<RefusalReason>, 23> ReasonNames{{
+constexpr std::array<NamePair<RefusalReason>, 24> ReasonNames{{
     {RefusalReason::NoRoute, "no-route"},
     {RefusalReason::NoUpstream, "no-upstream"},
     {RefusalReason::Draining, "draining"},
@@ -72,6 +72,7 @@
     {RefusalReason::KeysUnconfirmed, "keys-unconfirmed"},
     {RefusalReason::OverQuota, "over-quota"},
     {RefusalReason::NoAllowedRegion, "no-allowed-region"},
+    {RefusalReason::CalleeFull, "callee-full"},
 }};
 
 } // namespace
--- a/src/model/types/RefusalReason.h
+++ b/src/model/types/RefusalReason.h
@@ -31,6 +31,8 @@
   KeysUnconfirmed,
   OverQuota,
   NoAllowedRegion,
+  /// Calls that the upstream would make for the request cannot be served.
+  CalleeFull,
 };
 
 /// Whether an upstream executed the refused request.
--- a/src/sidecar/internal/HopHeaders.cpp
+++ b/src/sidecar/internal/HopHeaders.cpp
@@ -54,6 +54,26 @@
   return Value;
 }
 
+/// The reason is QueueFull for nodes of earlier builds, which would take a
+/// refusal with an unknown reason for a failed run. They read any third field
+/// but "1" as: the request has not reached the upstream.
+std::string encodeCalleeFull(const HopOutcome &Outcome) {
+  return join({std::string(toString(RefusalReason::QueueFull)),
+               std::string(toString(Executed::No)),
+               std::string(toString(Outcome.Reason)),
+               std::to_string(Outcome.RetryDelay.count())});
+}
+
+/// A request that has certainly not run may be sent elsewhere, also if a later
+/// build states a reason that is not known here.
+std::optional<RefusalReason> parseReason(const std::string &Text,
+                                         Executed Execution) {
+  const auto Reason = parseRefusalReason(Text);
+  if (!Reason && Execution == Executed::No)
+    return RefusalReason::QueueFull;
+  return Reason;
+}
+
 } // namespace
 
 std::string encodeInfo(const HopInfo &Info, SteadyTime Now) {
@@ -164,6 +184,9 @@
 }
 
 std::string encodeRefusal(const HopOutcome &Outcome) {
+  if (Outcome.Reason == RefusalReason::CalleeFull &&
+      Outcome.End == HopResult::NotRun && !Outcome.Reached)
+    return encodeCalleeFull(Outcome);
   return join({std::string(toString(Outcome.Reason)),
                std::string(toString(Outcome.End == HopResult::NotRun
                                         ? Executed::No
@@ -176,15 +199,17 @@
   const Poco::StringTokenizer Parts(Text, Separator);
   if (Parts.count() != RefusalFields)
     return std::nullopt;
-  const auto Reason = parseRefusalReason(Parts[0]);
   const auto ExecutionStatus = parseExecuted(Parts[1]);
   const auto RetryDelay = numberAt(Parts, 3);
-  if (!Reason || !ExecutionStatus || !RetryDelay)
+  if (!ExecutionStatus || !RetryDelay)
+    return std::nullopt;
+  const auto Reason = parseReason(Parts[0], *ExecutionStatus);
+  if (!Reason)
     return std::nullopt;
   HopOutcome Outcome;
   Outcome.End =
       *ExecutionStatus == Executed::No ? HopResult::NotRun : HopResult::Failed;
-  Outcome.Reason = *Reason;
+  Outcome.Reason = parseRefusalReason(Parts[2]).value_or(*Reason);
   Outcome.Reached = Parts[2] == "1";
   Outcome.RetryDelay = Milliseconds(*RetryDelay);
   return Outcome;
--- a/src/sidecar/internal/OutboundAdmission.cpp
+++ b/src/sidecar/internal/OutboundAdmission.cpp
@@ -69,4 +69,14 @@
   Item->PermitExpiresAt.reset();
 }
 
+/// An upstream that waits no longer closes the connection at the deadline of
+/// its call. Earlier than that its own request has ended.
+void OutboundProxy::recordAbandonedCall(const CallPtr &Item) {
+  if (Item->IsNestedCall && !Item->Ended &&
+      elapsed(Context_.now(), Item->Info.DeadlineAt) <= Milliseconds(0))
+    LocalHop_.callees().onRefused(Item->Info.Service, Item->ArrivedAt,
+                                  RefusalReason::UpstreamTimeout,
+                                  Milliseconds(0));
+}
+
 } // namespace lycheethread::sidecar
--- a/src/sidecar/internal/OutboundCall.h
+++ b/src/sidecar/internal/OutboundCall.h
@@ -47,6 +47,8 @@
   std::int32_t HedgedAttempt = 0;
   bool HedgeWon = false;
   std::int32_t Refusals = 0;
+  /// Refusals since calls of the upstream could not be served.
+  std::int32_t CalleeRefusals = 0;
   /// The upstream beside this node calls for a request that it runs.
   bool IsNestedCall = false;
   /// An upstream of the own region was too full for the request.
--- a/src/sidecar/internal/OutboundProxy.cpp
+++ b/src/sidecar/internal/OutboundProxy.cpp
@@ -22,6 +22,8 @@
 /// refusal costs a round trip, which only delays the caller.
 constexpr std::int32_t MaxSlowRefusals = 3;
 constexpr std::int32_t MaxRefusals = 10;
+/// The upstreams of a service call the same services.
+constexpr std::int32_t MaxCalleeRefusals = 3;
 constexpr int RefusalObjectiveDivisor = 10;
 /// Refusals within the own region cost less than this together.
 constexpr Milliseconds MinRefusalTime{30};
@@ -96,6 +98,7 @@
     return;
   }
   Request->onGone([this, Item] {
+    recordAbandonedCall(Item);
     cancelAttempts(Item);
     end(Item, 0, "caller-left");
   });
@@ -434,11 +437,14 @@
                                   const HopOutcome &Outcome) {
   ++Item->Refusals;
   Hedger_.onRefusal(Item->Info.Service);
+  const bool IsCalleeFull = Outcome.Reason == RefusalReason::CalleeFull;
   if (Outcome.Reason != RefusalReason::QueueFull &&
-      Outcome.Reason != RefusalReason::RateLimited)
+      Outcome.Reason != RefusalReason::RateLimited && !IsCalleeFull)
     return;
   Item->FullReason = Outcome.Reason;
-  Item->OwnRegionIsFull = Item->OwnRegionIsFull || By.IsOwnRegion;
+  Item->CalleeRefusals += IsCalleeFull ? 1 : 0;
+  Item->OwnRegionIsFull =
+      Item->OwnRegionIsFull || (By.IsOwnRegion && !IsCalleeFull);
   Item->RetryDelay = std::min(Outcome.RetryDelay,
                               Item->RetryDelay.value_or(Outcome.RetryDelay));
 }
@@ -455,6 +461,7 @@
                           std::max(MinRefusalTime, Item->Info.Objective /
                                                        RefusalObjectiveDivisor);
     if (Item->Refusals >= MaxRefusals || BodyIsConsumed ||
+        Item->CalleeRefusals >= MaxCalleeRefusals ||
         (Item->Refusals >= MaxSlowRefusals && TookLong &&
          !Item->IsNestedCall) ||
         Outcome.Reason == RefusalReason::CrashSuspect)
@@ -479,6 +486,8 @@
   for (const std::string &Name : {HopLoadName, HopLimitName, HopRefusalName})
     Head.erase(Name);
   const int Status = Head.getStatus();
+  if (Item->IsNestedCall && !http::isServerError(Status))
+    LocalHop_.callees().onAnswered(Item->Info.Service, Item->ArrivedAt);
   end(Item, Status, "answered");
   // The caller may leave while a long answer is still being forwarded.
   Item->Request->onGone([this, Item] { cancelAttempts(Item); });
@@ -506,6 +515,9 @@
                                   Milliseconds RetryDelay) {
   if (Item->Ended)
     return;
+  if (Item->IsNestedCall)
+    LocalHop_.callees().onRefused(Item->Info.Service, Item->ArrivedAt, Reason,
+                                  RetryDelay);
   Item->Trace += ":" + std::string(toString(Reason));
   end(Item, Status, "refused");
   HTTPResponse Head(static_cast<HTTPResponse::HTTPStatus>(Status));
@@ -516,8 +528,10 @@
   const bool IsOverQuota = Status == HTTPResponse::HTTP_TOO_MANY_REQUESTS;
   if (IsOverQuota || Status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE) {
     const Milliseconds Left = elapsed(Context_.now(), Item->Info.DeadlineAt);
-    // Before the quota has a permit again, a retry is of no use.
-    const std::int64_t Least = IsOverQuota
+    // Before the quota has a permit again, or a called service has recovered, a
+    // retry is of no use.
+    const bool IsUseless = IsOverQuota || Reason == RefusalReason::CalleeFull;
+    const std::int64_t Least = IsUseless
                                    ? std::max(RetryDelay, MinRetryAfter).count()
                                    : MinRetryAfter.count();
     const std::int64_t Longest =
--- a/src/sidecar/internal/OutboundProxy.h
+++ b/src/sidecar/internal/OutboundProxy.h
@@ -46,6 +46,7 @@
   void acquirePermit(const CallPtr &Item);
   void onPermit(const CallPtr &Item, const PermitResult &Result);
   void releasePermit(const CallPtr &Item);
+  void recordAbandonedCall(const CallPtr &Item);
   void waitForBody(const CallPtr &Item);
   bool waitUntilFirst(const CallPtr &Item);
   void prepare(const CallPtr &Item);
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -70,7 +70,7 @@
                  DownUntil_ = after(Context_.now(), DownTime);
                  Cold_.onLoss(mesh::ConnectionLoss::Refused);
                }),
-      Cold_(Context, Queue_.Cold) {}
+      Cold_(Context, Queue_.Cold), Callees_(Context) {}
 
 UpstreamHop::~UpstreamHop() { Context_.Loop.cancel(Timer_); }
 
@@ -117,6 +117,10 @@
     return Item->Id;
   }
   Jobs_.emplace(Item->Id.value(), Item);
+  if (const auto Delay = Callees_.delay(Info, Queue_)) {
+    finish(Item, notRun(RefusalReason::CalleeFull, *Delay));
+    return Item->Id;
+  }
   if (Info.Class == RequestClass::Upload && !Item->Job.Body->isEnded())
     admitUpload(Item);
   else
@@ -550,6 +554,7 @@
       ServiceByRoute_.clear();
     }
     Crashes_.reset();
+    Callees_.reset();
     Pool_.closeAll(Known.Address);
   }
   Queue_.Slots = mesh::slotsOf(Context_.Config.get(), Known.Current);
@@ -569,6 +574,7 @@
 
 void UpstreamHop::recordEvidence(const Running &Job, bool Good,
                                  Milliseconds Took) {
+  Callees_.onRunEnd(Job.Job.Info, Job.SentAt, Good);
   const auto Order =
       Callbacks_.ActiveOrder(Context_.Registered.Current.Service);
   if (!Order)
--- a/src/sidecar/internal/UpstreamHop.h
+++ b/src/sidecar/internal/UpstreamHop.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEETHREAD_SIDECAR_INTERNAL_UPSTREAMHOP_H
 #define LYCHEETHREAD_SIDECAR_INTERNAL_UPSTREAMHOP_H
 
+#include "sidecar/internal/CalleeWatch.h"
 #include "sidecar/internal/ColdWatch.h"
 #include "sidecar/internal/ConnectionPool.h"
 #include "sidecar/internal/CrashProbe.h"
@@ -49,6 +50,8 @@
 
   mesh::LoadReport load() const;
   std::vector<mesh::RouteEvidence> evidence() const;
+  /// Takes the calls that the upstream makes.
+  CalleeWatch &callees() { return Callees_; }
   /// The order at the position \p From is now known by \p To.
   void moveEvidence(Offset From, Offset To) { Outcomes_.moveOrder(From, To); }
   std::size_t inProgress() const { return Jobs_.size(); }
@@ -94,6 +97,7 @@
   /// Sum of the expected times of the requests that run or wait.
   Milliseconds ExpectedWork_{0};
   ColdWatch Cold_;
+  CalleeWatch Callees_;
   std::unordered_map<std::int64_t, RunningPtr> Jobs_;
   mesh::JobId LastJob_;
   /// Requests whose long body has not arrived yet; they hold no slot.
