Recover sooner from a shortage of a called service; tests and notes

Callers were still rejected up to 2.7 s after a called service had recovered: a refused call that was counted before the recovery required eight more calls, and at a small share few runs make any. Four served calls in turn now suffice.

The loop of NamesTest over all reasons ended before the last ones; it now covers every reason.

--- a/src/mesh/internal/CalleeOutlook.cpp
+++ b/src/mesh/internal/CalleeOutlook.cpp
@@ -38,6 +38,8 @@
 constexpr std::int32_t CallsToRaise = 3;
 /// At a small share few runs make calls; this is one of them.
 constexpr std::int32_t CallsToRaiseSmallShare = 2;
+/// The same if one was refused before them.
+constexpr std::int32_t CallsAfterRefusal = 4;
 constexpr std::int32_t CallsToCut = 4;
 constexpr std::int32_t RefusedToCut = 2;
 constexpr std::int32_t CallsToKeep = 8;
@@ -113,6 +115,7 @@
   Callee.CountedFrom = From;
   Callee.Answered = 0;
   Callee.Refused = 0;
+  Callee.AnsweredInTurn = 0;
 }
 
 double servedShare(const CalleeState &Callee) {
@@ -169,13 +172,17 @@
                 CalleeState &Callee, SteadyTime Now) {
   const std::int32_t Calls = Callee.Answered + Callee.Refused;
   const Milliseconds Since = elapsed(Callee.ChangedAt, Now);
-  if (Callee.Refused == 0) {
-    const std::int32_t Needed = Callee.AdmittedShare < SmallShare
-                                    ? CallsToRaiseSmallShare
-                                    : CallsToRaise;
-    if ((Calls < Needed || Since < MinRaiseInterval) &&
-        (Calls > 0 || Since < NoCallsTime))
-      return false;
+  // A refused call that was counted before a recovery must not delay it, where
+  // few runs make calls.
+  const bool IsSmall = Callee.AdmittedShare < SmallShare;
+  const std::int32_t Needed = !IsSmall              ? CallsToRaise
+                              : Callee.Refused == 0 ? CallsToRaiseSmallShare
+                                                    : CallsAfterRefusal;
+  const bool AllServed =
+      Callee.AnsweredInTurn >= Needed && (IsSmall || Callee.Refused == 0);
+  const bool MayRaise = (AllServed && Since >= MinRaiseInterval) ||
+                        (Calls == 0 && Since >= NoCallsTime);
+  if (MayRaise) {
     raise(Callee, admittedToIdleSlots(Known, Name), Now);
     return true;
   }
@@ -274,6 +281,7 @@
   if (Call.BeganAt < Callee.CountedFrom)
     return;
   ++(Call.IsRefused ? Callee.Refused : Callee.Answered);
+  Callee.AnsweredInTurn = Call.IsRefused ? 0 : Callee.AnsweredInTurn + 1;
   if (isLimiting(Callee)) {
     if (adaptShare(Known, Call.Callee, Callee, Now))
       updateIdleUse(Known, Call.Callee, Callee);
--- a/src/mesh/types/CalleeOutlook.h
+++ b/src/mesh/types/CalleeOutlook.h
@@ -48,6 +48,8 @@
   SteadyTime CountedFrom;
   std::int32_t Answered = 0;
   std::int32_t Refused = 0;
+  /// Answered since the last one that was refused.
+  std::int32_t AnsweredInTurn = 0;
   /// The same for all calls; both decay.
   double RecentlyAnswered = 0;
   double RecentlyRefused = 0;
--- a/src/model/tests/NamesTest.cpp
+++ b/src/model/tests/NamesTest.cpp
@@ -8,7 +8,7 @@
 // Guards against a reason that is missing from the name table; its refusals
 // would be reported as "invalid".
 BOOST_AUTO_TEST_CASE(EveryRefusalReasonHasANameThatParsesBack) {
-  for (int I = 0; I <= static_cast<int>(RefusalReason::NotReady); ++I) {
+  for (int I = 0; I <= static_cast<int>(RefusalReason::CalleeFull); ++I) {
     const auto Reason = static_cast<RefusalReason>(I);
     BOOST_TEST((parseRefusalReason(toString(Reason)) == Reason));
   }
--- a/src/sidecar/tests/CodecTest.cpp
+++ b/src/sidecar/tests/CodecTest.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <random>
 
 using namespace lycheethread;
@@ -359,4 +360,29 @@
   BOOST_TEST(!decodeRefusal("").has_value());
 }
 
+// Guards against a node of an earlier build that takes a request which a last
+// hop has rejected for one that may have run: it knows no callee-full.
+BOOST_AUTO_TEST_CASE(calleeFullIsNotExecutedForEveryBuild) {
+  const std::string Text =
+      encodeRefusal(notRun(RefusalReason::CalleeFull, Milliseconds(250)));
+  BOOST_TEST(Text.rfind("queue-full;no;", 0) == 0U);
+  BOOST_TEST(std::count(Text.begin(), Text.end(), ';') == 3);
+  const auto Read = decodeRefusal(Text);
+  BOOST_REQUIRE(Read.has_value());
+  BOOST_TEST((Read->End == HopResult::NotRun));
+  BOOST_TEST((Read->Reason == RefusalReason::CalleeFull));
+  BOOST_TEST(!Read->Reached);
+  BOOST_TEST(Read->RetryDelay.count() == 250);
+}
+
+// Guards against a refusal of a later build that counts as a failed run, and
+// against a failed run that counts as not executed.
+BOOST_AUTO_TEST_CASE(unknownReasonsKeepTheExecution) {
+  const auto Refused = decodeRefusal("reason-of-a-later-build;no;0;80");
+  BOOST_REQUIRE(Refused.has_value());
+  BOOST_TEST((Refused->End == HopResult::NotRun));
+  BOOST_TEST(Refused->RetryDelay.count() == 80);
+  BOOST_TEST(!decodeRefusal("reason-of-a-later-build;unknown;1;0").has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
