End a limit on a called service when no more calls are made

Callers of a limited route stayed rejected for good if its runs made no calls any more: a refused call that had been counted without a decision kept the share from being raised. The time since the last call is now what counts.

--- a/src/mesh/internal/CalleeOutlook.cpp
+++ b/src/mesh/internal/CalleeOutlook.cpp
@@ -180,8 +180,9 @@
                                                     : CallsAfterRefusal;
   const bool AllServed =
       Callee.AnsweredInTurn >= Needed && (IsSmall || Callee.Refused == 0);
-  const bool MayRaise = (AllServed && Since >= MinRaiseInterval) ||
-                        (Calls == 0 && Since >= NoCallsTime);
+  const bool NoCalls =
+      std::min(Since, elapsed(Callee.DecayedAt, Now)) >= NoCallsTime;
+  const bool MayRaise = (AllServed && Since >= MinRaiseInterval) || NoCalls;
   if (MayRaise) {
     raise(Callee, admittedToIdleSlots(Known, Name), Now);
     return true;
--- a/src/mesh/tests/CalleeOutlookTest.cpp
+++ b/src/mesh/tests/CalleeOutlookTest.cpp
@@ -393,6 +393,28 @@
   BOOST_TEST(Admitted <= 30);
 }
 
+// Guards against a limit that stays since the admitted runs make no calls any
+// more, as in a cycle of services that wait for each other.
+BOOST_AUTO_TEST_CASE(aLimitEndsWithoutFurtherCalls) {
+  const auto Always = [](int) { return true; };
+  // The last calls may have been counted without a decision.
+  for (int Refused = 0; Refused < 4; ++Refused) {
+    CalleeOutlook Known;
+    BOOST_REQUIRE(isRejectedAfter(Known, Lookup, 40, Always, Always));
+    for (int I = 0; I < Refused; ++I)
+      recordCall(Known, {Index, at(3500), true, Milliseconds(50)}, at(3510));
+    std::size_t Ended = 0;
+    for (int Ms = 3550; Ms < 10000; Ms += 50) {
+      static_cast<void>(calleeDelay(Known, {Lookup, false, false}, at(Ms)));
+      Ended += endedLimits(Known, at(Ms)).size();
+    }
+    BOOST_TEST(Ended == 1U);
+    for (int I = 0; I < 20; ++I)
+      BOOST_TEST(!calleeDelay(Known, {Lookup, false, false}, at(10000 + I)));
+    BOOST_TEST(Known.Callees.empty());
+  }
+}
+
 // Guards against callers that return and are refused again while new requests
 // are admitted.
 BOOST_AUTO_TEST_CASE(returningRequestsGoBeforeNewOnes) {
--- a/src/mesh/types/CalleeOutlook.h
+++ b/src/mesh/types/CalleeOutlook.h
@@ -53,6 +53,7 @@
   /// The same for all calls; both decay.
   double RecentlyAnswered = 0;
   double RecentlyRefused = 0;
+  /// When the last call ended.
   SteadyTime DecayedAt;
   SteadyTime RefusedAt;
   /// How often the share was raised in turn.
