Wait for the new configuration on both nodes in the test of nested calls

The test could begin while one node still had the configuration without organisations, since that also answers the request it waited for with 200. It now waits for a route that only the new configuration has, on both nodes.

--- a/tests/platform/NestedCallTest.cpp
+++ b/tests/platform/NestedCallTest.cpp
@@ -93,12 +93,11 @@
   Instance &Store = Mesh.at(1);
   callPartsForEachRequest(Desk);
   Mesh.Store.put("keyed.op", "config", withPublicParts(2));
-  BOOST_REQUIRE(holdsWithin(
-      [&] {
-        return get(Desk, "/parts/x", "", "start").Status == 200 &&
-               get(Store, "/read/x", "key-1", "start").Status == 200;
-      },
-      ApplyLimit));
+  // The route to the parts exists only in the new configuration.
+  for (const auto &Item : Mesh.Instances)
+    BOOST_REQUIRE(holdsWithin(
+        [&] { return get(*Item, "/parts/x", "", "start").Status == 200; },
+        ApplyLimit));
   for (int I = 0; I < 20; ++I)
     BOOST_TEST(get(Store, "/read/x", "key-1", "before").Status == 200);
 
