--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -73,7 +73,8 @@
       Cold_(Context, Pool_, Queue_,
             ColdWatch::Callbacks{
                 [this] { return !checkUpstream(); },
-                [this] { Context_.Loop.defer([this] { runWaiting(); }); }}) {}
+                [this] { Context_.Loop.defer([this] { runWaiting(); }); }}),
+      Callees_(Context) {}
 
 UpstreamHop::~UpstreamHop() { Context_.Loop.cancel(Timer_); }
 
@@ -120,6 +121,10 @@
     return Item->Id;
   }
   Jobs_.emplace(Item->Id.value(), Item);
+  if (const auto Delay = Callees_.delay(Info, Queue_)) {
+    finish(Item, notRun(RefusalReason::CalleeFull, *Delay));
+    return Item->Id;
+  }
   if (Info.Class == RequestClass::Upload && !Item->Job.Body->isEnded())
     admitUpload(Item);
   else
@@ -554,6 +559,7 @@
       ServiceByRoute_.clear();
     }
     Crashes_.reset();
+    Callees_.reset();
     Pool_.closeAll(Known.Address);
   }
   Queue_.Slots = mesh::slotsOf(Context_.Config.get(), Known.Current);
@@ -573,6 +579,7 @@
 
 void UpstreamHop::recordEvidence(const Running &Job, bool Good,
                                  Milliseconds Took) {
+  Callees_.onRunEnd(Job.Job.Info, Job.SentAt, Good);
   const auto Order =
       Callbacks_.ActiveOrder(Context_.Registered.Current.Service);
   if (!Order)
