Share the slots of an upstream among organisations and ranks

An organisation that sent 7 times its usual rate got 7 times the slots of the others, and while more urgent requests filled the slots a less urgent rank got none for as long as that lasted.

Within a rank, requests of an organisation that has used more than twice what the others use on average go behind theirs, by one level for each doubling, until they have waited as long as their admission allows for. Admission stretches the expected wait of such a request by the load that goes before it, so that it is refused at once rather than after a wait.

--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -8,6 +8,7 @@
 #include "mesh/types/CheckIn.h"
 #include "mesh/types/ColdLimit.h"
 #include "mesh/types/Evacuation.h"
+#include "mesh/types/FairShare.h"
 #include "mesh/types/GossipPlan.h"
 #include "mesh/types/Hedging.h"
 #include "mesh/types/HopQueue.h"
@@ -88,10 +89,50 @@
 chooseCandidate(const std::vector<Candidate> &Candidates,
                 const PlacementRequest &Request, std::mt19937_64 &Random);
 
-/// Orders two waiting requests: by rank, then requests that can still meet
-/// their objective before the others, then by age.
-bool runsBefore(const QueuedJob &First, const QueuedJob &Second,
-                SteadyTime Now);
+/// Orders two waiting requests: by rank, then by the recent use of their
+/// organisations, then requests that can still meet their objective before the
+/// others, then by age.
+bool runsBefore(const HopQueue &Queue, const QueuedJob &First,
+                const QueuedJob &Second, SteadyTime Now);
+
+/// Returns the account of \p Organisation, valid while a request waits or runs.
+ShareAccount shareAccountOf(HopQueue &Queue,
+                            const organisations::OrganisationId &Organisation,
+                            SteadyTime Now);
+
+/// Returns 0 for an organisation that has used at most twice as much as the
+/// others on average, and one more for each time that its use doubles.
+int shareLevel(const FairShares &Shares, ShareAccount Account);
+
+/// Returns the level by which \p Job is ordered at \p Now.
+int shareLevel(const HopQueue &Queue, const QueuedJob &Job, SteadyTime Now);
+
+/// Returns by how much requests of other organisations that arrive later
+/// stretch the wait of \p Job.
+double overtakingFactor(const HopQueue &Queue, const QueuedJob &Job,
+                        SteadyTime Now);
+
+/// Returns the time after which the organisation of \p Job is not put back any
+/// more if it gets no slots until then; 0 while the others leave slots to it.
+Milliseconds shareDelay(const HopQueue &Queue, const QueuedJob &Job,
+                        SteadyTime Now);
+
+/// Records that \p Job takes a slot.
+void startSlot(HopQueue &Queue, const QueuedJob &Job, SteadyTime Now);
+
+/// Frees a slot and charges the time for which it was held.
+void endSlot(HopQueue &Queue, const SlotUse &Use, SteadyTime Now);
+
+/// Returns the time after which the rank of \p Job has had no slot for its
+/// longest wait, so that \p Job gets one before more urgent requests; empty if
+/// it would not be the next one of its rank.
+std::optional<Milliseconds> turnDelay(const HopQueue &Queue,
+                                      const QueuedJob &Job, SteadyTime Now);
+
+/// Returns the position of the waiting request that runs next: that of a rank
+/// without a slot for its longest wait, or else the one at \p First.
+std::size_t nextInTurn(const HopQueue &Queue, std::size_t First,
+                       SteadyTime Now);
 
 /// Returns the longest time that a request with the objective \p Objective may
 /// wait for a slot.
@@ -141,6 +182,7 @@
 
 /// Counts a request as started that was admitted with QueueDecision::Run.
 void startNow(HopQueue &Queue, SteadyTime Now);
+void startNow(HopQueue &Queue, const QueuedJob &Job, SteadyTime Now);
 
 /// Moves the next waiting request to a free slot, if both exist and the limit
 /// of the upstream permits it.
--- a/src/mesh/internal/HopQueue.cpp
+++ b/src/mesh/internal/HopQueue.cpp
@@ -45,8 +45,9 @@
 std::size_t jobsAhead(const HopQueue &Queue, const QueuedJob &Job,
                       SteadyTime Now) {
   return static_cast<std::size_t>(std::count_if(
-      Queue.Waiting.begin(), Queue.Waiting.end(),
-      [&](const QueuedJob &Other) { return runsBefore(Other, Job, Now); }));
+      Queue.Waiting.begin(), Queue.Waiting.end(), [&](const QueuedJob &Other) {
+        return runsBefore(Queue, Other, Job, Now);
+      }));
 }
 
 /// Returns the time until a request with \p Ahead requests before it gets one
@@ -62,10 +63,16 @@
 
 } // namespace
 
-bool runsBefore(const QueuedJob &First, const QueuedJob &Second,
-                SteadyTime Now) {
+bool runsBefore(const HopQueue &Queue, const QueuedJob &First,
+                const QueuedJob &Second, SteadyTime Now) {
   if (First.Rank != Second.Rank)
     return First.Rank < Second.Rank;
+  if (First.Account != Second.Account) {
+    const int FirstLevel = shareLevel(Queue, First, Now);
+    const int SecondLevel = shareLevel(Queue, Second, Now);
+    if (FirstLevel != SecondLevel)
+      return FirstLevel < SecondLevel;
+  }
   const bool FirstInTime = canBeInTime(First, Now);
   if (FirstInTime != canBeInTime(Second, Now))
     return FirstInTime;
@@ -118,25 +125,42 @@
       permitDelay(Queue, 0, Now) == Milliseconds(0))
     return {QueueDecision::Action::Run, Milliseconds(0)};
   const auto Ahead = static_cast<std::int64_t>(jobsAhead(Queue, Job, Now));
-  const Milliseconds PermitWait = permitDelay(Queue, Ahead, Now);
-  const Milliseconds SlotWait = slotWait(Queue, Slots, Ahead, MeanService, Now);
+  Milliseconds PermitWait = permitDelay(Queue, Ahead, Now);
+  Milliseconds SlotWait = slotWait(Queue, Slots, Ahead, MeanService, Now);
+  // Requests that arrive later and go first make it longer than that.
+  Milliseconds LastSlot(
+      static_cast<std::int64_t>(static_cast<double>(SlotWait.count()) *
+                                overtakingFactor(Queue, Job, Now)));
+  if (const auto Turn = turnDelay(Queue, Job, Now)) {
+    const Milliseconds InTurn =
+        *Turn + slotWait(Queue, Queue.Slots, 0, MeanService, Now);
+    SlotWait = std::min(SlotWait, InTurn);
+    LastSlot = std::min(LastSlot, InTurn);
+    PermitWait =
+        std::min(PermitWait, std::max(*Turn, permitDelay(Queue, 0, Now)));
+  }
   const Milliseconds Wait = std::max(SlotWait, PermitWait);
   const Milliseconds InTime =
       elapsed(Now, Job.ObjectiveAt) -
       std::max(Job.ServiceTime, Milliseconds(1)) * MinServiceTimesLeft;
   const Milliseconds Allowed = std::max(
       std::min(InTime, longestWait(Job.Objective)), MaxLateRequestWait);
-  if (Wait <= Allowed)
+  const Milliseconds Overdue = LastSlot - std::max(InTime, MaxLateRequestWait);
+  const Milliseconds Excess =
+      std::max(Wait - Allowed, LastSlot > SlotWait ? Overdue : Milliseconds(0));
+  if (Excess <= Milliseconds(0))
     return {QueueDecision::Action::Wait, Milliseconds(0)};
-  return {QueueDecision::Action::Refuse, Wait - Allowed, PermitWait > SlotWait};
+  return {QueueDecision::Action::Refuse,
+          std::max(Excess, shareDelay(Queue, Job, Now)), PermitWait > SlotWait};
 }
 
 void recordArrival(HopQueue &Queue, const QueuedJob &Job, SteadyTime Now) {
   std::vector<RecentRank> &Ranks = Queue.RecentRanks;
   Ranks.erase(std::remove_if(Ranks.begin(), Ranks.end(),
                              [&](const RecentRank &Item) {
-                               return elapsed(Item.SeenAt, Now) >
-                                      RecentRankTime;
+                               return Item.Running == 0 &&
+                                      elapsed(Item.SeenAt, Now) >
+                                          RecentRankTime;
                              }),
               Ranks.end());
   const Milliseconds Wait = longestWait(Job.Objective);
@@ -144,10 +168,14 @@
       std::find_if(Ranks.begin(), Ranks.end(), [&](const RecentRank &Item) {
         return Item.Rank == Job.Rank;
       });
-  if (Found == Ranks.end())
-    Ranks.push_back({Job.Rank, Now, Wait});
-  else
-    *Found = {Job.Rank, Now, std::min(Wait, Found->LongestWait)};
+  if (Found == Ranks.end()) {
+    Ranks.push_back({Job.Rank, Now, Wait, 0, SteadyTime(), Now});
+    return;
+  }
+  Found->SeenAt = Now;
+  Found->LongestWait = std::min(Wait, Found->LongestWait);
+  if (!Found->UnservedSince)
+    Found->UnservedSince = Now;
 }
 
 // Long requests of a low rank that hold every slot make each more urgent one
@@ -180,6 +208,11 @@
   takeColdPermit(Queue.Cold, Now);
 }
 
+void startNow(HopQueue &Queue, const QueuedJob &Job, SteadyTime Now) {
+  startNow(Queue, Now);
+  startSlot(Queue, Job, Now);
+}
+
 // The last hop decides admission by the requests that it serves before this
 // one. Only a first attempt of the least urgent route waits behind every
 // request that the upstream holds; any other would be refused for a queue that
@@ -220,17 +253,21 @@
   if (Queue.Running >= Queue.Slots || Queue.Waiting.empty() ||
       permitDelay(Queue, 0, Now) > Milliseconds(0))
     return std::nullopt;
-  const auto Next =
+  const auto First =
       std::min_element(Queue.Waiting.begin(), Queue.Waiting.end(),
-                       [Now](const QueuedJob &L, const QueuedJob &R) {
-                         return runsBefore(L, R, Now);
+                       [&Queue, Now](const QueuedJob &L, const QueuedJob &R) {
+                         return runsBefore(Queue, L, R, Now);
                        });
-  if (Queue.Running >= slotsFor(Queue, *Next, Now))
+  const auto FirstIndex =
+      static_cast<std::size_t>(First - Queue.Waiting.begin());
+  const std::size_t Index = nextInTurn(Queue, FirstIndex, Now);
+  if (Index == FirstIndex && Queue.Running >= slotsFor(Queue, *First, Now))
     return std::nullopt;
-  const JobId Id = Next->Id;
-  Queue.Waiting.erase(Next);
-  startNow(Queue, Now);
-  return Id;
+  const QueuedJob Next = Queue.Waiting[Index];
+  Queue.Waiting.erase(Queue.Waiting.begin() +
+                      static_cast<std::ptrdiff_t>(Index));
+  startNow(Queue, Next, Now);
+  return Next.Id;
 }
 
 bool removeWaiting(HopQueue &Queue, JobId Id) {
--- a/src/mesh/types/HopQueue.h
+++ b/src/mesh/types/HopQueue.h
@@ -2,9 +2,11 @@
 #define LYCHEETHREAD_MESH_TYPES_HOPQUEUE_H
 
 #include "mesh/types/ColdLimit.h"
+#include "mesh/types/FairShare.h"
 #include "requests/Requests.h"
 
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 namespace lycheethread::mesh {
@@ -16,6 +18,8 @@
   JobId Id;
   /// Rank 0 is served first.
   std::int32_t Rank = 0;
+  /// Of the organisation, among which slots are shared.
+  ShareAccount Account;
   SteadyTime Arrived;
   /// Latency objective of the route, which counts from the caller's first
   /// attempt.
@@ -38,6 +42,12 @@
   SteadyTime SeenAt;
   /// The shortest time that one of them may wait for a slot.
   Milliseconds LongestWait{0};
+  /// How many of them hold a slot.
+  std::int32_t Running = 0;
+  /// When one of them last took or left a slot.
+  SteadyTime LastSlotAt;
+  /// Arrival of the first one since one took a slot.
+  std::optional<SteadyTime> UnservedSince;
 };
 
 /// A request at its entry, which knows only how long it would wait at the last
@@ -62,6 +72,8 @@
   std::vector<RecentRank> RecentRanks;
   /// The rate at which it takes them while it is cold.
   ColdLimit Cold;
+  /// Decides among the waiting requests of one rank.
+  FairShares Shares;
 };
 
 /// Result of the admission check of an arriving request.
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -43,6 +43,7 @@
   /// Bytes counted in UploadBacklog_.
   std::int64_t PendingBytes = 0;
   bool HasSlot = false;
+  mesh::SlotUse Slot;
   /// How long the upstream is expected to take; counted in ExpectedWork_.
   Milliseconds Expected{0};
   /// The request has been written to a connection.
@@ -208,11 +209,14 @@
   mesh::QueuedJob Queued;
   Queued.Id = Job->Id;
   Queued.Rank = Info.Rank;
+  Queued.Account =
+      mesh::shareAccountOf(Queue_, Info.Organisation, Context_.now());
   Queued.Arrived = Context_.now();
   Queued.Objective = Info.Objective;
   Queued.ObjectiveAt = Info.ObjectiveAt;
   Queued.DeadlineAt = Info.DeadlineAt;
   Queued.ServiceTime = expectedService(Info);
+  Job->Slot = {Queued.Account, Queued.Rank, Queued.ServiceTime, SteadyTime()};
   mesh::recordArrival(Queue_, Queued, Context_.now());
   const QueueDecision Admission = mesh::admitJob(
       Queue_, Queued, mesh::meanServiceTime(Service_), Context_.now());
@@ -223,7 +227,7 @@
                        Admission.RetryDelay));
     return;
   case QueueDecision::Action::Run:
-    mesh::startNow(Queue_, Context_.now());
+    mesh::startNow(Queue_, Queued, Context_.now());
     countWork(*Job, Queued.ServiceTime);
     grant(Job);
     return;
@@ -254,6 +258,7 @@
 
 void UpstreamHop::grant(const RunningPtr &Job) {
   Job->HasSlot = true;
+  Job->Slot.StartedAt = Context_.now();
   if (elapsed(Context_.now(), Job->Job.Info.DeadlineAt) <= Milliseconds(0)) {
     finish(Job, notRun(RefusalReason::Deadline));
     return;
@@ -465,7 +470,7 @@
   }
   if (!Job->HasSlot)
     return;
-  --Queue_.Running;
+  mesh::endSlot(Queue_, Job->Slot, Context_.now());
   Context_.Loop.defer([this] { runWaiting(); });
 }
 
