Log no share level where no other organisation is active

A node without organisations logged share_level=7 for every refused request, since one account had used everything; seen in the log of MisbehavingUpstreams. MeshTests passes (135 cases).

--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -104,7 +104,7 @@
 /// others on average, and one more for each time that its use doubles.
 int shareLevel(const FairShares &Shares, ShareAccount Account);
 
-/// Returns the level of \p Organisation, which has no account before its first
+/// Returns the level of \p Organisation; 0 without others and before its first
 /// request.
 int shareLevel(const FairShares &Shares,
                const organisations::OrganisationId &Organisation);
--- a/src/mesh/internal/FairShare.cpp
+++ b/src/mesh/internal/FairShare.cpp
@@ -178,6 +178,8 @@
 
 int shareLevel(const FairShares &Shares,
                const organisations::OrganisationId &Organisation) {
+  if (Shares.Active < 2)
+    return 0;
   if (Organisation.empty())
     return shareLevel(Shares, ShareAccount());
   const auto Found = Shares.Positions.find(Organisation);
