Free the slot of a cancelled request whose deadline has passed

Callers that sent the next round at once after a timeout were refused (queue-full): the last hop held the slot of a request that may run only once for 120 ms after its deadline, while the entry answers after 60 ms.

A cancellation after the deadline now frees the slot; the upstream has stopped its work by then, and no one wants the answer. A cancellation before the deadline still lets the request run to its end.

Seen in MisbehavingUpstreams/endlessAnswersDoNotFillTheMemory with an unlimited log: 89 refusals with 100 of 100 slots held.

--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -527,8 +527,12 @@
   Job->CallerDone = true;
   Job->Job.OnEnd = nullptr;
   Job->Job.OnGranted = nullptr;
+  // The upstream has stopped its work at the deadline; its slot must be free
+  // when the caller, which has its answer, sends the next request.
+  const bool IsOver =
+      elapsed(Context_.now(), Job->Job.Info.DeadlineAt) <= Milliseconds(0);
   const bool MustComplete =
-      Job->Sent && Job->Job.Info.Class != RequestClass::Repeatable;
+      Job->Sent && Job->Job.Info.Class != RequestClass::Repeatable && !IsOver;
   if (MustComplete && !Job->Job.Body->hasFailed())
     return;
   mesh::removeWaiting(Queue_, Id);
