Share slots only where there are organisations; leave callee admission to the operator

Turns of ranks and the admission that goes with them changed the order of deployments without organisations, which are served as before now (HopQueue::SharesSlots, test ranksAreServedInOrderWithoutOrganisations).

The accepted request of the last hop has a header of its own.

--- a/src/mesh/internal/CalleeOutlook.cpp
+++ b/src/mesh/internal/CalleeOutlook.cpp
@@ -13,9 +13,6 @@
 /// refused before its run ends, and runs are short compared with it.
 constexpr Milliseconds MemoryTime{4000};
 constexpr std::size_t MaxRefusedCalls = 64;
-/// Requests of a route are rejected from this share of failed runs on. Single
-/// refused calls, as they occur at any load, stay below it.
-constexpr double MinFailedShare = 0.25;
 constexpr double MinEndedRuns = 8;
 constexpr double MinFailedRuns = 4;
 /// Share of the calls that should be served. A run makes several calls and
@@ -228,7 +225,7 @@
   return Callee;
 }
 
-bool failsTooOften(const RouteOutlook &Route) {
+bool failsTooOften(const RouteOutlook &Route, double MinFailedShare) {
   return Route.Ended >= MinEndedRuns && Route.Failed >= MinFailedRuns &&
          Route.Failed >= Route.Ended * MinFailedShare;
 }
@@ -305,7 +302,7 @@
   if (!By)
     return std::nullopt;
   ++Route.Failed;
-  if (Route.Callee || !failsTooOften(Route))
+  if (Route.Callee || !failsTooOften(Route, Known.MinFailedShare))
     return std::nullopt;
   CalleeState &Callee = Known.Callees[*By];
   if (!isLimiting(Callee))
--- a/src/mesh/internal/FairShare.cpp
+++ b/src/mesh/internal/FairShare.cpp
@@ -199,6 +199,8 @@
 // The wait of a low priority is stretched by the load that goes before it.
 double overtakingFactor(const HopQueue &Queue, const QueuedJob &Job,
                         double MaxLoad, SteadyTime Now) {
+  if (!Queue.SharesSlots)
+    return 1;
   double Load = loadOfUrgent(Queue, Job.Rank, Now);
   if (shareLevel(Queue.Shares, Job.Account) > 0)
     Load = std::max(Load, loadOfOthers(Queue, Job.Account, Now));
@@ -248,6 +250,8 @@
 
 std::optional<Milliseconds> turnDelay(const HopQueue &Queue,
                                       const QueuedJob &Job, SteadyTime Now) {
+  if (!Queue.SharesSlots)
+    return std::nullopt;
   std::int32_t Urgent = Job.Rank;
   for (const QueuedJob &Other : Queue.Waiting) {
     Urgent = std::min(Urgent, Other.Rank);
@@ -264,6 +268,8 @@
 
 std::size_t nextInTurn(const HopQueue &Queue, std::size_t First,
                        SteadyTime Now) {
+  if (!Queue.SharesSlots)
+    return First;
   const std::int32_t Rank = Queue.Waiting[First].Rank;
   if (Queue.RecentRanks.size() < 2 || !hasTurns(Queue, Rank))
     return First;
--- a/src/mesh/tests/FairShareTest.cpp
+++ b/src/mesh/tests/FairShareTest.cpp
@@ -474,6 +474,20 @@
   BOOST_TEST(Full.next(203) == Urgent);
 }
 
+// Guards against another order where no organisations share the slots.
+BOOST_AUTO_TEST_CASE(ranksAreServedInOrderWithoutOrganisations) {
+  FullQueue Full;
+  Full.Queue.SharesSlots = false;
+  Full.Queue.Waiting = {Full.job("", 1, 10)};
+  for (int Count = 0; Count < 3; ++Count)
+    Full.Queue.Waiting.push_back(Full.job("", 0, 200));
+  const JobId Urgent = Full.Queue.Waiting[1].Id;
+  BOOST_TEST(Full.next(202) == Urgent);
+  const QueuedJob Less = Full.job("", 1, 202);
+  BOOST_TEST(overtakingFactor(Full.Queue, Less, 0.9, SteadyTime(202)) == 1);
+  BOOST_TEST(!turnDelay(Full.Queue, Less, SteadyTime(202)));
+}
+
 // Guards against an arriving request of a starved rank that is refused for a
 // queue in which it would not wait.
 BOOST_AUTO_TEST_CASE(admissionKnowsTheTurn) {
--- a/src/mesh/types/CalleeOutlook.h
+++ b/src/mesh/types/CalleeOutlook.h
@@ -95,6 +95,9 @@
 /// What the last hop knows of the services that its upstream calls. Empty
 /// unless calls have been refused within the last seconds.
 struct CalleeOutlook {
+  /// Requests of a route are rejected from this share of failed runs on. Single
+  /// refused calls, as they occur at any load, stay below the default.
+  double MinFailedShare = 0.25;
   std::deque<RefusedCall> Refused;
   std::map<ServiceName, CalleeState> Callees;
   std::unordered_map<RouteName, RouteOutlook> Routes;
--- a/src/mesh/types/HopQueue.h
+++ b/src/mesh/types/HopQueue.h
@@ -76,6 +76,9 @@
   ColdLimit Cold;
   /// Decides among the waiting requests of one rank.
   FairShares Shares;
+  /// Whether organisations share the slots and ranks are served in turn;
+  /// otherwise ranks are served strictly in their order.
+  bool SharesSlots = true;
 };
 
 /// Result of the admission check of an arriving request.
--- a/src/settings/internal/SettingsParser.cpp
+++ b/src/settings/internal/SettingsParser.cpp
@@ -219,6 +219,9 @@
     if (const auto Share =
             readDecimalValue(To, From, "max_share", 0, MaxHedgeShare))
       Into.MaxHedgeShare = *Share;
+  } else if (Name == "admission") {
+    if (const auto Share = readDecimalValue(To, From, "min_failed_runs", 0, 1))
+      Into.MinFailedRuns = *Share;
   } else if (Name == "platform") {
     Into.PlatformBounds = readTextValue(To, From, "bounds").value_or("");
   } else {
--- a/src/settings/internal/SettingsSchema.cpp
+++ b/src/settings/internal/SettingsSchema.cpp
@@ -53,6 +53,7 @@
        false,
        {{"link_mbit", false, "Mbit/s", "1000", "0.1 to 1000000"}}},
       {"hedging", false, {{"max_share", false, "", "0", "0 to 0.5"}}},
+      {"admission", false, {{"min_failed_runs", false, "", "0", "0 to 1"}}},
       {"platform",
        false,
        {optional("bounds", "", "name=value pairs, with commas")}},
--- a/src/settings/tests/SettingsTest.cpp
+++ b/src/settings/tests/SettingsTest.cpp
@@ -102,6 +102,8 @@
 link_mbit = 10.5
 [hedging]
 max_share = 0.05
+[admission]
+min_failed_runs = 0.25
 [store]
 address = 10.0.0.1:8142
 [peers]
@@ -126,6 +128,7 @@
   BOOST_TEST(Result.Settings.CheckInInterval.count() == 1500);
   BOOST_TEST(Result.Settings.LinkBytesPerMs == 1312.5);
   BOOST_TEST(Result.Settings.MaxHedgeShare == 0.05);
+  BOOST_TEST(Result.Settings.MinFailedRuns == 0.25);
   BOOST_TEST(Result.Settings.PlatformBounds == "grace_s=6,drain_s=2.5");
   BOOST_TEST(isForSidecar(GoodSidecar));
   BOOST_TEST(!isForSidecar(Good));
@@ -140,6 +143,16 @@
   BOOST_TEST(Result.Settings.MaxHedgeShare == 0);
 }
 
+// Guards against requests that are rejected for their calls without the
+// operator's order.
+BOOST_AUTO_TEST_CASE(CalleeAdmissionIsOffWithoutItsSection) {
+  const std::string Text =
+      replaced(GoodSidecar, "[admission]\nmin_failed_runs = 0.25\n", "");
+  const ParsedSidecarSettings Result = parseSidecarSettings("p.ini", Text);
+  BOOST_TEST(Result.Problems.empty());
+  BOOST_TEST(Result.Settings.MinFailedRuns == 0);
+}
+
 // Guards against a parser that stops at the first mistake.
 BOOST_AUTO_TEST_CASE(MistakesInSidecarSettingsAreReportedTogether) {
   std::string Text = replaced(GoodSidecar, "zone = west-a", "zone = West A");
--- a/src/sidecar/internal/CalleeWatch.cpp
+++ b/src/sidecar/internal/CalleeWatch.cpp
@@ -35,19 +35,25 @@
 
 } // namespace
 
+bool CalleeWatch::isOn() const { return Context_.Settings.MinFailedRuns > 0; }
+
 void CalleeWatch::onAnswered(const ServiceName &Callee, SteadyTime BeganAt) {
-  mesh::recordCall(Known_, {Callee, BeganAt, false, Milliseconds(0)},
-                   Context_.now());
+  if (isOn())
+    mesh::recordCall(Known_, {Callee, BeganAt, false, Milliseconds(0)},
+                     Context_.now());
 }
 
 void CalleeWatch::onRefused(const ServiceName &Callee, SteadyTime BeganAt,
                             RefusalReason Reason, Milliseconds RetryDelay) {
-  if (isShortage(Reason))
+  if (isOn() && isShortage(Reason))
     mesh::recordCall(Known_, {Callee, BeganAt, true, RetryDelay},
                      Context_.now());
 }
 
 void CalleeWatch::onRunEnd(const HopInfo &Info, SteadyTime SentAt, bool Good) {
+  if (!isOn())
+    return;
+  Known_.MinFailedShare = Context_.Settings.MinFailedRuns;
   const auto Change =
       mesh::recordRun(Known_, {Info.Route, SentAt, !Good}, Context_.now());
   if (Change)
@@ -56,7 +62,7 @@
 
 std::optional<Milliseconds> CalleeWatch::delay(const HopInfo &Info,
                                                const mesh::HopQueue &Queue) {
-  if (Known_.Routes.empty())
+  if (!isOn() || Known_.Routes.empty())
     return std::nullopt;
   const SteadyTime Now = Context_.now();
   for (const mesh::CalleeChange &Change : mesh::endedLimits(Known_, Now))
--- a/src/sidecar/internal/CalleeWatch.h
+++ b/src/sidecar/internal/CalleeWatch.h
@@ -7,7 +7,8 @@
 namespace lycheethread::sidecar {
 
 /// Watches the calls of the upstream beside this node and how its runs end, and
-/// rejects requests whose calls cannot be served.
+/// rejects requests whose calls cannot be served. Does nothing while the
+/// setting admission.min_failed_runs is 0.
 class CalleeWatch {
 public:
   explicit CalleeWatch(NodeContext &Context) : Context_(Context) {}
@@ -31,6 +32,7 @@
   void reset() { Known_ = {}; }
 
 private:
+  bool isOn() const;
   void log(const mesh::CalleeChange &Change, bool IsFull);
 
   NodeContext &Context_;
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -413,6 +413,7 @@
       Context.Settings.CheckInInterval = Read.CheckInInterval;
       Context.Settings.PlatformBounds = Read.PlatformBounds;
       Context.Settings.MaxHedgeShare = Read.MaxHedgeShare;
+      Context.Settings.MinFailedRuns = Read.MinFailedRuns;
       Context.Settings.Service = Read.Service;
       applyBounds();
       addSeeds();
--- a/src/sidecar/internal/UpstreamHop.cpp
+++ b/src/sidecar/internal/UpstreamHop.cpp
@@ -1,6 +1,6 @@
-#include "sidecar/internal/UpstreamHop.h"
 #include "sidecar/internal/EvacuatedZones.h"
 #include "sidecar/internal/HopLog.h"
+#include "sidecar/internal/UpstreamHopRequest.h"
 #include "sidecar/internal/UpstreamRequest.h"
 
 #include <algorithm>
@@ -36,28 +36,6 @@
 
 } // namespace
 
-struct UpstreamHop::Running {
-  mesh::JobId Id;
-  HopJob Job;
-  bool Receiving = false;
-  /// Bytes counted in UploadBacklog_.
-  std::int64_t PendingBytes = 0;
-  bool HasSlot = false;
-  mesh::SlotUse Slot;
-  /// How long the upstream is expected to take; counted in ExpectedWork_.
-  Milliseconds Expected{0};
-  /// The request has been written to a connection.
-  bool Sent = false;
-  /// The caller has left or has its answer; only the slot is still held.
-  bool CallerDone = false;
-  bool Ended = false;
-  SteadyTime SentAt;
-  /// The upstream process to which it was sent.
-  mesh::Upstream Target;
-  ClientConnectionPtr Connection;
-  reactor::TimerId Timer;
-};
-
 UpstreamHop::UpstreamHop(NodeContext &Context, Callbacks Handlers)
     : Context_(Context), Callbacks_(std::move(Handlers)),
       // A restart may show in nothing else where no request is running.
@@ -572,6 +550,8 @@
     Pool_.closeAll(Known.Address);
   }
   Queue_.Slots = mesh::slotsOf(Context_.Config.get(), Known.Current);
+  Queue_.SharesSlots =
+      Context_.Config && !Context_.Config->Organisations.empty();
   Cold_.onConfig();
   if (isOwnZoneEvacuated(Context_))
     refuseUnsent();
@@ -586,17 +566,4 @@
       !mesh::isSameProcess(Context_.Registered.Current, CurrentUpstream_));
 }
 
-void UpstreamHop::recordEvidence(const Running &Job, bool Good,
-                                 Milliseconds Took) {
-  Callees_.onRunEnd(Job.Job.Info, Job.SentAt, Good);
-  const auto Order =
-      Callbacks_.ActiveOrder(Context_.Registered.Current.Service);
-  if (!Order)
-    Outcomes_.clear();
-  else if (Good)
-    Outcomes_.recordGood(*Order, Job.Job.Info.Route, Took, !Cold_.isCold());
-  else
-    Outcomes_.recordBad(*Order, Job.Job.Info.Route);
-}
-
 } // namespace lycheethread::sidecar
--- a/src/sidecar/internal/UpstreamHopLoad.cpp
+++ b/src/sidecar/internal/UpstreamHopLoad.cpp
@@ -1,4 +1,4 @@
-#include "sidecar/internal/UpstreamHop.h"
+#include "sidecar/internal/UpstreamHopRequest.h"
 
 namespace lycheethread::sidecar {
 
@@ -23,6 +23,19 @@
                : std::vector<mesh::RouteEvidence>();
 }
 
+void UpstreamHop::recordEvidence(const Running &Job, bool Good,
+                                 Milliseconds Took) {
+  Callees_.onRunEnd(Job.Job.Info, Job.SentAt, Good);
+  const auto Order =
+      Callbacks_.ActiveOrder(Context_.Registered.Current.Service);
+  if (!Order)
+    Outcomes_.clear();
+  else if (Good)
+    Outcomes_.recordGood(*Order, Job.Job.Info.Route, Took, !Cold_.isCold());
+  else
+    Outcomes_.recordBad(*Order, Job.Job.Info.Route);
+}
+
 Milliseconds UpstreamHop::expectedService(const HopInfo &Info) {
   const bool IsCold = Cold_.isCold();
   mesh::initServiceTime(Service_, Info.Objective, IsCold);
--- a/tests/platform/TestMesh.cpp
+++ b/tests/platform/TestMesh.cpp
@@ -69,6 +69,9 @@
       << (Spec_.MaxHedgeShare == "0"
               ? ""
               : "\n[hedging]\nmax_share = " + Spec_.MaxHedgeShare)
+      << (Spec_.MinFailedRuns == "0"
+              ? ""
+              : "\n[admission]\nmin_failed_runs = " + Spec_.MinFailedRuns)
       << "\n[platform]\nbounds = " << Bounds << "\n";
 }
 
--- a/tests/platform/TestMesh.h
+++ b/tests/platform/TestMesh.h
@@ -24,6 +24,8 @@
   int Capacity = 4;
   /// Value of the setting hedging.max_share; the section is left out if "0".
   std::string MaxHedgeShare = "0";
+  /// Value of the setting admission.min_failed_runs, likewise.
+  std::string MinFailedRuns = "0";
 };
 
 /// An instance with its node, a separate process, and its upstream, which sends
