--- a/src/settings/types/SidecarSettings.h
+++ b/src/settings/types/SidecarSettings.h
@@ -38,8 +38,8 @@
   /// Largest share of the requests that may be hedged; 0 for none.
   double MaxHedgeShare = 0;
 
-  /// Share of failed runs from which requests whose nested calls are refused are
-  /// rejected before they run; 0 for never.
+  /// Share of failed runs from which requests whose nested calls are refused
+  /// are rejected before they run; 0 for never.
   double MinFailedRuns = 0;
 
   Endpoint Store;
--- a/src/sidecar/internal/OutboundProxy.cpp
+++ b/src/sidecar/internal/OutboundProxy.cpp
@@ -544,8 +544,7 @@
     // together. A quota states a different time for each.
     std::uniform_int_distribution<std::int64_t> Jitter(
         Wanted,
-        IsOverQuota ? Wanted
-                    : std::max(Wanted, std::min(2 * Wanted, Longest)));
+        IsOverQuota ? Wanted : std::max(Wanted, std::min(2 * Wanted, Longest)));
     Head.set("Retry-After", Poco::NumberFormatter::format(
                                 static_cast<double>(Jitter(Context_.Random)) /
                                     MillisecondsPerSecond,
