--- a/tests/platform/OrganisationTest.cpp
+++ b/tests/platform/OrganisationTest.cpp
@@ -49,9 +49,14 @@
 void configure(TestMesh &Mesh, const std::string &Text, const std::string &Path,
                const std::string &Key, int Status) {
   Mesh.Store.put("keyed.op", "config", Text);
-  for (const auto &Item : Mesh.Instances)
+  for (const auto &Item : Mesh.Instances) {
+    // The configuration before the first one with organisations serves the path
+    // too, but without a key.
+    BOOST_REQUIRE(holdsWithin(
+        [&] { return get(*Item, Path, "").Status == 401; }, ApplyLimit));
     BOOST_REQUIRE(holdsWithin(
         [&] { return get(*Item, Path, Key).Status == Status; }, ApplyLimit));
+  }
 }
 
 std::size_t runsOf(TestMesh &Mesh, const std::string &Id) {
