Keep the platform's name of the configuration in platform/; share a test's steps

The check command stated op/config itself; it takes the name from platform/Platform.h now, with the same output.

--- a/src/app/internal/CheckCommand.cpp
+++ b/src/app/internal/CheckCommand.cpp
@@ -14,9 +14,6 @@
 
 namespace {
 
-/// Stands for the file in findings about the configuration in force.
-constexpr const char *StoredName = "op/config";
-
 struct CheckOptions {
   std::vector<std::string> Files;
   std::string Against;
@@ -111,7 +108,7 @@
 
 configcheck::ParsedConfig readInForce(const CheckOptions &Options) {
   if (Options.Store)
-    return platform::parseConfig(StoredName,
+    return platform::parseConfig(platform::StoredConfigName,
                                  readStoredConfiguration(*Options.Store));
   return readComparedFile(Options.Against);
 }
--- a/src/mesh/tests/FairShareTest.cpp
+++ b/src/mesh/tests/FairShareTest.cpp
@@ -432,30 +432,27 @@
   BOOST_TEST(Full.next(120) == Returned.Id);
 }
 
-// Guards against charges for work that the upstream has not done: of 8 requests
-// the 6 of one organisation were rejected at once.
-BOOST_AUTO_TEST_CASE(rejectedRequestsAreNotCharged) {
+/// Returns the level after 6 of 8 requests held slots from 1 ms to \p EndMs.
+int levelAfterRequestsUntil(std::int64_t EndMs) {
   FullQueue Full;
   const ShareAccount Burst = Full.job("burst", 0, 2).Account;
   while (Full.Queue.Running > 0)
     endSlot(Full.Queue, {Burst, 0, Milliseconds(160), SteadyTime(1)},
-            SteadyTime(2));
+            SteadyTime(EndMs));
   for (int Count = 0; Count < 2; ++Count)
-    startNow(Full.Queue, Full.job("usual", 0, 3), SteadyTime(3));
-  BOOST_TEST(shareLevel(Full.Queue.Shares, Burst) == 0);
+    startNow(Full.Queue, Full.job("usual", 0, EndMs + 1),
+             SteadyTime(EndMs + 1));
+  return shareLevel(Full.Queue.Shares, Burst);
 }
 
-// Guards against an organisation that is not put back for what it has used: the
-// same requests, which have run.
+// Guards against charges for requests that were rejected at once.
+BOOST_AUTO_TEST_CASE(rejectedRequestsAreNotCharged) {
+  BOOST_TEST(levelAfterRequestsUntil(2) == 0);
+}
+
+// Guards against an organisation that is not put back for what it has used.
 BOOST_AUTO_TEST_CASE(requestsThatRunAreCharged) {
-  FullQueue Full;
-  const ShareAccount Burst = Full.job("burst", 0, 2).Account;
-  while (Full.Queue.Running > 0)
-    endSlot(Full.Queue, {Burst, 0, Milliseconds(160), SteadyTime(1)},
-            SteadyTime(161));
-  for (int Count = 0; Count < 2; ++Count)
-    startNow(Full.Queue, Full.job("usual", 0, 162), SteadyTime(162));
-  BOOST_TEST(shareLevel(Full.Queue.Shares, Burst) == 1);
+  BOOST_TEST(levelAfterRequestsUntil(161) == 1);
 }
 
 // Guards against turns before nested calls, and against more than one of six
