--- a/review/lib2/meshkit.py
+++ b/review/lib2/meshkit.py
@@ -104,6 +104,7 @@
         self.changed = asyncio.Event()
         self.era = None
         self.is_up = True
+        self.answer_delay_s = 0.0
         self.connections = set()
         self.server = None
         self.port = 0
@@ -145,6 +146,8 @@
                 if not self.is_up:
                     await asyncio.sleep(3600)
                 status, kind, data = await self.answer(head, body)
+                if self.answer_delay_s:
+                    await asyncio.sleep(self.answer_delay_s)
                 while not self.is_up:
                     await asyncio.sleep(0.05)
                 era = "" if self.era is None else "Store-Era: %d\r\n" % self.era
