--- a/review/7/run.py
+++ b/review/7/run.py
@@ -13,14 +13,14 @@
 
 FIRST_ROUTES = 4
 ADDED_ROUTES = 300
-BAD_AFTER_S = 9.0
+BAD_AFTER_S = 9.9
 END_S = 24.0
-PER_S = 45.0
+PER_S = 60.0
 
 
 def routes(count):
-    return [route("r-%07d" % (1000003 + 37 * i), "idempotent", "/%07d/" % (1000003 + 37 * i),
-                  SERVICE) for i in range(count)]
+    return [route("ticket-lookup-of-harbour-%04d" % i, "idempotent", "/harbour-%04d/" % i, SERVICE)
+            for i in range(count)]
 
 
 async def case(record, mesh, trouble):
@@ -39,14 +39,14 @@
         record.line("the configuration grows by %d routes" % ADDED_ROUTES)
         mesh.store.operator("config", config(2, routes(count), services))
     await asyncio.sleep(BOUNDS["config_apply_s"])
-    paths = ["/%07d/1" % (1000003 + 37 * i) for i in range(count)]
+    paths = ["/harbour-%04d/1" % i for i in range(count)]
     trial.order()
     mesh.nodes = old + entries + new
     for node in new:
         await node.start()
         mesh.tasks.append(asyncio.ensure_future(mesh.beats(node)))
     mesh.tasks.append(asyncio.ensure_future(trial.operate(old, new)))
-    loads = [asyncio.ensure_future(trial.consume(n, paths, PER_S, END_S)) for n in old + entries]
+    loads = [asyncio.ensure_future(trial.consume(n, paths, PER_S, END_S)) for n in entries]
     await mesh.wait_ready(new)
     loads += [asyncio.ensure_future(trial.consume(n, paths, PER_S, END_S)) for n in new]
     await asyncio.gather(*loads)
--- a/review/lib2/rollout.py
+++ b/review/lib2/rollout.py
@@ -90,6 +90,7 @@
         if got > most:
             found.append("v2 got %d of %d requests up to the time limit, allowed are %.0f"
                          % (got, len(in_time), most))
+        self.record.line("%d requests were accepted, run by v2 and failed" % len(self.bad))
         if len(self.bad) >= 50:
             fiftieth = sorted(self.bad)[49]
             last = fiftieth + BOUNDS["rollback_s"]
@@ -100,6 +101,4 @@
             if late:
                 found.append("%d requests sent over %g s after the 50th bad answer reached v2"
                              % (len(late), BOUNDS["rollback_s"]))
-        else:
-            self.record.line("v2 gave %d bad answers" % len(self.bad))
         return found
