--- a/review/lib2/meshkit.py
+++ b/review/lib2/meshkit.py
@@ -1,11 +1,13 @@
 """Stand-ins for the platform's store, backends and consumers, and a launcher
-for nodes, as the users' pages describe them. All addresses are loopback."""
+for nodes, as the users' pages describe them. All addresses are loopback. With
+KEEP_LOGS=1 the temporary folder with the logs of the nodes stays."""
 
 import asyncio
 import base64
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -533,6 +535,8 @@
                 except ProcessLookupError:
                     pass
                 await node.process.wait()
+        if not os.environ.get("KEEP_LOGS"):
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def route(name, kind, prefix, service, timeout_s=1.5, priority=1, attempts=2,
