--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -234,6 +234,29 @@
 /// share along the fixed steps.
 RolloutDecision decideRollout(const RolloutView &View);
 
+/// Returns the age from which on a judgement no longer counts.
+Milliseconds judgementTimeout(std::size_t Nodes);
+
+/// Returns how many of \p Nodes nodes judge a rollout whose newest known
+/// judgement is \p SinceJudged old.
+std::size_t judgeCount(Milliseconds SinceJudged, std::size_t Nodes);
+
+/// Counts a ready upstream. \p EvidenceAge is the time since its evidence came,
+/// \p HeardAge the time since its node was last heard of.
+void countUpstream(EvidenceCoverage &Version, Milliseconds EvidenceAge,
+                   Milliseconds HeardAge);
+
+/// Whether the evidence comes from enough upstreams of both versions to judge
+/// by it.
+bool coversVersions(const EvidenceCoverage &Old, const EvidenceCoverage &New);
+
+/// Whether any node has judged the rollout recently.
+bool isJudged(const RolloutView &View);
+
+/// Takes what \p Read tells beyond \p Known. The ages of both count from now.
+void mergeJudgement(std::optional<Judgement> &Known, const Judgement &Read,
+                    Milliseconds Timeout);
+
 /// Returns which versions may get requests. A rollout that was recorded as
 /// completed stays so, whatever a node finds later: the old version has ended.
 VersionChoice versionChoice(RolloutState State, bool IsNewVersionBad);
--- a/src/mesh/internal/DecideRollout.cpp
+++ b/src/mesh/internal/DecideRollout.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 
 namespace lycheethread::mesh {
 
@@ -60,6 +61,12 @@
 /// A rollout that is still undecided at this part of its duration is rolled
 /// back.
 constexpr std::int32_t GiveUpPermille = 930;
+/// The same for one that no node can judge. It leaves the judges time to end
+/// it.
+constexpr std::int32_t UnjudgedPermille = 960;
+/// A node may complete a rollout that it has judged for this part of its
+/// duration; before, it may not have seen an upstream of the last step fail.
+constexpr std::int32_t MinJudgedPermille = 60;
 
 std::int64_t answers(const VersionTotals &Totals) {
   return Totals.Good + Totals.Bad;
@@ -186,13 +193,24 @@
   return Sum;
 }
 
-const Step &stepAt(const RolloutView &View, std::int64_t Progress) {
+std::int32_t judgedStep(const RolloutView &View, std::int64_t Progress) {
   if (countNewAnswers(View) < MinAnswersToGrow)
-    return Steps.front();
+    return 0;
   const auto *const Found =
-      std::find_if(Steps.begin(), Steps.end(),
+      std::find_if(Steps.begin(), std::prev(Steps.end()),
                    [&](const Step &Item) { return Progress < Item.Until; });
-  return Found == Steps.end() ? Steps.back() : *Found;
+  return static_cast<std::int32_t>(std::distance(Steps.begin(), Found));
+}
+
+/// A node that does not judge follows those that do. Where nobody judges, the
+/// new version keeps the share of the first step: nobody would notice a fault.
+std::int32_t stepOf(const RolloutView &View, std::int64_t Progress) {
+  constexpr auto Last = static_cast<std::int32_t>(Steps.size()) - 1;
+  if (View.MayJudge)
+    return judgedStep(View, Progress);
+  if (View.Judged && View.Judged->HasPassed)
+    return Last;
+  return isJudged(View) ? std::clamp(View.Judged->Step, 0, Last) : 0;
 }
 
 /// Reduces the share of a step where a bad version may get less in total than
@@ -203,6 +221,8 @@
 }
 
 bool mustCompare(const RolloutView &View, std::int64_t Progress) {
+  if (!View.MayJudge)
+    return isJudged(View) && View.Judged->IsComparing;
   if (View.ReadyOld == 0 || Progress >= GiveUpPermille)
     return false;
   const bool Undecided =
@@ -210,6 +230,34 @@
   return Undecided || isSuspicious(View);
 }
 
+bool hasJudgedLongEnough(const RolloutView &View) {
+  return View.JudgedFor >= View.Duration * MinJudgedPermille / 1000;
+}
+
+/// Ends a rollout whose last step has passed, or whose time is over.
+void decideEnd(const RolloutView &View, std::int64_t Progress,
+               RolloutDecision &Decided) {
+  const auto End = [&](RolloutState State, const char *Reason) {
+    Decided.End = State;
+    Decided.Reason = Reason;
+  };
+  if (!View.MayJudge) {
+    if (View.Judged && View.Judged->HasPassed)
+      End(RolloutState::Completed, "another node saw all steps pass");
+    else if (Progress >= UnjudgedPermille)
+      End(RolloutState::RolledBack, "no node could judge the new version");
+    return;
+  }
+  if (!Decided.IsLastStep && Progress >= GiveUpPermille)
+    return End(RolloutState::RolledBack, "not enough answers to judge by");
+  const bool IsIdle = View.OldInProgress == 0 || Progress >= GiveUpPermille;
+  if (Decided.IsLastStep && !Decided.IsComparing &&
+      Progress >= CompletePermille && IsIdle && hasJudgedLongEnough(View))
+    return End(RolloutState::Completed, "all steps passed");
+  if (Progress >= UnjudgedPermille)
+    End(RolloutState::RolledBack, "the last step was not judged long enough");
+}
+
 } // namespace
 
 VersionChoice versionChoice(RolloutState State, bool IsNewVersionBad) {
@@ -241,7 +289,8 @@
     }
     return Decided;
   }
-  const Step &Now = stepAt(View, Progress);
+  Decided.Step = stepOf(View, Progress);
+  const Step &Now = Steps.at(static_cast<std::size_t>(Decided.Step));
   Decided.IsLastStep = Now.Repeatable >= ComparisonShare;
   Decided.UseSingleUpstream = Now.UseSingleUpstream;
   if (!Decided.IsLastStep) {
@@ -252,15 +301,7 @@
     Decided.Repeatable = Decided.IsComparing ? ComparisonShare : Now.Repeatable;
     Decided.NonRepeatable = Decided.Repeatable;
   }
-  if (Decided.IsLastStep && !Decided.IsComparing &&
-      Progress >= CompletePermille &&
-      (View.OldInProgress == 0 || Progress >= GiveUpPermille)) {
-    Decided.End = RolloutState::Completed;
-    Decided.Reason = "all steps passed";
-  } else if (!Decided.IsLastStep && Progress >= GiveUpPermille) {
-    Decided.End = RolloutState::RolledBack;
-    Decided.Reason = "not enough answers to judge by";
-  }
+  decideEnd(View, Progress, Decided);
   return Decided;
 }
 
--- a/src/mesh/internal/NodeTable.cpp
+++ b/src/mesh/internal/NodeTable.cpp
@@ -101,7 +101,7 @@
   bool IsNews = IsNew;
   bool HasNewState = IsNew;
   if (IsNew)
-    Node = {Report, Now, Now, NewNodeForwards, 0, std::nullopt};
+    Node = {Report, Now, Now, SteadyTime(), NewNodeForwards, 0, std::nullopt};
   else
     HasNewState = updateNode(Node, Report, Now, IsNews);
   if (HasNewState) {
@@ -168,8 +168,11 @@
   const Milliseconds Since = elapsed(Node.ReportedAt, Now);
   if (Report.ConfirmedAge)
     *Report.ConfirmedAge += Since;
-  for (RolloutReport &Rollout : Report.Rollouts)
+  for (RolloutReport &Rollout : Report.Rollouts) {
     Rollout.Age += Since;
+    if (Rollout.Judged)
+      Rollout.Judged->Age += Since;
+  }
   Milliseconds &Cold = Report.LocalUpstream.ColdRemaining;
   Cold = std::max(Milliseconds(0), Cold - Since);
   return Report;
--- a/src/mesh/tests/RolloutTest.cpp
+++ b/src/mesh/tests/RolloutTest.cpp
@@ -188,4 +188,115 @@
   BOOST_TEST(isRolledBack(decideRollout(None)));
 }
 
+// Guards against a faulty version that is completed by nodes that do not look
+// at its failures, since those that do are lost.
+BOOST_AUTO_TEST_CASE(nodeThatDoesNotJudgeDoesNotComplete) {
+  RolloutView View = viewAt(0, totals(5000, 10, 800, 400));
+  View.MayJudge = false;
+  for (std::int64_t Age = 0; Age <= Duration.count(); Age += 100) {
+    View.Age = Milliseconds(Age);
+    BOOST_TEST_REQUIRE(
+        (decideRollout(View).End != std::optional(RolloutState::Completed)));
+  }
+  // Its time is over, and nobody could judge it.
+  BOOST_TEST(isRolledBack(decideRollout(View)));
+}
+
+// Guards against a share that grows, or stays large, while nobody judges.
+BOOST_AUTO_TEST_CASE(shareFallsWhileNobodyJudges) {
+  RolloutView View = viewAt(11'000, totals(5000, 10, 800, 2));
+  const RolloutDecision Judge = decideRollout(View);
+  View.MayJudge = false;
+  View.JudgementTimeout = judgementTimeout(6);
+  View.Judged = Judgement{Milliseconds(0), Judge.Step, Judge.IsComparing};
+  BOOST_TEST(decideRollout(View).Repeatable.value() ==
+             Judge.Repeatable.value());
+  View.Judged->Age = View.JudgementTimeout;
+  const Permille First = decideRollout(viewAt(0, {})).Repeatable;
+  BOOST_TEST(decideRollout(View).Repeatable.value() == First.value());
+  View.Judged.reset();
+  BOOST_TEST(decideRollout(View).Repeatable.value() == First.value());
+}
+
+// Guards against a good version that is taken back since the judges cannot
+// reach the store or are lost after all steps have passed.
+BOOST_AUTO_TEST_CASE(passedStepsAreRecordedByAnyNode) {
+  RolloutView View = viewAt(15'900, totals(5000, 10, 800, 2));
+  View.MayJudge = false;
+  View.Judged = Judgement{Milliseconds(9000), 5, false, true};
+  BOOST_TEST((decideRollout(View).End == RolloutState::Completed));
+  View.IsNewVersionBad = true;
+  BOOST_TEST(isRolledBack(decideRollout(View)));
+}
+
+// Guards against a completion by a node that has just begun to judge and has
+// not seen the last step.
+BOOST_AUTO_TEST_CASE(newJudgeWatchesBeforeItCompletes) {
+  RolloutView View = viewAt(13'000, totals(5000, 10, 800, 2));
+  View.JudgedFor = Milliseconds(200);
+  BOOST_TEST(!decideRollout(View).End.has_value());
+  View.JudgedFor = Milliseconds(1000);
+  BOOST_TEST((decideRollout(View).End == RolloutState::Completed));
+  View.Age = Milliseconds(15'500);
+  View.JudgedFor = Milliseconds(200);
+  BOOST_TEST(isRolledBack(decideRollout(View)));
+}
+
+// Guards against any set of lost nodes that leaves a rollout without judges.
+BOOST_AUTO_TEST_CASE(moreNodesJudgeTheLongerNobodyHas) {
+  for (const std::size_t Nodes : {1U, 6U, 13U, 84U, 195U, 1000U}) {
+    const Milliseconds Timeout = judgementTimeout(Nodes);
+    BOOST_TEST(judgeCount(Milliseconds(0), Nodes) == UsualJudges);
+    std::size_t Count = UsualJudges;
+    Milliseconds Silent{0};
+    for (; Count < Nodes; Count = judgeCount(Silent, Nodes)) {
+      BOOST_TEST_REQUIRE(judgeCount(Silent + Timeout, Nodes) >= Count);
+      Silent += Timeout;
+    }
+    // All nodes judge while a rollout of usual length still runs.
+    BOOST_TEST(Silent.count() < Duration.count());
+  }
+}
+
+// Guards against a verdict by a part of the evidence: that of one version, or
+// of the few upstreams that gossip happens to bring.
+BOOST_AUTO_TEST_CASE(evidenceMustCoverBothVersions) {
+  const EvidenceCoverage Whole{3, 3, 0};
+  BOOST_TEST(coversVersions(Whole, Whole));
+  BOOST_TEST(coversVersions({}, Whole));
+  BOOST_TEST(!coversVersions({3, 0, 0}, Whole));
+  BOOST_TEST(!coversVersions(Whole, {2, 0, 2}));
+  BOOST_TEST(!coversVersions({80, 10, 60}, Whole));
+  // The others are lost or cut off from this node.
+  BOOST_TEST(coversVersions({80, 10, 0}, Whole));
+  EvidenceCoverage Counted;
+  countUpstream(Counted, Milliseconds(400), Milliseconds(100));
+  countUpstream(Counted, Milliseconds(9000), Milliseconds(100));
+  countUpstream(Counted, Milliseconds(9000), Milliseconds(9000));
+  BOOST_TEST(Counted.Ready == 3);
+  BOOST_TEST(Counted.Reporting == 1);
+  BOOST_TEST(Counted.Missing == 1);
+}
+
+// Guards against a share that goes back and forth between judges that take a
+// step at slightly different times, and against an old judgement that replaces
+// a newer one.
+BOOST_AUTO_TEST_CASE(newestJudgementCounts) {
+  const Milliseconds Timeout{1000};
+  std::optional<Judgement> Known;
+  mergeJudgement(Known, {Milliseconds(300), 2, true}, Timeout);
+  mergeJudgement(Known, {Milliseconds(100), 1, false}, Timeout);
+  BOOST_TEST(Known->Age.count() == 100);
+  BOOST_TEST(Known->Step == 2);
+  BOOST_TEST(!Known->IsComparing);
+  mergeJudgement(Known, {Milliseconds(5000), 4, true, true}, Timeout);
+  BOOST_TEST(Known->Step == 2);
+  BOOST_TEST(!Known->IsComparing);
+  BOOST_TEST(Known->HasPassed);
+  Known->Age = Milliseconds(5000);
+  mergeJudgement(Known, {Milliseconds(0), 0, false}, Timeout);
+  BOOST_TEST(Known->Step == 0);
+  BOOST_TEST(Known->HasPassed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/mesh/types/NodeReport.h
+++ b/src/mesh/types/NodeReport.h
@@ -68,6 +68,18 @@
 
 enum class RolloutState { Running = 0, Completed = 1, RolledBack = 2 };
 
+/// What a node that judges a rollout has found so far.
+struct Judgement {
+  /// Time since it was found.
+  Milliseconds Age{0};
+  /// Position of the current step in the plan of a rollout, from 0.
+  std::int32_t Step = 0;
+  /// The old version keeps a share so that the two can be compared.
+  bool IsComparing = false;
+  /// The new version has passed all steps, so the rollout may complete.
+  bool HasPassed = false;
+};
+
 /// State of a rollout as one node knows it.
 struct RolloutReport {
   Offset Order;
@@ -77,6 +89,8 @@
   bool IsNewVersionBad = false;
   /// The state recorded in the store, as far as this node knows it.
   RolloutState State = RolloutState::Running;
+  /// The newest judgement that this node knows.
+  std::optional<Judgement> Judged = std::nullopt;
 };
 
 /// A request that was in progress when an upstream crashed.
@@ -138,13 +152,15 @@
   SteadyTime HeardAt;
   /// When LastReport was received; ages in it count from this time.
   SteadyTime ReportedAt;
+  /// When a report came from the node itself, with its evidence; zero before.
+  SteadyTime EvidenceAt = SteadyTime();
   /// How many times this node has forwarded the state and the load.
   int StateForwards = 0;
   int LoadForwards = 0;
   /// The newest upstream process beside the node that is known to leave or to
   /// have left; only for processes with a stated start. A node that was
   /// restarted does not remember it.
-  std::optional<Upstream> Left;
+  std::optional<Upstream> Left = std::nullopt;
 };
 
 /// All other nodes; this node's own state is kept elsewhere.
--- a/src/mesh/types/Rollout.h
+++ b/src/mesh/types/Rollout.h
@@ -9,6 +9,10 @@
 
 namespace lycheethread::mesh {
 
+/// Nodes that judge the new version of a service; more than one, since each may
+/// fail.
+inline constexpr std::size_t UsualJudges = 3;
+
 /// An order of the operator to move a service to a different version.
 struct RolloutOrder {
   /// Offset of the order in the store, which identifies it.
@@ -38,6 +42,15 @@
 
 using TotalsByRoute = std::map<RouteName, RouteTotals>;
 
+/// Upstreams of one version that are ready, as one node sees them.
+struct EvidenceCoverage {
+  std::int32_t Ready = 0;
+  /// Those whose evidence is recent.
+  std::int32_t Reporting = 0;
+  /// Those that are heard of but whose evidence does not arrive.
+  std::int32_t Missing = 0;
+};
+
 /// State of a rollout, combined from the reports of all nodes.
 struct RolloutView {
   Milliseconds Duration{0};
@@ -49,8 +62,14 @@
   std::vector<TotalsByRoute> Earlier;
   /// The last decision was to compare the versions before the rollout ends.
   bool IsComparing = false;
-  /// This node is one of those that judge by the evidence.
+  /// This node is one of those that judge, and has the evidence for it.
   bool MayJudge = true;
+  /// How long it has been one without a break.
+  Milliseconds JudgedFor = Milliseconds::max();
+  /// The newest judgement of any node, and the age from which on it no longer
+  /// counts.
+  std::optional<Judgement> Judged;
+  Milliseconds JudgementTimeout{0};
   /// Part of the requests that a bad version may get in total.
   double ExposureShare = 0.1;
   std::int32_t ReadyNew = 0;
@@ -74,6 +93,8 @@
   /// with. A disturbance may be the cause, so the old version gets a small
   /// share again before the rollout ends.
   bool IsComparing = false;
+  /// Position of the step in the plan, from 0.
+  std::int32_t Step = 0;
   /// The new version has all requests, but for those that serve to compare.
   bool IsLastStep = false;
   std::optional<RolloutState> End;
--- a/src/sidecar/gen/gossip_types.cpp
+++ b/src/sidecar/gen/gossip_types.cpp
@@ -338,6 +338,158 @@
 }
 
 
+JudgementMessage::~JudgementMessage() noexcept {
+}
+
+
+void JudgementMessage::__set_ageMs(const int64_t val) {
+  this->ageMs = val;
+}
+
+void JudgementMessage::__set_step(const int32_t val) {
+  this->step = val;
+}
+
+void JudgementMessage::__set_comparing(const bool val) {
+  this->comparing = val;
+}
+
+void JudgementMessage::__set_passed(const bool val) {
+  this->passed = val;
+}
+std::ostream& operator<<(std::ostream& out, const JudgementMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JudgementMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMs);
+          this->__isset.ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->step);
+          this->__isset.step = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->comparing);
+          this->__isset.comparing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->passed);
+          this->__isset.passed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t JudgementMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JudgementMessage");
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("step", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->step);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("comparing", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->comparing);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("passed", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->passed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JudgementMessage &a, JudgementMessage &b) {
+  using ::std::swap;
+  swap(a.ageMs, b.ageMs);
+  swap(a.step, b.step);
+  swap(a.comparing, b.comparing);
+  swap(a.passed, b.passed);
+  swap(a.__isset, b.__isset);
+}
+
+JudgementMessage::JudgementMessage(const JudgementMessage& other4) noexcept {
+  ageMs = other4.ageMs;
+  step = other4.step;
+  comparing = other4.comparing;
+  passed = other4.passed;
+  __isset = other4.__isset;
+}
+JudgementMessage& JudgementMessage::operator=(const JudgementMessage& other5) noexcept {
+  ageMs = other5.ageMs;
+  step = other5.step;
+  comparing = other5.comparing;
+  passed = other5.passed;
+  __isset = other5.__isset;
+  return *this;
+}
+void JudgementMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JudgementMessage(";
+  out << "ageMs=" << to_string(ageMs);
+  out << ", " << "step=" << to_string(step);
+  out << ", " << "comparing=" << to_string(comparing);
+  out << ", " << "passed=" << to_string(passed);
+  out << ")";
+}
+
+
 RolloutMessage::~RolloutMessage() noexcept {
 }
 
@@ -357,6 +509,11 @@
 void RolloutMessage::__set_state(const int32_t val) {
   this->state = val;
 }
+
+void RolloutMessage::__set_judged(const JudgementMessage& val) {
+  this->judged = val;
+__isset.judged = true;
+}
 std::ostream& operator<<(std::ostream& out, const RolloutMessage& obj)
 {
   obj.printTo(out);
@@ -417,6 +574,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->judged.read(iprot);
+          this->__isset.judged = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -450,6 +615,11 @@
   xfer += oprot->writeI32(this->state);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.judged) {
+    xfer += oprot->writeFieldBegin("judged", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->judged.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -461,22 +631,25 @@
   swap(a.ageMs, b.ageMs);
   swap(a.condemned, b.condemned);
   swap(a.state, b.state);
+  swap(a.judged, b.judged);
   swap(a.__isset, b.__isset);
 }
 
-RolloutMessage::RolloutMessage(const RolloutMessage& other4) noexcept {
-  order = other4.order;
-  ageMs = other4.ageMs;
-  condemned = other4.condemned;
-  state = other4.state;
-  __isset = other4.__isset;
+RolloutMessage::RolloutMessage(const RolloutMessage& other6) noexcept {
+  order = other6.order;
+  ageMs = other6.ageMs;
+  condemned = other6.condemned;
+  state = other6.state;
+  judged = other6.judged;
+  __isset = other6.__isset;
 }
-RolloutMessage& RolloutMessage::operator=(const RolloutMessage& other5) noexcept {
-  order = other5.order;
-  ageMs = other5.ageMs;
-  condemned = other5.condemned;
-  state = other5.state;
-  __isset = other5.__isset;
+RolloutMessage& RolloutMessage::operator=(const RolloutMessage& other7) noexcept {
+  order = other7.order;
+  ageMs = other7.ageMs;
+  condemned = other7.condemned;
+  state = other7.state;
+  judged = other7.judged;
+  __isset = other7.__isset;
   return *this;
 }
 void RolloutMessage::printTo(std::ostream& out) const {
@@ -486,6 +659,7 @@
   out << ", " << "ageMs=" << to_string(ageMs);
   out << ", " << "condemned=" << to_string(condemned);
   out << ", " << "state=" << to_string(state);
+  out << ", " << "judged="; (__isset.judged ? (out << to_string(judged)) : (out << "<null>"));
   out << ")";
 }
 
@@ -652,23 +826,23 @@
   swap(a.__isset, b.__isset);
 }
 
-EvidenceMessage::EvidenceMessage(const EvidenceMessage& other6) {
-  order = other6.order;
-  route = other6.route;
-  good = other6.good;
-  bad = other6.bad;
-  totalTimeMs = other6.totalTimeMs;
-  timed = other6.timed;
-  __isset = other6.__isset;
+EvidenceMessage::EvidenceMessage(const EvidenceMessage& other8) {
+  order = other8.order;
+  route = other8.route;
+  good = other8.good;
+  bad = other8.bad;
+  totalTimeMs = other8.totalTimeMs;
+  timed = other8.timed;
+  __isset = other8.__isset;
 }
-EvidenceMessage& EvidenceMessage::operator=(const EvidenceMessage& other7) {
-  order = other7.order;
-  route = other7.route;
-  good = other7.good;
-  bad = other7.bad;
-  totalTimeMs = other7.totalTimeMs;
-  timed = other7.timed;
-  __isset = other7.__isset;
+EvidenceMessage& EvidenceMessage::operator=(const EvidenceMessage& other9) {
+  order = other9.order;
+  route = other9.route;
+  good = other9.good;
+  bad = other9.bad;
+  totalTimeMs = other9.totalTimeMs;
+  timed = other9.timed;
+  __isset = other9.__isset;
   return *this;
 }
 void EvidenceMessage::printTo(std::ostream& out) const {
@@ -793,17 +967,17 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashMessage::CrashMessage(const CrashMessage& other8) {
-  fingerprint = other8.fingerprint;
-  crash = other8.crash;
-  weight = other8.weight;
-  __isset = other8.__isset;
+CrashMessage::CrashMessage(const CrashMessage& other10) {
+  fingerprint = other10.fingerprint;
+  crash = other10.crash;
+  weight = other10.weight;
+  __isset = other10.__isset;
 }
-CrashMessage& CrashMessage::operator=(const CrashMessage& other9) {
-  fingerprint = other9.fingerprint;
-  crash = other9.crash;
-  weight = other9.weight;
-  __isset = other9.__isset;
+CrashMessage& CrashMessage::operator=(const CrashMessage& other11) {
+  fingerprint = other11.fingerprint;
+  crash = other11.crash;
+  weight = other11.weight;
+  __isset = other11.__isset;
   return *this;
 }
 void CrashMessage::printTo(std::ostream& out) const {
@@ -1076,14 +1250,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rollouts.clear();
-            uint32_t _size10;
-            ::apache::thrift::protocol::TType _etype13;
-            xfer += iprot->readListBegin(_etype13, _size10);
-            this->rollouts.resize(_size10);
-            uint32_t _i14;
-            for (_i14 = 0; _i14 < _size10; ++_i14)
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->rollouts.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
             {
-              xfer += this->rollouts[_i14].read(iprot);
+              xfer += this->rollouts[_i16].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1096,14 +1270,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evidence.clear();
-            uint32_t _size15;
-            ::apache::thrift::protocol::TType _etype18;
-            xfer += iprot->readListBegin(_etype18, _size15);
-            this->evidence.resize(_size15);
-            uint32_t _i19;
-            for (_i19 = 0; _i19 < _size15; ++_i19)
+            uint32_t _size17;
+            ::apache::thrift::protocol::TType _etype20;
+            xfer += iprot->readListBegin(_etype20, _size17);
+            this->evidence.resize(_size17);
+            uint32_t _i21;
+            for (_i21 = 0; _i21 < _size17; ++_i21)
             {
-              xfer += this->evidence[_i19].read(iprot);
+              xfer += this->evidence[_i21].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1116,14 +1290,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size20;
-            ::apache::thrift::protocol::TType _etype23;
-            xfer += iprot->readListBegin(_etype23, _size20);
-            this->crashes.resize(_size20);
-            uint32_t _i24;
-            for (_i24 = 0; _i24 < _size20; ++_i24)
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->crashes.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
             {
-              xfer += this->crashes[_i24].read(iprot);
+              xfer += this->crashes[_i26].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1263,10 +1437,10 @@
     xfer += oprot->writeFieldBegin("rollouts", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rollouts.size()));
-      std::vector<RolloutMessage> ::const_iterator _iter25;
-      for (_iter25 = this->rollouts.begin(); _iter25 != this->rollouts.end(); ++_iter25)
+      std::vector<RolloutMessage> ::const_iterator _iter27;
+      for (_iter27 = this->rollouts.begin(); _iter27 != this->rollouts.end(); ++_iter27)
       {
-        xfer += (*_iter25).write(oprot);
+        xfer += (*_iter27).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1276,10 +1450,10 @@
     xfer += oprot->writeFieldBegin("evidence", ::apache::thrift::protocol::T_LIST, 17);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evidence.size()));
-      std::vector<EvidenceMessage> ::const_iterator _iter26;
-      for (_iter26 = this->evidence.begin(); _iter26 != this->evidence.end(); ++_iter26)
+      std::vector<EvidenceMessage> ::const_iterator _iter28;
+      for (_iter28 = this->evidence.begin(); _iter28 != this->evidence.end(); ++_iter28)
       {
-        xfer += (*_iter26).write(oprot);
+        xfer += (*_iter28).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1289,10 +1463,10 @@
     xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 18);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-      std::vector<CrashMessage> ::const_iterator _iter27;
-      for (_iter27 = this->crashes.begin(); _iter27 != this->crashes.end(); ++_iter27)
+      std::vector<CrashMessage> ::const_iterator _iter29;
+      for (_iter29 = this->crashes.begin(); _iter29 != this->crashes.end(); ++_iter29)
       {
-        xfer += (*_iter27).write(oprot);
+        xfer += (*_iter29).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1360,59 +1534,59 @@
   swap(a.__isset, b.__isset);
 }
 
-NewsMessage::NewsMessage(const NewsMessage& other28) {
-  id = other28.id;
-  life = other28.life;
-  number = other28.number;
-  region = other28.region;
-  zone = other28.zone;
-  hop = other28.hop;
-  gossip = other28.gossip;
-  ready = other28.ready;
-  stopping = other28.stopping;
-  own = other28.own;
-  running = other28.running;
-  waiting = other28.waiting;
-  serviceTimeMs = other28.serviceTimeMs;
-  operatorPosition = other28.operatorPosition;
-  confirmedAgeMs = other28.confirmedAgeMs;
-  rollouts = other28.rollouts;
-  evidence = other28.evidence;
-  crashes = other28.crashes;
-  bodyWaitMs = other28.bodyWaitMs;
-  state = other28.state;
-  place = other28.place;
-  limitMilli = other28.limitMilli;
-  permitWaitMs = other28.permitWaitMs;
-  keptRecords = other28.keptRecords;
-  __isset = other28.__isset;
-}
-NewsMessage& NewsMessage::operator=(const NewsMessage& other29) {
-  id = other29.id;
-  life = other29.life;
-  number = other29.number;
-  region = other29.region;
-  zone = other29.zone;
-  hop = other29.hop;
-  gossip = other29.gossip;
-  ready = other29.ready;
-  stopping = other29.stopping;
-  own = other29.own;
-  running = other29.running;
-  waiting = other29.waiting;
-  serviceTimeMs = other29.serviceTimeMs;
-  operatorPosition = other29.operatorPosition;
-  confirmedAgeMs = other29.confirmedAgeMs;
-  rollouts = other29.rollouts;
-  evidence = other29.evidence;
-  crashes = other29.crashes;
-  bodyWaitMs = other29.bodyWaitMs;
-  state = other29.state;
-  place = other29.place;
-  limitMilli = other29.limitMilli;
-  permitWaitMs = other29.permitWaitMs;
-  keptRecords = other29.keptRecords;
-  __isset = other29.__isset;
+NewsMessage::NewsMessage(const NewsMessage& other30) {
+  id = other30.id;
+  life = other30.life;
+  number = other30.number;
+  region = other30.region;
+  zone = other30.zone;
+  hop = other30.hop;
+  gossip = other30.gossip;
+  ready = other30.ready;
+  stopping = other30.stopping;
+  own = other30.own;
+  running = other30.running;
+  waiting = other30.waiting;
+  serviceTimeMs = other30.serviceTimeMs;
+  operatorPosition = other30.operatorPosition;
+  confirmedAgeMs = other30.confirmedAgeMs;
+  rollouts = other30.rollouts;
+  evidence = other30.evidence;
+  crashes = other30.crashes;
+  bodyWaitMs = other30.bodyWaitMs;
+  state = other30.state;
+  place = other30.place;
+  limitMilli = other30.limitMilli;
+  permitWaitMs = other30.permitWaitMs;
+  keptRecords = other30.keptRecords;
+  __isset = other30.__isset;
+}
+NewsMessage& NewsMessage::operator=(const NewsMessage& other31) {
+  id = other31.id;
+  life = other31.life;
+  number = other31.number;
+  region = other31.region;
+  zone = other31.zone;
+  hop = other31.hop;
+  gossip = other31.gossip;
+  ready = other31.ready;
+  stopping = other31.stopping;
+  own = other31.own;
+  running = other31.running;
+  waiting = other31.waiting;
+  serviceTimeMs = other31.serviceTimeMs;
+  operatorPosition = other31.operatorPosition;
+  confirmedAgeMs = other31.confirmedAgeMs;
+  rollouts = other31.rollouts;
+  evidence = other31.evidence;
+  crashes = other31.crashes;
+  bodyWaitMs = other31.bodyWaitMs;
+  state = other31.state;
+  place = other31.place;
+  limitMilli = other31.limitMilli;
+  permitWaitMs = other31.permitWaitMs;
+  keptRecords = other31.keptRecords;
+  __isset = other31.__isset;
   return *this;
 }
 void NewsMessage::printTo(std::ostream& out) const {
@@ -1669,29 +1843,29 @@
   swap(a.__isset, b.__isset);
 }
 
-BeatMessage::BeatMessage(const BeatMessage& other30) noexcept {
-  node = other30.node;
-  state = other30.state;
-  number = other30.number;
-  running = other30.running;
-  waiting = other30.waiting;
-  serviceTimeMs = other30.serviceTimeMs;
-  bodyWaitMs = other30.bodyWaitMs;
-  limitMilli = other30.limitMilli;
-  permitWaitMs = other30.permitWaitMs;
-  __isset = other30.__isset;
+BeatMessage::BeatMessage(const BeatMessage& other32) noexcept {
+  node = other32.node;
+  state = other32.state;
+  number = other32.number;
+  running = other32.running;
+  waiting = other32.waiting;
+  serviceTimeMs = other32.serviceTimeMs;
+  bodyWaitMs = other32.bodyWaitMs;
+  limitMilli = other32.limitMilli;
+  permitWaitMs = other32.permitWaitMs;
+  __isset = other32.__isset;
 }
-BeatMessage& BeatMessage::operator=(const BeatMessage& other31) noexcept {
-  node = other31.node;
-  state = other31.state;
-  number = other31.number;
-  running = other31.running;
-  waiting = other31.waiting;
-  serviceTimeMs = other31.serviceTimeMs;
-  bodyWaitMs = other31.bodyWaitMs;
-  limitMilli = other31.limitMilli;
-  permitWaitMs = other31.permitWaitMs;
-  __isset = other31.__isset;
+BeatMessage& BeatMessage::operator=(const BeatMessage& other33) noexcept {
+  node = other33.node;
+  state = other33.state;
+  number = other33.number;
+  running = other33.running;
+  waiting = other33.waiting;
+  serviceTimeMs = other33.serviceTimeMs;
+  bodyWaitMs = other33.bodyWaitMs;
+  limitMilli = other33.limitMilli;
+  permitWaitMs = other33.permitWaitMs;
+  __isset = other33.__isset;
   return *this;
 }
 void BeatMessage::printTo(std::ostream& out) const {
@@ -1855,21 +2029,21 @@
   swap(a.__isset, b.__isset);
 }
 
-AskMessage::AskMessage(const AskMessage& other32) {
-  node = other32.node;
-  organisation = other32.organisation;
-  number = other32.number;
-  wanted = other32.wanted;
-  returning = other32.returning;
-  __isset = other32.__isset;
+AskMessage::AskMessage(const AskMessage& other34) {
+  node = other34.node;
+  organisation = other34.organisation;
+  number = other34.number;
+  wanted = other34.wanted;
+  returning = other34.returning;
+  __isset = other34.__isset;
 }
-AskMessage& AskMessage::operator=(const AskMessage& other33) {
-  node = other33.node;
-  organisation = other33.organisation;
-  number = other33.number;
-  wanted = other33.wanted;
-  returning = other33.returning;
-  __isset = other33.__isset;
+AskMessage& AskMessage::operator=(const AskMessage& other35) {
+  node = other35.node;
+  organisation = other35.organisation;
+  number = other35.number;
+  wanted = other35.wanted;
+  returning = other35.returning;
+  __isset = other35.__isset;
   return *this;
 }
 void AskMessage::printTo(std::ostream& out) const {
@@ -2067,25 +2241,25 @@
   swap(a.__isset, b.__isset);
 }
 
-GrantMessage::GrantMessage(const GrantMessage& other34) {
-  organisation = other34.organisation;
-  number = other34.number;
-  permits = other34.permits;
-  retryMs = other34.retryMs;
-  places = other34.places;
-  returnMs = other34.returnMs;
-  intervalMs = other34.intervalMs;
-  __isset = other34.__isset;
-}
-GrantMessage& GrantMessage::operator=(const GrantMessage& other35) {
-  organisation = other35.organisation;
-  number = other35.number;
-  permits = other35.permits;
-  retryMs = other35.retryMs;
-  places = other35.places;
-  returnMs = other35.returnMs;
-  intervalMs = other35.intervalMs;
-  __isset = other35.__isset;
+GrantMessage::GrantMessage(const GrantMessage& other36) {
+  organisation = other36.organisation;
+  number = other36.number;
+  permits = other36.permits;
+  retryMs = other36.retryMs;
+  places = other36.places;
+  returnMs = other36.returnMs;
+  intervalMs = other36.intervalMs;
+  __isset = other36.__isset;
+}
+GrantMessage& GrantMessage::operator=(const GrantMessage& other37) {
+  organisation = other37.organisation;
+  number = other37.number;
+  permits = other37.permits;
+  retryMs = other37.retryMs;
+  places = other37.places;
+  returnMs = other37.returnMs;
+  intervalMs = other37.intervalMs;
+  __isset = other37.__isset;
   return *this;
 }
 void GrantMessage::printTo(std::ostream& out) const {
@@ -2161,14 +2335,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->news.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->news.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->news.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->news[_i36].read(iprot);
+              xfer += this->news[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2181,14 +2355,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->beats.clear();
-            uint32_t _size37;
-            ::apache::thrift::protocol::TType _etype40;
-            xfer += iprot->readListBegin(_etype40, _size37);
-            this->beats.resize(_size37);
-            uint32_t _i41;
-            for (_i41 = 0; _i41 < _size37; ++_i41)
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->beats.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
             {
-              xfer += this->beats[_i41].read(iprot);
+              xfer += this->beats[_i47].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2201,14 +2375,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wanted.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _etype45;
-            xfer += iprot->readListBegin(_etype45, _size42);
-            this->wanted.resize(_size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->wanted.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += iprot->readI64(this->wanted[_i46]);
+              xfer += iprot->readI64(this->wanted[_i52]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2221,14 +2395,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->asks.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->asks.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
             {
-              xfer += this->asks[_i56].read(iprot);
+              xfer += this->asks[_i57].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2241,14 +2415,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->grants.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->grants.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
             {
-              xfer += this->grants[_i61].read(iprot);
+              xfer += this->grants[_i62].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2277,10 +2451,10 @@
   xfer += oprot->writeFieldBegin("news", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->news.size()));
-    std::vector<NewsMessage> ::const_iterator _iter47;
-    for (_iter47 = this->news.begin(); _iter47 != this->news.end(); ++_iter47)
+    std::vector<NewsMessage> ::const_iterator _iter63;
+    for (_iter63 = this->news.begin(); _iter63 != this->news.end(); ++_iter63)
     {
-      xfer += (*_iter47).write(oprot);
+      xfer += (*_iter63).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2290,10 +2464,10 @@
     xfer += oprot->writeFieldBegin("beats", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->beats.size()));
-      std::vector<BeatMessage> ::const_iterator _iter48;
-      for (_iter48 = this->beats.begin(); _iter48 != this->beats.end(); ++_iter48)
+      std::vector<BeatMessage> ::const_iterator _iter64;
+      for (_iter64 = this->beats.begin(); _iter64 != this->beats.end(); ++_iter64)
       {
-        xfer += (*_iter48).write(oprot);
+        xfer += (*_iter64).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2303,10 +2477,10 @@
     xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->wanted.size()));
-      std::vector<int64_t> ::const_iterator _iter49;
-      for (_iter49 = this->wanted.begin(); _iter49 != this->wanted.end(); ++_iter49)
+      std::vector<int64_t> ::const_iterator _iter65;
+      for (_iter65 = this->wanted.begin(); _iter65 != this->wanted.end(); ++_iter65)
       {
-        xfer += oprot->writeI64((*_iter49));
+        xfer += oprot->writeI64((*_iter65));
       }
       xfer += oprot->writeListEnd();
     }
@@ -2316,10 +2490,10 @@
     xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-      std::vector<AskMessage> ::const_iterator _iter62;
-      for (_iter62 = this->asks.begin(); _iter62 != this->asks.end(); ++_iter62)
+      std::vector<AskMessage> ::const_iterator _iter66;
+      for (_iter66 = this->asks.begin(); _iter66 != this->asks.end(); ++_iter66)
       {
-        xfer += (*_iter62).write(oprot);
+        xfer += (*_iter66).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2329,10 +2503,10 @@
     xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-      std::vector<GrantMessage> ::const_iterator _iter63;
-      for (_iter63 = this->grants.begin(); _iter63 != this->grants.end(); ++_iter63)
+      std::vector<GrantMessage> ::const_iterator _iter67;
+      for (_iter67 = this->grants.begin(); _iter67 != this->grants.end(); ++_iter67)
       {
-        xfer += (*_iter63).write(oprot);
+        xfer += (*_iter67).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2353,21 +2527,21 @@
   swap(a.__isset, b.__isset);
 }
 
-GossipMessage::GossipMessage(const GossipMessage& other50) {
-  news = other50.news;
-  beats = other50.beats;
-  wanted = other50.wanted;
-  asks = other50.asks;
-  grants = other50.grants;
-  __isset = other50.__isset;
-}
-GossipMessage& GossipMessage::operator=(const GossipMessage& other51) {
-  news = other51.news;
-  beats = other51.beats;
-  wanted = other51.wanted;
-  asks = other51.asks;
-  grants = other51.grants;
-  __isset = other51.__isset;
+GossipMessage::GossipMessage(const GossipMessage& other68) {
+  news = other68.news;
+  beats = other68.beats;
+  wanted = other68.wanted;
+  asks = other68.asks;
+  grants = other68.grants;
+  __isset = other68.__isset;
+}
+GossipMessage& GossipMessage::operator=(const GossipMessage& other69) {
+  news = other69.news;
+  beats = other69.beats;
+  wanted = other69.wanted;
+  asks = other69.asks;
+  grants = other69.grants;
+  __isset = other69.__isset;
   return *this;
 }
 void GossipMessage::printTo(std::ostream& out) const {
@@ -2491,17 +2665,17 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorItemMessage::OperatorItemMessage(const OperatorItemMessage& other52) {
-  key = other52.key;
-  value = other52.value;
-  offset = other52.offset;
-  __isset = other52.__isset;
+OperatorItemMessage::OperatorItemMessage(const OperatorItemMessage& other70) {
+  key = other70.key;
+  value = other70.value;
+  offset = other70.offset;
+  __isset = other70.__isset;
 }
-OperatorItemMessage& OperatorItemMessage::operator=(const OperatorItemMessage& other53) {
-  key = other53.key;
-  value = other53.value;
-  offset = other53.offset;
-  __isset = other53.__isset;
+OperatorItemMessage& OperatorItemMessage::operator=(const OperatorItemMessage& other71) {
+  key = other71.key;
+  value = other71.value;
+  offset = other71.offset;
+  __isset = other71.__isset;
   return *this;
 }
 void OperatorItemMessage::printTo(std::ostream& out) const {
@@ -2565,14 +2739,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->items.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->items.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += this->items[_i58].read(iprot);
+              xfer += this->items[_i76].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2605,10 +2779,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<OperatorItemMessage> ::const_iterator _iter59;
-    for (_iter59 = this->items.begin(); _iter59 != this->items.end(); ++_iter59)
+    std::vector<OperatorItemMessage> ::const_iterator _iter77;
+    for (_iter77 = this->items.begin(); _iter77 != this->items.end(); ++_iter77)
     {
-      xfer += (*_iter59).write(oprot);
+      xfer += (*_iter77).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2626,15 +2800,15 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorItemsMessage::OperatorItemsMessage(const OperatorItemsMessage& other60) {
-  position = other60.position;
-  items = other60.items;
-  __isset = other60.__isset;
+OperatorItemsMessage::OperatorItemsMessage(const OperatorItemsMessage& other78) {
+  position = other78.position;
+  items = other78.items;
+  __isset = other78.__isset;
 }
-OperatorItemsMessage& OperatorItemsMessage::operator=(const OperatorItemsMessage& other61) {
-  position = other61.position;
-  items = other61.items;
-  __isset = other61.__isset;
+OperatorItemsMessage& OperatorItemsMessage::operator=(const OperatorItemsMessage& other79) {
+  position = other79.position;
+  items = other79.items;
+  __isset = other79.__isset;
   return *this;
 }
 void OperatorItemsMessage::printTo(std::ostream& out) const {
--- a/src/sidecar/gen/gossip_types.h
+++ b/src/sidecar/gen/gossip_types.h
@@ -25,6 +25,8 @@
 
 class UpstreamMessage;
 
+class JudgementMessage;
+
 class RolloutMessage;
 
 class EvidenceMessage;
@@ -180,12 +182,77 @@
 
 std::ostream& operator<<(std::ostream& out, const UpstreamMessage& obj);
 
+typedef struct _JudgementMessage__isset {
+  _JudgementMessage__isset() : ageMs(false), step(false), comparing(false), passed(false) {}
+  bool ageMs :1;
+  bool step :1;
+  bool comparing :1;
+  bool passed :1;
+} _JudgementMessage__isset;
+
+class JudgementMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  JudgementMessage(const JudgementMessage&) noexcept;
+  JudgementMessage& operator=(const JudgementMessage&) noexcept;
+  JudgementMessage() noexcept
+                   : ageMs(0),
+                     step(0),
+                     comparing(0),
+                     passed(0) {
+  }
+
+  virtual ~JudgementMessage() noexcept;
+  int64_t ageMs;
+  int32_t step;
+  bool comparing;
+  bool passed;
+
+  _JudgementMessage__isset __isset;
+
+  void __set_ageMs(const int64_t val);
+
+  void __set_step(const int32_t val);
+
+  void __set_comparing(const bool val);
+
+  void __set_passed(const bool val);
+
+  bool operator == (const JudgementMessage & rhs) const
+  {
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    if (!(step == rhs.step))
+      return false;
+    if (!(comparing == rhs.comparing))
+      return false;
+    if (!(passed == rhs.passed))
+      return false;
+    return true;
+  }
+  bool operator != (const JudgementMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JudgementMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JudgementMessage &a, JudgementMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const JudgementMessage& obj);
+
 typedef struct _RolloutMessage__isset {
-  _RolloutMessage__isset() : order(false), ageMs(false), condemned(false), state(false) {}
+  _RolloutMessage__isset() : order(false), ageMs(false), condemned(false), state(false), judged(false) {}
   bool order :1;
   bool ageMs :1;
   bool condemned :1;
   bool state :1;
+  bool judged :1;
 } _RolloutMessage__isset;
 
 class RolloutMessage : public virtual ::apache::thrift::TBase {
@@ -205,6 +272,7 @@
   int64_t ageMs;
   bool condemned;
   int32_t state;
+  JudgementMessage judged;
 
   _RolloutMessage__isset __isset;
 
@@ -216,6 +284,8 @@
 
   void __set_state(const int32_t val);
 
+  void __set_judged(const JudgementMessage& val);
+
   bool operator == (const RolloutMessage & rhs) const
   {
     if (!(order == rhs.order))
@@ -226,6 +296,10 @@
       return false;
     if (!(state == rhs.state))
       return false;
+    if (__isset.judged != rhs.__isset.judged)
+      return false;
+    else if (__isset.judged && !(judged == rhs.judged))
+      return false;
     return true;
   }
   bool operator != (const RolloutMessage &rhs) const {
@@ -723,11 +797,11 @@
   AskMessage(const AskMessage&);
   AskMessage& operator=(const AskMessage&);
   AskMessage() noexcept
-               : node(),
-                 organisation(),
-                 number(0),
-                 wanted(0),
-                 returning(0) {
+             : node(),
+               organisation(),
+               number(0),
+               wanted(0),
+               returning(0) {
   }
 
   virtual ~AskMessage() noexcept;
@@ -798,13 +872,13 @@
   GrantMessage(const GrantMessage&);
   GrantMessage& operator=(const GrantMessage&);
   GrantMessage() noexcept
-                 : organisation(),
-                   number(0),
-                   permits(0),
-                   retryMs(0),
-                   places(0),
-                   returnMs(0),
-                   intervalMs(0) {
+               : organisation(),
+                 number(0),
+                 permits(0),
+                 retryMs(0),
+                 places(0),
+                 returnMs(0),
+                 intervalMs(0) {
   }
 
   virtual ~GrantMessage() noexcept;
--- a/src/sidecar/gossip.thrift
+++ b/src/sidecar/gossip.thrift
@@ -16,11 +16,20 @@
   7: i64 coldLeftMs
 }
 
+// What a node that judges a rollout has found.
+struct JudgementMessage {
+  1: i64 ageMs
+  2: i32 step            // in the plan of a rollout, from 0
+  3: bool comparing
+  4: bool passed         // all steps
+}
+
 struct RolloutMessage {
   1: i64 order
   2: i64 ageMs
   3: bool condemned
   4: i32 state           // 0 running, 1 completed, 2 rolled back
+  5: optional JudgementMessage judged // the newest that the node knows
 }
 
 struct EvidenceMessage {
--- a/src/sidecar/internal/Gossip.cpp
+++ b/src/sidecar/internal/Gossip.cpp
@@ -31,8 +31,10 @@
   Report.Evidence.clear();
   Milliseconds &Cold = Report.LocalUpstream.ColdRemaining;
   Cold = std::min(Cold, Milliseconds(1));
-  for (mesh::RolloutReport &Item : Report.Rollouts)
+  for (mesh::RolloutReport &Item : Report.Rollouts) {
     Item.Age = Milliseconds(0);
+    Item.Judged = std::nullopt;
+  }
   return encodeGossip({{Report}, {}, {}});
 }
 
@@ -300,6 +302,19 @@
   Flush();
 }
 
+/// A datagram may have waited in the socket during a suspension. A confirmation
+/// that looks too new would keep revoked keys in use, a judgement the share of
+/// a version that nobody judges.
+void Gossip::addTimeInSocket(mesh::NodeReport &Report) const {
+  const Milliseconds Waited =
+      elapsed(Context_.sentBy(Context_.now()), Context_.now());
+  if (Report.ConfirmedAge)
+    *Report.ConfirmedAge += Waited;
+  for (mesh::RolloutReport &Item : Report.Rollouts)
+    if (Item.Judged)
+      Item.Judged->Age += Waited;
+}
+
 void Gossip::onDatagram(std::string_view Data) {
   auto Message = decodeGossip(Data);
   if (Message && OnQuota_ &&
@@ -319,13 +334,12 @@
       Known->second.LastReport.IncarnationNumber < Sender.IncarnationNumber;
   bool Changed = false;
   for (mesh::NodeReport &Item : Message->Reports) {
-    // The datagram may have waited in the socket during a suspension. A
-    // confirmation that looks too new would keep revoked keys in use.
-    if (Item.ConfirmedAge)
-      *Item.ConfirmedAge +=
-          elapsed(Context_.sentBy(Context_.now()), Context_.now());
+    addTimeInSocket(Item);
     Changed = onReport(Item) || Changed;
   }
+  const auto Direct = Context_.KnownNodes.Nodes.find(Sender.Id);
+  if (Direct != Context_.KnownNodes.Nodes.end())
+    Direct->second.EvidenceAt = Context_.sentBy(Context_.now());
   std::vector<mesh::LoadBeat> Missing;
   for (const mesh::LoadBeat &Beat : Message->Beats)
     if (Beat.Node != mesh::nodeKey(Context_.Settings.Id, Incarnation_) &&
--- a/src/sidecar/internal/Gossip.h
+++ b/src/sidecar/internal/Gossip.h
@@ -43,6 +43,7 @@
   void relay();
   void sendRound(const std::vector<Endpoint> &To, mesh::BeatScope Scope);
   void onDatagram(std::string_view Data);
+  void addTimeInSocket(mesh::NodeReport &Report) const;
   bool onReport(const mesh::NodeReport &Item);
   void greet(const mesh::NodeReport &Sender);
   void ask(const mesh::NodeReport &Sender,
--- a/src/sidecar/internal/GossipCodec.cpp
+++ b/src/sidecar/internal/GossipCodec.cpp
@@ -64,12 +64,28 @@
   return To;
 }
 
+wire::JudgementMessage toWire(const mesh::Judgement &From) {
+  wire::JudgementMessage To;
+  To.__set_ageMs(From.Age.count());
+  To.__set_step(From.Step);
+  To.__set_comparing(From.IsComparing);
+  To.__set_passed(From.HasPassed);
+  return To;
+}
+
+mesh::Judgement fromWire(const wire::JudgementMessage &From) {
+  return {std::max(Milliseconds(0), Milliseconds(From.ageMs)), From.step,
+          From.comparing, From.passed};
+}
+
 wire::RolloutMessage toWire(const mesh::RolloutReport &From) {
   wire::RolloutMessage To;
   To.__set_order(From.Order.value());
   To.__set_ageMs(From.Age.count());
   To.__set_condemned(From.IsNewVersionBad);
   To.__set_state(static_cast<std::int32_t>(From.State));
+  if (From.Judged)
+    To.__set_judged(toWire(*From.Judged));
   return To;
 }
 
@@ -170,6 +186,14 @@
   }
 }
 
+mesh::RolloutReport fromWire(const wire::RolloutMessage &From) {
+  mesh::RolloutReport To{Offset(From.order), Milliseconds(From.ageMs),
+                         From.condemned, rolloutStateFrom(From.state)};
+  if (From.__isset.judged)
+    To.Judged = fromWire(From.judged);
+  return To;
+}
+
 mesh::NodeReport fromWire(const wire::NewsMessage &From) {
   mesh::NodeReport To;
   To.Id = NodeId(From.id);
@@ -194,8 +218,7 @@
     To.ConfirmedAge = Milliseconds(From.confirmedAgeMs);
   To.KeptRecords = From.keptRecords;
   for (const wire::RolloutMessage &Item : From.rollouts)
-    To.Rollouts.push_back({Offset(Item.order), Milliseconds(Item.ageMs),
-                           Item.condemned, rolloutStateFrom(Item.state)});
+    To.Rollouts.push_back(fromWire(Item));
   for (const wire::EvidenceMessage &Item : From.evidence)
     To.Evidence.push_back({Offset(Item.order), RouteName(Item.route), Item.good,
                            Item.bad,
--- a/src/sidecar/internal/Rollouts.cpp
+++ b/src/sidecar/internal/Rollouts.cpp
@@ -16,9 +16,6 @@
 constexpr Milliseconds RecordDelayPerRank{800};
 constexpr Milliseconds RecordRetryDelay{700};
 constexpr std::int64_t FullShare = 1000;
-/// Nodes that judge the new version of a service; more than one, since each may
-/// fail.
-constexpr std::size_t Judges = 3;
 constexpr Milliseconds EvidenceInterval{500};
 /// The requests in progress at a node that was heard of earlier say nothing: it
 /// may have been killed.
@@ -230,7 +227,8 @@
   std::vector<mesh::RolloutReport> All;
   for (const auto &[Service, Current] : Items_)
     All.push_back({Current.Order.At, elapsed(Current.SeenAt, Context_.now()),
-                   Current.IsNewVersionBad, Current.State});
+                   Current.IsNewVersionBad, Current.State,
+                   isEnd(Current.State) ? std::nullopt : judgementOf(Current)});
   return All;
 }
 
@@ -243,19 +241,95 @@
 }
 
 // Among many nodes gossip passes evidence on too slowly, and each node would
-// judge by another part of it. A few nodes judge, and get it directly.
+// judge by another part of it. A few nodes judge, and get it directly. A report
+// without outcomes goes to them, too: it tells that there have been none.
 void Rollouts::sendEvidence() {
   EvidenceSentAt_ = Context_.now();
-  if (Callbacks_.OwnEvidence().empty())
-    return;
   for (const auto &[Service, Current] : Items_)
     if (!isEnd(Current.State) && Service == Context_.Registered.Current.Service)
-      Callbacks_.SendReport(mesh::rendezvousFirst(
-          Context_.KnownNodes, judgeSubject(Service), Judges, Context_.now()));
+      Callbacks_.SendReport(
+          mesh::rendezvousFirst(Context_.KnownNodes, judgeSubject(Service),
+                                judgeCountOf(Current), Context_.now()));
 }
 
-void Rollouts::update(Item &Current) {
+/// Returns the newest judgement with its present age.
+std::optional<mesh::Judgement>
+Rollouts::judgementOf(const Item &Current) const {
+  std::optional<mesh::Judgement> Judged = Current.Judged;
+  if (Judged)
+    Judged->Age += elapsed(Current.JudgedAt, Context_.now());
+  return Judged;
+}
+
+std::size_t Rollouts::judgeCountOf(const Item &Current) const {
+  const auto Judged = judgementOf(Current);
+  return mesh::judgeCount(Judged ? Judged->Age
+                                 : elapsed(Current.SeenAt, Context_.now()),
+                          Context_.KnownNodes.Nodes.size() + 1);
+}
+
+bool Rollouts::mayJudge(const Item &Current) const {
+  const SteadyTime Now = Context_.now();
+  if (mesh::rendezvousRank(Context_.KnownNodes,
+                           judgeSubject(Current.Order.Service),
+                           Now) >= judgeCountOf(Current))
+    return false;
+  mesh::EvidenceCoverage Old;
+  mesh::EvidenceCoverage New;
+  const auto Count = [&](const mesh::Upstream &Upstream, bool IsStopping,
+                         Milliseconds EvidenceAge, Milliseconds HeardAge) {
+    if (Upstream.Service != Current.Order.Service || IsStopping ||
+        Upstream.State != mesh::UpstreamState::Ready)
+      return;
+    mesh::countUpstream(Upstream.Version == Current.Order.Target ? New : Old,
+                        EvidenceAge, HeardAge);
+  };
+  Count(Context_.Registered.Current, Context_.Stopping, Milliseconds(0),
+        Milliseconds(0));
+  for (const auto &[Id, Known] : Context_.KnownNodes.Nodes)
+    if (mesh::isAlive(Context_.KnownNodes, Known, Now))
+      Count(Known.LastReport.LocalUpstream, Known.LastReport.Stopping,
+            elapsed(Known.EvidenceAt, Now), elapsed(Known.HeardAt, Now));
+  return mesh::coversVersions(Old, New);
+}
+
+void Rollouts::updateJudge(Item &Current) {
+  const std::size_t Judges = judgeCountOf(Current);
+  const bool HasMoreJudges = Judges > Current.Judges && Current.Judges > 0;
+  Current.Judges = Judges;
+  // Those that are to judge from now on need the evidence at once.
+  if (HasMoreJudges)
+    sendEvidence();
+  const bool MayJudge = mayJudge(Current);
+  if (MayJudge == Current.JudgingSince.has_value())
+    return;
+  Current.JudgingSince =
+      MayJudge ? std::optional(Context_.now()) : std::nullopt;
+  Context_.Log.write(LogClass::State, Context_.now(), "rollout-judge",
+                     {{"service", Current.Order.Service.str()},
+                      {"judging", MayJudge ? "yes" : "no"},
+                      {"judges", std::to_string(Judges)}});
+}
+
+void Rollouts::recordJudgement(Item &Current,
+                               const mesh::RolloutDecision &Decided) {
+  const mesh::Judgement Own{Milliseconds(0), Decided.Step, Decided.IsComparing,
+                            Decided.End == RolloutState::Completed};
+  const std::optional<mesh::Judgement> Before = judgementOf(Current);
+  const bool IsNews = !Before || Before->Step < Own.Step ||
+                      (Own.HasPassed && !Before->HasPassed);
+  Current.Judged = Own;
+  Current.JudgedAt = Context_.now();
+  // The first judge that takes a step tells all nodes.
+  if (IsNews && Own.Step > 0)
+    Callbacks_.OnChange();
+}
+
+void Rollouts::mergeReports(Item &Current) {
   const SteadyTime Now = Context_.now();
+  const Milliseconds Timeout =
+      mesh::judgementTimeout(Context_.KnownNodes.Nodes.size() + 1);
+  std::optional<mesh::Judgement> Judged = judgementOf(Current);
   for (const auto &[Id, Known] : Context_.KnownNodes.Nodes)
     for (const mesh::RolloutReport &Reported : Known.LastReport.Rollouts) {
       if (Reported.Order != Current.Order.At)
@@ -266,16 +340,31 @@
       Current.SeenAt = std::min(Current.SeenAt, FirstSeen);
       Current.IsNewVersionBad =
           Current.IsNewVersionBad || Reported.IsNewVersionBad;
+      if (Reported.Judged) {
+        mesh::Judgement Read = *Reported.Judged;
+        Read.Age += elapsed(Known.ReportedAt, Now);
+        mesh::mergeJudgement(Judged, Read, Timeout);
+      }
       if (isEnd(Reported.State) && !isEnd(Current.State))
         finishRollout(Current, Reported.State, Id.str().c_str());
     }
+  Current.Judged = Judged;
+  Current.JudgedAt = Now;
+}
+
+void Rollouts::update(Item &Current) {
+  const SteadyTime Now = Context_.now();
+  mergeReports(Current);
   if (isEnd(Current.State)) {
     if (Current.MustRecordEnd)
       recordProgress(Current);
     return;
   }
+  updateJudge(Current);
   const mesh::RolloutView View = viewOf(Current);
   const mesh::RolloutDecision Decided = mesh::decideRollout(View);
+  if (View.MayJudge)
+    recordJudgement(Current, Decided);
   if (Decided.Repeatable != Current.Decision.Repeatable)
     closeShare(Current, View);
   const bool Changed =
@@ -334,9 +423,12 @@
   View.IsNewVersionBad = Current.IsNewVersionBad;
   View.IsComparing = Current.Decision.IsComparing;
   View.ExposureShare = Context_.Bounds.ExposureShare;
-  View.MayJudge = mesh::rendezvousRank(Context_.KnownNodes,
-                                       judgeSubject(Current.Order.Service),
-                                       Context_.now()) < Judges;
+  View.MayJudge = Current.JudgingSince.has_value();
+  if (Current.JudgingSince)
+    View.JudgedFor = elapsed(*Current.JudgingSince, Context_.now());
+  View.Judged = judgementOf(Current);
+  View.JudgementTimeout =
+      mesh::judgementTimeout(Context_.KnownNodes.Nodes.size() + 1);
   View.Earlier = Current.Earlier;
   mesh::NodeReport Own;
   Own.Id = Context_.Settings.Id;
@@ -370,7 +462,7 @@
   // still be going on.
   const std::size_t Rank = mesh::rendezvousRank(
       Context_.KnownNodes, judgeSubject(Current.Order.Service), Now);
-  if (Current.MustRecordEnd && Rank >= Judges)
+  if (Current.MustRecordEnd && Rank >= mesh::UsualJudges)
     return;
   if (Current.NextWrite == SteadyTime() && Rank > 0) {
     Current.NextWrite =
--- a/src/sidecar/internal/Rollouts.h
+++ b/src/sidecar/internal/Rollouts.h
@@ -57,6 +57,14 @@
     /// repeatable and for other requests.
     /// A random start spreads the first such requests of the nodes over time.
     std::int64_t Credit[2] = {0, 0};
+    /// The newest judgement of any node, and the time from which its age
+    /// counts.
+    std::optional<mesh::Judgement> Judged;
+    SteadyTime JudgedAt;
+    /// Since when this node has been one of the judges; empty while it is not.
+    std::optional<SteadyTime> JudgingSince;
+    /// Nodes to which evidence goes, as of the last round.
+    std::size_t Judges = 0;
     bool RunningRecorded = false;
     /// The rollout has ended, and the store may have lost the record of that.
     bool MustRecordEnd = false;
@@ -71,9 +79,15 @@
   void tick();
   void sendEvidence();
   void update(Item &Current);
+  void mergeReports(Item &Current);
   mesh::RolloutView viewOf(const Item &Current) const;
   void addNode(mesh::RolloutView &View, const Item &Current,
                const mesh::NodeReport &Report, bool IsRecent) const;
+  void updateJudge(Item &Current);
+  bool mayJudge(const Item &Current) const;
+  std::size_t judgeCountOf(const Item &Current) const;
+  std::optional<mesh::Judgement> judgementOf(const Item &Current) const;
+  void recordJudgement(Item &Current, const mesh::RolloutDecision &Decided);
   /// Starts to count the outcomes under a changed share.
   void closeShare(Item &Current, const mesh::RolloutView &View);
   void recordProgress(Item &Current);
--- a/src/sidecar/tests/CodecTest.cpp
+++ b/src/sidecar/tests/CodecTest.cpp
@@ -30,7 +30,8 @@
   Report.OperatorPosition = Offset(44);
   Report.ConfirmedAge = Milliseconds(300);
   Report.Rollouts.push_back(
-      {Offset(40), Milliseconds(700), true, mesh::RolloutState::RolledBack});
+      {Offset(40), Milliseconds(700), true, mesh::RolloutState::RolledBack,
+       mesh::Judgement{Milliseconds(90), 3, true, false}});
   Report.Evidence.push_back(
       {Offset(40), RouteName("r"), 20, 3, 18, Milliseconds(1600)});
   Report.Crashes.push_back({requests::Fingerprint("ab"),
@@ -57,6 +58,10 @@
   BOOST_TEST((Report.LocalUpstream.State == mesh::UpstreamState::Draining));
   BOOST_TEST(Report.Load.BodyWait.count() == 120);
   BOOST_TEST((Report.Rollouts.at(0).State == mesh::RolloutState::RolledBack));
+  BOOST_TEST(Report.Rollouts.at(0).Judged.value().Age.count() == 90);
+  BOOST_TEST(Report.Rollouts.at(0).Judged->Step == 3);
+  BOOST_TEST(Report.Rollouts.at(0).Judged->IsComparing);
+  BOOST_TEST(!Report.Rollouts.at(0).Judged->HasPassed);
   BOOST_TEST(Report.Evidence.at(0).Bad == 3);
   BOOST_TEST(Report.ConfirmedAge.value().count() == 300);
   BOOST_TEST(
--- a/tests/platform/RolloutTest.cpp
+++ b/tests/platform/RolloutTest.cpp
@@ -1,7 +1,9 @@
 #include "TestMesh.h"
+#include "mesh/Mesh.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <thread>
 
 using namespace lycheethread::platformtest;
@@ -23,10 +25,11 @@
   return Mesh.Store.newest("keyed.status", "rollout/desk");
 }
 
-/// Sends requests through all nodes until \p Finished holds; returns their
-/// number.
+/// Sends requests through all nodes, with \p Pause after each round, until
+/// \p Finished holds; returns their number.
 std::size_t sendRequestsUntil(TestMesh &Mesh,
-                              const std::function<bool()> &Finished) {
+                              const std::function<bool()> &Finished,
+                              milliseconds Pause = milliseconds(2)) {
   std::size_t Sent = 0;
   const auto End = std::chrono::steady_clock::now() +
                    std::chrono::seconds(DurationSeconds + 3);
@@ -36,7 +39,7 @@
       Item->post("/write/x", "x");
       Sent += 2;
     }
-    std::this_thread::sleep_for(milliseconds(2));
+    std::this_thread::sleep_for(Pause);
   }
   return Sent;
 }
@@ -45,6 +48,35 @@
   return Text.find(Part) != std::string::npos;
 }
 
+using SteadyClock = std::chrono::steady_clock;
+
+/// Lets the upstream answer one half of its requests with an error from
+/// \p From on.
+void failFrom(UpstreamStandIn &Upstream, SteadyClock::time_point From) {
+  const auto Requests = std::make_shared<std::atomic<int>>(0);
+  Upstream.setBehaviour([From, Requests](const ReceivedRequest &Request) {
+    const bool Fails = SteadyClock::now() >= From && ++*Requests % 2 == 0;
+    return completeResponse(Request, "x", Fails ? 500 : 200);
+  });
+}
+
+/// The names of \p Nodes in the order in which they judge a new version.
+std::vector<std::string> judgeOrder(const std::vector<std::string> &Nodes) {
+  using namespace lycheethread;
+  mesh::NodeTable Known;
+  Known.Self = NodeId(Nodes.front());
+  for (std::size_t At = 1; At < Nodes.size(); ++At) {
+    mesh::NodeReport Report;
+    Report.Id = NodeId(Nodes[At]);
+    mesh::mergeReport(Known, Report, SteadyTime(1));
+  }
+  std::vector<std::string> Ordered;
+  for (const NodeId &Id :
+       mesh::rendezvousOrder(Known, "judge/desk", Nodes.size()))
+    Ordered.push_back(Id.str());
+  return Ordered;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(RolloutsInAFleet)
@@ -88,4 +120,43 @@
   BOOST_TEST(Mesh.at(2).upstream().receivedRequests().size() == AtEnd);
 }
 
+// Guards against a faulty version that is completed since the nodes that judge
+// it are lost for good: the others did not look at its failures.
+BOOST_AUTO_TEST_CASE(faultyVersionIsNotCompletedWithoutItsJudges) {
+  const std::vector<std::string> Order =
+      judgeOrder({"j1", "j2", "j3", "j4", "j5", "j6"});
+  // The judges are beside another service, so that only they are missed.
+  std::vector<InstanceSpec> Specs;
+  for (std::size_t At = 0; At < 3; ++At)
+    Specs.push_back({Order[At], "store", "v1", "south"});
+  Specs.push_back({Order[3], "desk", "v1"});
+  Specs.push_back({Order[4], "store", "v1"});
+  Specs.push_back({Order[5], "desk", "v2"});
+  TestMesh Mesh(Specs);
+  startRollout(Mesh);
+  const auto Ordered = SteadyClock::now();
+  failFrom(Mesh.at(5).upstream(), Ordered + milliseconds(6200));
+  const std::size_t AtStart = Mesh.at(5).upstream().receivedRequests().size();
+  constexpr milliseconds Pause{20};
+  const std::size_t Before = sendRequestsUntil(
+      Mesh, [&] { return SteadyClock::now() >= Ordered + milliseconds(6000); },
+      Pause);
+  for (std::size_t At = 0; At < 3; ++At)
+    Mesh.at(At).node().kill();
+  Mesh.Instances.erase(Mesh.Instances.begin(), Mesh.Instances.begin() + 3);
+  const std::size_t Sent =
+      Before + sendRequestsUntil(
+                   Mesh,
+                   [&] {
+                     return contains(rolloutStatus(Mesh), "completed") ||
+                            contains(rolloutStatus(Mesh), "rolled_back");
+                   },
+                   Pause);
+  BOOST_TEST(contains(rolloutStatus(Mesh), "rolled_back"));
+  const std::size_t Exposed =
+      Mesh.at(2).upstream().receivedRequests().size() - AtStart;
+  BOOST_TEST_MESSAGE(Exposed << " of " << Sent << " requests");
+  BOOST_TEST(Exposed <= Sent / 10 + 50);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
