--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -10,6 +10,7 @@
 #include "mesh/types/ColdLimit.h"
 #include "mesh/types/ColdSuspicion.h"
 #include "mesh/types/Evacuation.h"
+#include "mesh/types/Evidence.h"
 #include "mesh/types/FairShare.h"
 #include "mesh/types/GossipPlan.h"
 #include "mesh/types/Hedging.h"
@@ -234,6 +235,24 @@
 /// share along the fixed steps.
 RolloutDecision decideRollout(const RolloutView &View);
 
+/// Returns the sum over the routes of \p Own, which counts for the order at
+/// \p Order.
+RouteEvidence sumOf(Offset Order, const EvidenceByRoute &Own);
+
+/// Returns the datagrams with the evidence \p Own on the order at \p Order for
+/// this round, and records in \p State what they hold. There is at least one.
+std::vector<EvidenceReport> composeEvidence(Offset Order,
+                                            const EvidenceByRoute &Own,
+                                            const EvidencePlan &Plan,
+                                            EvidenceCursor &State);
+
+/// Returns false if \p Report belongs to an earlier incarnation or order.
+bool mergeEvidence(std::map<NodeId, KnownEvidence> &Known,
+                   const EvidenceReport &Report, SteadyTime Now);
+
+/// Returns what \p Now counts beyond \p Before.
+RouteEvidence evidenceSince(const EvidenceByRoute &Before, RouteEvidence Now);
+
 /// Returns the age from which on a judgement no longer counts.
 Milliseconds judgementTimeout(std::size_t Nodes);
 
@@ -360,6 +379,13 @@
 /// Returns the report of a known node as it can be forwarded at \p Now.
 NodeReport forwardedReport(const KnownNode &Node, SteadyTime Now);
 
+/// Shortens the lists of \p Report to the limit. Versions found bad and the
+/// newest crash go first, then running rollouts, other crashes and ended
+/// rollouts. Of several, those from the position \p Turn on go first; a random
+/// one lets each have its turn. Returns how many items were left out.
+std::size_t fitReport(NodeReport &Report, const ReportLimit &Limit,
+                      std::size_t Turn);
+
 /// Chooses the reports and loads of other nodes that fit in one datagram, and
 /// counts them as forwarded.
 GossipContent composeGossip(NodeTable &Known, const GossipPlan &Plan,
--- a/src/mesh/internal/DecideRollout.cpp
+++ b/src/mesh/internal/DecideRollout.cpp
@@ -141,6 +141,9 @@
 }
 
 RouteTotals sumOf(const TotalsByRoute &Routes) {
+  const auto Known = Routes.find(RouteName());
+  if (Known != Routes.end())
+    return Known->second;
   RouteTotals Sum;
   for (const auto &[Route, Totals] : Routes) {
     add(Sum.Old, Totals.Old);
@@ -158,6 +161,8 @@
     add(All, sumOf(Routes));
   }
   for (const auto &[Route, Totals] : ByRoute) {
+    if (Route.empty())
+      continue;
     if (fails(Totals))
       return "failures on route " + Route.str();
     if (isSlow(Totals))
--- a/src/mesh/internal/NodeTable.cpp
+++ b/src/mesh/internal/NodeTable.cpp
@@ -62,13 +62,7 @@
   if (HasNewerState || (IsCurrentState && HasNewerLoad)) {
     const Sequence Number = Old.Number;
     const LoadReport Load = Old.Load;
-    std::vector<RouteEvidence> Evidence;
-    // Forwarded reports carry none.
-    if (IsSameLife && Report.Evidence.empty())
-      Evidence = Old.Evidence;
     Into.LastReport = Report;
-    if (!Evidence.empty())
-      Into.LastReport.Evidence = std::move(Evidence);
     Into.ReportedAt = Now;
     if (!HasNewerLoad) {
       Into.LastReport.Number = Number;
@@ -101,7 +95,7 @@
   bool IsNews = IsNew;
   bool HasNewState = IsNew;
   if (IsNew)
-    Node = {Report, Now, Now, SteadyTime(), NewNodeForwards, 0, std::nullopt};
+    Node = {Report, Now, Now, NewNodeForwards, 0, std::nullopt};
   else
     HasNewState = updateNode(Node, Report, Now, IsNews);
   if (HasNewState) {
@@ -162,8 +156,6 @@
 
 NodeReport forwardedReport(const KnownNode &Node, SteadyTime Now) {
   NodeReport Report = Node.LastReport;
-  // Its nodes send it to those that judge; with many routes it is long.
-  Report.Evidence.clear();
   // Ages count from the time of sending.
   const Milliseconds Since = elapsed(Node.ReportedAt, Now);
   if (Report.ConfirmedAge)
--- a/src/mesh/tests/NodeTableTest.cpp
+++ b/src/mesh/tests/NodeTableTest.cpp
@@ -195,22 +195,41 @@
   BOOST_TEST(Content.Beats.size() == 2U);
 }
 
-// Guards against a forwarded report that removes the evidence of a node.
-BOOST_AUTO_TEST_CASE(forwardedReportKeepsTheEvidence) {
-  NodeTable Known;
-  Known.Self = NodeId("self");
-  NodeReport Direct = report("a", 1, 1);
-  Direct.State = Sequence(1);
-  Direct.Evidence.push_back(
-      {Offset(4), RouteName("r"), 5, 1, 5, Milliseconds(100)});
-  mergeReport(Known, Direct, SteadyTime(1));
-  NodeReport Forwarded =
-      forwardedReport(Known.Nodes.at(NodeId("a")), SteadyTime(2));
-  BOOST_TEST(Forwarded.Evidence.empty());
-  Forwarded.State = Sequence(2);
-  Forwarded.Number = Sequence(2);
-  mergeReport(Known, Forwarded, SteadyTime(3));
-  BOOST_TEST(Known.Nodes.at(NodeId("a")).LastReport.Evidence.size() == 1U);
+// Guards against a report that grows with the number of rollouts and crashes
+// until its receivers drop it, and against one that leaves out what matters
+// most, or the same items each time.
+BOOST_AUTO_TEST_CASE(longReportsAreShortenedByRank) {
+  constexpr std::size_t ItemBytes = 20;
+  const ReportLimit Limit{500, [](const NodeReport &Item) {
+                            return 200 + ItemBytes * (Item.Rollouts.size() +
+                                                      Item.Crashes.size());
+                          }};
+  NodeReport Whole = report("a", 1, 1);
+  for (std::int64_t At = 1; At <= 200; ++At)
+    Whole.Rollouts.push_back({Offset(At), {}, false, RolloutState::Completed});
+  Whole.Rollouts.push_back({Offset(201), {}, false, RolloutState::Running});
+  Whole.Rollouts.push_back({Offset(202), {}, true, RolloutState::Running});
+  for (const char *Name : {"first", "second"})
+    Whole.Crashes.push_back({requests::Fingerprint(Name),
+                             requests::CrashId("c"),
+                             requests::SuspectWeight::NeverAnswered});
+  std::set<std::int64_t> Told;
+  for (std::size_t Turn = 0; Turn < 200; ++Turn) {
+    NodeReport Short = Whole;
+    BOOST_TEST_REQUIRE(fitReport(Short, Limit, Turn) == 204U - 15U);
+    BOOST_TEST_REQUIRE(Limit.ReportBytes(Short) <= Limit.Bytes);
+    BOOST_TEST_REQUIRE(Short.Rollouts.at(0).Order.value() == 202);
+    BOOST_TEST_REQUIRE(Short.Rollouts.at(1).Order.value() == 201);
+    BOOST_TEST_REQUIRE(Short.Crashes.at(0).RequestFingerprint.str() ==
+                       "second");
+    for (const RolloutReport &Item : Short.Rollouts)
+      Told.insert(Item.Order.value());
+  }
+  BOOST_TEST(Told.size() == 202U);
+  NodeReport Few = report("a", 1, 1);
+  Few.Rollouts = {{Offset(1), {}, false, RolloutState::Completed}};
+  BOOST_TEST(fitReport(Few, Limit, 7) == 0U);
+  BOOST_TEST(Few.Rollouts.size() == 1U);
 }
 
 // Guards against a new node that is ready before it knows a node that joined
--- a/src/mesh/types/NodeReport.h
+++ b/src/mesh/types/NodeReport.h
@@ -5,6 +5,7 @@
 #include "requests/Requests.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -52,20 +53,6 @@
   Milliseconds PermitWait{0};
 };
 
-/// Outcomes of one route at one upstream since a rollout was ordered.
-struct RouteEvidence {
-  /// Offset of the order in the store.
-  Offset Order;
-  RouteName Route;
-  std::int32_t Good = 0;
-  std::int32_t Bad = 0;
-  /// Requests counted in Good whose time counts: a cold upstream is slow
-  /// regardless of its version.
-  std::int32_t Timed = 0;
-  /// Sum over the requests counted in Timed.
-  Milliseconds TotalTime{0};
-};
-
 enum class RolloutState { Running = 0, Completed = 1, RolledBack = 2 };
 
 /// What a node that judges a rollout has found so far.
@@ -126,10 +113,15 @@
   /// Records that the node keeps although the store has lost them.
   std::int32_t KeptRecords = 0;
   std::vector<RolloutReport> Rollouts;
-  std::vector<RouteEvidence> Evidence;
   std::vector<CrashSuspectReport> Crashes;
 };
 
+/// Size to which a report is shortened.
+struct ReportLimit {
+  std::size_t Bytes = 0;
+  std::function<std::size_t(const NodeReport &)> ReportBytes;
+};
+
 /// Identifies one incarnation of a node in a LoadBeat.
 using NodeKey = StrongNumber<struct NodeKeyTag>;
 /// Stands for the receiver where a report is asked for: a node that is
@@ -152,8 +144,6 @@
   SteadyTime HeardAt;
   /// When LastReport was received; ages in it count from this time.
   SteadyTime ReportedAt;
-  /// When a report came from the node itself, with its evidence; zero before.
-  SteadyTime EvidenceAt = SteadyTime();
   /// How many times this node has forwarded the state and the load.
   int StateForwards = 0;
   int LoadForwards = 0;
--- a/src/mesh/types/Rollout.h
+++ b/src/mesh/types/Rollout.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEETHREAD_MESH_TYPES_ROLLOUT_H
 #define LYCHEETHREAD_MESH_TYPES_ROLLOUT_H
 
+#include "mesh/types/Evidence.h"
 #include "mesh/types/NodeReport.h"
 
 #include <map>
@@ -40,6 +41,7 @@
   VersionTotals New;
 };
 
+/// May hold the sum over all routes under the empty name.
 using TotalsByRoute = std::map<RouteName, RouteTotals>;
 
 /// Upstreams of one version that are ready, as one node sees them.
--- a/src/sidecar/gen/gossip_types.cpp
+++ b/src/sidecar/gen/gossip_types.cpp
@@ -664,42 +664,37 @@
 }
 
 
-EvidenceMessage::~EvidenceMessage() noexcept {
+RouteEvidenceMessage::~RouteEvidenceMessage() noexcept {
 }
 
 
-void EvidenceMessage::__set_order(const int64_t val) {
-  this->order = val;
-}
-
-void EvidenceMessage::__set_route(const std::string& val) {
+void RouteEvidenceMessage::__set_route(const std::string& val) {
   this->route = val;
 }
 
-void EvidenceMessage::__set_good(const int32_t val) {
+void RouteEvidenceMessage::__set_good(const int32_t val) {
   this->good = val;
 }
 
-void EvidenceMessage::__set_bad(const int32_t val) {
+void RouteEvidenceMessage::__set_bad(const int32_t val) {
   this->bad = val;
 }
 
-void EvidenceMessage::__set_totalTimeMs(const int64_t val) {
-  this->totalTimeMs = val;
+void RouteEvidenceMessage::__set_timed(const int32_t val) {
+  this->timed = val;
 }
 
-void EvidenceMessage::__set_timed(const int32_t val) {
-  this->timed = val;
-__isset.timed = true;
+void RouteEvidenceMessage::__set_totalTimeMs(const int64_t val) {
+  this->totalTimeMs = val;
 }
-std::ostream& operator<<(std::ostream& out, const EvidenceMessage& obj)
+std::ostream& operator<<(std::ostream& out, const RouteEvidenceMessage& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t EvidenceMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t RouteEvidenceMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -721,14 +716,6 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->order);
-          this->__isset.order = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->route);
           this->__isset.route = true;
@@ -736,7 +723,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->good);
           this->__isset.good = true;
@@ -744,7 +731,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->bad);
           this->__isset.bad = true;
@@ -752,18 +739,18 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->totalTimeMs);
-          this->__isset.totalTimeMs = true;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->timed);
+          this->__isset.timed = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->timed);
-          this->__isset.timed = true;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->totalTimeMs);
+          this->__isset.totalTimeMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -780,80 +767,243 @@
   return xfer;
 }
 
-uint32_t EvidenceMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t RouteEvidenceMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("EvidenceMessage");
-
-  xfer += oprot->writeFieldBegin("order", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->order);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("RouteEvidenceMessage");
 
-  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeFieldBegin("route", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->route);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("good", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeFieldBegin("good", ::apache::thrift::protocol::T_I32, 2);
   xfer += oprot->writeI32(this->good);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("bad", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeFieldBegin("bad", ::apache::thrift::protocol::T_I32, 3);
   xfer += oprot->writeI32(this->bad);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("timed", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->timed);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldBegin("totalTimeMs", ::apache::thrift::protocol::T_I64, 5);
   xfer += oprot->writeI64(this->totalTimeMs);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.timed) {
-    xfer += oprot->writeFieldBegin("timed", ::apache::thrift::protocol::T_I32, 6);
-    xfer += oprot->writeI32(this->timed);
-    xfer += oprot->writeFieldEnd();
-  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(EvidenceMessage &a, EvidenceMessage &b) {
+void swap(RouteEvidenceMessage &a, RouteEvidenceMessage &b) {
   using ::std::swap;
-  swap(a.order, b.order);
   swap(a.route, b.route);
   swap(a.good, b.good);
   swap(a.bad, b.bad);
-  swap(a.totalTimeMs, b.totalTimeMs);
   swap(a.timed, b.timed);
+  swap(a.totalTimeMs, b.totalTimeMs);
   swap(a.__isset, b.__isset);
 }
 
-EvidenceMessage::EvidenceMessage(const EvidenceMessage& other8) {
-  order = other8.order;
+RouteEvidenceMessage::RouteEvidenceMessage(const RouteEvidenceMessage& other8) {
   route = other8.route;
   good = other8.good;
   bad = other8.bad;
-  totalTimeMs = other8.totalTimeMs;
   timed = other8.timed;
+  totalTimeMs = other8.totalTimeMs;
   __isset = other8.__isset;
 }
-EvidenceMessage& EvidenceMessage::operator=(const EvidenceMessage& other9) {
-  order = other9.order;
+RouteEvidenceMessage& RouteEvidenceMessage::operator=(const RouteEvidenceMessage& other9) {
   route = other9.route;
   good = other9.good;
   bad = other9.bad;
-  totalTimeMs = other9.totalTimeMs;
   timed = other9.timed;
+  totalTimeMs = other9.totalTimeMs;
   __isset = other9.__isset;
   return *this;
 }
-void EvidenceMessage::printTo(std::ostream& out) const {
+void RouteEvidenceMessage::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "EvidenceMessage(";
-  out << "order=" << to_string(order);
-  out << ", " << "route=" << to_string(route);
+  out << "RouteEvidenceMessage(";
+  out << "route=" << to_string(route);
   out << ", " << "good=" << to_string(good);
   out << ", " << "bad=" << to_string(bad);
+  out << ", " << "timed=" << to_string(timed);
   out << ", " << "totalTimeMs=" << to_string(totalTimeMs);
-  out << ", " << "timed="; (__isset.timed ? (out << to_string(timed)) : (out << "<null>"));
+  out << ")";
+}
+
+
+EvidenceMessage::~EvidenceMessage() noexcept {
+}
+
+
+void EvidenceMessage::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void EvidenceMessage::__set_life(const int64_t val) {
+  this->life = val;
+}
+
+void EvidenceMessage::__set_order(const int64_t val) {
+  this->order = val;
+}
+
+void EvidenceMessage::__set_routes(const std::vector<RouteEvidenceMessage> & val) {
+  this->routes = val;
+}
+std::ostream& operator<<(std::ostream& out, const EvidenceMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EvidenceMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->life);
+          this->__isset.life = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->order);
+          this->__isset.order = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->routes.clear();
+            uint32_t _size10;
+            ::apache::thrift::protocol::TType _etype13;
+            xfer += iprot->readListBegin(_etype13, _size10);
+            this->routes.resize(_size10);
+            uint32_t _i14;
+            for (_i14 = 0; _i14 < _size10; ++_i14)
+            {
+              xfer += this->routes[_i14].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.routes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EvidenceMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EvidenceMessage");
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("life", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->life);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("order", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->order);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("routes", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->routes.size()));
+    std::vector<RouteEvidenceMessage> ::const_iterator _iter15;
+    for (_iter15 = this->routes.begin(); _iter15 != this->routes.end(); ++_iter15)
+    {
+      xfer += (*_iter15).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EvidenceMessage &a, EvidenceMessage &b) {
+  using ::std::swap;
+  swap(a.node, b.node);
+  swap(a.life, b.life);
+  swap(a.order, b.order);
+  swap(a.routes, b.routes);
+  swap(a.__isset, b.__isset);
+}
+
+EvidenceMessage::EvidenceMessage(const EvidenceMessage& other16) {
+  node = other16.node;
+  life = other16.life;
+  order = other16.order;
+  routes = other16.routes;
+  __isset = other16.__isset;
+}
+EvidenceMessage& EvidenceMessage::operator=(const EvidenceMessage& other17) {
+  node = other17.node;
+  life = other17.life;
+  order = other17.order;
+  routes = other17.routes;
+  __isset = other17.__isset;
+  return *this;
+}
+void EvidenceMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EvidenceMessage(";
+  out << "node=" << to_string(node);
+  out << ", " << "life=" << to_string(life);
+  out << ", " << "order=" << to_string(order);
+  out << ", " << "routes=" << to_string(routes);
   out << ")";
 }
 
@@ -967,17 +1117,17 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashMessage::CrashMessage(const CrashMessage& other10) {
-  fingerprint = other10.fingerprint;
-  crash = other10.crash;
-  weight = other10.weight;
-  __isset = other10.__isset;
+CrashMessage::CrashMessage(const CrashMessage& other18) {
+  fingerprint = other18.fingerprint;
+  crash = other18.crash;
+  weight = other18.weight;
+  __isset = other18.__isset;
 }
-CrashMessage& CrashMessage::operator=(const CrashMessage& other11) {
-  fingerprint = other11.fingerprint;
-  crash = other11.crash;
-  weight = other11.weight;
-  __isset = other11.__isset;
+CrashMessage& CrashMessage::operator=(const CrashMessage& other19) {
+  fingerprint = other19.fingerprint;
+  crash = other19.crash;
+  weight = other19.weight;
+  __isset = other19.__isset;
   return *this;
 }
 void CrashMessage::printTo(std::ostream& out) const {
@@ -1061,11 +1211,6 @@
 __isset.rollouts = true;
 }
 
-void NewsMessage::__set_evidence(const std::vector<EvidenceMessage> & val) {
-  this->evidence = val;
-__isset.evidence = true;
-}
-
 void NewsMessage::__set_crashes(const std::vector<CrashMessage> & val) {
   this->crashes = val;
 __isset.crashes = true;
@@ -1250,14 +1395,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rollouts.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _etype15;
-            xfer += iprot->readListBegin(_etype15, _size12);
-            this->rollouts.resize(_size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->rollouts.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
             {
-              xfer += this->rollouts[_i16].read(iprot);
+              xfer += this->rollouts[_i24].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1266,38 +1411,18 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 17:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->evidence.clear();
-            uint32_t _size17;
-            ::apache::thrift::protocol::TType _etype20;
-            xfer += iprot->readListBegin(_etype20, _size17);
-            this->evidence.resize(_size17);
-            uint32_t _i21;
-            for (_i21 = 0; _i21 < _size17; ++_i21)
-            {
-              xfer += this->evidence[_i21].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.evidence = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 18:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->crashes.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size25;
+            ::apache::thrift::protocol::TType _etype28;
+            xfer += iprot->readListBegin(_etype28, _size25);
+            this->crashes.resize(_size25);
+            uint32_t _i29;
+            for (_i29 = 0; _i29 < _size25; ++_i29)
             {
-              xfer += this->crashes[_i26].read(iprot);
+              xfer += this->crashes[_i29].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1437,23 +1562,10 @@
     xfer += oprot->writeFieldBegin("rollouts", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rollouts.size()));
-      std::vector<RolloutMessage> ::const_iterator _iter27;
-      for (_iter27 = this->rollouts.begin(); _iter27 != this->rollouts.end(); ++_iter27)
-      {
-        xfer += (*_iter27).write(oprot);
-      }
-      xfer += oprot->writeListEnd();
-    }
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.evidence) {
-    xfer += oprot->writeFieldBegin("evidence", ::apache::thrift::protocol::T_LIST, 17);
-    {
-      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evidence.size()));
-      std::vector<EvidenceMessage> ::const_iterator _iter28;
-      for (_iter28 = this->evidence.begin(); _iter28 != this->evidence.end(); ++_iter28)
+      std::vector<RolloutMessage> ::const_iterator _iter30;
+      for (_iter30 = this->rollouts.begin(); _iter30 != this->rollouts.end(); ++_iter30)
       {
-        xfer += (*_iter28).write(oprot);
+        xfer += (*_iter30).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1463,10 +1575,10 @@
     xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 18);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-      std::vector<CrashMessage> ::const_iterator _iter29;
-      for (_iter29 = this->crashes.begin(); _iter29 != this->crashes.end(); ++_iter29)
+      std::vector<CrashMessage> ::const_iterator _iter31;
+      for (_iter31 = this->crashes.begin(); _iter31 != this->crashes.end(); ++_iter31)
       {
-        xfer += (*_iter29).write(oprot);
+        xfer += (*_iter31).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1523,7 +1635,6 @@
   swap(a.operatorPosition, b.operatorPosition);
   swap(a.confirmedAgeMs, b.confirmedAgeMs);
   swap(a.rollouts, b.rollouts);
-  swap(a.evidence, b.evidence);
   swap(a.crashes, b.crashes);
   swap(a.bodyWaitMs, b.bodyWaitMs);
   swap(a.state, b.state);
@@ -1534,59 +1645,57 @@
   swap(a.__isset, b.__isset);
 }
 
-NewsMessage::NewsMessage(const NewsMessage& other30) {
-  id = other30.id;
-  life = other30.life;
-  number = other30.number;
-  region = other30.region;
-  zone = other30.zone;
-  hop = other30.hop;
-  gossip = other30.gossip;
-  ready = other30.ready;
-  stopping = other30.stopping;
-  own = other30.own;
-  running = other30.running;
-  waiting = other30.waiting;
-  serviceTimeMs = other30.serviceTimeMs;
-  operatorPosition = other30.operatorPosition;
-  confirmedAgeMs = other30.confirmedAgeMs;
-  rollouts = other30.rollouts;
-  evidence = other30.evidence;
-  crashes = other30.crashes;
-  bodyWaitMs = other30.bodyWaitMs;
-  state = other30.state;
-  place = other30.place;
-  limitMilli = other30.limitMilli;
-  permitWaitMs = other30.permitWaitMs;
-  keptRecords = other30.keptRecords;
-  __isset = other30.__isset;
-}
-NewsMessage& NewsMessage::operator=(const NewsMessage& other31) {
-  id = other31.id;
-  life = other31.life;
-  number = other31.number;
-  region = other31.region;
-  zone = other31.zone;
-  hop = other31.hop;
-  gossip = other31.gossip;
-  ready = other31.ready;
-  stopping = other31.stopping;
-  own = other31.own;
-  running = other31.running;
-  waiting = other31.waiting;
-  serviceTimeMs = other31.serviceTimeMs;
-  operatorPosition = other31.operatorPosition;
-  confirmedAgeMs = other31.confirmedAgeMs;
-  rollouts = other31.rollouts;
-  evidence = other31.evidence;
-  crashes = other31.crashes;
-  bodyWaitMs = other31.bodyWaitMs;
-  state = other31.state;
-  place = other31.place;
-  limitMilli = other31.limitMilli;
-  permitWaitMs = other31.permitWaitMs;
-  keptRecords = other31.keptRecords;
-  __isset = other31.__isset;
+NewsMessage::NewsMessage(const NewsMessage& other32) {
+  id = other32.id;
+  life = other32.life;
+  number = other32.number;
+  region = other32.region;
+  zone = other32.zone;
+  hop = other32.hop;
+  gossip = other32.gossip;
+  ready = other32.ready;
+  stopping = other32.stopping;
+  own = other32.own;
+  running = other32.running;
+  waiting = other32.waiting;
+  serviceTimeMs = other32.serviceTimeMs;
+  operatorPosition = other32.operatorPosition;
+  confirmedAgeMs = other32.confirmedAgeMs;
+  rollouts = other32.rollouts;
+  crashes = other32.crashes;
+  bodyWaitMs = other32.bodyWaitMs;
+  state = other32.state;
+  place = other32.place;
+  limitMilli = other32.limitMilli;
+  permitWaitMs = other32.permitWaitMs;
+  keptRecords = other32.keptRecords;
+  __isset = other32.__isset;
+}
+NewsMessage& NewsMessage::operator=(const NewsMessage& other33) {
+  id = other33.id;
+  life = other33.life;
+  number = other33.number;
+  region = other33.region;
+  zone = other33.zone;
+  hop = other33.hop;
+  gossip = other33.gossip;
+  ready = other33.ready;
+  stopping = other33.stopping;
+  own = other33.own;
+  running = other33.running;
+  waiting = other33.waiting;
+  serviceTimeMs = other33.serviceTimeMs;
+  operatorPosition = other33.operatorPosition;
+  confirmedAgeMs = other33.confirmedAgeMs;
+  rollouts = other33.rollouts;
+  crashes = other33.crashes;
+  bodyWaitMs = other33.bodyWaitMs;
+  state = other33.state;
+  place = other33.place;
+  limitMilli = other33.limitMilli;
+  permitWaitMs = other33.permitWaitMs;
+  keptRecords = other33.keptRecords;
+  __isset = other33.__isset;
   return *this;
 }
 void NewsMessage::printTo(std::ostream& out) const {
@@ -1608,7 +1717,6 @@
   out << ", " << "operatorPosition=" << to_string(operatorPosition);
   out << ", " << "confirmedAgeMs="; (__isset.confirmedAgeMs ? (out << to_string(confirmedAgeMs)) : (out << "<null>"));
   out << ", " << "rollouts="; (__isset.rollouts ? (out << to_string(rollouts)) : (out << "<null>"));
-  out << ", " << "evidence="; (__isset.evidence ? (out << to_string(evidence)) : (out << "<null>"));
   out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
   out << ", " << "bodyWaitMs=" << to_string(bodyWaitMs);
   out << ", " << "state=" << to_string(state);
@@ -1843,29 +1951,29 @@
   swap(a.__isset, b.__isset);
 }
 
-BeatMessage::BeatMessage(const BeatMessage& other32) noexcept {
-  node = other32.node;
-  state = other32.state;
-  number = other32.number;
-  running = other32.running;
-  waiting = other32.waiting;
-  serviceTimeMs = other32.serviceTimeMs;
-  bodyWaitMs = other32.bodyWaitMs;
-  limitMilli = other32.limitMilli;
-  permitWaitMs = other32.permitWaitMs;
-  __isset = other32.__isset;
+BeatMessage::BeatMessage(const BeatMessage& other34) noexcept {
+  node = other34.node;
+  state = other34.state;
+  number = other34.number;
+  running = other34.running;
+  waiting = other34.waiting;
+  serviceTimeMs = other34.serviceTimeMs;
+  bodyWaitMs = other34.bodyWaitMs;
+  limitMilli = other34.limitMilli;
+  permitWaitMs = other34.permitWaitMs;
+  __isset = other34.__isset;
 }
-BeatMessage& BeatMessage::operator=(const BeatMessage& other33) noexcept {
-  node = other33.node;
-  state = other33.state;
-  number = other33.number;
-  running = other33.running;
-  waiting = other33.waiting;
-  serviceTimeMs = other33.serviceTimeMs;
-  bodyWaitMs = other33.bodyWaitMs;
-  limitMilli = other33.limitMilli;
-  permitWaitMs = other33.permitWaitMs;
-  __isset = other33.__isset;
+BeatMessage& BeatMessage::operator=(const BeatMessage& other35) noexcept {
+  node = other35.node;
+  state = other35.state;
+  number = other35.number;
+  running = other35.running;
+  waiting = other35.waiting;
+  serviceTimeMs = other35.serviceTimeMs;
+  bodyWaitMs = other35.bodyWaitMs;
+  limitMilli = other35.limitMilli;
+  permitWaitMs = other35.permitWaitMs;
+  __isset = other35.__isset;
   return *this;
 }
 void BeatMessage::printTo(std::ostream& out) const {
@@ -2029,21 +2137,21 @@
   swap(a.__isset, b.__isset);
 }
 
-AskMessage::AskMessage(const AskMessage& other34) {
-  node = other34.node;
-  organisation = other34.organisation;
-  number = other34.number;
-  wanted = other34.wanted;
-  returning = other34.returning;
-  __isset = other34.__isset;
+AskMessage::AskMessage(const AskMessage& other36) {
+  node = other36.node;
+  organisation = other36.organisation;
+  number = other36.number;
+  wanted = other36.wanted;
+  returning = other36.returning;
+  __isset = other36.__isset;
 }
-AskMessage& AskMessage::operator=(const AskMessage& other35) {
-  node = other35.node;
-  organisation = other35.organisation;
-  number = other35.number;
-  wanted = other35.wanted;
-  returning = other35.returning;
-  __isset = other35.__isset;
+AskMessage& AskMessage::operator=(const AskMessage& other37) {
+  node = other37.node;
+  organisation = other37.organisation;
+  number = other37.number;
+  wanted = other37.wanted;
+  returning = other37.returning;
+  __isset = other37.__isset;
   return *this;
 }
 void AskMessage::printTo(std::ostream& out) const {
@@ -2241,25 +2349,25 @@
   swap(a.__isset, b.__isset);
 }
 
-GrantMessage::GrantMessage(const GrantMessage& other36) {
-  organisation = other36.organisation;
-  number = other36.number;
-  permits = other36.permits;
-  retryMs = other36.retryMs;
-  places = other36.places;
-  returnMs = other36.returnMs;
-  intervalMs = other36.intervalMs;
-  __isset = other36.__isset;
-}
-GrantMessage& GrantMessage::operator=(const GrantMessage& other37) {
-  organisation = other37.organisation;
-  number = other37.number;
-  permits = other37.permits;
-  retryMs = other37.retryMs;
-  places = other37.places;
-  returnMs = other37.returnMs;
-  intervalMs = other37.intervalMs;
-  __isset = other37.__isset;
+GrantMessage::GrantMessage(const GrantMessage& other38) {
+  organisation = other38.organisation;
+  number = other38.number;
+  permits = other38.permits;
+  retryMs = other38.retryMs;
+  places = other38.places;
+  returnMs = other38.returnMs;
+  intervalMs = other38.intervalMs;
+  __isset = other38.__isset;
+}
+GrantMessage& GrantMessage::operator=(const GrantMessage& other39) {
+  organisation = other39.organisation;
+  number = other39.number;
+  permits = other39.permits;
+  retryMs = other39.retryMs;
+  places = other39.places;
+  returnMs = other39.returnMs;
+  intervalMs = other39.intervalMs;
+  __isset = other39.__isset;
   return *this;
 }
 void GrantMessage::printTo(std::ostream& out) const {
@@ -2303,6 +2411,11 @@
   this->grants = val;
 __isset.grants = true;
 }
+
+void GossipMessage::__set_evidence(const EvidenceMessage& val) {
+  this->evidence = val;
+__isset.evidence = true;
+}
 std::ostream& operator<<(std::ostream& out, const GossipMessage& obj)
 {
   obj.printTo(out);
@@ -2335,14 +2448,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->news.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->news.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _etype43;
+            xfer += iprot->readListBegin(_etype43, _size40);
+            this->news.resize(_size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
             {
-              xfer += this->news[_i42].read(iprot);
+              xfer += this->news[_i44].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2355,14 +2468,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->beats.clear();
-            uint32_t _size43;
-            ::apache::thrift::protocol::TType _etype46;
-            xfer += iprot->readListBegin(_etype46, _size43);
-            this->beats.resize(_size43);
-            uint32_t _i47;
-            for (_i47 = 0; _i47 < _size43; ++_i47)
+            uint32_t _size45;
+            ::apache::thrift::protocol::TType _etype48;
+            xfer += iprot->readListBegin(_etype48, _size45);
+            this->beats.resize(_size45);
+            uint32_t _i49;
+            for (_i49 = 0; _i49 < _size45; ++_i49)
             {
-              xfer += this->beats[_i47].read(iprot);
+              xfer += this->beats[_i49].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2375,14 +2488,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wanted.clear();
-            uint32_t _size48;
-            ::apache::thrift::protocol::TType _etype51;
-            xfer += iprot->readListBegin(_etype51, _size48);
-            this->wanted.resize(_size48);
-            uint32_t _i52;
-            for (_i52 = 0; _i52 < _size48; ++_i52)
+            uint32_t _size50;
+            ::apache::thrift::protocol::TType _etype53;
+            xfer += iprot->readListBegin(_etype53, _size50);
+            this->wanted.resize(_size50);
+            uint32_t _i54;
+            for (_i54 = 0; _i54 < _size50; ++_i54)
             {
-              xfer += iprot->readI64(this->wanted[_i52]);
+              xfer += iprot->readI64(this->wanted[_i54]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2395,14 +2508,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size53;
-            ::apache::thrift::protocol::TType _etype56;
-            xfer += iprot->readListBegin(_etype56, _size53);
-            this->asks.resize(_size53);
-            uint32_t _i57;
-            for (_i57 = 0; _i57 < _size53; ++_i57)
+            uint32_t _size55;
+            ::apache::thrift::protocol::TType _etype58;
+            xfer += iprot->readListBegin(_etype58, _size55);
+            this->asks.resize(_size55);
+            uint32_t _i59;
+            for (_i59 = 0; _i59 < _size55; ++_i59)
             {
-              xfer += this->asks[_i57].read(iprot);
+              xfer += this->asks[_i59].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2415,14 +2528,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _etype61;
-            xfer += iprot->readListBegin(_etype61, _size58);
-            this->grants.resize(_size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->grants.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->grants[_i62].read(iprot);
+              xfer += this->grants[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2431,6 +2544,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evidence.read(iprot);
+          this->__isset.evidence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2451,10 +2572,10 @@
   xfer += oprot->writeFieldBegin("news", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->news.size()));
-    std::vector<NewsMessage> ::const_iterator _iter63;
-    for (_iter63 = this->news.begin(); _iter63 != this->news.end(); ++_iter63)
+    std::vector<NewsMessage> ::const_iterator _iter65;
+    for (_iter65 = this->news.begin(); _iter65 != this->news.end(); ++_iter65)
     {
-      xfer += (*_iter63).write(oprot);
+      xfer += (*_iter65).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2464,10 +2585,10 @@
     xfer += oprot->writeFieldBegin("beats", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->beats.size()));
-      std::vector<BeatMessage> ::const_iterator _iter64;
-      for (_iter64 = this->beats.begin(); _iter64 != this->beats.end(); ++_iter64)
+      std::vector<BeatMessage> ::const_iterator _iter66;
+      for (_iter66 = this->beats.begin(); _iter66 != this->beats.end(); ++_iter66)
       {
-        xfer += (*_iter64).write(oprot);
+        xfer += (*_iter66).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2477,10 +2598,10 @@
     xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->wanted.size()));
-      std::vector<int64_t> ::const_iterator _iter65;
-      for (_iter65 = this->wanted.begin(); _iter65 != this->wanted.end(); ++_iter65)
+      std::vector<int64_t> ::const_iterator _iter67;
+      for (_iter67 = this->wanted.begin(); _iter67 != this->wanted.end(); ++_iter67)
       {
-        xfer += oprot->writeI64((*_iter65));
+        xfer += oprot->writeI64((*_iter67));
       }
       xfer += oprot->writeListEnd();
     }
@@ -2490,10 +2611,10 @@
     xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-      std::vector<AskMessage> ::const_iterator _iter66;
-      for (_iter66 = this->asks.begin(); _iter66 != this->asks.end(); ++_iter66)
+      std::vector<AskMessage> ::const_iterator _iter68;
+      for (_iter68 = this->asks.begin(); _iter68 != this->asks.end(); ++_iter68)
       {
-        xfer += (*_iter66).write(oprot);
+        xfer += (*_iter68).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2503,15 +2624,20 @@
     xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-      std::vector<GrantMessage> ::const_iterator _iter67;
-      for (_iter67 = this->grants.begin(); _iter67 != this->grants.end(); ++_iter67)
+      std::vector<GrantMessage> ::const_iterator _iter69;
+      for (_iter69 = this->grants.begin(); _iter69 != this->grants.end(); ++_iter69)
       {
-        xfer += (*_iter67).write(oprot);
+        xfer += (*_iter69).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.evidence) {
+    xfer += oprot->writeFieldBegin("evidence", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->evidence.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2524,24 +2650,27 @@
   swap(a.wanted, b.wanted);
   swap(a.asks, b.asks);
   swap(a.grants, b.grants);
+  swap(a.evidence, b.evidence);
   swap(a.__isset, b.__isset);
 }
 
-GossipMessage::GossipMessage(const GossipMessage& other68) {
-  news = other68.news;
-  beats = other68.beats;
-  wanted = other68.wanted;
-  asks = other68.asks;
-  grants = other68.grants;
-  __isset = other68.__isset;
-}
-GossipMessage& GossipMessage::operator=(const GossipMessage& other69) {
-  news = other69.news;
-  beats = other69.beats;
-  wanted = other69.wanted;
-  asks = other69.asks;
-  grants = other69.grants;
-  __isset = other69.__isset;
+GossipMessage::GossipMessage(const GossipMessage& other70) {
+  news = other70.news;
+  beats = other70.beats;
+  wanted = other70.wanted;
+  asks = other70.asks;
+  grants = other70.grants;
+  evidence = other70.evidence;
+  __isset = other70.__isset;
+}
+GossipMessage& GossipMessage::operator=(const GossipMessage& other71) {
+  news = other71.news;
+  beats = other71.beats;
+  wanted = other71.wanted;
+  asks = other71.asks;
+  grants = other71.grants;
+  evidence = other71.evidence;
+  __isset = other71.__isset;
   return *this;
 }
 void GossipMessage::printTo(std::ostream& out) const {
@@ -2552,6 +2681,7 @@
   out << ", " << "wanted="; (__isset.wanted ? (out << to_string(wanted)) : (out << "<null>"));
   out << ", " << "asks="; (__isset.asks ? (out << to_string(asks)) : (out << "<null>"));
   out << ", " << "grants="; (__isset.grants ? (out << to_string(grants)) : (out << "<null>"));
+  out << ", " << "evidence="; (__isset.evidence ? (out << to_string(evidence)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2665,17 +2795,17 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorItemMessage::OperatorItemMessage(const OperatorItemMessage& other70) {
-  key = other70.key;
-  value = other70.value;
-  offset = other70.offset;
-  __isset = other70.__isset;
+OperatorItemMessage::OperatorItemMessage(const OperatorItemMessage& other72) {
+  key = other72.key;
+  value = other72.value;
+  offset = other72.offset;
+  __isset = other72.__isset;
 }
-OperatorItemMessage& OperatorItemMessage::operator=(const OperatorItemMessage& other71) {
-  key = other71.key;
-  value = other71.value;
-  offset = other71.offset;
-  __isset = other71.__isset;
+OperatorItemMessage& OperatorItemMessage::operator=(const OperatorItemMessage& other73) {
+  key = other73.key;
+  value = other73.value;
+  offset = other73.offset;
+  __isset = other73.__isset;
   return *this;
 }
 void OperatorItemMessage::printTo(std::ostream& out) const {
@@ -2739,14 +2869,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _etype75;
-            xfer += iprot->readListBegin(_etype75, _size72);
-            this->items.resize(_size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->items.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += this->items[_i76].read(iprot);
+              xfer += this->items[_i78].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2779,10 +2909,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<OperatorItemMessage> ::const_iterator _iter77;
-    for (_iter77 = this->items.begin(); _iter77 != this->items.end(); ++_iter77)
+    std::vector<OperatorItemMessage> ::const_iterator _iter79;
+    for (_iter79 = this->items.begin(); _iter79 != this->items.end(); ++_iter79)
     {
-      xfer += (*_iter77).write(oprot);
+      xfer += (*_iter79).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2800,15 +2930,15 @@
   swap(a.__isset, b.__isset);
 }
 
-OperatorItemsMessage::OperatorItemsMessage(const OperatorItemsMessage& other78) {
-  position = other78.position;
-  items = other78.items;
-  __isset = other78.__isset;
+OperatorItemsMessage::OperatorItemsMessage(const OperatorItemsMessage& other80) {
+  position = other80.position;
+  items = other80.items;
+  __isset = other80.__isset;
 }
-OperatorItemsMessage& OperatorItemsMessage::operator=(const OperatorItemsMessage& other79) {
-  position = other79.position;
-  items = other79.items;
-  __isset = other79.__isset;
+OperatorItemsMessage& OperatorItemsMessage::operator=(const OperatorItemsMessage& other81) {
+  position = other81.position;
+  items = other81.items;
+  __isset = other81.__isset;
   return *this;
 }
 void OperatorItemsMessage::printTo(std::ostream& out) const {
--- a/src/sidecar/gen/gossip_types.h
+++ b/src/sidecar/gen/gossip_types.h
@@ -29,6 +29,8 @@
 
 class RolloutMessage;
 
+class RouteEvidenceMessage;
+
 class EvidenceMessage;
 
 class CrashMessage;
@@ -318,41 +320,36 @@
 
 std::ostream& operator<<(std::ostream& out, const RolloutMessage& obj);
 
-typedef struct _EvidenceMessage__isset {
-  _EvidenceMessage__isset() : order(false), route(false), good(false), bad(false), totalTimeMs(false), timed(false) {}
-  bool order :1;
+typedef struct _RouteEvidenceMessage__isset {
+  _RouteEvidenceMessage__isset() : route(false), good(false), bad(false), timed(false), totalTimeMs(false) {}
   bool route :1;
   bool good :1;
   bool bad :1;
-  bool totalTimeMs :1;
   bool timed :1;
-} _EvidenceMessage__isset;
+  bool totalTimeMs :1;
+} _RouteEvidenceMessage__isset;
 
-class EvidenceMessage : public virtual ::apache::thrift::TBase {
+class RouteEvidenceMessage : public virtual ::apache::thrift::TBase {
  public:
 
-  EvidenceMessage(const EvidenceMessage&);
-  EvidenceMessage& operator=(const EvidenceMessage&);
-  EvidenceMessage() noexcept
-                  : order(0),
-                    route(),
-                    good(0),
-                    bad(0),
-                    totalTimeMs(0),
-                    timed(0) {
+  RouteEvidenceMessage(const RouteEvidenceMessage&);
+  RouteEvidenceMessage& operator=(const RouteEvidenceMessage&);
+  RouteEvidenceMessage() noexcept
+                       : route(),
+                         good(0),
+                         bad(0),
+                         timed(0),
+                         totalTimeMs(0) {
   }
 
-  virtual ~EvidenceMessage() noexcept;
-  int64_t order;
+  virtual ~RouteEvidenceMessage() noexcept;
   std::string route;
   int32_t good;
   int32_t bad;
-  int64_t totalTimeMs;
   int32_t timed;
+  int64_t totalTimeMs;
 
-  _EvidenceMessage__isset __isset;
-
-  void __set_order(const int64_t val);
+  _RouteEvidenceMessage__isset __isset;
 
   void __set_route(const std::string& val);
 
@@ -360,25 +357,84 @@
 
   void __set_bad(const int32_t val);
 
-  void __set_totalTimeMs(const int64_t val);
-
   void __set_timed(const int32_t val);
 
-  bool operator == (const EvidenceMessage & rhs) const
+  void __set_totalTimeMs(const int64_t val);
+
+  bool operator == (const RouteEvidenceMessage & rhs) const
   {
-    if (!(order == rhs.order))
-      return false;
     if (!(route == rhs.route))
       return false;
     if (!(good == rhs.good))
       return false;
     if (!(bad == rhs.bad))
       return false;
+    if (!(timed == rhs.timed))
+      return false;
     if (!(totalTimeMs == rhs.totalTimeMs))
       return false;
-    if (__isset.timed != rhs.__isset.timed)
+    return true;
+  }
+  bool operator != (const RouteEvidenceMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RouteEvidenceMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RouteEvidenceMessage &a, RouteEvidenceMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const RouteEvidenceMessage& obj);
+
+typedef struct _EvidenceMessage__isset {
+  _EvidenceMessage__isset() : node(false), life(false), order(false), routes(false) {}
+  bool node :1;
+  bool life :1;
+  bool order :1;
+  bool routes :1;
+} _EvidenceMessage__isset;
+
+class EvidenceMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  EvidenceMessage(const EvidenceMessage&);
+  EvidenceMessage& operator=(const EvidenceMessage&);
+  EvidenceMessage() noexcept
+                  : node(),
+                    life(0),
+                    order(0) {
+  }
+
+  virtual ~EvidenceMessage() noexcept;
+  std::string node;
+  int64_t life;
+  int64_t order;
+  std::vector<RouteEvidenceMessage>  routes;
+
+  _EvidenceMessage__isset __isset;
+
+  void __set_node(const std::string& val);
+
+  void __set_life(const int64_t val);
+
+  void __set_order(const int64_t val);
+
+  void __set_routes(const std::vector<RouteEvidenceMessage> & val);
+
+  bool operator == (const EvidenceMessage & rhs) const
+  {
+    if (!(node == rhs.node))
+      return false;
+    if (!(life == rhs.life))
+      return false;
+    if (!(order == rhs.order))
       return false;
-    else if (__isset.timed && !(timed == rhs.timed))
+    if (!(routes == rhs.routes))
       return false;
     return true;
   }
@@ -456,7 +512,7 @@
 std::ostream& operator<<(std::ostream& out, const CrashMessage& obj);
 
 typedef struct _NewsMessage__isset {
-  _NewsMessage__isset() : id(false), life(false), number(false), region(false), zone(false), hop(false), gossip(false), ready(false), stopping(false), own(false), running(false), waiting(false), serviceTimeMs(false), operatorPosition(false), confirmedAgeMs(false), rollouts(false), evidence(false), crashes(false), bodyWaitMs(false), state(false), place(false), limitMilli(false), permitWaitMs(false), keptRecords(false) {}
+  _NewsMessage__isset() : id(false), life(false), number(false), region(false), zone(false), hop(false), gossip(false), ready(false), stopping(false), own(false), running(false), waiting(false), serviceTimeMs(false), operatorPosition(false), confirmedAgeMs(false), rollouts(false), crashes(false), bodyWaitMs(false), state(false), place(false), limitMilli(false), permitWaitMs(false), keptRecords(false) {}
   bool id :1;
   bool life :1;
   bool number :1;
@@ -473,7 +529,6 @@
   bool operatorPosition :1;
   bool confirmedAgeMs :1;
   bool rollouts :1;
-  bool evidence :1;
   bool crashes :1;
   bool bodyWaitMs :1;
   bool state :1;
@@ -526,7 +581,6 @@
   int64_t operatorPosition;
   int64_t confirmedAgeMs;
   std::vector<RolloutMessage>  rollouts;
-  std::vector<EvidenceMessage>  evidence;
   std::vector<CrashMessage>  crashes;
   int64_t bodyWaitMs;
   int64_t state;
@@ -569,8 +623,6 @@
 
   void __set_rollouts(const std::vector<RolloutMessage> & val);
 
-  void __set_evidence(const std::vector<EvidenceMessage> & val);
-
   void __set_crashes(const std::vector<CrashMessage> & val);
 
   void __set_bodyWaitMs(const int64_t val);
@@ -625,10 +677,6 @@
       return false;
     else if (__isset.rollouts && !(rollouts == rhs.rollouts))
       return false;
-    if (__isset.evidence != rhs.__isset.evidence)
-      return false;
-    else if (__isset.evidence && !(evidence == rhs.evidence))
-      return false;
     if (__isset.crashes != rhs.__isset.crashes)
       return false;
     else if (__isset.crashes && !(crashes == rhs.crashes))
@@ -947,12 +995,13 @@
 std::ostream& operator<<(std::ostream& out, const GrantMessage& obj);
 
 typedef struct _GossipMessage__isset {
-  _GossipMessage__isset() : news(false), beats(false), wanted(false), asks(false), grants(false) {}
+  _GossipMessage__isset() : news(false), beats(false), wanted(false), asks(false), grants(false), evidence(false) {}
   bool news :1;
   bool beats :1;
   bool wanted :1;
   bool asks :1;
   bool grants :1;
+  bool evidence :1;
 } _GossipMessage__isset;
 
 class GossipMessage : public virtual ::apache::thrift::TBase {
@@ -969,6 +1018,7 @@
   std::vector<int64_t>  wanted;
   std::vector<AskMessage>  asks;
   std::vector<GrantMessage>  grants;
+  EvidenceMessage evidence;
 
   _GossipMessage__isset __isset;
 
@@ -982,6 +1032,8 @@
 
   void __set_grants(const std::vector<GrantMessage> & val);
 
+  void __set_evidence(const EvidenceMessage& val);
+
   bool operator == (const GossipMessage & rhs) const
   {
     if (!(news == rhs.news))
@@ -1002,6 +1054,10 @@
       return false;
     else if (__isset.grants && !(grants == rhs.grants))
       return false;
+    if (__isset.evidence != rhs.__isset.evidence)
+      return false;
+    else if (__isset.evidence && !(evidence == rhs.evidence))
+      return false;
     return true;
   }
   bool operator != (const GossipMessage &rhs) const {
--- a/src/sidecar/gossip.thrift
+++ b/src/sidecar/gossip.thrift
@@ -32,13 +32,21 @@
   5: optional JudgementMessage judged // the newest that the node knows
 }
 
-struct EvidenceMessage {
-  1: i64 order
-  2: string route
-  3: i32 good
-  4: i32 bad
+// Outcomes of one route since a rollout was ordered.
+struct RouteEvidenceMessage {
+  1: string route        // empty for the sum over all routes
+  2: i32 good
+  3: i32 bad
+  4: i32 timed           // answers in totalTimeMs
   5: i64 totalTimeMs
-  6: optional i32 timed  // answers in totalTimeMs; all good ones where absent
+}
+
+// Part of the outcomes at the upstream beside a node, for the nodes that judge.
+struct EvidenceMessage {
+  1: string node
+  2: i64 life
+  3: i64 order
+  4: list<RouteEvidenceMessage> routes
 }
 
 struct CrashMessage {
@@ -66,7 +74,7 @@
   14: i64 operatorPosition
   15: optional i64 confirmedAgeMs // absent before the first confirmation
   16: optional list<RolloutMessage> rollouts
-  17: optional list<EvidenceMessage> evidence
+  // 17 held the evidence, which has a message of its own.
   18: optional list<CrashMessage> crashes
   19: i64 bodyWaitMs
   20: i64 state          // grows when more than the load has changed
@@ -111,8 +119,8 @@
   7: optional i32 intervalMs
 }
 
-// One datagram. The first report is that of the sender; a datagram with asks or
-// grants carries none.
+// One datagram. The first report is that of the sender; a datagram with asks,
+// grants or evidence carries none.
 struct GossipMessage {
   1: list<NewsMessage> news
   2: optional list<BeatMessage> beats
@@ -120,6 +128,7 @@
   3: optional list<i64> wanted
   4: optional list<AskMessage> asks
   5: optional list<GrantMessage> grants
+  6: optional EvidenceMessage evidence
 }
 
 // A record of the operator. OperatorItemsMessage holds the records of one node
--- a/src/sidecar/internal/Gossip.cpp
+++ b/src/sidecar/internal/Gossip.cpp
@@ -17,18 +17,19 @@
 constexpr Milliseconds AskInterval{500};
 constexpr std::size_t MaxAsked = 16;
 constexpr std::size_t MaxAskedAt = 4096;
-/// Bytes of a datagram around its reports and loads.
-constexpr std::size_t FrameBytes = 16;
+/// Bytes of an evidence report around its node id and its routes.
+constexpr std::size_t EvidenceFrameBytes = 48;
+/// Datagrams with evidence that one node sends to another at a time.
+constexpr std::size_t MaxEvidenceReports = 4;
 
 /// The parts of a report that other nodes must learn of soon. Positions and
-/// evidence change all the time; every node passes its own on by itself.
+/// judgements change all the time; every node passes its own on by itself.
 std::string stateText(mesh::NodeReport Report) {
   Report.Number = Sequence();
   Report.State = Sequence();
   Report.Load = {};
   Report.ConfirmedAge = std::nullopt;
   Report.OperatorPosition = Offset();
-  Report.Evidence.clear();
   Milliseconds &Cold = Report.LocalUpstream.ColdRemaining;
   Cold = std::min(Cold, Milliseconds(1));
   for (mesh::RolloutReport &Item : Report.Rollouts) {
@@ -91,6 +92,7 @@
   Report.Gossip = Context_.Settings.Gossip;
   FillOwnReport_(Report);
   countState(Report);
+  shorten(Report);
   return Report;
 }
 
@@ -103,6 +105,19 @@
   Report.State = State_;
 }
 
+/// A report that its receivers refuse would make this node look gone. The state
+/// is that of the whole report.
+void Gossip::shorten(mesh::NodeReport &Report) {
+  const mesh::ReportLimit Limit{
+      MaxReportBytes,
+      [](const mesh::NodeReport &Item) { return encodedSize(Item); }};
+  const std::size_t LeftOut = mesh::fitReport(Report, Limit, Context_.Random());
+  if ((LeftOut > 0) != IsShortened_)
+    Context_.Log.write(LogClass::State, Context_.now(), "report-shortened",
+                       {{"left_out", std::to_string(LeftOut)}});
+  IsShortened_ = LeftOut > 0;
+}
+
 /// Encodes only this node's own report, for datagrams to many nodes at once.
 /// With the reports of others included, starts and configuration changes caused
 /// most of the traffic between zones on a quiet day; those reports travel with
@@ -123,7 +138,9 @@
   Plan.Bytes = Own < MaxDatagramBytes ? MaxDatagramBytes - Own : 0;
   Plan.BeatBytes =
       knowsLimit(Context_.KnownNodes) ? LimitedBeatBytes : UsualBeatBytes;
-  Plan.ReportBytes = encodedSize;
+  Plan.ReportBytes = [](const mesh::NodeReport &Item) {
+    return encodedSize(Item);
+  };
   mesh::GossipContent Others =
       mesh::composeGossip(Context_.KnownNodes, Plan, Context_.now());
   std::move(Others.Reports.begin(), Others.Reports.end(),
@@ -131,7 +148,7 @@
   Message.Beats = std::move(Others.Beats);
   const std::string Data = encodeGossip(Message);
   for (const Endpoint &At : To)
-    Socket_->send(At, Data);
+    sendDatagram(At, Data);
 }
 
 void Gossip::tick() {
@@ -164,7 +181,7 @@
                          Context_.now(), Context_.Random)) {
     if (Data.empty())
       Data = encodeGossip({{ownReport()}, {}, {mesh::ReceiverKey}});
-    Socket_->send(At, Data);
+    sendDatagram(At, Data);
   }
 }
 
@@ -178,20 +195,38 @@
   });
 }
 
-void Gossip::sendTo(const std::vector<NodeId> &Targets) {
-  std::string Data;
-  for (const NodeId &Id : Targets) {
-    const auto Found = Context_.KnownNodes.Nodes.find(Id);
-    if (Found == Context_.KnownNodes.Nodes.end())
-      continue;
-    if (Data.empty())
-      Data = ownDatagram();
-    Socket_->send(Found->second.LastReport.Gossip, Data);
+void Gossip::sendEvidence(Offset Order, const mesh::EvidenceByRoute &Own,
+                          const std::vector<NodeId> &Targets) {
+  const mesh::EvidencePlan Plan{
+      MaxDatagramBytes - EvidenceFrameBytes - Context_.Settings.Id.str().size(),
+      MaxEvidenceReports,
+      [](const mesh::RouteEvidence &Item) { return encodedSize(Item); }};
+  for (mesh::EvidenceReport &Part :
+       mesh::composeEvidence(Order, Own, Plan, EvidenceSent_)) {
+    Part.Node = Context_.Settings.Id;
+    Part.IncarnationNumber = Incarnation_;
+    GossipMessage Message;
+    Message.Evidence = std::move(Part);
+    const std::string Data = encodeGossip(Message);
+    for (const NodeId &Id : Targets) {
+      const auto Found = Context_.KnownNodes.Nodes.find(Id);
+      if (Found != Context_.KnownNodes.Nodes.end())
+        sendDatagram(Found->second.LastReport.Gossip, Data);
+    }
   }
 }
 
 void Gossip::send(const Endpoint &To, const GossipMessage &Message) {
-  Socket_->send(To, encodeGossip(Message));
+  sendDatagram(To, encodeGossip(Message));
+}
+
+void Gossip::sendDatagram(const Endpoint &To, const std::string &Data) {
+  if (Data.size() > MaxReadableBytes) {
+    Context_.Log.write(LogClass::State, Context_.now(), "datagram-too-long",
+                       {{"bytes", std::to_string(Data.size())}});
+    return;
+  }
+  Socket_->send(To, Data);
 }
 
 void Gossip::sendOwnReport(
@@ -206,7 +241,7 @@
   // The nodes that get it pass it on with their next rounds.
   To.resize(std::min(To.size(), MaxBroadcastTargets));
   for (const Endpoint &At : To)
-    Socket_->send(At, Data);
+    sendDatagram(At, Data);
 }
 
 /// Answers a node that this one did not know, that has been restarted or that
@@ -222,7 +257,7 @@
     Past.LocalUpstream = *Found->second.Left;
     Message.Reports.push_back(std::move(Past));
   }
-  Socket_->send(Sender.Gossip, encodeGossip(Message));
+  sendDatagram(Sender.Gossip, encodeGossip(Message));
 }
 
 /// Takes a report; returns whether it told something new.
@@ -268,7 +303,7 @@
   if (Message.Wanted.empty())
     return;
   Message.Reports.push_back(ownReport());
-  Socket_->send(Sender.Gossip, encodeGossip(Message));
+  sendDatagram(Sender.Gossip, encodeGossip(Message));
 }
 
 void Gossip::answer(const Endpoint &To,
@@ -277,7 +312,7 @@
   std::size_t Size = 0;
   const auto Flush = [&] {
     if (Message.Reports.size() > 1)
-      Socket_->send(To, encodeGossip(Message));
+      sendDatagram(To, encodeGossip(Message));
     Message.Reports.clear();
   };
   for (const mesh::NodeKey Key : Wanted) {
@@ -322,6 +357,10 @@
     OnQuota_(*Message);
     return;
   }
+  if (Message && Message->Evidence) {
+    OnEvidence_(*Message->Evidence, Context_.sentBy(Context_.now()));
+    return;
+  }
   if (!Message || Message->Reports.empty()) {
     Context_.Log.write(LogClass::State, Context_.now(), "news-unreadable",
                        {{"bytes", std::to_string(Data.size())}});
@@ -337,9 +376,6 @@
     addTimeInSocket(Item);
     Changed = onReport(Item) || Changed;
   }
-  const auto Direct = Context_.KnownNodes.Nodes.find(Sender.Id);
-  if (Direct != Context_.KnownNodes.Nodes.end())
-    Direct->second.EvidenceAt = Context_.sentBy(Context_.now());
   std::vector<mesh::LoadBeat> Missing;
   for (const mesh::LoadBeat &Beat : Message->Beats)
     if (Beat.Node != mesh::nodeKey(Context_.Settings.Id, Incarnation_) &&
--- a/src/sidecar/internal/Gossip.h
+++ b/src/sidecar/internal/Gossip.h
@@ -25,6 +25,15 @@
   void onQuota(std::function<void(const GossipMessage &)> Handle) {
     OnQuota_ = std::move(Handle);
   }
+  /// \p Handle is called with the evidence of other nodes and the time by which
+  /// it was sent.
+  void onEvidence(
+      std::function<void(const mesh::EvidenceReport &, SteadyTime)> Handle) {
+    OnEvidence_ = std::move(Handle);
+  }
+  /// Sends the outcomes at the upstream beside this node to \p Targets.
+  void sendEvidence(Offset Order, const mesh::EvidenceByRoute &Own,
+                    const std::vector<NodeId> &Targets);
   void send(const Endpoint &To, const GossipMessage &Message);
 
   /// Adds places at which other nodes may be found.
@@ -33,8 +42,6 @@
   /// Sends this node's report to many nodes at once, for urgent changes.
   void sendToAll();
   void sendToRegion();
-  /// Sends this node's report to \p Targets alone.
-  void sendTo(const std::vector<NodeId> &Targets);
 
 private:
   void tick();
@@ -49,7 +56,9 @@
   void ask(const mesh::NodeReport &Sender,
            const std::vector<mesh::LoadBeat> &Missing);
   void answer(const Endpoint &To, const std::vector<mesh::NodeKey> &Wanted);
+  void sendDatagram(const Endpoint &To, const std::string &Data);
   mesh::NodeReport ownReport();
+  void shorten(mesh::NodeReport &Report);
   void countState(mesh::NodeReport &Report);
   std::string ownDatagram();
   void contactSeeds();
@@ -59,6 +68,7 @@
   std::function<void()> OnReports_;
   std::function<void(const mesh::Upstream &)> OnOwnPast_;
   std::function<void(const GossipMessage &)> OnQuota_;
+  std::function<void(const mesh::EvidenceReport &, SteadyTime)> OnEvidence_;
   std::unique_ptr<reactor::UdpSocket> Socket_;
   mesh::SeedNodes Seeds_;
   SteadyTime SeedsCheckedAt_;
@@ -67,6 +77,8 @@
   Sequence State_;
   /// The own report without its load, encoded, as of State_.
   std::string StateText_;
+  mesh::EvidenceCursor EvidenceSent_;
+  bool IsShortened_ = false;
   /// When the report of a node was asked for last.
   std::unordered_map<std::int64_t, SteadyTime> AskedAt_;
   reactor::TimerId Timer_;
--- a/src/sidecar/internal/GossipCodec.cpp
+++ b/src/sidecar/internal/GossipCodec.cpp
@@ -89,14 +89,13 @@
   return To;
 }
 
-wire::EvidenceMessage toWire(const mesh::RouteEvidence &From) {
-  wire::EvidenceMessage To;
-  To.__set_order(From.Order.value());
+wire::RouteEvidenceMessage toWire(const mesh::RouteEvidence &From) {
+  wire::RouteEvidenceMessage To;
   To.__set_route(From.Route.str());
   To.__set_good(From.Good);
   To.__set_bad(From.Bad);
-  To.__set_totalTimeMs(From.TotalTime.count());
   To.__set_timed(From.Timed);
+  To.__set_totalTimeMs(From.TotalTime.count());
   return To;
 }
 
@@ -168,8 +167,6 @@
     To.__set_keptRecords(From.KeptRecords);
   if (!From.Rollouts.empty())
     To.__set_rollouts(listToWire<wire::RolloutMessage>(From.Rollouts));
-  if (!From.Evidence.empty())
-    To.__set_evidence(listToWire<wire::EvidenceMessage>(From.Evidence));
   if (!From.Crashes.empty())
     To.__set_crashes(listToWire<wire::CrashMessage>(From.Crashes));
   return To;
@@ -219,11 +216,6 @@
   To.KeptRecords = From.keptRecords;
   for (const wire::RolloutMessage &Item : From.rollouts)
     To.Rollouts.push_back(fromWire(Item));
-  for (const wire::EvidenceMessage &Item : From.evidence)
-    To.Evidence.push_back({Offset(Item.order), RouteName(Item.route), Item.good,
-                           Item.bad,
-                           Item.__isset.timed ? Item.timed : Item.good,
-                           Milliseconds(Item.totalTimeMs)});
   for (const wire::CrashMessage &Item : From.crashes)
     To.Crashes.push_back(
         {requests::Fingerprint(Item.fingerprint), requests::CrashId(Item.crash),
@@ -311,6 +303,26 @@
            Milliseconds(std::max(0, From.intervalMs))}};
 }
 
+wire::EvidenceMessage toWire(const mesh::EvidenceReport &From) {
+  wire::EvidenceMessage To;
+  To.__set_node(From.Node.str());
+  To.__set_life(From.IncarnationNumber.value());
+  To.__set_order(From.Order.value());
+  To.__set_routes(listToWire<wire::RouteEvidenceMessage>(From.Routes));
+  return To;
+}
+
+mesh::EvidenceReport fromWire(const wire::EvidenceMessage &From) {
+  mesh::EvidenceReport To{
+      NodeId(From.node), Incarnation(From.life), Offset(From.order), {}};
+  for (const wire::RouteEvidenceMessage &Item : From.routes)
+    To.Routes.push_back(
+        {To.Order, RouteName(Item.route), std::max(0, Item.good),
+         std::max(0, Item.bad), std::max(0, Item.timed),
+         std::max(Milliseconds(0), Milliseconds(Item.totalTimeMs))});
+  return To;
+}
+
 /// Configurations are long, repetitive texts and cross links that are billed by
 /// volume.
 std::string deflate(const std::string &Text) {
@@ -356,6 +368,8 @@
     To.__set_asks(listToWire<wire::AskMessage>(Message.Asks));
   if (!Message.Grants.empty())
     To.__set_grants(listToWire<wire::GrantMessage>(Message.Grants));
+  if (Message.Evidence)
+    To.__set_evidence(toWire(*Message.Evidence));
   return thriftcodec::encode(To);
 }
 
@@ -363,9 +377,13 @@
   return thriftcodec::encode(toWire(Report)).size();
 }
 
+std::size_t encodedSize(const mesh::RouteEvidence &Route) {
+  return thriftcodec::encode(toWire(Route)).size();
+}
+
 std::optional<GossipMessage> decodeGossip(std::string_view Data) {
   const auto Read =
-      thriftcodec::decode<wire::GossipMessage>(Data, 2 * MaxDatagramBytes);
+      thriftcodec::decode<wire::GossipMessage>(Data, MaxReadableBytes);
   if (!Read)
     return std::nullopt;
   GossipMessage Message;
@@ -379,6 +397,8 @@
     Message.Asks.push_back(fromWire(Item));
   for (const wire::GrantMessage &Item : Read->grants)
     Message.Grants.push_back(fromWire(Item));
+  if (Read->__isset.evidence)
+    Message.Evidence = fromWire(Read->evidence);
   return Message;
 }
 
--- a/src/sidecar/internal/OutcomeRecorder.cpp
+++ b/src/sidecar/internal/OutcomeRecorder.cpp
@@ -24,19 +24,19 @@
   ++itemOf(Order, Route).Bad;
 }
 
-std::vector<mesh::RouteEvidence> OutcomeRecorder::evidence(Offset Order) const {
-  std::vector<mesh::RouteEvidence> All;
+mesh::EvidenceByRoute OutcomeRecorder::evidence(Offset Order) const {
+  mesh::EvidenceByRoute All;
   for (const auto &[Key, Item] : Items_)
     if (Key.first == Order)
-      All.push_back(Item);
+      All.emplace(Key.second, Item);
   return All;
 }
 
 void OutcomeRecorder::moveOrder(Offset From, Offset To) {
-  for (mesh::RouteEvidence &Item : evidence(From)) {
-    Items_.erase({From, Item.Route});
+  for (auto &[Route, Item] : evidence(From)) {
+    Items_.erase({From, Route});
     Item.Order = To;
-    Items_[{To, Item.Route}] = Item;
+    Items_[{To, Route}] = Item;
   }
 }
 
--- a/src/sidecar/internal/OutcomeRecorder.h
+++ b/src/sidecar/internal/OutcomeRecorder.h
@@ -18,7 +18,7 @@
   void recordGood(Offset Order, const RouteName &Route, Milliseconds Took,
                   bool Timed);
   void recordBad(Offset Order, const RouteName &Route);
-  std::vector<mesh::RouteEvidence> evidence(Offset Order) const;
+  mesh::EvidenceByRoute evidence(Offset Order) const;
   /// The order at the position \p From is now known by \p To.
   void moveOrder(Offset From, Offset To);
   void clear() { Items_.clear(); }
--- a/src/sidecar/internal/Rollouts.cpp
+++ b/src/sidecar/internal/Rollouts.cpp
@@ -2,6 +2,7 @@
 #include "sidecar/internal/StoreClient.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace lycheethread::sidecar {
 
@@ -38,23 +39,6 @@
   return Kept;
 }
 
-/// Returns what \p Now counts beyond \p Before. Counts that are lower belong to
-/// a restarted node.
-mesh::RouteEvidence since(const std::vector<mesh::RouteEvidence> &Before,
-                          mesh::RouteEvidence Now) {
-  const auto Found = std::find_if(
-      Before.begin(), Before.end(), [&](const mesh::RouteEvidence &Item) {
-        return Item.Order == Now.Order && Item.Route == Now.Route;
-      });
-  if (Found == Before.end() || Found->Good > Now.Good || Found->Bad > Now.Bad)
-    return Now;
-  Now.Good -= Found->Good;
-  Now.Bad -= Found->Bad;
-  Now.Timed = std::max(0, Now.Timed - Found->Timed);
-  Now.TotalTime = std::max(Milliseconds(0), Now.TotalTime - Found->TotalTime);
-  return Now;
-}
-
 /// Whether \p Read is the order \p Known, which the store has lost since.
 bool isWrittenAgain(const mesh::RolloutOrder &Known,
                     const mesh::RolloutOrder &Read) {
@@ -88,10 +72,18 @@
 void Rollouts::moveOrder(Item &Current, Offset To) {
   const Offset From = Current.Order.At;
   Current.Order.At = To;
-  for (auto &[Id, Counted] : Current.EvidenceBefore)
-    for (mesh::RouteEvidence &Route : Counted)
+  const auto Move = [&](mesh::EvidenceByRoute &Routes) {
+    for (auto &[Name, Route] : Routes)
       if (Route.Order == From)
         Route.Order = To;
+  };
+  for (auto &[Id, Counted] : Current.EvidenceBefore)
+    Move(Counted);
+  for (auto &[Id, Known] : Evidence_) {
+    if (Known.Order == From)
+      Known.Order = To;
+    Move(Known.Routes);
+  }
   Callbacks_.OnOrderMoved(From, To);
   Context_.Log.write(LogClass::State, Context_.now(), "rollout-order-moved",
                      {{"service", Current.Order.Service.str()},
@@ -235,23 +227,55 @@
 void Rollouts::tick() {
   for (auto &[Service, Current] : Items_)
     update(Current);
-  if (elapsed(EvidenceSentAt_, Context_.now()) >= EvidenceInterval)
+  if (elapsed(EvidenceSentAt_, Context_.now()) >= EvidenceInterval) {
     sendEvidence();
+    expireEvidence();
+  }
   Timer_ = Context_.Loop.runAfter(TickInterval, [this] { tick(); });
 }
 
 // Among many nodes gossip passes evidence on too slowly, and each node would
-// judge by another part of it. A few nodes judge, and get it directly. A report
-// without outcomes goes to them, too: it tells that there have been none.
+// judge by another part of it. A few nodes judge, and get it directly, also
+// from an upstream without outcomes: it tells that there have been none.
 void Rollouts::sendEvidence() {
   EvidenceSentAt_ = Context_.now();
   for (const auto &[Service, Current] : Items_)
     if (!isEnd(Current.State) && Service == Context_.Registered.Current.Service)
-      Callbacks_.SendReport(
+      Callbacks_.SendEvidence(
+          Current.Order.At, Callbacks_.OwnEvidence(),
           mesh::rendezvousFirst(Context_.KnownNodes, judgeSubject(Service),
                                 judgeCountOf(Current), Context_.now()));
 }
 
+void Rollouts::onEvidence(const mesh::EvidenceReport &Report,
+                          SteadyTime SentBy) {
+  // Without its report, the version of the upstream is not known.
+  if (Context_.KnownNodes.Nodes.count(Report.Node) != 0)
+    mesh::mergeEvidence(Evidence_, Report, SentBy);
+}
+
+void Rollouts::expireEvidence() {
+  for (auto It = Evidence_.begin(); It != Evidence_.end();)
+    It = Context_.KnownNodes.Nodes.count(It->first) != 0 ? std::next(It)
+                                                         : Evidence_.erase(It);
+}
+
+mesh::EvidenceByRoute Rollouts::ownEvidence(const Item &Current) const {
+  if (Context_.Registered.Current.Service != Current.Order.Service)
+    return {};
+  mesh::EvidenceByRoute Own = Callbacks_.OwnEvidence();
+  Own[RouteName()] = mesh::sumOf(Current.Order.At, Own);
+  return Own;
+}
+
+const mesh::KnownEvidence *Rollouts::evidenceOf(const NodeId &Id,
+                                                const Item &Current) const {
+  const auto Found = Evidence_.find(Id);
+  return Found == Evidence_.end() || Found->second.Order != Current.Order.At
+             ? nullptr
+             : &Found->second;
+}
+
 /// Returns the newest judgement with its present age.
 std::optional<mesh::Judgement>
 Rollouts::judgementOf(const Item &Current) const {
@@ -286,10 +310,15 @@
   };
   Count(Context_.Registered.Current, Context_.Stopping, Milliseconds(0),
         Milliseconds(0));
-  for (const auto &[Id, Known] : Context_.KnownNodes.Nodes)
-    if (mesh::isAlive(Context_.KnownNodes, Known, Now))
-      Count(Known.LastReport.LocalUpstream, Known.LastReport.Stopping,
-            elapsed(Known.EvidenceAt, Now), elapsed(Known.HeardAt, Now));
+  for (const auto &[Id, Known] : Context_.KnownNodes.Nodes) {
+    if (!mesh::isAlive(Context_.KnownNodes, Known, Now))
+      continue;
+    const mesh::KnownEvidence *const Evidence = evidenceOf(Id, Current);
+    Count(Known.LastReport.LocalUpstream, Known.LastReport.Stopping,
+          Evidence == nullptr ? Milliseconds::max()
+                              : elapsed(Evidence->At, Now),
+          elapsed(Known.HeardAt, Now));
+  }
   return mesh::coversVersions(Old, New);
 }
 
@@ -305,6 +334,10 @@
     return;
   Current.JudgingSince =
       MayJudge ? std::optional(Context_.now()) : std::nullopt;
+  // What was counted before this node got the evidence stands by itself: it
+  // would hide a fault that has begun since.
+  if (MayJudge)
+    closeShare(Current, viewOf(Current));
   Context_.Log.write(LogClass::State, Context_.now(), "rollout-judge",
                      {{"service", Current.Order.Service.str()},
                       {"judging", MayJudge ? "yes" : "no"},
@@ -400,14 +433,24 @@
     ++(IsNew ? View.ReadyNew : View.ReadyOld);
   if (!IsNew && IsRecent)
     View.OldInProgress += Report.Load.Running + Report.Load.Waiting;
-  const auto Before = Current.EvidenceBefore.find(Report.Id);
-  for (const mesh::RouteEvidence &Counted : Report.Evidence) {
-    if (Counted.Order != Current.Order.At)
-      continue;
-    const mesh::RouteEvidence Seen = Before == Current.EvidenceBefore.end()
-                                         ? Counted
-                                         : since(Before->second, Counted);
-    mesh::RouteTotals &Totals = View.Routes[Seen.Route];
+  if (Report.Id == Context_.Settings.Id)
+    addEvidence(View, Current, Report.Id, ownEvidence(Current), IsNew);
+  else if (const mesh::KnownEvidence *const Known =
+               evidenceOf(Report.Id, Current))
+    addEvidence(View, Current, Report.Id, Known->Routes, IsNew);
+}
+
+void Rollouts::addEvidence(mesh::RolloutView &View, const Item &Current,
+                           const NodeId &Id,
+                           const mesh::EvidenceByRoute &Counted,
+                           bool IsNew) const {
+  const auto Before = Current.EvidenceBefore.find(Id);
+  for (const auto &[Name, Route] : Counted) {
+    const mesh::RouteEvidence Seen =
+        Before == Current.EvidenceBefore.end()
+            ? Route
+            : mesh::evidenceSince(Before->second, Route);
+    mesh::RouteTotals &Totals = View.Routes[Name];
     mesh::VersionTotals &Into = IsNew ? Totals.New : Totals.Old;
     Into.Good += Seen.Good;
     Into.Bad += Seen.Bad;
@@ -434,7 +477,6 @@
   Own.Id = Context_.Settings.Id;
   Own.LocalUpstream = Context_.Registered.Current;
   Own.Load = Callbacks_.OwnLoad();
-  Own.Evidence = Callbacks_.OwnEvidence();
   addNode(View, Current, Own, true);
   for (const auto &[Id, Known] : Context_.KnownNodes.Nodes)
     if (mesh::isAlive(Context_.KnownNodes, Known, Context_.now()))
@@ -446,10 +488,10 @@
 void Rollouts::closeShare(Item &Current, const mesh::RolloutView &View) {
   Current.Earlier.push_back(View.Routes);
   Current.EvidenceBefore.clear();
-  Current.EvidenceBefore[Context_.Settings.Id] = Callbacks_.OwnEvidence();
-  for (const auto &[Id, Known] : Context_.KnownNodes.Nodes)
-    if (!Known.LastReport.Evidence.empty())
-      Current.EvidenceBefore[Id] = Known.LastReport.Evidence;
+  Current.EvidenceBefore[Context_.Settings.Id] = ownEvidence(Current);
+  for (const auto &[Id, Known] : Evidence_)
+    if (Known.Order == Current.Order.At)
+      Current.EvidenceBefore[Id] = Known.Routes;
 }
 
 // The store decides which node records an end: the record is appended only if
--- a/src/sidecar/internal/Rollouts.h
+++ b/src/sidecar/internal/Rollouts.h
@@ -12,10 +12,12 @@
 class Rollouts {
 public:
   struct Callbacks {
-    std::function<std::vector<mesh::RouteEvidence>()> OwnEvidence;
+    std::function<mesh::EvidenceByRoute()> OwnEvidence;
     std::function<mesh::LoadReport()> OwnLoad;
-    /// Sends this node's report, with its evidence, to the nodes that judge.
-    std::function<void(const std::vector<NodeId> &)> SendReport;
+    /// Sends this node's evidence on an order to the nodes that judge.
+    std::function<void(Offset, const mesh::EvidenceByRoute &,
+                       const std::vector<NodeId> &)>
+        SendEvidence;
     /// The state of a rollout has changed; all nodes should learn of it at
     /// once.
     std::function<void()> OnChange;
@@ -39,6 +41,9 @@
 
   std::vector<mesh::RolloutReport> reports() const;
 
+  /// Takes the evidence of another node, which was sent by \p SentBy.
+  void onEvidence(const mesh::EvidenceReport &Report, SteadyTime SentBy);
+
   /// Applies the ends that the store has recorded, by status key.
   void onStatus(const std::vector<StoreItem> &Items);
 
@@ -51,7 +56,7 @@
     bool IsNewVersionBad = false;
     /// Evidence of each node when the share last changed, and the outcomes
     /// under each earlier share.
-    std::map<NodeId, std::vector<mesh::RouteEvidence>> EvidenceBefore;
+    std::map<NodeId, mesh::EvidenceByRoute> EvidenceBefore;
     std::vector<mesh::TotalsByRoute> Earlier;
     /// Accumulated share of the new version in thousandths of a request, for
     /// repeatable and for other requests.
@@ -78,11 +83,20 @@
   stateToRecord(Item &Current, const std::vector<StoreItem> &Items);
   void tick();
   void sendEvidence();
+  void expireEvidence();
   void update(Item &Current);
   void mergeReports(Item &Current);
   mesh::RolloutView viewOf(const Item &Current) const;
   void addNode(mesh::RolloutView &View, const Item &Current,
                const mesh::NodeReport &Report, bool IsRecent) const;
+  void addEvidence(mesh::RolloutView &View, const Item &Current,
+                   const NodeId &Id, const mesh::EvidenceByRoute &Counted,
+                   bool IsNew) const;
+  /// Returns the evidence of this node with its sum over all routes.
+  mesh::EvidenceByRoute ownEvidence(const Item &Current) const;
+  /// Returns the evidence of another node on the order, or null.
+  const mesh::KnownEvidence *evidenceOf(const NodeId &Id,
+                                        const Item &Current) const;
   void updateJudge(Item &Current);
   bool mayJudge(const Item &Current) const;
   std::size_t judgeCountOf(const Item &Current) const;
@@ -104,6 +118,8 @@
   Callbacks Callbacks_;
   std::map<ServiceName, Item> Items_;
   std::map<std::string, std::string> Status_;
+  /// Evidence of the other nodes.
+  std::map<NodeId, mesh::KnownEvidence> Evidence_;
   /// Era of the store as of the records; empty before the first.
   std::optional<StoreEra> Era_;
   reactor::TimerId Timer_;
--- a/src/sidecar/internal/SidecarNode.cpp
+++ b/src/sidecar/internal/SidecarNode.cpp
@@ -144,7 +144,9 @@
         Context, *Store,
         Rollouts::Callbacks{
             [this] { return Hop->evidence(); }, OwnLoad,
-            [this](const auto &Judges) { NodeGossip->sendTo(Judges); },
+            [this](Offset Order, const auto &Own, const auto &Judges) {
+              NodeGossip->sendEvidence(Order, Own, Judges);
+            },
             [this] { NodeGossip->sendToAll(); },
             [this](Offset From, Offset To) { Hop->moveEvidence(From, To); }});
     Remote = std::make_unique<RemoteHop>(Context);
@@ -166,6 +168,10 @@
         [this](const mesh::Upstream &Past) {
           UpstreamCheckIns->onOwnPast(Past);
         });
+    NodeGossip->onEvidence(
+        [this](const mesh::EvidenceReport &Report, SteadyTime SentBy) {
+          ActiveRollouts->onEvidence(Report, SentBy);
+        });
     NodeGossip->onQuota(
         [this](const GossipMessage &Message) { Permits->onMessage(Message); });
     addSeeds();
@@ -245,7 +251,6 @@
     if (Context.ConfirmedAt != SteadyTime())
       Own.ConfirmedAge = elapsed(Context.ConfirmedAt, Context.now());
     Own.Rollouts = ActiveRollouts->reports();
-    Own.Evidence = Hop->evidence();
     Own.Crashes = Context.OwnCrashes;
   }
 
--- a/src/sidecar/internal/UpstreamHop.h
+++ b/src/sidecar/internal/UpstreamHop.h
@@ -51,7 +51,7 @@
   mesh::LoadReport load() const;
   /// The part that knows whether the upstream is cold.
   const ColdWatch &cold() const { return Cold_; }
-  std::vector<mesh::RouteEvidence> evidence() const;
+  mesh::EvidenceByRoute evidence() const;
   /// Takes the calls that the upstream makes.
   CalleeWatch &callees() { return Callees_; }
   /// The order at the position \p From is now known by \p To.
--- a/src/sidecar/internal/UpstreamHopLoad.cpp
+++ b/src/sidecar/internal/UpstreamHopLoad.cpp
@@ -16,11 +16,10 @@
                             Context_.now())};
 }
 
-std::vector<mesh::RouteEvidence> UpstreamHop::evidence() const {
+mesh::EvidenceByRoute UpstreamHop::evidence() const {
   const auto Order =
       Callbacks_.ActiveOrder(Context_.Registered.Current.Service);
-  return Order ? Outcomes_.evidence(*Order)
-               : std::vector<mesh::RouteEvidence>();
+  return Order ? Outcomes_.evidence(*Order) : mesh::EvidenceByRoute();
 }
 
 void UpstreamHop::recordEvidence(const Running &Job, bool Good,
--- a/src/sidecar/tests/CodecTest.cpp
+++ b/src/sidecar/tests/CodecTest.cpp
@@ -32,8 +32,6 @@
   Report.Rollouts.push_back(
       {Offset(40), Milliseconds(700), true, mesh::RolloutState::RolledBack,
        mesh::Judgement{Milliseconds(90), 3, true, false}});
-  Report.Evidence.push_back(
-      {Offset(40), RouteName("r"), 20, 3, 18, Milliseconds(1600)});
   Report.Crashes.push_back({requests::Fingerprint("ab"),
                             requests::CrashId("n/i/1"),
                             requests::SuspectWeight::Answered});
@@ -62,7 +60,6 @@
   BOOST_TEST(Report.Rollouts.at(0).Judged->Step == 3);
   BOOST_TEST(Report.Rollouts.at(0).Judged->IsComparing);
   BOOST_TEST(!Report.Rollouts.at(0).Judged->HasPassed);
-  BOOST_TEST(Report.Evidence.at(0).Bad == 3);
   BOOST_TEST(Report.ConfirmedAge.value().count() == 300);
   BOOST_TEST(
       (Report.Crashes.at(0).Weight == requests::SuspectWeight::Answered));
@@ -78,6 +75,66 @@
   BOOST_TEST(!Read->Reports.front().ConfirmedAge.has_value());
 }
 
+mesh::EvidenceByRoute evidenceOf(int Routes) {
+  mesh::EvidenceByRoute Own;
+  for (int At = 0; At < Routes; ++At) {
+    const RouteName Name("fetch-of-a-package-with-a-long-name-" +
+                         std::to_string(At));
+    Own[Name] = {Offset(1LL << 40),      Name, 100'000, 3000, 90'000,
+                 Milliseconds(9'000'000)};
+  }
+  return Own;
+}
+
+// Guards against evidence that its receivers refuse for its length: with some
+// hundred routes no outcome reached the nodes that judge.
+BOOST_AUTO_TEST_CASE(evidenceOfManyRoutesIsSplit) {
+  const mesh::EvidencePlan Plan{1100, 4, [](const mesh::RouteEvidence &Item) {
+                                  return encodedSize(Item);
+                                }};
+  mesh::EvidenceCursor State;
+  std::map<NodeId, mesh::KnownEvidence> Known;
+  const mesh::EvidenceByRoute Own = evidenceOf(1400);
+  for (int Round = 0; Round < 40; ++Round)
+    for (mesh::EvidenceReport &Part :
+         mesh::composeEvidence(Offset(1LL << 40), Own, Plan, State)) {
+      Part.Node = NodeId("10.100.200.107");
+      Part.IncarnationNumber = Incarnation(1'700'000'000'000);
+      GossipMessage Message;
+      Message.Evidence = Part;
+      const std::string Wire = encodeGossip(Message);
+      BOOST_TEST_REQUIRE(Wire.size() <= MaxDatagramBytes);
+      const auto Read = decodeGossip(Wire);
+      BOOST_REQUIRE((Read && Read->Evidence));
+      mesh::mergeEvidence(Known, *Read->Evidence, SteadyTime(1));
+    }
+  const mesh::EvidenceByRoute &Got = Known.at(NodeId("10.100.200.107")).Routes;
+  BOOST_TEST(Got.size() == 1401U);
+  BOOST_TEST(Got.at(RouteName()).Bad == 1400 * 3000);
+  BOOST_TEST(Got.begin()->second.Order.value() == 1LL << 40);
+  BOOST_TEST(Got.rbegin()->second.Timed == 90'000);
+}
+
+// Guards against a node report that its receivers refuse for its length.
+BOOST_AUTO_TEST_CASE(longReportsFitWithOneToForward) {
+  mesh::NodeReport Report = fullReport();
+  const std::size_t Usual = encodedSize(Report);
+  BOOST_TEST_MESSAGE("report: " << Usual << " bytes");
+  BOOST_TEST(Usual <= MaxReportBytes);
+  for (int At = 0; At < 1000; ++At)
+    Report.Rollouts.push_back({Offset((1LL << 40) + At), Milliseconds(90'000),
+                               false, mesh::RolloutState::Completed});
+  mesh::fitReport(
+      Report,
+      {MaxReportBytes,
+       [](const mesh::NodeReport &Item) { return encodedSize(Item); }},
+      3);
+  BOOST_TEST(encodedSize(Report) <= MaxReportBytes);
+  BOOST_TEST(Report.Rollouts.size() > 1U);
+  BOOST_TEST(encodeGossip({{Report, Report, Report}, {}, {}}).size() <=
+             MaxDatagramBytes);
+}
+
 // Guards against permits that are taken for another organisation or ask, and
 // against a report that every ask would carry along.
 BOOST_AUTO_TEST_CASE(asksAndGrantsRoundTripWithoutAReport) {
--- a/tests/platform/RolloutTest.cpp
+++ b/tests/platform/RolloutTest.cpp
@@ -60,6 +60,11 @@
   });
 }
 
+/// The limit on the requests of a faulty version counts those up to this time.
+SteadyClock::time_point timeLimit(SteadyClock::time_point Ordered) {
+  return Ordered + std::chrono::seconds(DurationSeconds);
+}
+
 /// The names of \p Nodes in the order in which they judge a new version.
 std::vector<std::string> judgeOrder(const std::vector<std::string> &Nodes) {
   using namespace lycheethread;
@@ -77,6 +82,22 @@
   return Ordered;
 }
 
+/// Rules for \p Count routes to "desk".
+std::string manyRules(int Count) {
+  std::string Rules;
+  for (int Each = 0; Each < Count; ++Each) {
+    const std::string Name =
+        "fetch-of-a-package-with-a-long-name-" + std::to_string(Each);
+    Rules += R"(,{"name":")" + Name +
+             R"(","type":"idempotent","target_latency_s":0.4,"priority":1,)"
+             R"("match":{"path_prefix":"/)" +
+             Name +
+             R"(/"},"action":{"backend_service":"desk","timeout_s":1.2,)"
+             R"("attempts":2}})";
+  }
+  return Rules;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(RolloutsInAFleet)
@@ -147,10 +168,7 @@
   const std::size_t Sent =
       Before + sendRequestsUntil(
                    Mesh,
-                   [&] {
-                     return contains(rolloutStatus(Mesh), "completed") ||
-                            contains(rolloutStatus(Mesh), "rolled_back");
-                   },
+                   [&] { return SteadyClock::now() >= timeLimit(Ordered); },
                    Pause);
   BOOST_TEST(contains(rolloutStatus(Mesh), "rolled_back"));
   const std::size_t Exposed =
@@ -159,4 +177,35 @@
   BOOST_TEST(Exposed <= Sent / 10 + 50);
 }
 
+// Guards against node reports that grow with the number of routes until their
+// receivers drop them: the old version vanished, and a faulty one was
+// completed.
+BOOST_AUTO_TEST_CASE(faultyVersionIsRolledBackAmongManyRoutes) {
+  constexpr int Routes = 300;
+  TestMesh Mesh({{"m1"}, {"m2"}, {"m3", "store"}, {"m4", "desk", "v2"}});
+  Mesh.Store.put("keyed.op", "config", configuration(2, manyRules(Routes)));
+  const std::string Last =
+      "/fetch-of-a-package-with-a-long-name-" + std::to_string(Routes - 1);
+  for (auto &Item : Mesh.Instances)
+    BOOST_REQUIRE(
+        holdsWithin([&] { return Item->get(Last + "/x").Status == 200; },
+                    milliseconds(3000)));
+  startRollout(Mesh);
+  const auto Ordered = SteadyClock::now();
+  failFrom(Mesh.at(3).upstream(), Ordered + milliseconds(6200));
+  const std::size_t AtStart = Mesh.at(3).upstream().receivedRequests().size();
+  std::size_t Sent = 0;
+  while (SteadyClock::now() < timeLimit(Ordered)) {
+    for (auto &Item : Mesh.Instances)
+      Item->get("/fetch-of-a-package-with-a-long-name-" +
+                std::to_string(Sent++ % Routes) + "/x");
+    std::this_thread::sleep_for(milliseconds(2));
+  }
+  BOOST_TEST(contains(rolloutStatus(Mesh), "rolled_back"));
+  const std::size_t Exposed =
+      Mesh.at(3).upstream().receivedRequests().size() - AtStart;
+  BOOST_TEST_MESSAGE(Exposed << " of " << Sent << " requests");
+  BOOST_TEST(Exposed <= Sent / 10 + 50);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/robustness/MeshInputTest.cpp
+++ b/tests/robustness/MeshInputTest.cpp
@@ -62,8 +62,6 @@
   Report.Load = {3, 4, Milliseconds(80), Milliseconds(120)};
   Report.Rollouts.push_back(
       {Offset(40), Milliseconds(700), true, mesh::RolloutState::RolledBack});
-  Report.Evidence.push_back(
-      {Offset(40), RouteName("r"), 20, 3, 18, Milliseconds(1600)});
   return Report;
 }
 
@@ -107,20 +105,28 @@
   Message.Reports = {nodeReport("10.0.0.7"), nodeReport("10.0.0.8")};
   Message.Beats = {mesh::beatOf(nodeReport("10.0.0.7"))};
   Message.Wanted = {mesh::NodeKey(77)};
-  readMalformed("gossip", encodeGossip(Message), 1,
-                [](const std::string &Bytes) {
-                  const auto Read = sidecar::decodeGossip(Bytes);
-                  if (!Read)
-                    return false;
-                  mesh::NodeTable Known;
-                  Known.Self = NodeId("self");
-                  for (const mesh::NodeReport &Report : Read->Reports)
-                    mesh::mergeReport(Known, Report, SteadyTime(1));
-                  for (const mesh::LoadBeat &Beat : Read->Beats)
-                    mesh::mergeBeat(Known, Beat, SteadyTime(1));
-                  place(Known);
-                  return true;
-                });
+  Message.Evidence = mesh::EvidenceReport{
+      NodeId("10.0.0.7"),
+      Incarnation(5),
+      Offset(40),
+      {{Offset(40), RouteName("r"), 20, 3, 18, Milliseconds(1600)}}};
+  readMalformed(
+      "gossip", encodeGossip(Message), 1, [](const std::string &Bytes) {
+        const auto Read = sidecar::decodeGossip(Bytes);
+        if (!Read)
+          return false;
+        mesh::NodeTable Known;
+        Known.Self = NodeId("self");
+        for (const mesh::NodeReport &Report : Read->Reports)
+          mesh::mergeReport(Known, Report, SteadyTime(1));
+        for (const mesh::LoadBeat &Beat : Read->Beats)
+          mesh::mergeBeat(Known, Beat, SteadyTime(1));
+        std::map<NodeId, mesh::KnownEvidence> Evidence;
+        if (Read->Evidence)
+          mesh::mergeEvidence(Evidence, *Read->Evidence, SteadyTime(1));
+        place(Known);
+        return true;
+      });
 }
 
 // Guards against records of a peer that end the node or fill its memory.
