Reset the connection where a part of an answer would look whole

Callers with HTTP/1.1 were never affected (54 uploads, and 36 requests on the other path).

Cause: the end of such an answer is told by the end of the connection, and both paths closed it in an orderly way also when the upstream had failed.

Change: while such an answer is sent, the socket has a linger time of 0, so any close is a reset, also that of a killed process; it is taken back once all bytes have been handed to the kernel.

Why this works: no way of ending the connection early, in or outside the program, produces an orderly end any more.

--- a/src/proxy/internal/HttpConnection.h
+++ b/src/proxy/internal/HttpConnection.h
@@ -81,7 +81,12 @@
   /// block.
   bool hasInput() const;
 
-  /// Shuts down both directions of the connection; thread-safe.
+  /// Sets whether the connection ends with a reset, also if the process ends.
+  /// A peer that knows the end of an answer only by that of the connection must
+  /// not take a part of it for all.
+  void setResetOnClose(bool IsOn);
+  /// Ends the connection in both directions, or lets its thread end it where
+  /// it is to be reset; thread-safe.
   void shutdown();
   /// Stops sending, then reads and discards a limited amount of input, so that
   /// the peer receives all bytes that were sent to it. The destructor closes
@@ -93,6 +98,7 @@
 private:
   std::size_t receive(char *To, std::size_t Size, SteadyTime Deadline);
   void fill(SteadyTime Deadline);
+  bool resetsOnClose() const;
   int fd() const;
 
   Poco::Net::StreamSocket Socket_;
--- a/src/proxy/internal/Reply.cpp
+++ b/src/proxy/internal/Reply.cpp
@@ -124,6 +124,9 @@
       To_.KeepAlive = false;
       Head_.set(HTTPMessage::CONNECTION, HTTPMessage::CONNECTION_CLOSE);
     }
+    const bool EndsByClose = !Fixed && !Chunked_;
+    if (EndsByClose)
+      To_.Connection.setResetOnClose(true);
     setFraming(Head_, Fixed ? Body
                             : Framing{Chunked_ ? FramingKind::Chunked
                                                : FramingKind::UntilClose,
@@ -140,6 +143,8 @@
       Pending += "0\r\n\r\n";
     if (!Pending.empty())
       writeAll(To_, Pending);
+    if (EndsByClose)
+      To_.Connection.setResetOnClose(false);
   }
 
   void appendPart(std::string &Pending, std::string_view Part) const {
--- a/src/reactor/internal/TcpStream.cpp
+++ b/src/reactor/internal/TcpStream.cpp
@@ -53,6 +53,11 @@
   setPatienceMs(Descriptor, 0);
 }
 
+void setResetOnClose(int Descriptor, bool IsOn) {
+  const linger Value{IsOn ? 1 : 0, 0};
+  ::setsockopt(Descriptor, SOL_SOCKET, SO_LINGER, &Value, sizeof(Value));
+}
+
 int pendingError(int Descriptor) {
   int Error = 0;
   socklen_t Size = sizeof(Error);
@@ -79,6 +84,7 @@
   bool Paused = false;
   bool Draining = false;
   bool ShutDown = false;
+  bool ResetsOnClose = false;
   Interest Watched;
   TimerId Timer;
 
@@ -202,6 +208,8 @@
 
   void shutDownSending() {
     ShutDown = true;
+    if (ResetsOnClose)
+      reactor::setResetOnClose(Descriptor, false);
     ::shutdown(Descriptor, SHUT_WR);
     if (PeerClosed)
       close();
@@ -369,6 +377,13 @@
     setPatienceMs(Impl_->Descriptor, static_cast<int>(Longest.count()));
 }
 
+void TcpStream::setResetOnClose() {
+  if (!Impl_->Open)
+    return;
+  Impl_->ResetsOnClose = true;
+  reactor::setResetOnClose(Impl_->Descriptor, true);
+}
+
 void TcpStream::close() {
   Impl_->Handlers = {};
   Impl_->close();
--- a/src/reactor/types/TcpStream.h
+++ b/src/reactor/types/TcpStream.h
@@ -63,6 +63,11 @@
   /// Pauses or resumes reading, so that TCP flow control slows a fast sender.
   void setReadingPaused(bool Paused);
 
+  /// Lets the connection end with a reset, also if the process ends, unless
+  /// closeGracefully() has sent all data: the peer must not take what it has
+  /// received for all.
+  void setResetOnClose();
+
   /// Waits \p Longest, or the default time if that is longer, for a peer that
   /// acknowledges nothing.
   void setPatience(Milliseconds Longest);
--- a/src/sidecar/internal/ServerConnection.cpp
+++ b/src/sidecar/internal/ServerConnection.cpp
@@ -367,8 +367,7 @@
   const bool HasBody = hasBody(Item, Head.getStatus());
   const bool IsHead = Item.Request && Item.Request->head().getMethod() ==
                                           HTTPRequest::HTTP_HEAD;
-  const bool EndsConnection =
-      http::isLastAnswer(Order_, Number, Server_.Closing);
+  bool EndsConnection = http::isLastAnswer(Order_, Number, Server_.Closing);
   if (IsHead) {
     if (Item.KnownLength >= 0)
       Head.setContentLength64(Item.KnownLength);
@@ -380,6 +379,9 @@
              Item.Request->head().getVersion() != HTTPMessage::HTTP_1_0) {
     Head.setChunkedTransferEncoding(true);
     Item.Chunked = true;
+  } else if (HasBody) {
+    Item.EndsByClose = EndsConnection = true;
+    Stream_->setResetOnClose();
   }
   Head.setVersion(HTTPMessage::HTTP_1_1);
   if (EndsConnection) {
@@ -445,7 +447,10 @@
   if (!Stream_->isOpen())
     return false;
   if (Answer->hasFailed()) {
-    endBroken();
+    if (Item.EndsByClose)
+      close();
+    else
+      endBroken();
     return false;
   }
   return Answer->isDone() && finishFront(*Number, Item);
@@ -502,8 +507,9 @@
   cancel(http::endAfter(Order_, Number));
 }
 
-/// Ends the connection in the middle of an answer. Without the last chunk or
-/// the full length the caller sees that the answer is truncated.
+/// Ends the connection in the middle of an answer with a length or chunks.
+/// Without the last chunk or the full length the caller sees that the answer is
+/// truncated.
 void ServerConnection::endBroken() {
   if (!Pipelined_) {
     close();
--- a/src/sidecar/internal/ServerConnection.h
+++ b/src/sidecar/internal/ServerConnection.h
@@ -70,6 +70,8 @@
     std::size_t HeldBytes = 0;
     bool Started = false;
     bool Chunked = false;
+    /// The caller knows the end of the answer only by that of the connection.
+    bool EndsByClose = false;
     bool WantsContinue = false;
   };
 
--- a/tests/platform/UpstreamStandIn.cpp
+++ b/tests/platform/UpstreamStandIn.cpp
@@ -40,21 +40,23 @@
   }
 }
 
-/// Reads one request; returns false when the peer closed the connection.
-bool readRequest(StreamSocket &Socket, std::string &Buffer,
-                 ReceivedRequest &Request) {
-  const auto ReceiveMore = [&] {
-    std::array<char, 16384> Block{};
-    const int Count =
-        Socket.receiveBytes(Block.data(), static_cast<int>(Block.size()));
-    if (Count <= 0)
-      return false;
-    Buffer.append(Block.data(), static_cast<std::size_t>(Count));
-    return true;
-  };
+bool receiveMore(StreamSocket &Socket, std::string &Buffer) {
+  std::array<char, 16384> Block{};
+  const int Count =
+      Socket.receiveBytes(Block.data(), static_cast<int>(Block.size()));
+  if (Count <= 0)
+    return false;
+  Buffer.append(Block.data(), static_cast<std::size_t>(Count));
+  return true;
+}
+
+/// Reads the head of a request; returns false when the peer closed the
+/// connection.
+bool readHead(StreamSocket &Socket, std::string &Buffer,
+              ReceivedRequest &Request) {
   std::size_t End = std::string::npos;
   while ((End = Buffer.find("\r\n\r\n")) == std::string::npos)
-    if (!ReceiveMore())
+    if (!receiveMore(Socket, Buffer))
       return false;
   std::size_t LineEnd = Buffer.find("\r\n");
   Request.RequestLine = Buffer.substr(0, LineEnd);
@@ -68,11 +70,17 @@
     LineEnd = Next;
   }
   Buffer.erase(0, End + 4);
+  return true;
+}
+
+/// Reads the body that belongs to the head in \p Request.
+bool readBody(StreamSocket &Socket, std::string &Buffer,
+              ReceivedRequest &Request) {
   const auto Length = Request.Headers.find("content-length");
   const std::size_t Size =
       Length == Request.Headers.end() ? 0 : std::stoul(Length->second);
   while (Buffer.size() < Size)
-    if (!ReceiveMore())
+    if (!receiveMore(Socket, Buffer))
       return false;
   Request.Body = Buffer.substr(0, Size);
   Request.ReceivedAt = std::chrono::steady_clock::now();
@@ -100,6 +108,7 @@
   Behaviour ActiveBehaviour = [](const ReceivedRequest &Request) {
     return completeResponse(Request);
   };
+  Behaviour EarlyBehaviour;
   std::vector<ReceivedRequest> Received;
   std::vector<ReceivedRequest> Abandoned;
   std::list<StreamSocket> Connections;
@@ -138,12 +147,34 @@
     });
   }
 
+  /// Answers a request whose body has not been read; returns false if it is to
+  /// be read as usual.
+  bool answerEarly(StreamSocket &Connection, const ReceivedRequest &Request) {
+    Behaviour Early;
+    {
+      const std::lock_guard<std::mutex> Guard(Lock);
+      Early = EarlyBehaviour;
+    }
+    if (!Early)
+      return false;
+    const RawResponse Response = Early(Request);
+    Connection.sendBytes(Response.Bytes.data(),
+                         static_cast<int>(Response.Bytes.size()));
+    std::this_thread::sleep_for(Response.Delay);
+    if (Response.ResetAfter)
+      Connection.setLinger(true, 0);
+    Connection.close();
+    return true;
+  }
+
   void serve(StreamSocket Connection) {
     std::string Buffer;
     try {
       for (;;) {
         ReceivedRequest Request;
-        if (!readRequest(Connection, Buffer, Request))
+        if (!readHead(Connection, Buffer, Request) ||
+            answerEarly(Connection, Request) ||
+            !readBody(Connection, Buffer, Request))
           return;
         Behaviour CurrentBehaviour;
         {
@@ -209,6 +240,11 @@
   Impl_->ActiveBehaviour = std::move(NewBehaviour);
 }
 
+void UpstreamStandIn::setEarlyBehaviour(Behaviour NewBehaviour) {
+  const std::lock_guard<std::mutex> Guard(Impl_->Lock);
+  Impl_->EarlyBehaviour = std::move(NewBehaviour);
+}
+
 std::vector<ReceivedRequest> UpstreamStandIn::receivedRequests() const {
   const std::lock_guard<std::mutex> Guard(Impl_->Lock);
   return Impl_->Received;
--- a/tests/platform/UpstreamStandIn.h
+++ b/tests/platform/UpstreamStandIn.h
@@ -34,6 +34,8 @@
   /// Sent again and again until the peer closes the connection.
   std::string EndlessBytes;
   bool CloseAfter = false;
+  /// The connection ends with a reset.
+  bool ResetAfter = false;
 };
 
 /// An upstream whose responses are defined by the test.
@@ -46,6 +48,9 @@
 
   std::uint16_t port() const;
   void setBehaviour(Behaviour NewBehaviour);
+  /// Defines the responses that are sent once the head of a request has been
+  /// read, instead of reading its body. The connection ends after Delay.
+  void setEarlyBehaviour(Behaviour NewBehaviour);
   /// Returns all requests received so far.
   std::vector<ReceivedRequest> receivedRequests() const;
   /// Requests whose connection the peer closed during RawResponse::Delay.
