--- a/src/sidecar/internal/Rollouts.h
+++ b/src/sidecar/internal/Rollouts.h
@@ -82,6 +82,8 @@
   std::optional<mesh::RolloutState>
   stateToRecord(Item &Current, const std::vector<StoreItem> &Items);
   void tick();
+  /// The subject of the order in which the nodes judge.
+  static std::string judgeSubject(const ServiceName &Service);
   void sendEvidence();
   void expireEvidence();
   void update(Item &Current);
