Let nodes that begin to judge go on, from the first step

Cause: nodes judged while nobody else did. Their own judgement ended the silence, so they stopped at once, after they had put the share up to that of the plan; after the next silent second they began again.

Change: a node that has begun to judge goes on until the rollout ends, and goes through the steps from the first one on, each for 4% of the duration at least. The newest judgement counts, without the largest step of others: a share must be able to fall.

Why this works: the judges after a loss stay the same ones, so evidence under a share is seen before the next step.

Tests: PlatformNodeTests goodVersionIsCompletedWithoutItsFirstJudges failed before and holds; faultyVersionIsNotCompletedWithoutItsJudges 291 of 3,948 (444 allowed).

--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -273,8 +273,7 @@
 bool isJudged(const RolloutView &View);
 
 /// Takes what \p Read tells beyond \p Known. The ages of both count from now.
-void mergeJudgement(std::optional<Judgement> &Known, const Judgement &Read,
-                    Milliseconds Timeout);
+void mergeJudgement(std::optional<Judgement> &Known, const Judgement &Read);
 
 /// Returns which versions may get requests. A rollout that was recorded as
 /// completed stays so, whatever a node finds later: the old version has ended.
--- a/src/mesh/internal/DecideRollout.cpp
+++ b/src/mesh/internal/DecideRollout.cpp
@@ -64,9 +64,10 @@
 /// The same for one that no node can judge. It leaves the judges time to end
 /// it.
 constexpr std::int32_t UnjudgedPermille = 960;
-/// A node may complete a rollout that it has judged for this part of its
-/// duration; before, it may not have seen an upstream of the last step fail.
-constexpr std::int32_t MinJudgedPermille = 60;
+/// A node that has just begun to judge goes through the steps from the first
+/// one on, each for this part of the duration at least: it has not seen how the
+/// new version does under them.
+constexpr std::int32_t MinStepPermille = 40;
 
 std::int64_t answers(const VersionTotals &Totals) {
   return Totals.Good + Totals.Bad;
@@ -198,24 +199,35 @@
   return Sum;
 }
 
+constexpr auto LastStep = static_cast<std::int32_t>(Steps.size()) - 1;
+
+/// Returns the furthest step that this node has judged long enough to take.
+std::int32_t furthestStep(const RolloutView &View) {
+  const Milliseconds Each =
+      std::max(Milliseconds(1), View.Duration * MinStepPermille / 1000);
+  return static_cast<std::int32_t>(
+      std::min<std::int64_t>(LastStep, View.JudgedFor / Each));
+}
+
 std::int32_t judgedStep(const RolloutView &View, std::int64_t Progress) {
   if (countNewAnswers(View) < MinAnswersToGrow)
     return 0;
   const auto *const Found =
       std::find_if(Steps.begin(), std::prev(Steps.end()),
                    [&](const Step &Item) { return Progress < Item.Until; });
-  return static_cast<std::int32_t>(std::distance(Steps.begin(), Found));
+  const auto Planned =
+      static_cast<std::int32_t>(std::distance(Steps.begin(), Found));
+  return std::min(Planned, furthestStep(View));
 }
 
 /// A node that does not judge follows those that do. Where nobody judges, the
 /// new version keeps the share of the first step: nobody would notice a fault.
 std::int32_t stepOf(const RolloutView &View, std::int64_t Progress) {
-  constexpr auto Last = static_cast<std::int32_t>(Steps.size()) - 1;
   if (View.MayJudge)
     return judgedStep(View, Progress);
   if (View.Judged && View.Judged->HasPassed)
-    return Last;
-  return isJudged(View) ? std::clamp(View.Judged->Step, 0, Last) : 0;
+    return LastStep;
+  return isJudged(View) ? std::clamp(View.Judged->Step, 0, LastStep) : 0;
 }
 
 /// Reduces the share of a step where a bad version may get less in total than
@@ -235,10 +247,6 @@
   return Undecided || isSuspicious(View);
 }
 
-bool hasJudgedLongEnough(const RolloutView &View) {
-  return View.JudgedFor >= View.Duration * MinJudgedPermille / 1000;
-}
-
 /// Ends a rollout whose last step has passed, or whose time is over.
 void decideEnd(const RolloutView &View, std::int64_t Progress,
                RolloutDecision &Decided) {
@@ -246,21 +254,22 @@
     Decided.End = State;
     Decided.Reason = Reason;
   };
+  if (View.Judged && View.Judged->HasPassed)
+    return End(RolloutState::Completed, "all steps passed");
   if (!View.MayJudge) {
-    if (View.Judged && View.Judged->HasPassed)
-      End(RolloutState::Completed, "another node saw all steps pass");
-    else if (Progress >= UnjudgedPermille)
+    if (Progress >= UnjudgedPermille)
       End(RolloutState::RolledBack, "no node could judge the new version");
     return;
   }
-  if (!Decided.IsLastStep && Progress >= GiveUpPermille)
-    return End(RolloutState::RolledBack, "not enough answers to judge by");
+  // Those that have judged for longer decide before.
+  const bool IsNewJudge = furthestStep(View) < LastStep;
   const bool IsIdle = View.OldInProgress == 0 || Progress >= GiveUpPermille;
   if (Decided.IsLastStep && !Decided.IsComparing &&
-      Progress >= CompletePermille && IsIdle && hasJudgedLongEnough(View))
-    return End(RolloutState::Completed, "all steps passed");
-  if (Progress >= UnjudgedPermille)
-    End(RolloutState::RolledBack, "the last step was not judged long enough");
+      Progress >= CompletePermille && IsIdle)
+    End(RolloutState::Completed, "all steps passed");
+  else if (!Decided.IsLastStep &&
+           Progress >= (IsNewJudge ? UnjudgedPermille : GiveUpPermille))
+    End(RolloutState::RolledBack, "not enough answers to judge by");
 }
 
 } // namespace
--- a/src/mesh/internal/JudgeRollout.cpp
+++ b/src/mesh/internal/JudgeRollout.cpp
@@ -57,17 +57,12 @@
   return View.Judged && View.Judged->Age < View.JudgementTimeout;
 }
 
-void mergeJudgement(std::optional<Judgement> &Known, const Judgement &Read,
-                    Milliseconds Timeout) {
+void mergeJudgement(std::optional<Judgement> &Known, const Judgement &Read) {
   if (!Known) {
     Known = Read;
     return;
   }
   Judgement Newest = Read.Age < Known->Age ? Read : *Known;
-  // The judges take a step at slightly different times. The share does not go
-  // back and forth between them.
-  if (std::max(Read.Age, Known->Age) < Timeout)
-    Newest.Step = std::max(Read.Step, Known->Step);
   Newest.HasPassed = Read.HasPassed || Known->HasPassed;
   Known = Newest;
 }
--- a/src/sidecar/internal/RolloutJudging.cpp
+++ b/src/sidecar/internal/RolloutJudging.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/internal/Rollouts.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace lycheethread::sidecar {
@@ -62,11 +63,17 @@
   return Judged;
 }
 
+/// Returns how many nodes judge. A node that judges since others are silent
+/// goes on when the silence has ended.
 std::size_t Rollouts::judgeCountOf(const Item &Current) const {
+  const std::size_t Nodes = Context_.KnownNodes.Nodes.size() + 1;
   const auto Judged = judgementOf(Current);
-  return mesh::judgeCount(Judged ? Judged->Age
-                                 : elapsed(Current.SeenAt, Context_.now()),
-                          Context_.KnownNodes.Nodes.size() + 1);
+  // The first judgement takes some time.
+  const Milliseconds Silence = Judged
+                                   ? Judged->Age
+                                   : elapsed(Current.SeenAt, Context_.now()) -
+                                         mesh::judgementTimeout(Nodes);
+  return std::max(Current.Judges, mesh::judgeCount(Silence, Nodes));
 }
 
 bool Rollouts::mayJudge(const Item &Current) const {
--- a/src/sidecar/internal/Rollouts.cpp
+++ b/src/sidecar/internal/Rollouts.cpp
@@ -232,8 +232,6 @@
 
 void Rollouts::mergeReports(Item &Current) {
   const SteadyTime Now = Context_.now();
-  const Milliseconds Timeout =
-      mesh::judgementTimeout(Context_.KnownNodes.Nodes.size() + 1);
   std::optional<mesh::Judgement> Judged = judgementOf(Current);
   for (const auto &[Id, Known] : Context_.KnownNodes.Nodes)
     for (const mesh::RolloutReport &Reported : Known.LastReport.Rollouts) {
@@ -248,7 +246,7 @@
       if (Reported.Judged) {
         mesh::Judgement Read = *Reported.Judged;
         Read.Age += elapsed(Known.ReportedAt, Now);
-        mesh::mergeJudgement(Judged, Read, Timeout);
+        mesh::mergeJudgement(Judged, Read);
       }
       if (isEnd(Reported.State) && !isEnd(Current.State))
         finishRollout(Current, Reported.State, Id.str().c_str());
