Let nodes take the steps of a rollout at the same time again

Cause: nodes took a step only when they had heard that a judge had taken it.

Change: a judgement states how far the plan may go. Nodes take the steps by the age of the order, as before, within that, and the first one that sees the old version idle completes, while a judge sees no defect under the last step.

Why this works: with judges, the steps are taken as before them; without, the limit falls to the first step as soon as the judgement is old.

--- a/src/mesh/internal/DecideRollout.cpp
+++ b/src/mesh/internal/DecideRollout.cpp
@@ -209,25 +209,22 @@
       std::min<std::int64_t>(LastStep, View.JudgedFor / Each));
 }
 
-std::int32_t judgedStep(const RolloutView &View, std::int64_t Progress) {
-  if (countNewAnswers(View) < MinAnswersToGrow)
-    return 0;
+std::int32_t plannedStep(std::int64_t Progress) {
   const auto *const Found =
       std::find_if(Steps.begin(), std::prev(Steps.end()),
                    [&](const Step &Item) { return Progress < Item.Until; });
-  const auto Planned =
-      static_cast<std::int32_t>(std::distance(Steps.begin(), Found));
-  return std::min(Planned, furthestStep(View));
+  return static_cast<std::int32_t>(std::distance(Steps.begin(), Found));
 }
 
-/// A node that does not judge follows those that do. Where nobody judges, the
-/// new version keeps the share of the first step: nobody would notice a fault.
-std::int32_t stepOf(const RolloutView &View, std::int64_t Progress) {
+/// A node that does not judge keeps within what those that do allow. Where
+/// nobody judges, the new version keeps the share of the first step: nobody
+/// would notice a fault.
+std::int32_t stepLimit(const RolloutView &View) {
   if (View.MayJudge)
-    return judgedStep(View, Progress);
+    return countNewAnswers(View) < MinAnswersToGrow ? 0 : furthestStep(View);
   if (View.Judged && View.Judged->HasPassed)
     return LastStep;
-  return isJudged(View) ? std::clamp(View.Judged->Step, 0, LastStep) : 0;
+  return isJudged(View) ? std::clamp(View.Judged->StepLimit, 0, LastStep) : 0;
 }
 
 /// Reduces the share of a step where a bad version may get less in total than
@@ -256,6 +253,13 @@
   };
   if (View.Judged && View.Judged->HasPassed)
     return End(RolloutState::Completed, "all steps passed");
+  // Loads reach the nodes at different times. While a judge sees no defect
+  // under the last step, the first node that sees the old version idle
+  // completes the rollout.
+  const bool HasPassed = Decided.IsLastStep && !Decided.IsComparing &&
+                         Progress >= CompletePermille;
+  if (HasPassed && View.OldInProgress == 0)
+    return End(RolloutState::Completed, "all steps passed");
   if (!View.MayJudge) {
     if (Progress >= UnjudgedPermille)
       End(RolloutState::RolledBack, "no node could judge the new version");
@@ -263,9 +267,7 @@
   }
   // Those that have judged for longer decide before.
   const bool IsNewJudge = furthestStep(View) < LastStep;
-  const bool IsIdle = View.OldInProgress == 0 || Progress >= GiveUpPermille;
-  if (Decided.IsLastStep && !Decided.IsComparing &&
-      Progress >= CompletePermille && IsIdle)
+  if (HasPassed && Progress >= GiveUpPermille)
     End(RolloutState::Completed, "all steps passed");
   else if (!Decided.IsLastStep &&
            Progress >= (IsNewJudge ? UnjudgedPermille : GiveUpPermille))
@@ -303,7 +305,8 @@
     }
     return Decided;
   }
-  Decided.Step = stepOf(View, Progress);
+  Decided.StepLimit = stepLimit(View);
+  Decided.Step = std::min(plannedStep(Progress), Decided.StepLimit);
   const Step &Now = Steps.at(static_cast<std::size_t>(Decided.Step));
   Decided.IsLastStep = Now.Repeatable >= ComparisonShare;
   Decided.UseSingleUpstream = Now.UseSingleUpstream;
--- a/src/mesh/tests/RolloutTest.cpp
+++ b/src/mesh/tests/RolloutTest.cpp
@@ -202,6 +202,30 @@
   BOOST_TEST(isRolledBack(decideRollout(View)));
 }
 
+// Guards against a good version that is late since loads reach the judges late
+// in a large fleet: the first node that sees the old version idle completes it,
+// but only while a judge sees no defect under the last step.
+BOOST_AUTO_TEST_CASE(nodeThatSeesTheOldVersionIdleCompletes) {
+  RolloutView View = viewAt(12'600, {});
+  const std::int32_t Last =
+      decideRollout(viewAt(12'600, totals(5000, 10, 800, 2))).Step;
+  const auto IsCompleted = [&](std::int32_t OldInProgress) {
+    View.OldInProgress = OldInProgress;
+    return decideRollout(View).End == RolloutState::Completed;
+  };
+  View.MayJudge = false;
+  View.JudgementTimeout = judgementTimeout(195);
+  View.Judged = Judgement{Milliseconds(300), Last, false};
+  BOOST_TEST(IsCompleted(0));
+  BOOST_TEST(!IsCompleted(1));
+  View.Judged->IsComparing = true;
+  BOOST_TEST(!IsCompleted(0));
+  View.Judged = Judgement{Milliseconds(300), Last - 2, false};
+  BOOST_TEST(!IsCompleted(0));
+  View.Judged = Judgement{View.JudgementTimeout, Last, false};
+  BOOST_TEST(!IsCompleted(0));
+}
+
 // Guards against a share that grows, or stays large, while nobody judges.
 BOOST_AUTO_TEST_CASE(shareFallsWhileNobodyJudges) {
   RolloutView View = viewAt(11'000, totals(5000, 10, 800, 2));
@@ -297,14 +321,14 @@
   mergeJudgement(Known, {Milliseconds(300), 2, true});
   mergeJudgement(Known, {Milliseconds(100), 1, false});
   BOOST_TEST(Known->Age.count() == 100);
-  BOOST_TEST(Known->Step == 1);
+  BOOST_TEST(Known->StepLimit == 1);
   BOOST_TEST(!Known->IsComparing);
   mergeJudgement(Known, {Milliseconds(5000), 4, true, true});
-  BOOST_TEST(Known->Step == 1);
+  BOOST_TEST(Known->StepLimit == 1);
   BOOST_TEST(!Known->IsComparing);
   BOOST_TEST(Known->HasPassed);
   mergeJudgement(Known, {Milliseconds(0), 0, false});
-  BOOST_TEST(Known->Step == 0);
+  BOOST_TEST(Known->StepLimit == 0);
   BOOST_TEST(Known->HasPassed);
 }
 
--- a/src/mesh/types/NodeReport.h
+++ b/src/mesh/types/NodeReport.h
@@ -59,8 +59,9 @@
 struct Judgement {
   /// Time since it was found.
   Milliseconds Age{0};
-  /// Position of the current step in the plan of a rollout, from 0.
-  std::int32_t Step = 0;
+  /// The furthest step in the plan of a rollout that may be taken when its time
+  /// has come, from 0.
+  std::int32_t StepLimit = 0;
   /// The old version keeps a share so that the two can be compared.
   bool IsComparing = false;
   /// The new version has passed all steps, so the rollout may complete.
--- a/src/mesh/types/Rollout.h
+++ b/src/mesh/types/Rollout.h
@@ -95,8 +95,10 @@
   /// with. A disturbance may be the cause, so the old version gets a small
   /// share again before the rollout ends.
   bool IsComparing = false;
-  /// Position of the step in the plan, from 0.
+  /// Position of the step in the plan, from 0, and the furthest one that may be
+  /// taken.
   std::int32_t Step = 0;
+  std::int32_t StepLimit = 0;
   /// The new version has all requests, but for those that serve to compare.
   bool IsLastStep = false;
   std::optional<RolloutState> End;
--- a/src/sidecar/gossip.thrift
+++ b/src/sidecar/gossip.thrift
@@ -19,7 +19,7 @@
 // What a node that judges a rollout has found.
 struct JudgementMessage {
   1: i64 ageMs
-  2: i32 step            // in the plan of a rollout, from 0
+  2: i32 step            // furthest one in the plan of a rollout, from 0
   3: bool comparing
   4: bool passed         // all steps
 }
--- a/src/sidecar/internal/GossipCodec.cpp
+++ b/src/sidecar/internal/GossipCodec.cpp
@@ -67,7 +67,7 @@
 wire::JudgementMessage toWire(const mesh::Judgement &From) {
   wire::JudgementMessage To;
   To.__set_ageMs(From.Age.count());
-  To.__set_step(From.Step);
+  To.__set_step(From.StepLimit);
   To.__set_comparing(From.IsComparing);
   To.__set_passed(From.HasPassed);
   return To;
--- a/src/sidecar/internal/RolloutJudging.cpp
+++ b/src/sidecar/internal/RolloutJudging.cpp
@@ -130,15 +130,16 @@
 
 void Rollouts::recordJudgement(Item &Current,
                                const mesh::RolloutDecision &Decided) {
-  const mesh::Judgement Own{Milliseconds(0), Decided.Step, Decided.IsComparing,
+  const mesh::Judgement Own{Milliseconds(0), Decided.StepLimit,
+                            Decided.IsComparing,
                             Decided.End == RolloutState::Completed};
   const std::optional<mesh::Judgement> Before = judgementOf(Current);
-  const bool IsNews = !Before || Before->Step < Own.Step ||
+  const bool IsNews = !Before || Before->StepLimit < Own.StepLimit ||
                       (Own.HasPassed && !Before->HasPassed);
   Current.Judged = Own;
   Current.JudgedAt = Context_.now();
-  // The first judge that takes a step tells all nodes.
-  if (IsNews && Own.Step > 0)
+  // The first judge that allows a further step tells all nodes.
+  if (IsNews && Own.StepLimit > 0)
     Callbacks_.OnChange();
 }
 
--- a/src/sidecar/tests/CodecTest.cpp
+++ b/src/sidecar/tests/CodecTest.cpp
@@ -57,7 +57,7 @@
   BOOST_TEST(Report.Load.BodyWait.count() == 120);
   BOOST_TEST((Report.Rollouts.at(0).State == mesh::RolloutState::RolledBack));
   BOOST_TEST(Report.Rollouts.at(0).Judged.value().Age.count() == 90);
-  BOOST_TEST(Report.Rollouts.at(0).Judged->Step == 3);
+  BOOST_TEST(Report.Rollouts.at(0).Judged->StepLimit == 3);
   BOOST_TEST(Report.Rollouts.at(0).Judged->IsComparing);
   BOOST_TEST(!Report.Rollouts.at(0).Judged->HasPassed);
   BOOST_TEST(Report.ConfirmedAge.value().count() == 300);
