Count the judges of a rollout once a tick

The number was computed again wherever it was used, from the value that the tick had just stored. The size of a route in an evidence report has a name of its own, so that both sizes are passed as functions without a wrapper.

--- a/src/sidecar/internal/Gossip.cpp
+++ b/src/sidecar/internal/Gossip.cpp
@@ -108,10 +108,8 @@
 /// A report that its receivers refuse would make this node look gone. The state
 /// is that of the whole report.
 void Gossip::shorten(mesh::NodeReport &Report) {
-  const mesh::ReportLimit Limit{
-      MaxReportBytes,
-      [](const mesh::NodeReport &Item) { return encodedSize(Item); }};
-  const std::size_t LeftOut = mesh::fitReport(Report, Limit, Context_.Random());
+  const std::size_t LeftOut =
+      mesh::fitReport(Report, {MaxReportBytes, encodedSize}, Context_.Random());
   if ((LeftOut > 0) != IsShortened_)
     Context_.Log.write(LogClass::State, Context_.now(), "report-shortened",
                        {{"left_out", std::to_string(LeftOut)}});
@@ -138,9 +136,7 @@
   Plan.Bytes = Own < MaxDatagramBytes ? MaxDatagramBytes - Own : 0;
   Plan.BeatBytes =
       knowsLimit(Context_.KnownNodes) ? LimitedBeatBytes : UsualBeatBytes;
-  Plan.ReportBytes = [](const mesh::NodeReport &Item) {
-    return encodedSize(Item);
-  };
+  Plan.ReportBytes = encodedSize;
   mesh::GossipContent Others =
       mesh::composeGossip(Context_.KnownNodes, Plan, Context_.now());
   std::move(Others.Reports.begin(), Others.Reports.end(),
@@ -197,10 +193,9 @@
 
 void Gossip::sendEvidence(Offset Order, const mesh::EvidenceByRoute &Own,
                           const std::vector<NodeId> &Targets) {
-  const mesh::EvidencePlan Plan{
-      MaxDatagramBytes - EvidenceFrameBytes - Context_.Settings.Id.str().size(),
-      MaxEvidenceReports,
-      [](const mesh::RouteEvidence &Item) { return encodedSize(Item); }};
+  const mesh::EvidencePlan Plan{MaxDatagramBytes - EvidenceFrameBytes -
+                                    Context_.Settings.Id.str().size(),
+                                MaxEvidenceReports, encodedRouteSize};
   for (mesh::EvidenceReport &Part :
        mesh::composeEvidence(Order, Own, Plan, EvidenceSent_)) {
     Part.Node = Context_.Settings.Id;
--- a/src/sidecar/internal/GossipCodec.cpp
+++ b/src/sidecar/internal/GossipCodec.cpp
@@ -377,7 +377,7 @@
   return thriftcodec::encode(toWire(Report)).size();
 }
 
-std::size_t encodedSize(const mesh::RouteEvidence &Route) {
+std::size_t encodedRouteSize(const mesh::RouteEvidence &Route) {
   return thriftcodec::encode(toWire(Route)).size();
 }
 
--- a/src/sidecar/internal/GossipCodec.h
+++ b/src/sidecar/internal/GossipCodec.h
@@ -60,7 +60,7 @@
 std::size_t encodedSize(const mesh::NodeReport &Report);
 
 /// Returns the size of one encoded route in an evidence report.
-std::size_t encodedSize(const mesh::RouteEvidence &Route);
+std::size_t encodedRouteSize(const mesh::RouteEvidence &Route);
 
 /// Returns nothing if the data is not a valid gossip message.
 std::optional<GossipMessage> decodeGossip(std::string_view Data);
--- a/src/sidecar/internal/RolloutJudging.cpp
+++ b/src/sidecar/internal/RolloutJudging.cpp
@@ -22,7 +22,7 @@
       Callbacks_.SendEvidence(
           Current.Order.At, Callbacks_.OwnEvidence(),
           mesh::rendezvousFirst(Context_.KnownNodes, judgeSubject(Service),
-                                judgeCountOf(Current), Context_.now()));
+                                Current.Judges, Context_.now()));
 }
 
 void Rollouts::onEvidence(const mesh::EvidenceReport &Report,
@@ -80,7 +80,7 @@
   const SteadyTime Now = Context_.now();
   if (mesh::rendezvousRank(Context_.KnownNodes,
                            judgeSubject(Current.Order.Service),
-                           Now) >= judgeCountOf(Current))
+                           Now) >= Current.Judges)
     return false;
   mesh::EvidenceCoverage Old;
   mesh::EvidenceCoverage New;
--- a/src/sidecar/internal/Rollouts.h
+++ b/src/sidecar/internal/Rollouts.h
@@ -68,7 +68,7 @@
     SteadyTime JudgedAt;
     /// Since when this node has been one of the judges; empty while it is not.
     std::optional<SteadyTime> JudgingSince;
-    /// Nodes to which evidence goes, as of the last round.
+    /// Nodes that judge and to which evidence goes; 0 before the first look.
     std::size_t Judges = 0;
     bool RunningRecorded = false;
     /// The rollout has ended, and the store may have lost the record of that.
--- a/src/sidecar/tests/CodecTest.cpp
+++ b/src/sidecar/tests/CodecTest.cpp
@@ -89,9 +89,7 @@
 // Guards against evidence that its receivers refuse for its length: with some
 // hundred routes no outcome reached the nodes that judge.
 BOOST_AUTO_TEST_CASE(evidenceOfManyRoutesIsSplit) {
-  const mesh::EvidencePlan Plan{1100, 4, [](const mesh::RouteEvidence &Item) {
-                                  return encodedSize(Item);
-                                }};
+  const mesh::EvidencePlan Plan{1100, 4, encodedRouteSize};
   mesh::EvidenceCursor State;
   std::map<NodeId, mesh::KnownEvidence> Known;
   const mesh::EvidenceByRoute Own = evidenceOf(1400);
@@ -124,11 +122,7 @@
   for (int At = 0; At < 1000; ++At)
     Report.Rollouts.push_back({Offset((1LL << 40) + At), Milliseconds(90'000),
                                false, mesh::RolloutState::Completed});
-  mesh::fitReport(
-      Report,
-      {MaxReportBytes,
-       [](const mesh::NodeReport &Item) { return encodedSize(Item); }},
-      3);
+  mesh::fitReport(Report, {MaxReportBytes, encodedSize}, 3);
   BOOST_TEST(encodedSize(Report) <= MaxReportBytes);
   BOOST_TEST(Report.Rollouts.size() > 1U);
   BOOST_TEST(encodeGossip({{Report, Report, Report}, {}, {}}).size() <=
