Set the linger time by the library

POCO's sockets set and tell it; both data paths had calls of their own for the same. No behaviour changes: EarlyAnswers of PlatformNodeTests, ReactorTests and ProxyTests hold.

--- a/src/proxy/internal/HttpConnection.cpp
+++ b/src/proxy/internal/HttpConnection.cpp
@@ -197,22 +197,15 @@
   return hasBuffered() || pollOne(fd(), POLLIN | POLLRDHUP, 0);
 }
 
-void HttpConnection::setResetOnClose(bool IsOn) {
-  const linger Value{IsOn ? 1 : 0, 0};
-  ::setsockopt(fd(), SOL_SOCKET, SO_LINGER, &Value, sizeof(Value));
-}
-
-bool HttpConnection::resetsOnClose() const {
-  linger Value{};
-  socklen_t Size = sizeof(Value);
-  return ::getsockopt(fd(), SOL_SOCKET, SO_LINGER, &Value, &Size) == 0 &&
-         Value.l_onoff != 0;
-}
+void HttpConnection::setResetOnClose(bool IsOn) { Socket_.setLinger(IsOn, 0); }
 
 // A shutdown of the sending side would look like the end of the answer. The
 // thread that sends it sees the caller as gone and closes the socket.
 void HttpConnection::shutdown() {
-  ::shutdown(fd(), resetsOnClose() ? SHUT_RD : SHUT_RDWR);
+  bool ResetsOnClose = false;
+  int Seconds = 0;
+  Socket_.getLinger(ResetsOnClose, Seconds);
+  ::shutdown(fd(), ResetsOnClose ? SHUT_RD : SHUT_RDWR);
 }
 
 void HttpConnection::shutdownGracefully() {
--- a/src/proxy/internal/HttpConnection.h
+++ b/src/proxy/internal/HttpConnection.h
@@ -98,7 +98,6 @@
 private:
   std::size_t receive(char *To, std::size_t Size, SteadyTime Deadline);
   void fill(SteadyTime Deadline);
-  bool resetsOnClose() const;
   int fd() const;
 
   Poco::Net::StreamSocket Socket_;
--- a/src/reactor/internal/TcpStream.cpp
+++ b/src/reactor/internal/TcpStream.cpp
@@ -53,11 +53,6 @@
   setPatienceMs(Descriptor, 0);
 }
 
-void setResetOnClose(int Descriptor, bool IsOn) {
-  const linger Value{IsOn ? 1 : 0, 0};
-  ::setsockopt(Descriptor, SOL_SOCKET, SO_LINGER, &Value, sizeof(Value));
-}
-
 int pendingError(int Descriptor) {
   int Error = 0;
   socklen_t Size = sizeof(Error);
@@ -209,7 +204,7 @@
   void shutDownSending() {
     ShutDown = true;
     if (ResetsOnClose)
-      reactor::setResetOnClose(Descriptor, false);
+      Socket.setLinger(false, 0);
     ::shutdown(Descriptor, SHUT_WR);
     if (PeerClosed)
       close();
@@ -381,7 +376,7 @@
   if (!Impl_->Open)
     return;
   Impl_->ResetsOnClose = true;
-  reactor::setResetOnClose(Impl_->Descriptor, true);
+  Impl_->Socket.setLinger(true, 0);
 }
 
 void TcpStream::close() {
