Share the raw exchange of tests between both data paths

The tests of early answers on both paths had each an uploader and a check of whole answers of their own, and sendRaw() a third reader. One library of the harness serves them.

--- a/src/proxy/tests/EarlyAnswerTest.cpp
+++ b/src/proxy/tests/EarlyAnswerTest.cpp
@@ -1,3 +1,4 @@
+#include "RawExchange.h"
 #include "TestClient.h"
 #include "TestCluster.h"
 
@@ -8,7 +9,6 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include <algorithm>
 #include <array>
 #include <atomic>
 #include <chrono>
@@ -17,6 +17,7 @@
 #include <thread>
 
 using namespace lycheethread;
+using namespace lycheethread::harness;
 using namespace lycheethread::proxy;
 
 namespace {
@@ -101,64 +102,18 @@
   const TestNode &Near_;
 };
 
-struct Received {
-  std::string Answer;
-  /// The connection ended with a close, not with a reset or a timeout.
-  bool EndedOrderly = false;
-};
-
-/// Sends an upload, or a request without a body if \p BodyBytes is 0, and reads
-/// until the connection ends.
-Received exchange(const TestClient &Client, const std::string &Version,
-                  std::size_t BodyBytes) {
-  StreamSocket Socket = Client.connect();
-  Socket.setReceiveTimeout(Poco::Timespan(5, 0));
+/// Sends an upload, or a request without a body if \p BodyBytes is 0, to \p
+/// Entry and reads until the connection ends.
+RawExchange exchange(const TestNode &Entry, const std::string &Version,
+                     std::size_t BodyBytes) {
+  const std::uint16_t Port = Entry.Settings->Listen.Port;
+  const TestClient Client(Port);
   std::string Head = BodyBytes > 0 ? Client.head("POST", "/upload")
                                    : Client.head("GET", "/page");
   Head.replace(Head.find("HTTP/1.1"), Version.size(), Version);
   Head += "Connection: close\r\nContent-Length: " + std::to_string(BodyBytes) +
           "\r\n\r\n";
-  Socket.sendBytes(Head.data(), static_cast<int>(Head.size()));
-  std::thread Sender([&Socket, BodyBytes] {
-    const std::string Block(16 * 1024, 'u');
-    try {
-      for (std::size_t Sent = 0; Sent < BodyBytes; Sent += Block.size())
-        Socket.sendBytes(Block.data(), static_cast<int>(Block.size()));
-    } catch (const Poco::Exception &) {
-      // The node has ended the connection.
-    }
-  });
-  Received Result;
-  std::array<char, 16 * 1024> Block{};
-  try {
-    int Count = 0;
-    while ((Count = Socket.receiveBytes(Block.data(),
-                                        static_cast<int>(Block.size()))) > 0)
-      Result.Answer.append(Block.data(), static_cast<std::size_t>(Count));
-    Result.EndedOrderly = Count == 0;
-  } catch (const Poco::Exception &) {
-    // A reset or a timeout.
-  }
-  try {
-    Socket.shutdown();
-  } catch (const Poco::Exception &) {
-    // The connection has ended already.
-  }
-  Sender.join();
-  return Result;
-}
-
-/// Whether a caller takes the answer for a whole success.
-bool looksComplete(const Received &Result) {
-  const std::string &Text = Result.Answer;
-  if (Text.compare(0, 5, "HTTP/") != 0 || Text.compare(9, 3, "200") != 0)
-    return false;
-  const std::string LastChunk = "\r\n0\r\n\r\n";
-  if (Text.find("Transfer-Encoding: chunked") != std::string::npos)
-    return Text.size() > LastChunk.size() &&
-           Text.compare(Text.size() - LastChunk.size(), LastChunk.size(),
-                        LastChunk) == 0;
-  return Result.EndedOrderly;
+  return exchangeRaw(Port, Head, BodyBytes);
 }
 
 } // namespace
@@ -177,8 +132,7 @@
       for (const TestNode *Entry : Nodes.all())
         for (const char *Version : {"HTTP/1.1", "HTTP/1.0"})
           for (const std::size_t BodyBytes : {UploadBytes, std::size_t(0)}) {
-            const Received Result = exchange(
-                TestClient(Entry->Settings->Listen.Port), Version, BodyBytes);
+            const RawExchange Result = exchange(*Entry, Version, BodyBytes);
             BOOST_TEST(!looksComplete(Result),
                        Entry->Settings->Id
                            << ", " << Version << ", body of " << BodyBytes
@@ -196,8 +150,7 @@
        std::chrono::milliseconds(0), false});
   const TwoNodes Nodes(Upstream);
   for (const TestNode *Entry : Nodes.all()) {
-    const Received Result =
-        exchange(TestClient(Entry->Settings->Listen.Port), "HTTP/1.0", 0);
+    const RawExchange Result = exchange(*Entry, "HTTP/1.0", 0);
     BOOST_TEST(looksComplete(Result));
     BOOST_TEST(Result.Answer.size() > Size);
   }
--- a/tests/platform/EarlyAnswerTest.cpp
+++ b/tests/platform/EarlyAnswerTest.cpp
@@ -1,8 +1,11 @@
-#include "RawCall.h"
+#include "RawExchange.h"
 #include "TestMesh.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <thread>
+
+using namespace lycheethread::harness;
 using namespace lycheethread::platformtest;
 
 namespace {
@@ -31,27 +34,6 @@
          std::to_string(BodyBytes) + "\r\n\r\n";
 }
 
-bool isSuccess(const RawUpload &Result) {
-  return Result.Answer.rfind("HTTP/1.1 200", 0) == 0 ||
-         Result.Answer.rfind("HTTP/1.0 200", 0) == 0;
-}
-
-/// Whether a caller takes the answer for a whole one.
-bool looksComplete(const RawUpload &Result) {
-  if (!isSuccess(Result))
-    return false;
-  const std::string LastChunk = "\r\n0\r\n\r\n";
-  if (Result.Answer.find("Transfer-Encoding: chunked") != std::string::npos)
-    return Result.Answer.size() > LastChunk.size() &&
-           Result.Answer.compare(Result.Answer.size() - LastChunk.size(),
-                                 LastChunk.size(), LastChunk) == 0;
-  const std::size_t Length = Result.Answer.find("Content-Length: ");
-  if (Length != std::string::npos)
-    return bodyOf(Result.Answer).size() ==
-           std::stoull(Result.Answer.substr(Length + 16));
-  return Result.EndedOrderly;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(EarlyAnswers)
@@ -71,9 +53,9 @@
                 return resetAnswer(Request, Part, milliseconds(DelayMs));
               });
           for (int Round = 0; Round < 3; ++Round) {
-            const RawUpload Result =
-                uploadRaw(Mesh.at(Entry).outboundPort(),
-                          headOf(Version, UploadBytes), UploadBytes);
+            const RawExchange Result =
+                exchangeRaw(Mesh.at(Entry).outboundPort(),
+                            headOf(Version, UploadBytes), UploadBytes);
             BOOST_TEST(!looksComplete(Result),
                        "entry " << Entry << ", " << Version << ", " << Part
                                 << " bytes, reset after " << DelayMs
@@ -92,8 +74,8 @@
     return Response;
   });
   for (auto &Item : Mesh.Instances) {
-    const RawUpload Result =
-        uploadRaw(Item->outboundPort(), headOf("HTTP/1.0", 0), 0);
+    const RawExchange Result =
+        exchangeRaw(Item->outboundPort(), headOf("HTTP/1.0", 0), 0);
     BOOST_TEST(looksComplete(Result));
     BOOST_TEST(bodyOf(Result.Answer).size() == Bytes);
   }
@@ -110,8 +92,8 @@
     std::this_thread::sleep_for(milliseconds(400));
     Mesh.at(0).node().kill();
   });
-  const RawUpload Result =
-      uploadRaw(Mesh.at(0).outboundPort(), headOf("HTTP/1.0", 0), 0);
+  const RawExchange Result =
+      exchangeRaw(Mesh.at(0).outboundPort(), headOf("HTTP/1.0", 0), 0);
   Killer.join();
   BOOST_TEST(isSuccess(Result));
   BOOST_TEST(!looksComplete(Result));
