Keep the order of evidence once

Each route held the order that the report, or the evidence of its node, already names, so a moved order had to be written into every route. No behaviour changes: what is kept of a rollout has one order. MeshTests, SidecarTests Codecs, the malformed datagrams and, in PlatformNodeTests, RolloutsInAFleet and the restored store hold; the codec test reads the order where it is now.

--- a/src/mesh/Mesh.h
+++ b/src/mesh/Mesh.h
@@ -235,9 +235,7 @@
 /// share along the fixed steps.
 RolloutDecision decideRollout(const RolloutView &View);
 
-/// Returns the sum over the routes of \p Own, which counts for the order at
-/// \p Order.
-RouteEvidence sumOf(Offset Order, const EvidenceByRoute &Own);
+RouteEvidence sumOf(const EvidenceByRoute &Own);
 
 /// Returns the datagrams with the evidence \p Own on the order at \p Order for
 /// this round, and records in \p State what they hold. There is at least one.
--- a/src/mesh/internal/Evidence.cpp
+++ b/src/mesh/internal/Evidence.cpp
@@ -43,8 +43,9 @@
 /// Fills reports one after the other.
 class ReportWriter {
 public:
-  ReportWriter(const EvidencePlan &Plan, const RouteEvidence &Total)
-      : Plan_(Plan), Total_(Total) {
+  ReportWriter(Offset Order, const EvidencePlan &Plan,
+               const RouteEvidence &Total)
+      : Order_(Order), Plan_(Plan), Total_(Total) {
     begin();
   }
 
@@ -68,12 +69,13 @@
 private:
   void begin() {
     EvidenceReport Next;
-    Next.Order = Total_.Order;
+    Next.Order = Order_;
     Next.Routes.push_back(Total_);
     Reports_.push_back(std::move(Next));
     Used_ = Plan_.RouteBytes(Total_);
   }
 
+  const Offset Order_;
   const EvidencePlan &Plan_;
   const RouteEvidence &Total_;
   std::vector<EvidenceReport> Reports_;
@@ -82,9 +84,8 @@
 
 } // namespace
 
-RouteEvidence sumOf(Offset Order, const EvidenceByRoute &Own) {
+RouteEvidence sumOf(const EvidenceByRoute &Own) {
   RouteEvidence Total;
-  Total.Order = Order;
   for (const auto &[Name, Item] : Own)
     add(Total, Item);
   return Total;
@@ -98,8 +99,8 @@
                                             const EvidenceByRoute &Own,
                                             const EvidencePlan &Plan,
                                             EvidenceCursor &State) {
-  const RouteEvidence Total = sumOf(Order, Own);
-  ReportWriter Writer(Plan, Total);
+  const RouteEvidence Total = sumOf(Own);
+  ReportWriter Writer(Order, Plan, Total);
   for (const ChangedRoute &Changed : changedRoutes(Own, State.Sent))
     if (Writer.add(*Changed.Route, Plan.MaxReports))
       State.Sent[Changed.Route->Route] = *Changed.Route;
@@ -137,8 +138,8 @@
 RouteEvidence evidenceSince(const EvidenceByRoute &Before, RouteEvidence Now) {
   const auto Found = Before.find(Now.Route);
   // Counts that are lower belong to a restarted node.
-  if (Found == Before.end() || Found->second.Order != Now.Order ||
-      Found->second.Good > Now.Good || Found->second.Bad > Now.Bad)
+  if (Found == Before.end() || Found->second.Good > Now.Good ||
+      Found->second.Bad > Now.Bad)
     return Now;
   const RouteEvidence &Earlier = Found->second;
   Now.Good -= Earlier.Good;
--- a/src/mesh/tests/EvidenceTest.cpp
+++ b/src/mesh/tests/EvidenceTest.cpp
@@ -11,7 +11,7 @@
 
 RouteEvidence route(const std::string &Name, std::int32_t Good,
                     std::int32_t Bad) {
-  return {Order, RouteName(Name), Good, Bad, Good, Milliseconds(80 * Good)};
+  return {RouteName(Name), Good, Bad, Good, Milliseconds(80 * Good)};
 }
 
 EvidenceByRoute evidence(const std::vector<RouteEvidence> &Routes) {
--- a/src/mesh/types/Evidence.h
+++ b/src/mesh/types/Evidence.h
@@ -11,8 +11,6 @@
 
 /// Outcomes of one route at one upstream since a rollout was ordered.
 struct RouteEvidence {
-  /// Offset of the order in the store.
-  Offset Order;
   /// Empty for the sum over all routes.
   RouteName Route;
   std::int32_t Good = 0;
@@ -31,6 +29,7 @@
 struct EvidenceReport {
   NodeId Node;
   Incarnation IncarnationNumber;
+  /// Offset of the order in the store.
   Offset Order;
   /// The first one is the sum over all routes.
   std::vector<RouteEvidence> Routes;
--- a/src/sidecar/internal/GossipCodec.cpp
+++ b/src/sidecar/internal/GossipCodec.cpp
@@ -317,8 +317,8 @@
       NodeId(From.node), Incarnation(From.life), Offset(From.order), {}};
   for (const wire::RouteEvidenceMessage &Item : From.routes)
     To.Routes.push_back(
-        {To.Order, RouteName(Item.route), std::max(0, Item.good),
-         std::max(0, Item.bad), std::max(0, Item.timed),
+        {RouteName(Item.route), std::max(0, Item.good), std::max(0, Item.bad),
+         std::max(0, Item.timed),
          std::max(Milliseconds(0), Milliseconds(Item.totalTimeMs))});
   return To;
 }
--- a/src/sidecar/internal/OutcomeRecorder.cpp
+++ b/src/sidecar/internal/OutcomeRecorder.cpp
@@ -5,7 +5,6 @@
 mesh::RouteEvidence &OutcomeRecorder::itemOf(Offset Order,
                                              const RouteName &Route) {
   mesh::RouteEvidence &Item = Items_[{Order, Route}];
-  Item.Order = Order;
   Item.Route = Route;
   return Item;
 }
@@ -33,9 +32,8 @@
 }
 
 void OutcomeRecorder::moveOrder(Offset From, Offset To) {
-  for (auto &[Route, Item] : evidence(From)) {
+  for (const auto &[Route, Item] : evidence(From)) {
     Items_.erase({From, Route});
-    Item.Order = To;
     Items_[{To, Route}] = Item;
   }
 }
--- a/src/sidecar/internal/RolloutJudging.cpp
+++ b/src/sidecar/internal/RolloutJudging.cpp
@@ -42,7 +42,7 @@
   if (Context_.Registered.Current.Service != Current.Order.Service)
     return {};
   mesh::EvidenceByRoute Own = Callbacks_.OwnEvidence();
-  Own[RouteName()] = mesh::sumOf(Current.Order.At, Own);
+  Own[RouteName()] = mesh::sumOf(Own);
   return Own;
 }
 
--- a/src/sidecar/internal/Rollouts.cpp
+++ b/src/sidecar/internal/Rollouts.cpp
@@ -68,18 +68,9 @@
 void Rollouts::moveOrder(Item &Current, Offset To) {
   const Offset From = Current.Order.At;
   Current.Order.At = To;
-  const auto Move = [&](mesh::EvidenceByRoute &Routes) {
-    for (auto &[Name, Route] : Routes)
-      if (Route.Order == From)
-        Route.Order = To;
-  };
-  for (auto &[Id, Counted] : Current.EvidenceBefore)
-    Move(Counted);
-  for (auto &[Id, Known] : Evidence_) {
+  for (auto &[Id, Known] : Evidence_)
     if (Known.Order == From)
       Known.Order = To;
-    Move(Known.Routes);
-  }
   Callbacks_.OnOrderMoved(From, To);
   Context_.Log.write(LogClass::State, Context_.now(), "rollout-order-moved",
                      {{"service", Current.Order.Service.str()},
--- a/src/sidecar/tests/CodecTest.cpp
+++ b/src/sidecar/tests/CodecTest.cpp
@@ -80,8 +80,7 @@
   for (int At = 0; At < Routes; ++At) {
     const RouteName Name("fetch-of-a-package-with-a-long-name-" +
                          std::to_string(At));
-    Own[Name] = {Offset(1LL << 40),      Name, 100'000, 3000, 90'000,
-                 Milliseconds(9'000'000)};
+    Own[Name] = {Name, 100'000, 3000, 90'000, Milliseconds(9'000'000)};
   }
   return Own;
 }
@@ -106,10 +105,11 @@
       BOOST_REQUIRE((Read && Read->Evidence));
       mesh::mergeEvidence(Known, *Read->Evidence, SteadyTime(1));
     }
-  const mesh::EvidenceByRoute &Got = Known.at(NodeId("10.100.200.107")).Routes;
+  const mesh::KnownEvidence &Node = Known.at(NodeId("10.100.200.107"));
+  const mesh::EvidenceByRoute &Got = Node.Routes;
   BOOST_TEST(Got.size() == 1401U);
   BOOST_TEST(Got.at(RouteName()).Bad == 1400 * 3000);
-  BOOST_TEST(Got.begin()->second.Order.value() == 1LL << 40);
+  BOOST_TEST(Node.Order.value() == 1LL << 40);
   BOOST_TEST(Got.rbegin()->second.Timed == 90'000);
 }
 
--- a/tests/robustness/MeshInputTest.cpp
+++ b/tests/robustness/MeshInputTest.cpp
@@ -105,11 +105,11 @@
   Message.Reports = {nodeReport("10.0.0.7"), nodeReport("10.0.0.8")};
   Message.Beats = {mesh::beatOf(nodeReport("10.0.0.7"))};
   Message.Wanted = {mesh::NodeKey(77)};
-  Message.Evidence = mesh::EvidenceReport{
-      NodeId("10.0.0.7"),
-      Incarnation(5),
-      Offset(40),
-      {{Offset(40), RouteName("r"), 20, 3, 18, Milliseconds(1600)}}};
+  Message.Evidence =
+      mesh::EvidenceReport{NodeId("10.0.0.7"),
+                           Incarnation(5),
+                           Offset(40),
+                           {{RouteName("r"), 20, 3, 18, Milliseconds(1600)}}};
   readMalformed(
       "gossip", encodeGossip(Message), 1, [](const std::string &Bytes) {
         const auto Read = sidecar::decodeGossip(Bytes);
