--- a/review/lib3/mesh.py
+++ b/review/lib3/mesh.py
@@ -126,7 +126,7 @@
         try:
             await self.serve(reader, writer)
         except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError,
-                asyncio.CancelledError):
+                asyncio.CancelledError, RuntimeError):
             pass
         finally:
             self.writers.discard(writer)
