Reject no configuration for the size or the form of a number

What callers saw: a version of the configuration moved a route, added one and split a third with the weights 99.5 and 0.5. No node applied any part of it.

Cause: the store accepts only valid configurations, but the reader of nodes had bounds and forms of its own: whole numbers up to 1,000,000, written without a point or an exponent. It throws at the first problem, so one number took the whole version down on every node.

Evidence: "config-unreadable" names the field.

Change: weights are doubles; their ratio is used whatever their size. Where nodes need whole numbers, the closest value of the type is used; times, rates and bursts beyond any use are shortened. Negative numbers and values of another type are rejected as before. "lycheethread check" warns of each number that nodes use in another form, and shows weights of any form in lowest terms.

--- a/src/configcheck/internal/Compare.cpp
+++ b/src/configcheck/internal/Compare.cpp
@@ -1,11 +1,13 @@
 #include "configcheck/internal/FindingSink.h"
 
 #include <algorithm>
+#include <cmath>
+#include <iomanip>
 #include <iterator>
 #include <map>
-#include <numeric>
 #include <set>
 #include <sstream>
+#include <utility>
 
 namespace lycheethread::configcheck {
 
@@ -17,8 +19,10 @@
 const std::string Removed = "removed";
 
 std::string textOf(double Number) {
+  // Rounds off the error of a quotient.
+  constexpr int Digits = 12;
   std::ostringstream Out;
-  Out << Number;
+  Out << std::setprecision(Digits) << Number;
   return Out.str();
 }
 
@@ -77,18 +81,37 @@
 }
 
 /// Weights by service.
-using Weights = std::map<ServiceName, std::int64_t>;
+using Weights = std::map<ServiceName, double>;
+
+/// Returns the largest number of which both are multiples but for rounding, by
+/// Euclid's algorithm.
+double commonUnit(double First, double Second) {
+  constexpr double MaxError = 1e-12;
+  const double Allowed = MaxError * std::max(First, Second);
+  while (Second > Allowed) {
+    const double Rest = std::fmod(First, Second);
+    First = std::exchange(Second, Second - Rest > Allowed ? Rest : 0);
+  }
+  return First;
+}
 
 /// Returns the weights in their lowest terms, since only their ratio counts.
 Weights weightsOf(const mesh::MeshRoute &Route) {
+  // The sum of weights near the largest double would be infinite. A power of
+  // two changes no other digit.
+  constexpr double MaxSummed = 0x1p1000;
+  double Scale = 1;
+  for (const mesh::SplitPart &Part : Route.Parts)
+    if (Part.Weight > MaxSummed)
+      Scale = 1 / MaxSummed;
   Weights Found;
   for (const mesh::SplitPart &Part : Route.Parts)
-    Found[Part.Service] += Part.Weight;
-  std::int64_t Divisor = 0;
+    Found[Part.Service] += Part.Weight * Scale;
+  double Unit = 0;
   for (const auto &[Service, Weight] : Found)
-    Divisor = std::gcd(Divisor, Weight);
+    Unit = commonUnit(std::max(Unit, Weight), std::min(Unit, Weight));
   for (auto &[Service, Weight] : Found)
-    Weight /= Divisor;
+    Weight /= Unit;
   return Found;
 }
 
@@ -102,8 +125,7 @@
 std::string weightsText(const Weights &Of) {
   std::string Text;
   for (const auto &[Service, Weight] : Of)
-    Text += (Text.empty() ? "" : ", ") + Service.str() + " " +
-            std::to_string(Weight);
+    Text += (Text.empty() ? "" : ", ") + Service.str() + " " + textOf(Weight);
   return Text;
 }
 
--- a/src/configcheck/internal/ConfigCheck.cpp
+++ b/src/configcheck/internal/ConfigCheck.cpp
@@ -19,9 +19,11 @@
 CheckResult check(const ParsedConfig &Parsed, const KnownRegions &Regions) {
   CheckResult Result;
   Result.Errors = Parsed.Problems;
-  for (Finding &Item : Result.Errors)
-    if (Item.Line == 0)
-      Item.Line = lineOf(Parsed, Item.Key);
+  Result.Warnings = Parsed.Adjusted;
+  for (Findings *List : {&Result.Errors, &Result.Warnings})
+    for (Finding &Item : *List)
+      if (Item.Line == 0)
+        Item.Line = lineOf(Parsed, Item.Key);
   const FindingSink Sink{Parsed, Result};
   checkEntries(Parsed.Config, Sink);
   checkLimits(Parsed.Config, Sink);
--- a/src/configcheck/tests/CheckTest.cpp
+++ b/src/configcheck/tests/CheckTest.cpp
@@ -29,7 +29,7 @@
   return Config.Organisations.at(Index).Item;
 }
 
-void split(StatedConfig &Config, std::int32_t First, std::int32_t Second) {
+void split(StatedConfig &Config, double First, double Second) {
   StatedRoute &Rule = Config.Routes.front();
   const std::string List = Rule.At + ".action.traffic_split";
   Rule.Parts = {{List + "[0]", ServiceName("x"), First},
--- a/src/configcheck/tests/CompareTest.cpp
+++ b/src/configcheck/tests/CompareTest.cpp
@@ -49,6 +49,15 @@
        splitParts(C, {{X, 90}, {Y, 10}});
      },
      {"route a: service: x -> x, y", "route a: weights: x 1 -> x 9, y 1"}},
+    {[](StatedConfig &C) {
+       splitParts(C, {{X, 99.5}, {Y, 0.5}});
+     },
+     {"route a: service: x -> x, y", "route a: weights: x 1 -> x 199, y 1"}},
+    {[](StatedConfig &C) {
+       splitParts(C, {{X, 2147483647}, {Y, 2147483646}});
+     },
+     {"route a: service: x -> x, y",
+      "route a: weights: x 1 -> x 2147483647, y 2147483646"}},
     {[](StatedConfig &C) { C.Routes[0].Route.Prefix = "/d/"; },
      {"route a: match: shop.example/a/ -> shop.example/d/"}},
     {[](StatedConfig &C) {
@@ -136,6 +145,26 @@
              }).empty());
 }
 
+// Guards against weights that are shown as changed where only their form is.
+BOOST_AUTO_TEST_CASE(weightsWithTheSameRatioMakeNoDifference) {
+  const auto With = [](std::vector<mesh::SplitPart> Parts) {
+    ParsedConfig Parsed = makeConfig();
+    splitParts(Parsed.Config, std::move(Parts));
+    return Parsed;
+  };
+  using Parts = std::vector<mesh::SplitPart>;
+  const std::vector<std::pair<Parts, Parts>> Same{
+      {{{X, 199}, {Y, 1}}, {{X, 99.5}, {Y, 0.5}}},
+      {{{X, 7}, {Y, 93}}, {{X, 0.07}, {Y, 0.93}}},
+      {{{X, 1}, {Y, 2}}, {{X, 1.0 / 3}, {Y, 2.0 / 3}}},
+      {{{X, 1}, {Y, 1}}, {{X, 1e308}, {X, 5e307}, {Y, 1.5e308}}},
+      {{{X, 3}, {Y, 1}}, {{X, 3e-300}, {Y, 1e-300}}},
+      {{{X, 10000000}, {Y, 1}}, {{X, 1000000}, {Y, 0.1}}}};
+  for (const auto &[From, To] : Same)
+    for (const Difference &Item : compare(With(To), With(From)).Differences)
+      BOOST_TEST(Item.Subject == "configuration", toString(Item));
+}
+
 // Guards against a configuration that is published and never taken, since its
 // version is not above the one in force.
 BOOST_AUTO_TEST_CASE(versionHasToBeAboveTheOneInForce) {
--- a/src/configcheck/types/ParsedConfig.h
+++ b/src/configcheck/types/ParsedConfig.h
@@ -14,6 +14,8 @@
   /// Everything for which a node rejects the configuration. The fields in
   /// question have default values in Config.
   Findings Problems;
+  /// Numbers that nodes use in another form than stated.
+  Findings Adjusted;
   /// Line of each place, from 1.
   std::map<Place, int> Lines;
 };
--- a/src/configcheck/types/StatedConfig.h
+++ b/src/configcheck/types/StatedConfig.h
@@ -43,7 +43,7 @@
   Place At;
   ServiceName Service;
   /// A part with weight 0 gets no requests.
-  std::int32_t Weight = 1;
+  double Weight = 1;
 };
 
 struct StatedRoute {
--- a/src/mesh/internal/FindRoute.cpp
+++ b/src/mesh/internal/FindRoute.cpp
@@ -91,16 +91,20 @@
                                  std::mt19937_64 &Random) {
   if (Route.Parts.empty())
     return nullptr;
+  // The sum of weights near the largest double would be infinite.
+  double Largest = 0;
+  for (const SplitPart &Part : Route.Parts)
+    Largest = std::max(Largest, Part.Weight);
   double Total = 0;
   for (const SplitPart &Part : Route.Parts)
-    Total += Part.Weight;
+    Total += Part.Weight / Largest;
   if (State.Position)
     State.Position = std::fmod(*State.Position + GoldenRatioStep, 1.0);
   else
     State.Position = std::uniform_real_distribution<double>(0, 1)(Random);
   double Rest = *State.Position * Total;
   for (const SplitPart &Part : Route.Parts) {
-    Rest -= Part.Weight;
+    Rest -= Part.Weight / Largest;
     if (Rest < 0)
       return &Part.Service;
   }
--- a/src/mesh/tests/RouteTest.cpp
+++ b/src/mesh/tests/RouteTest.cpp
@@ -88,6 +88,29 @@
   }
 }
 
+// Guards against shares that are lost in rounding or in a sum that is infinite:
+// a weight may be any number above 0.
+BOOST_AUTO_TEST_CASE(splitMeetsWeightsOfAnySize) {
+  constexpr int Requests = 2000;
+  const std::vector<std::pair<double, double>> Cases{
+      {99.5, 0.5},      {0.1, 0.2},       {3e9, 1e9},
+      {1e-9, 3e-9},     {1e-300, 1e-300}, {5e-324, 5e-324},
+      {1e308, 1.5e308}, {1e308, 1e-308},  {1, 1e12}};
+  for (const auto &[First, Second] : Cases) {
+    MeshRoute Route = route("/a/");
+    Route.Parts = {{ServiceName("x"), First}, {ServiceName("y"), Second}};
+    const double Wanted = Requests / (1 + Second / First);
+    for (unsigned Seed = 0; Seed < 20; ++Seed) {
+      std::mt19937_64 Random(Seed);
+      SplitState State;
+      int OnX = 0;
+      for (int Count = 0; Count < Requests; ++Count)
+        OnX += chooseService(Route, State, Random)->str() == "x" ? 1 : 0;
+      BOOST_TEST(std::abs(OnX - Wanted) <= 4, First << " to " << Second);
+    }
+  }
+}
+
 // Guards against a split that holds on each node but not over the fleet: with a
 // request or none a node, the first choice of every node decides the shares.
 BOOST_AUTO_TEST_CASE(splitHoldsOverTheFleetWithFewRequestsANode) {
--- a/src/mesh/types/MeshConfig.h
+++ b/src/mesh/types/MeshConfig.h
@@ -19,8 +19,8 @@
 /// A destination service of a route and its share of the requests.
 struct SplitPart {
   ServiceName Service;
-  /// Relative to the sum of the weights of the route.
-  std::int32_t Weight = 1;
+  /// Above 0, of any size; relative to the sum of the weights of the route.
+  double Weight = 1;
 };
 
 struct MeshRoute {
--- a/tests/platform/ConfigurationTest.cpp
+++ b/tests/platform/ConfigurationTest.cpp
@@ -2,9 +2,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <fstream>
 #include <future>
 #include <iterator>
+#include <regex>
 
 using namespace lycheethread::platformtest;
 
@@ -19,6 +21,12 @@
     R"(,{"name":"new","type":"idempotent","match":{"path_prefix":"/new/"},)"
     R"("action":{"backend_service":"desk","timeout_s":1}})";
 
+/// Returns \p Text with \p Number in place of each of its numbers.
+std::string withNumbers(const std::string &Text, const std::string &Number) {
+  static const std::regex Stated(R"(":[0-9.]+)");
+  return std::regex_replace(Text, Stated, "\":" + Number);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Configuration)
@@ -31,6 +39,62 @@
                            ApplyLimit));
 }
 
+// Guards against a configuration that every node rejects as a whole since one
+// of its weights is no whole number.
+BOOST_AUTO_TEST_CASE(fractionalWeightsAreAppliedOnAllNodes) {
+  TestMesh Mesh({{"e1"}, {"e2"}, {"e3", "store"}});
+  Mesh.Store.put(
+      "keyed.op", "config",
+      configuration(
+          4, NewRule +
+                 R"(,{"name":"split","type":"idempotent","match":)"
+                 R"({"path_prefix":"/split/"},"action":{"traffic_split":[)"
+                 R"({"backend_service":"desk","weight":99.5},)"
+                 R"({"backend_service":"store","weight":0.5}],)"
+                 R"("timeout_s":1}})"));
+  for (auto &Item : Mesh.Instances)
+    BOOST_TEST(holdsWithin([&] { return Item->get("/new/x").Status == 200; },
+                           ApplyLimit));
+  constexpr int Requests = 400;
+  for (int Count = 0; Count < Requests; ++Count)
+    BOOST_TEST(Mesh.at(0).get("/split/x").Status == 200);
+  const auto Received = Mesh.at(2).upstream().receivedRequests();
+  const auto OnStore =
+      std::count_if(Received.begin(), Received.end(), [](const auto &Request) {
+        return Request.RequestLine.find(" /split/") != std::string::npos;
+      });
+  BOOST_TEST(OnStore >= 1);
+  BOOST_TEST(OnStore <= 3);
+}
+
+// Guards against a configuration that is rejected for the size or the form of a
+// number, and against limits that overflow where they are used.
+BOOST_AUTO_TEST_CASE(numbersOfAnySizeServeRequests) {
+  TestMesh Mesh({{"f1"}, {"f2", "store"}});
+  Mesh.at(0).setColdRemaining(60);
+  int Version = 4;
+  for (const char *Number : {"1048576", "99999.5", "4294967296.0",
+                             "18446744073709551615", "1e300"}) {
+    const std::string Path = "/n" + std::to_string(Version) + "/";
+    const std::string Rule =
+        R"(,{"name":"n","type":"idempotent","match":{"path_prefix":")" + Path +
+        R"("},"action":{"backend_service":"store","timeout_s":1}})";
+    Mesh.Store.put(
+        "keyed.op", "config",
+        withNumbers(configuration(Version, Rule, R"(,"cold_per_s":1)"),
+                    Number));
+    ++Version;
+    for (auto &Item : Mesh.Instances) {
+      BOOST_TEST(holdsWithin([&] { return Item->get(Path).Status == 200; },
+                             ApplyLimit),
+                 Number);
+      BOOST_TEST(Item->get("/read/x").Status == 200, Number);
+      BOOST_TEST(Item->post("/write/x", "x").Status == 200, Number);
+      BOOST_TEST(Item->get("/other/x").Status == 200, Number);
+    }
+  }
+}
+
 // Guards against a node that reverts to an older configuration or applies part
 // of a malformed one.
 BOOST_AUTO_TEST_CASE(olderAndMalformedConfigurationsAreIgnored) {
