Keep the limit of a cold upstream at any rate

What callers would see: with a cold_per_s of 1e-20 or less, a cold upstream gets all requests at once.

Cause: coldDelay() converts the time for the missing permits to 64 bits. A time that does not fit converts to a negative number on x86-64, so there was no delay.

Change: the time is bounded before it is converted.

--- a/src/mesh/internal/ColdLimit.cpp
+++ b/src/mesh/internal/ColdLimit.cpp
@@ -27,6 +27,13 @@
   return *Limit.PerSecond / MillisecondsPerSecond;
 }
 
+Milliseconds timeForPermits(const ColdLimit &Limit, double Permits) {
+  // A rate may be so small that the time does not fit 64 bits.
+  constexpr double LongestMs = 1e12;
+  return Milliseconds(static_cast<std::int64_t>(
+      std::min(LongestMs, std::ceil(Permits / permitsPerMs(Limit)))));
+}
+
 double mostSaved(const ColdLimit &Limit) {
   return std::clamp(Limit.Slack * SavedSlackShare, 1.0, MostSaved);
 }
@@ -173,8 +180,7 @@
       IsCold ? windowDelay(Limit, Ahead + 1, Now) : Milliseconds(0);
   const double Missing = static_cast<double>(Ahead) + 1 - permitsAt(Limit, Now);
   if (Missing > 0)
-    Delay = std::max(Delay, Milliseconds(static_cast<std::int64_t>(
-                                std::ceil(Missing / permitsPerMs(Limit)))));
+    Delay = std::max(Delay, timeForPermits(Limit, Missing));
   if (!IsCold)
     return std::min(Delay,
                     std::max(Milliseconds(1), elapsed(Now, *Limit.CheckEnd)));
--- a/src/mesh/tests/ColdLimitTest.cpp
+++ b/src/mesh/tests/ColdLimitTest.cpp
@@ -257,4 +257,21 @@
   BOOST_TEST(*limitOf(Queue, SteadyTime(5000)) == 200.0);
 }
 
+// Guards against a delay that overflows and leaves the upstream unlimited.
+BOOST_AUTO_TEST_CASE(rateOfAnySizeIsKept) {
+  constexpr std::int64_t Ahead = 10'000;
+  for (const double PerSecond : {5e-324, 1e-300, 1e-20, 1e-9, 1e9}) {
+    ColdLimit Limit = limited(PerSecond);
+    recordColdCheckIn(Limit, Milliseconds(60'000), true, SteadyTime(0));
+    const Milliseconds UntilWarm(59'990);
+    const Milliseconds Wanted = PerSecond < 1 ? UntilWarm : Milliseconds(1);
+    BOOST_TEST(coldDelay(Limit, Ahead, SteadyTime(10)).count() ==
+                   Wanted.count(),
+               PerSecond);
+    // It is not known how long the limit lasts.
+    recordConnectionLoss(Limit, ConnectionLoss::Refused, SteadyTime(20));
+    BOOST_TEST((coldDelay(Limit, Ahead, SteadyTime(20)) >= Wanted), PerSecond);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
